--- /dev/null
+++ b/packages/observe/unittests/ObserveTest.cpp
@@ -0,0 +1,27 @@
+#include "greengage/observe/Log.h"
+#include "greengage/observe/Metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengage::observe;
+
+TEST_CASE("log values cannot forge fields or lines")
+{
+  REQUIRE(FormatLogLine("start", { { "host", "e1" } }) == "start host=e1");
+  REQUIRE(FormatLogLine("x", { { "a", "b c=\"d\"\n" } }) ==
+          R"(x a="b c=\"d\"\x0a")");
+  REQUIRE(FormatLogLine("x", { { "a", "" } }) == R"(x a="")");
+}
+
+TEST_CASE("metrics appear in the text format")
+{
+  Metrics metrics;
+  metrics.Count("requests_total", { { "team", "plan" } }, 2);
+  metrics.Count("requests_total", { { "team", "plan" } });
+  metrics.Set("free_slots", 7);
+  metrics.Observe("wait_ms", 3);
+  const std::string text = metrics.Serialize();
+  REQUIRE(text.find("requests_total{team=\"plan\"} 3") != std::string::npos);
+  REQUIRE(text.find("free_slots 7") != std::string::npos);
+  REQUIRE(text.find("wait_ms_bucket{le=\"5\"} 1") != std::string::npos);
+}
--- /dev/null
+++ b/packages/settings/lib/Values.cpp
@@ -0,0 +1,103 @@
+#include "greengage/settings/Values.h"
+
+#include <array>
+#include <charconv>
+#include <limits>
+#include <system_error>
+
+using namespace greengage;
+using namespace greengage::settings;
+
+namespace {
+
+struct UnitText
+{
+  std::string_view suffix;
+  std::int64_t millis;
+};
+
+} // namespace
+
+// "ms" stands before "s": the first suffix that matches wins.
+static constexpr std::array<UnitText, 6> kUnits = { {
+  { "ms", 1 },
+  { "min", 60 * 1000 },
+  { "s", 1000 },
+  { "h", 60 * 60 * 1000 },
+  { "d", 24 * 60 * 60 * 1000 },
+  { "w", 7 * 24 * 60 * 60 * 1000 },
+} };
+
+template<typename Number>
+static bool
+ReadWhole(std::string_view aText, Number& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, aNumber);
+  return result.ec == std::errc() && result.ptr == end;
+}
+
+static std::nullopt_t
+FailValue(Error& aReason, std::string_view aText, const std::string& aWanted)
+{
+  return Fail(aReason,
+              ErrorKind::InvalidSetting,
+              "\"" + std::string(aText) + "\" is not " + aWanted);
+}
+
+std::optional<std::int64_t>
+greengage::settings::ParseInteger(std::string_view aText,
+                                  IntegerRange aRange,
+                                  Error& aReason)
+{
+  std::int64_t value = 0;
+  const bool isRead = ReadWhole(aText, value);
+  if (!isRead || value < aRange.low || value > aRange.high)
+    return FailValue(aReason,
+                     aText,
+                     "a whole number from " + std::to_string(aRange.low) +
+                       " to " + std::to_string(aRange.high));
+  return value;
+}
+
+std::optional<double>
+greengage::settings::ParseDecimal(std::string_view aText,
+                                  double aHigh,
+                                  Error& aReason)
+{
+  double value = 0;
+  const bool isRead = ReadWhole(aText, value);
+  // The negated form also turns away NaN.
+  if (!isRead || !(value >= 0 && value <= aHigh))
+    return FailValue(
+      aReason, aText, "a number from 0 to " + std::to_string(aHigh));
+  return value;
+}
+
+std::optional<bool>
+greengage::settings::ParseBoolean(std::string_view aText, Error& aReason)
+{
+  if (aText == "true")
+    return true;
+  if (aText == "false")
+    return false;
+  return FailValue(aReason, aText, "true or false");
+}
+
+std::optional<Duration>
+greengage::settings::ParseDuration(std::string_view aText, Error& aReason)
+{
+  const std::string wanted = "a time such as 250ms, 10s, 5min, 2h, 3d or 8w";
+  for (const UnitText& unit : kUnits) {
+    if (!aText.ends_with(unit.suffix))
+      continue;
+    const auto digits = aText.substr(0, aText.size() - unit.suffix.size());
+    std::int64_t count = 0;
+    const std::int64_t most =
+      std::numeric_limits<std::int64_t>::max() / (1000 * unit.millis);
+    if (!ReadWhole(digits, count) || count < 0 || count > most)
+      return FailValue(aReason, aText, wanted);
+    return Duration(count * unit.millis);
+  }
+  return FailValue(aReason, aText, wanted);
+}
