--- a/packages/core/include/greengage/core/Error.h
+++ b/packages/core/include/greengage/core/Error.h
@@ -32,6 +32,7 @@
   ShuttingDown,
   Unreachable,
   OutcomeUnknown,
+  Cancelled,
   Timeout,
   Unsupported,
   DataCorrupt,
--- a/packages/core/include/greengage/core/Ids.h
+++ b/packages/core/include/greengage/core/Ids.h
@@ -29,6 +29,8 @@
 using RequestId = StrongId<struct RequestTag, std::string>;
 /// One attempt to run a request on an upstream, unique inside an entry host.
 using DispatchId = StrongId<struct DispatchTag, std::uint64_t>;
+/// One accepted request on its way, unique inside an entry host.
+using WorkId = StrongId<struct WorkTag, std::uint64_t>;
 /// One waiting caller, unique inside an entry host.
 using CallId = StrongId<struct CallTag, std::uint64_t>;
 /// A version of the agreed state.
--- a/packages/core/lib/Error.cpp
+++ b/packages/core/lib/Error.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 // In the order of the enumerators, so that a kind is its own index.
-static constexpr std::array<KindText, 23> kKindTexts = { {
+static constexpr std::array<KindText, 24> kKindTexts = { {
   { ErrorKind::None, "none", "nothing to do" },
   { ErrorKind::Malformed, "malformed", "correct the input and send it again" },
   { ErrorKind::TooLarge, "too-large", "send less or raise the limit" },
@@ -57,6 +57,7 @@
   { ErrorKind::OutcomeUnknown,
     "outcome-unknown",
     "check the effect before sending the work under a new id" },
+  { ErrorKind::Cancelled, "cancelled", "send it under a new id if wanted" },
   { ErrorKind::Timeout, "timeout", "send again or allow more time" },
   { ErrorKind::Unsupported, "unsupported", "use a version that both support" },
   { ErrorKind::DataCorrupt,
--- /dev/null
+++ b/packages/dispatch/lib/LimitLedger.cpp
@@ -0,0 +1,58 @@
+#include "greengage/dispatch/LimitLedger.h"
+
+#include <xxhash.h>
+
+#include <cassert>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+Slots
+StaticSplitLedger::PartOf(Slots aLimit, const TeamId& aTeam) const
+{
+  const auto hosts = static_cast<std::int64_t>(options_.hosts);
+  const std::int64_t even = aLimit.Count() / hosts;
+  const std::int64_t rest = aLimit.Count() % hosts;
+  // The team decides which hosts get the rest, so that small limits of many
+  // teams do not all fall to the first hosts.
+  const std::string& team = aTeam.Value();
+  const auto offset = static_cast<std::int64_t>(
+    XXH64(team.data(), team.size(), 0) % options_.hosts);
+  const auto place =
+    (static_cast<std::int64_t>(options_.rank) + offset) % hosts;
+  return Slots(even + (place < rest ? 1 : 0));
+}
+
+void
+StaticSplitLedger::Update(const state::FleetView& aView)
+{
+  for (auto& [team, account] : accounts_)
+    if (!aView.teams.contains(team))
+      account.part = Slots(0);
+  for (const auto& [team, policy] : aView.teams)
+    accounts_[team].part = PartOf(policy.limit, team);
+}
+
+bool
+StaticSplitLedger::TryAcquire(const TeamId& aTeam)
+{
+  if (!HasRoom(aTeam))
+    return false;
+  accounts_[aTeam].running += Slots(1);
+  return true;
+}
+
+void
+StaticSplitLedger::Release(const TeamId& aTeam)
+{
+  Account& account = accounts_[aTeam];
+  assert(account.running > Slots(0) && "each release follows an acquire");
+  account.running -= Slots(1);
+}
+
+bool
+StaticSplitLedger::HasRoom(const TeamId& aTeam) const
+{
+  const auto found = accounts_.find(aTeam);
+  return found != accounts_.end() && found->second.running < found->second.part;
+}
--- /dev/null
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -0,0 +1,351 @@
+#include "greengage/dispatch/RequestPlane.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+static constexpr Duration kQueueFullRetry = Duration::Seconds(1);
+static constexpr Duration kShutdownRetry = Duration(100);
+static constexpr std::size_t kMaxWaiters = 16;
+/// How long after the deadline an entry host waits for a late peer.
+static constexpr Duration kDeadlineGrace = Duration(250);
+
+RequestPlane::RequestPlane(RequestPlaneOptions aOptions,
+                           RequestQueue& aQueue,
+                           LimitLedger& aLimits)
+  : options_(std::move(aOptions))
+  , queue_(aQueue)
+  , limits_(aLimits)
+  , peers_(options_.self, options_.availabilityZone)
+  , records_(options_.records)
+{
+}
+
+void
+RequestPlane::Handle(Event&& aEvent, Time aNow, Actions& aOut)
+{
+  std::visit([&](auto&& aAny) { On(std::move(aAny), aNow, aOut); },
+             std::move(aEvent));
+  if (shuttingDown_)
+    ReportDrained(aOut);
+}
+
+void
+RequestPlane::Tick(Time aNow, Actions& aOut)
+{
+  upstreams_.Expire(aNow);
+  records_.Expire(aNow);
+  ReleaseHolds(aNow);
+  ExpireWaiting(aNow, aOut);
+  AnswerOverdue(aNow, aOut);
+  for (const PoolId& pool : queue_.Pools())
+    Schedule(pool, aNow, aOut);
+  Publish(aNow, aOut);
+  if (shuttingDown_)
+    ReportDrained(aOut);
+}
+
+static NotRun
+MakeNotRun(ErrorKind aKind, std::string aDetail, Duration aRetryAfter = {})
+{
+  return NotRun{ .error = { .kind = aKind, .detail = std::move(aDetail) },
+                 .retryAfter = aRetryAfter };
+}
+
+static Unknown
+MakeUnknown(ErrorKind aKind, std::string aDetail)
+{
+  return Unknown{ .error = { .kind = aKind, .detail = std::move(aDetail) } };
+}
+
+void
+RequestPlane::On(Submit&& aEvent, Time aNow, Actions& aOut)
+{
+  if (AnswerFromRecord(aEvent, aOut))
+    return;
+  auto refusal = Refusal(aEvent.request, aNow);
+  if (refusal) {
+    aOut.push_back(Answer{ .call = aEvent.call,
+                           .id = aEvent.request.id,
+                           .outcome = std::move(*refusal) });
+    return;
+  }
+  Admit(std::move(aEvent), aNow, aOut);
+}
+
+std::optional<NotRun>
+RequestPlane::Refusal(const Request& aRequest, Time aNow) const
+{
+  if (shuttingDown_)
+    return MakeNotRun(
+      ErrorKind::ShuttingDown, "entry host is shutting down", kShutdownRetry);
+  if (!view_)
+    return MakeNotRun(ErrorKind::Unreachable,
+                      "entry host has no agreed state yet",
+                      kQueueFullRetry);
+  const auto team = view_->teams.find(aRequest.team);
+  if (team == view_->teams.end())
+    return MakeNotRun(ErrorKind::Forbidden,
+                      "team \"" + aRequest.team.Value() + "\" does not exist");
+  if (!view_->pools.contains(aRequest.pool))
+    return MakeNotRun(ErrorKind::NotFound,
+                      "pool \"" + aRequest.pool.Value() + "\" does not exist");
+  if (aRequest.deadline <= aNow)
+    return MakeNotRun(ErrorKind::DeadlinePassed, "deadline has passed");
+  if (team->second.limit <= Slots(0))
+    return MakeNotRun(ErrorKind::LimitReached, "limit of the team is 0");
+  const bool isFull = queue_.Waiting(aRequest.team) >= team->second.maxQueued;
+  if (isFull || works_.size() >= options_.maxWorks)
+    return MakeNotRun(
+      ErrorKind::Overloaded, "queue of the team is full", kQueueFullRetry);
+  return std::nullopt;
+}
+
+/// Answers a resend out of its record. False if there is no record.
+bool
+RequestPlane::AnswerFromRecord(const Submit& aEvent, Actions& aOut)
+{
+  const Request& request = aEvent.request;
+  RequestRecord* record = records_.Find({ request.team, request.id });
+  if (record == nullptr)
+    return false;
+  const auto answer = [&](Outcome aOutcome) {
+    aOut.push_back(Answer{
+      .call = aEvent.call, .id = request.id, .outcome = std::move(aOutcome) });
+  };
+  if (record->fingerprint != FingerprintOf(request))
+    answer(MakeUnknown(ErrorKind::DuplicateRequest,
+                       "another request was sent under this id"));
+  else if (record->outcome)
+    answer(*record->outcome);
+  else if (record->hasEnded)
+    answer(MakeUnknown(ErrorKind::OutcomeUnknown,
+                       "request ended and its answer is no longer kept"));
+  else if (record->waiters.size() >= kMaxWaiters)
+    answer(MakeUnknown(ErrorKind::DuplicateRequest,
+                       "too many callers wait for this request"));
+  else
+    record->waiters.push_back(aEvent.call);
+  return true;
+}
+
+void
+RequestPlane::Admit(Submit&& aEvent, Time aNow, Actions& aOut)
+{
+  const RequestRecords::Key key(aEvent.request.team, aEvent.request.id);
+  RequestRecord* record = records_.Create(key, FingerprintOf(aEvent.request));
+  if (record == nullptr) {
+    aOut.push_back(
+      Answer{ .call = aEvent.call,
+              .id = aEvent.request.id,
+              .outcome = MakeNotRun(ErrorKind::Overloaded,
+                                    "no room to remember another request id",
+                                    kQueueFullRetry) });
+    return;
+  }
+  const PoolId pool = aEvent.request.pool;
+  const WorkId work =
+    AddWork(std::move(aEvent.request), LocalOrigin{ .key = key });
+  record->work = work;
+  record->waiters.push_back(aEvent.call);
+  Enqueue(work, works_.at(work).request);
+  Schedule(pool, aNow, aOut);
+}
+
+WorkId
+RequestPlane::AddWork(Request&& aRequest, Origin&& aOrigin)
+{
+  const WorkId id(++lastWork_);
+  Work work;
+  work.request = std::move(aRequest);
+  work.origin = std::move(aOrigin);
+  works_.emplace(id, std::move(work));
+  return id;
+}
+
+void
+RequestPlane::Enqueue(WorkId aWork, const Request& aRequest)
+{
+  queue_.Add({ .work = aWork,
+               .team = aRequest.team,
+               .pool = aRequest.pool,
+               .priceClass = aRequest.priceClass,
+               .deadline = aRequest.deadline });
+}
+
+void
+RequestPlane::On(Cancel&& aEvent, Time aNow, Actions& aOut)
+{
+  const RequestRecords::Key key(aEvent.team, aEvent.id);
+  const RequestRecord* record = records_.Find(key);
+  Outcome outcome =
+    MakeNotRun(ErrorKind::NotFound, "no such request on this entry host");
+  if (record != nullptr && record->outcome)
+    outcome = *record->outcome;
+  else if (record != nullptr && queue_.Remove(record->work)) {
+    outcome =
+      Truthful(works_.at(record->work),
+               MakeNotRun(ErrorKind::Cancelled, "request was cancelled"));
+    Finish(record->work, Outcome(outcome), aNow, aOut);
+  } else if (record != nullptr)
+    outcome = MakeUnknown(ErrorKind::OutcomeUnknown,
+                          "request is running or its end is not kept");
+  aOut.push_back(AnswerCancel{
+    .call = aEvent.call, .id = aEvent.id, .outcome = std::move(outcome) });
+}
+
+void
+RequestPlane::On(Announced&& aEvent, Time aNow, Actions& aOut)
+{
+  const UpstreamAnnouncement& announcement = aEvent.announcement;
+  const bool knowsPool =
+    view_ != nullptr && view_->pools.contains(announcement.pool);
+  if (aEvent.call && !knowsPool) {
+    aOut.push_back(AnswerAnnouncement{
+      .call = *aEvent.call,
+      .servedBy = {},
+      .refusal = Error{ .kind = ErrorKind::NotFound,
+                        .detail = "pool \"" + announcement.pool.Value() +
+                                  "\" does not exist" } });
+    return;
+  }
+  EntryHostId owner =
+    peers_.OwnerOf(announcement.id, announcement.availabilityZone);
+  // A peer that passes an announcement on has decided who serves it. Where
+  // both views differ for a moment, a slot too many is refused upstream.
+  const bool isOurs = !aEvent.call || owner == options_.self;
+  if (isOurs) {
+    upstreams_.Announce(announcement, aNow);
+    Schedule(announcement.pool, aNow, aOut);
+  } else {
+    upstreams_.Remove(announcement.id);
+    aOut.push_back(
+      RelayAnnouncement{ .peer = owner, .announcement = announcement });
+  }
+  if (aEvent.call)
+    aOut.push_back(AnswerAnnouncement{ .call = *aEvent.call,
+                                       .servedBy = std::move(owner),
+                                       .refusal = std::nullopt });
+}
+
+void
+RequestPlane::On(PeerUp&& aEvent, Time /*aNow*/, Actions& /*aOut*/)
+{
+  peers_.Up(aEvent);
+  // The new peer has heard nothing yet.
+  nextPublishAll_ = Time(0);
+}
+
+void
+RequestPlane::On(PeerLoad&& aEvent, Time aNow, Actions& aOut)
+{
+  peers_.UpdateLoad(aEvent);
+  for (const PoolLoad& load : aEvent.pools)
+    Schedule(load.pool, aNow, aOut);
+}
+
+void
+RequestPlane::On(ViewChanged&& aEvent, Time aNow, Actions& aOut)
+{
+  view_ = std::move(aEvent.view);
+  limits_.Update(*view_);
+  for (const auto& [team, policy] : view_->teams)
+    queue_.SetShare(team, policy.share);
+  for (const PoolId& pool : queue_.Pools())
+    Schedule(pool, aNow, aOut);
+}
+
+void
+RequestPlane::On(BeginShutdown&& /*aEvent*/, Time aNow, Actions& aOut)
+{
+  shuttingDown_ = true;
+  nextPublish_ = Time(0);
+  nextPublishAll_ = Time(0);
+  Publish(aNow, aOut);
+}
+
+void
+RequestPlane::ReportDrained(Actions& aOut)
+{
+  if (drainedReported_ || !works_.empty())
+    return;
+  drainedReported_ = true;
+  aOut.push_back(Drained{});
+}
+
+void
+RequestPlane::ExpireWaiting(Time aNow, Actions& aOut)
+{
+  for (const QueueEntry& entry : queue_.TakeExpired(aNow))
+    Finish(entry.work,
+           MakeNotRun(ErrorKind::DeadlinePassed,
+                      "no slot came free before the deadline"),
+           aNow,
+           aOut);
+}
+
+/// Tells callers at their deadlines about requests that are still running.
+void
+RequestPlane::AnswerOverdue(Time aNow, Actions& aOut)
+{
+  while (!running_.empty() &&
+         running_.begin()->first + kDeadlineGrace <= aNow) {
+    const WorkId id = running_.begin()->second;
+    running_.erase(running_.begin());
+    Work& work = works_.at(id);
+    const auto* local = std::get_if<LocalOrigin>(&work.origin);
+    if (local == nullptr || work.isAnswered)
+      continue;
+    work.isAnswered = true;
+    AnswerWaiters(local->key,
+                  MakeUnknown(ErrorKind::OutcomeUnknown,
+                              "request was still running at its deadline"),
+                  aNow,
+                  aOut);
+  }
+}
+
+void
+RequestPlane::ReleaseHolds(Time aNow)
+{
+  while (!holds_.empty() && holds_.begin()->first <= aNow) {
+    const Hold hold = holds_.begin()->second;
+    holds_.erase(holds_.begin());
+    if (hold.team)
+      limits_.Release(*hold.team);
+    if (hold.upstream)
+      upstreams_.ReleaseSlot(*hold.upstream);
+  }
+}
+
+void
+RequestPlane::Publish(Time aNow, Actions& aOut)
+{
+  if (aNow < nextPublish_)
+    return;
+  nextPublish_ = aNow + options_.publishInterval;
+  const bool isWhole = aNow >= nextPublishAll_;
+  if (isWhole)
+    nextPublishAll_ = aNow + options_.publishAllInterval;
+  PublishLoad message;
+  message.leaving = shuttingDown_;
+  for (const PoolId& pool : upstreams_.Pools()) {
+    const PoolLoad load{
+      .pool = pool,
+      .freeSlots = shuttingDown_ ? Slots(0) : upstreams_.FreeSlots(pool),
+      .queued = static_cast<std::uint32_t>(queue_.WaitingIn(pool))
+    };
+    PoolLoad& last = published_[pool];
+    const bool isChanged =
+      last.freeSlots != load.freeSlots || last.queued != load.queued;
+    if (!isWhole && !isChanged)
+      continue;
+    last = load;
+    message.pools.push_back(load);
+  }
+  if (isWhole || !message.pools.empty())
+    aOut.push_back(std::move(message));
+}
--- /dev/null
+++ b/packages/dispatch/lib/UpstreamTable.cpp
@@ -0,0 +1,133 @@
+#include "greengage/dispatch/UpstreamTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+Slots
+UpstreamTable::FreeOf(const Entry& aEntry)
+{
+  if (aEntry.announcement.leaving)
+    return Slots(0);
+  return std::max(Slots(0), aEntry.announcement.slots - aEntry.running);
+}
+
+void
+UpstreamTable::Link(const Entry& aEntry)
+{
+  PoolIndex& pool = pools_[aEntry.announcement.pool];
+  const Slots free = FreeOf(aEntry);
+  pool.freeSlots += free;
+  if (free > Slots(0))
+    pool.byFreeSlots.emplace(free.Count(), aEntry.announcement.id);
+}
+
+void
+UpstreamTable::Unlink(const Entry& aEntry)
+{
+  const auto found = pools_.find(aEntry.announcement.pool);
+  assert(found != pools_.end() && "a linked upstream's pool exists");
+  const Slots free = FreeOf(aEntry);
+  found->second.freeSlots -= free;
+  found->second.byFreeSlots.erase({ free.Count(), aEntry.announcement.id });
+}
+
+void
+UpstreamTable::Announce(const UpstreamAnnouncement& aAnnouncement, Time aNow)
+{
+  Entry entry;
+  const auto found = entries_.find(aAnnouncement.id);
+  if (found != entries_.end()) {
+    Unlink(found->second);
+    entry = found->second;
+  }
+  entry.announcement = aAnnouncement;
+  entry.leaseEnd = aNow + aAnnouncement.lease;
+  Link(entry);
+  entries_[aAnnouncement.id] = std::move(entry);
+}
+
+void
+UpstreamTable::Remove(const UpstreamId& aId)
+{
+  const auto found = entries_.find(aId);
+  if (found == entries_.end())
+    return;
+  Unlink(found->second);
+  entries_.erase(found);
+}
+
+void
+UpstreamTable::Expire(Time aNow)
+{
+  std::vector<UpstreamId> expired;
+  for (const auto& [id, entry] : entries_)
+    if (entry.leaseEnd <= aNow)
+      expired.push_back(id);
+  for (const UpstreamId& id : expired)
+    Remove(id);
+}
+
+std::optional<UpstreamId>
+UpstreamTable::TakeSlot(const PoolId& aPool, Time aNow)
+{
+  const auto pool = pools_.find(aPool);
+  if (pool == pools_.end())
+    return std::nullopt;
+  const auto& candidates = pool->second.byFreeSlots;
+  for (auto key = candidates.rbegin(); key != candidates.rend(); ++key) {
+    Entry& entry = entries_.at(key->second);
+    if (entry.heldBackUntil > aNow || entry.leaseEnd <= aNow)
+      continue;
+    Unlink(entry);
+    entry.running += Slots(1);
+    Link(entry);
+    return entry.announcement.id;
+  }
+  return std::nullopt;
+}
+
+void
+UpstreamTable::ReleaseSlot(const UpstreamId& aId)
+{
+  const auto found = entries_.find(aId);
+  if (found == entries_.end())
+    return;
+  Entry& entry = found->second;
+  Unlink(entry);
+  entry.running = std::max(Slots(0), entry.running - Slots(1));
+  Link(entry);
+}
+
+void
+UpstreamTable::HoldBack(const UpstreamId& aId, Time aUntil)
+{
+  const auto found = entries_.find(aId);
+  if (found != entries_.end())
+    found->second.heldBackUntil = aUntil;
+}
+
+const UpstreamAnnouncement*
+UpstreamTable::Find(const UpstreamId& aId) const
+{
+  const auto found = entries_.find(aId);
+  return found == entries_.end() ? nullptr : &found->second.announcement;
+}
+
+Slots
+UpstreamTable::FreeSlots(const PoolId& aPool) const
+{
+  const auto found = pools_.find(aPool);
+  return found == pools_.end() ? Slots(0) : found->second.freeSlots;
+}
+
+std::vector<PoolId>
+UpstreamTable::Pools() const
+{
+  std::vector<PoolId> pools;
+  for (const auto& [pool, index] : pools_)
+    pools.push_back(pool);
+  return pools;
+}
--- /dev/null
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -0,0 +1,352 @@
+#include "greengage/dispatch/RequestPlane.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+namespace {
+
+/// One entry host's plane with a team "a", a pool "lines" and short helpers.
+class PlaneFixture
+{
+public:
+  PlaneFixture()
+  {
+    auto view = std::make_shared<state::FleetView>();
+    view->teams[TeamId("a")] = { .share = 1,
+                                 .limit = Slots(4),
+                                 .maxQueued = 3 };
+    view->pools.insert(PoolId("lines"));
+    Send(ViewChanged{ .view = view });
+  }
+
+  void Send(Event&& aEvent) { plane.Handle(std::move(aEvent), now, out); }
+  void Pass(Duration aSpan)
+  {
+    now = now + aSpan;
+    plane.Tick(now, out);
+  }
+
+  void AddUpstream(const std::string& aId, std::int64_t aSlots)
+  {
+    UpstreamAnnouncement announcement;
+    announcement.id = UpstreamId(aId);
+    announcement.endpoint = { .address = "127.0.0.1", .port = 1 };
+    announcement.availabilityZone = AvailabilityZoneId("z1");
+    announcement.pool = PoolId("lines");
+    announcement.slots = Slots(aSlots);
+    announcement.lease = Duration::Seconds(3);
+    Send(Announced{ .announcement = announcement, .call = std::nullopt });
+  }
+
+  void Call(std::uint64_t aCall,
+            const std::string& aId,
+            Idempotence aIdempotence = Idempotence::NonIdempotent,
+            const std::string& aPayload = "p")
+  {
+    Request request;
+    request.id = RequestId(aId);
+    request.team = TeamId("a");
+    request.pool = PoolId("lines");
+    request.idempotence = aIdempotence;
+    request.deadline = now + Duration::Seconds(10);
+    request.payload = aPayload;
+    Send(Submit{ .call = CallId(aCall), .request = request });
+  }
+
+  void End(DispatchId aDispatch, AttemptEnd aEnd)
+  {
+    Send(AttemptEnded{
+      .dispatch = aDispatch, .end = aEnd, .payload = "done", .reason = "r" });
+  }
+
+  /// The actions of one type since the last call, which forgets all actions.
+  template<typename Kind>
+  std::vector<Kind> Take()
+  {
+    std::vector<Kind> taken;
+    for (const Action& action : out)
+      if (const auto* kind = std::get_if<Kind>(&action))
+        taken.push_back(*kind);
+    out.clear();
+    return taken;
+  }
+
+  Time now{ 1000 };
+  FairQueue queue;
+  StaticSplitLedger limits{ { .rank = 0, .hosts = 1 } };
+  RequestPlane plane{ { .self = EntryHostId("e1"),
+                        .availabilityZone = AvailabilityZoneId("z1") },
+                      queue,
+                      limits };
+  Actions out;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PlaneFixture, "a request runs on a free slot and is answered")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1");
+  const auto executes = Take<Execute>();
+  REQUIRE(executes.size() == 1);
+  REQUIRE(executes[0].upstream == UpstreamId("w1"));
+  End(executes[0].dispatch, AttemptEnd::Succeeded);
+  const auto answers = Take<Answer>();
+  REQUIRE(answers.size() == 1);
+  REQUIRE(answers[0].call == CallId(1));
+  REQUIRE(std::get<Answered>(answers[0].outcome).payload == "done");
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a resend gets the first answer, not a run")
+{
+  AddUpstream("w1", 4);
+  Call(1, "r1");
+  const auto executes = Take<Execute>();
+  Call(2, "r1");
+  REQUIRE(Take<Execute>().empty());
+  End(executes[0].dispatch, AttemptEnd::Succeeded);
+  REQUIRE(Take<Answer>().size() == 2);
+  Call(3, "r1");
+  REQUIRE(std::get<Answered>(Take<Answer>().at(0).outcome).payload == "done");
+  Call(4, "r1", Idempotence::NonIdempotent, "other");
+  const auto conflict = Take<Answer>();
+  REQUIRE(std::get<Unknown>(conflict.at(0).outcome).error.kind ==
+          ErrorKind::DuplicateRequest);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a lost attempt is retried only if idempotent")
+{
+  AddUpstream("w1", 4);
+  Call(1, "r1", Idempotence::NonIdempotent);
+  End(Take<Execute>().at(0).dispatch, AttemptEnd::Lost);
+  REQUIRE(std::holds_alternative<Unknown>(Take<Answer>().at(0).outcome));
+  Call(2, "r2", Idempotence::Idempotent);
+  End(Take<Execute>().at(0).dispatch, AttemptEnd::Lost);
+  const auto again = Take<Execute>();
+  REQUIRE(again.size() == 1);
+  End(again[0].dispatch, AttemptEnd::Succeeded);
+  REQUIRE(std::holds_alternative<Answered>(Take<Answer>().at(0).outcome));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "what may have run is never called not run")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1", Idempotence::Idempotent);
+  End(Take<Execute>().at(0).dispatch, AttemptEnd::Lost);
+  // The only slot is held for the lost attempt, so the retry expires.
+  Pass(Duration::Seconds(11));
+  REQUIRE(std::holds_alternative<Unknown>(Take<Answer>().at(0).outcome));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "the limit holds, lost attempts included")
+{
+  AddUpstream("w1", 100);
+  for (std::uint64_t call = 1; call <= 6; ++call)
+    Call(call, "r" + std::to_string(call));
+  const auto executes = Take<Execute>();
+  REQUIRE(executes.size() == 4);
+  End(executes[0].dispatch, AttemptEnd::Lost);
+  REQUIRE(Take<Execute>().empty());
+  End(executes[1].dispatch, AttemptEnd::Succeeded);
+  REQUIRE(Take<Execute>().size() == 1);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a full queue refuses with not run")
+{
+  for (std::uint64_t call = 1; call <= 4; ++call)
+    Call(call, "r" + std::to_string(call));
+  const auto answers = Take<Answer>();
+  REQUIRE(answers.size() == 1);
+  const auto& refusal = std::get<NotRun>(answers[0].outcome);
+  REQUIRE(refusal.error.kind == ErrorKind::Overloaded);
+  REQUIRE(refusal.retryAfter > Duration(0));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a waiting request ends at its deadline")
+{
+  Call(1, "r1");
+  Pass(Duration::Seconds(10));
+  const auto answers = Take<Answer>();
+  REQUIRE(answers.size() == 1);
+  REQUIRE(std::get<NotRun>(answers[0].outcome).error.kind ==
+          ErrorKind::DeadlinePassed);
+  // It was not run, so the same id may be sent again.
+  AddUpstream("w1", 1);
+  Call(2, "r1");
+  REQUIRE(Take<Execute>().size() == 1);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a running request is unknown at its deadline")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1");
+  const auto executes = Take<Execute>();
+  Pass(Duration::Seconds(11));
+  REQUIRE(std::holds_alternative<Unknown>(Take<Answer>().at(0).outcome));
+  End(executes[0].dispatch, AttemptEnd::Succeeded);
+  REQUIRE(Take<Answer>().empty());
+  Call(2, "r1");
+  REQUIRE(std::holds_alternative<Answered>(Take<Answer>().at(0).outcome));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a leaving upstream gets no new work")
+{
+  AddUpstream("w1", 4);
+  UpstreamAnnouncement leaving;
+  leaving.id = UpstreamId("w1");
+  leaving.availabilityZone = AvailabilityZoneId("z1");
+  leaving.pool = PoolId("lines");
+  leaving.slots = Slots(4);
+  leaving.lease = Duration::Seconds(3);
+  leaving.leaving = true;
+  Send(Announced{ .announcement = leaving, .call = std::nullopt });
+  Call(1, "r1");
+  REQUIRE(Take<Execute>().empty());
+}
+
+TEST_CASE_METHOD(PlaneFixture, "an upstream whose lease ran out gets no work")
+{
+  AddUpstream("w1", 4);
+  Pass(Duration::Seconds(3));
+  Call(1, "r1");
+  REQUIRE(Take<Execute>().empty());
+}
+
+TEST_CASE_METHOD(PlaneFixture, "work goes to a peer that has room, and back")
+{
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z2") });
+  Send(PeerLoad{ .peer = EntryHostId("e2"),
+                 .leaving = false,
+                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  Call(1, "r1");
+  Call(2, "r2");
+  const auto forwards = Take<Forward>();
+  REQUIRE(forwards.size() == 1);
+  Send(ForwardEnded{ .from = EntryHostId("e2"),
+                     .dispatch = forwards[0].dispatch,
+                     .outcome = NotRun{ .error = { ErrorKind::NoCapacity, "" },
+                                        .retryAfter = {} } });
+  REQUIRE(Take<Forward>().empty());
+  AddUpstream("w1", 4);
+  REQUIRE(Take<Execute>().size() == 2);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "losing a peer makes its work unknown")
+{
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z2") });
+  Send(PeerLoad{ .peer = EntryHostId("e2"),
+                 .leaving = false,
+                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  Call(1, "r1");
+  REQUIRE(Take<Forward>().size() == 1);
+  Send(PeerDown{ .peer = EntryHostId("e2") });
+  REQUIRE(std::holds_alternative<Unknown>(Take<Answer>().at(0).outcome));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a peer's request runs or is refused at once")
+{
+  Request request;
+  request.id = RequestId("r1");
+  request.team = TeamId("a");
+  request.pool = PoolId("lines");
+  request.deadline = now + Duration::Seconds(5);
+  const Forwarded forwarded{ .from = EntryHostId("e2"),
+                             .dispatch = DispatchId(9),
+                             .request = request };
+  Send(Forwarded(forwarded));
+  REQUIRE(std::holds_alternative<NotRun>(Take<ReturnOutcome>().at(0).outcome));
+  AddUpstream("w1", 1);
+  Send(Forwarded(forwarded));
+  End(Take<Execute>().at(0).dispatch, AttemptEnd::Succeeded);
+  const auto returned = Take<ReturnOutcome>();
+  REQUIRE(returned.at(0).dispatch == DispatchId(9));
+  REQUIRE(std::holds_alternative<Answered>(returned[0].outcome));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "shutdown refuses new work and finishes the old")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1");
+  const auto executes = Take<Execute>();
+  Send(BeginShutdown{});
+  REQUIRE(Take<Drained>().empty());
+  Call(2, "r2");
+  REQUIRE(std::get<NotRun>(Take<Answer>().at(0).outcome).error.kind ==
+          ErrorKind::ShuttingDown);
+  End(executes[0].dispatch, AttemptEnd::Succeeded);
+  REQUIRE(Take<Drained>().size() == 1);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a cancelled request that waits is not run")
+{
+  Call(1, "r1");
+  Send(Cancel{ .call = CallId(2), .team = TeamId("b"), .id = RequestId("r1") });
+  REQUIRE(std::get<NotRun>(Take<AnswerCancel>().at(0).outcome).error.kind ==
+          ErrorKind::NotFound);
+  Send(Cancel{ .call = CallId(3), .team = TeamId("a"), .id = RequestId("r1") });
+  REQUIRE(std::get<NotRun>(Take<Answer>().at(0).outcome).error.kind ==
+          ErrorKind::Cancelled);
+}
+
+TEST_CASE("the parts of a split limit add up to the limit")
+{
+  for (std::int64_t limit = 0; limit <= 30; ++limit) {
+    state::FleetView view;
+    view.teams[TeamId("a")] = { .share = 1,
+                                .limit = Slots(limit),
+                                .maxQueued = 1 };
+    std::int64_t total = 0;
+    for (std::size_t rank = 0; rank < 7; ++rank) {
+      StaticSplitLedger ledger({ .rank = rank, .hosts = 7 });
+      ledger.Update(view);
+      while (ledger.TryAcquire(TeamId("a")))
+        ++total;
+    }
+    REQUIRE(total == limit);
+  }
+}
+
+TEST_CASE("two teams share a pool by their weights")
+{
+  FairQueue queue;
+  queue.SetShare(TeamId("a"), 3);
+  queue.SetShare(TeamId("b"), 1);
+  const PoolId pool("lines");
+  for (std::uint64_t work = 1; work <= 200; ++work)
+    queue.Add({ .work = WorkId(work),
+                .team = TeamId(work % 2 == 0 ? "a" : "b"),
+                .pool = pool,
+                .priceClass = PriceClass::Standard,
+                .deadline = Time(static_cast<std::int64_t>(work)) });
+  int ofA = 0;
+  for (int taken = 0; taken < 80; ++taken)
+    if (queue.TakeNext(pool, [](const TeamId&) { return true; })->team ==
+        TeamId("a"))
+      ++ofA;
+  REQUIRE(ofA >= 59);
+  REQUIRE(ofA <= 61);
+}
+
+TEST_CASE("urgent work goes before patient work of the same team")
+{
+  FairQueue queue;
+  const PoolId pool("lines");
+  queue.Add({ .work = WorkId(1),
+              .team = TeamId("a"),
+              .pool = pool,
+              .priceClass = PriceClass::Patient,
+              .deadline = Time(1) });
+  queue.Add({ .work = WorkId(2),
+              .team = TeamId("a"),
+              .pool = pool,
+              .priceClass = PriceClass::Urgent,
+              .deadline = Time(9) });
+  const auto first = queue.TakeNext(pool, [](const TeamId&) { return true; });
+  REQUIRE(first->work == WorkId(2));
+}
--- /dev/null
+++ b/packages/http/include/greengage/http/Client.h
@@ -0,0 +1,98 @@
+/// \file
+/// The HTTP/1.1 client towards upstreams. Its results say whether anything was
+/// sent, since only a call of which no byte left may be called "not run".
+
+#ifndef GREENGAGE_HTTP_CLIENT_H
+#define GREENGAGE_HTTP_CLIENT_H
+
+#include "greengage/core/Endpoint.h"
+#include "greengage/core/StrongId.h"
+#include "greengage/core/Units.h"
+#include "greengage/pipe/IoDuty.h"
+#include "greengage/pipe/Pipe.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace greengage::http {
+
+/// One call, unique inside a client; chosen by who makes it.
+using ClientCallId = StrongId<struct ClientCallTag, std::uint64_t>;
+
+/// A request to send.
+struct ClientCall
+{
+  ClientCallId id;
+  Endpoint endpoint;
+  std::string method = "POST";
+  std::string target = "/";
+  /// Sent as the Authorization header unless empty.
+  std::string authorization;
+  std::string body;
+  /// How long the call may take as a whole.
+  Duration timeout = Duration::Seconds(30);
+};
+
+/// How far a call got.
+enum class CallProgress : std::uint8_t
+{
+  /// Proved: no byte of the call was handed to the network.
+  NotSent,
+  /// It was sent, wholly or in part, and no whole response came.
+  SentNoResponse,
+  /// The whole response is here.
+  Responded,
+};
+
+/// The end of a call. Each call has exactly one.
+struct ClientResult
+{
+  ClientCallId id;
+  CallProgress progress = CallProgress::NotSent;
+  unsigned status = 0;
+  std::string body;
+  /// Why there is no response.
+  std::string reason;
+};
+
+/// The limits of a client.
+struct ClientOptions
+{
+  /// Calls that may wait for the loop; a power of two.
+  std::size_t capacity = 4096;
+  /// Idle connections kept for each endpoint.
+  std::size_t idlePerEndpoint = 16;
+  /// How long to wait for a connection.
+  Duration connectTimeout = Duration::Seconds(1);
+  /// Bytes of a response's body.
+  std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+};
+
+namespace detail {
+class ClientImpl;
+} // namespace detail
+
+/// Makes calls on the loop of an IoDuty over kept connections.
+class Client
+{
+public:
+  /// Results go to \p aResults, which must always take them in the end.
+  Client(pipe::IoDuty& aDuty,
+         const ClientOptions& aOptions,
+         pipe::Pipe<ClientResult>& aResults);
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+  ~Client();
+
+  /// Where calls go.
+  pipe::Pipe<ClientCall>& Calls();
+
+private:
+  std::shared_ptr<detail::ClientImpl> impl_;
+};
+
+} // namespace greengage::http
+
+#endif // GREENGAGE_HTTP_CLIENT_H
--- /dev/null
+++ b/packages/http/lib/Client.cpp
@@ -0,0 +1,259 @@
+#include "greengage/http/Client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::http;
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+static std::chrono::milliseconds
+ToChrono(Duration aSpan)
+{
+  return std::chrono::milliseconds(aSpan.Millis());
+}
+
+namespace greengage::http::detail {
+
+/// A kept connection. \p buffer may hold bytes beyond the last response.
+struct Connection
+{
+  explicit Connection(asio::io_context& aContext)
+    : stream(aContext)
+  {
+  }
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+class ClientImpl : public std::enable_shared_from_this<ClientImpl>
+{
+public:
+  ClientImpl(pipe::IoDuty& aDuty,
+             const ClientOptions& aOptions,
+             pipe::Pipe<ClientResult>& aResults)
+    : options_(aOptions)
+    , results_(aResults)
+    , context_(aDuty.Context())
+    , calls_(aDuty, aOptions.capacity, [this](ClientCall&& aCall) {
+      Begin(std::move(aCall));
+    })
+  {
+  }
+
+  pipe::Pipe<ClientCall>& Calls() { return calls_; }
+  const ClientOptions& Options() const { return options_; }
+  void Begin(ClientCall&& aCall);
+  void Finish(ClientResult&& aResult) { results_.Push(std::move(aResult)); }
+  std::unique_ptr<Connection> TakeIdle(const Endpoint& aEndpoint);
+  void KeepIdle(const Endpoint& aEndpoint,
+                std::unique_ptr<Connection> aConnection);
+  asio::io_context& Context() { return context_; }
+
+private:
+  ClientOptions options_;
+  pipe::Pipe<ClientResult>& results_;
+  asio::io_context& context_;
+  pipe::IoPipe<ClientCall> calls_;
+  std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle_;
+};
+
+/// Whether the other side has closed an idle connection. Writing to such a
+/// connection would turn a call that never ran into one that may have run.
+static bool
+IsClosedByPeer(Connection& aConnection)
+{
+  tcp::socket& socket = aConnection.stream.socket();
+  beast::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+/// One call from connection to response.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(ClientCall&& aCall, std::shared_ptr<ClientImpl> aClient)
+    : call_(std::move(aCall))
+    , client_(std::move(aClient))
+    , until_(std::chrono::steady_clock::now() + ToChrono(call_.timeout))
+  {
+  }
+
+  void Start()
+  {
+    connection_ = client_->TakeIdle(call_.endpoint);
+    if (connection_) {
+      Write();
+      return;
+    }
+    Connect();
+  }
+
+private:
+  void Connect()
+  {
+    connection_ = std::make_unique<Connection>(client_->Context());
+    beast::error_code error;
+    const auto address = asio::ip::make_address(call_.endpoint.address, error);
+    if (error) {
+      End(CallProgress::NotSent, error.message());
+      return;
+    }
+    const auto latest = std::chrono::steady_clock::now() +
+                        ToChrono(client_->Options().connectTimeout);
+    connection_->stream.expires_at(std::min(latest, until_));
+    auto self = shared_from_this();
+    connection_->stream.async_connect(
+      tcp::endpoint(address, call_.endpoint.port),
+      [self](beast::error_code aError) { self->OnConnected(aError); });
+  }
+
+  void OnConnected(beast::error_code aError)
+  {
+    if (aError) {
+      End(CallProgress::NotSent, "connect: " + aError.message());
+      return;
+    }
+    beast::error_code ignored;
+    connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+    Write();
+  }
+
+  void Write()
+  {
+    if (std::chrono::steady_clock::now() >= until_) {
+      End(CallProgress::NotSent, "deadline passed before the call was sent");
+      return;
+    }
+    request_.version(11);
+    request_.method_string(call_.method);
+    request_.target(call_.target);
+    request_.set(bhttp::field::host, ToString(call_.endpoint));
+    request_.set(bhttp::field::content_type, "application/json");
+    if (!call_.authorization.empty())
+      request_.set(bhttp::field::authorization, call_.authorization);
+    request_.body() = std::move(call_.body);
+    request_.prepare_payload();
+    connection_->stream.expires_at(until_);
+    auto self = shared_from_this();
+    bhttp::async_write(connection_->stream,
+                       request_,
+                       [self](beast::error_code aError, std::size_t) {
+                         self->OnWritten(aError);
+                       });
+  }
+
+  void OnWritten(beast::error_code aError)
+  {
+    if (aError) {
+      End(CallProgress::SentNoResponse, "write: " + aError.message());
+      return;
+    }
+    parser_.emplace();
+    parser_->body_limit(client_->Options().maxBodyBytes);
+    auto self = shared_from_this();
+    bhttp::async_read(connection_->stream,
+                      connection_->buffer,
+                      *parser_,
+                      [self](beast::error_code aResult, std::size_t) {
+                        self->OnRead(aResult);
+                      });
+  }
+
+  void OnRead(beast::error_code aError)
+  {
+    if (aError) {
+      End(CallProgress::SentNoResponse, "read: " + aError.message());
+      return;
+    }
+    auto response = parser_->release();
+    if (response.keep_alive())
+      client_->KeepIdle(call_.endpoint, std::move(connection_));
+    client_->Finish({ .id = call_.id,
+                      .progress = CallProgress::Responded,
+                      .status = response.result_int(),
+                      .body = std::move(response.body()),
+                      .reason = {} });
+  }
+
+  void End(CallProgress aProgress, std::string aReason)
+  {
+    client_->Finish({ .id = call_.id,
+                      .progress = aProgress,
+                      .status = 0,
+                      .body = {},
+                      .reason = std::move(aReason) });
+  }
+
+  ClientCall call_;
+  std::shared_ptr<ClientImpl> client_;
+  std::chrono::steady_clock::time_point until_;
+  std::unique_ptr<Connection> connection_;
+  bhttp::request<bhttp::string_body> request_;
+  std::optional<bhttp::response_parser<bhttp::string_body>> parser_;
+};
+
+void
+ClientImpl::Begin(ClientCall&& aCall)
+{
+  std::make_shared<Exchange>(std::move(aCall), shared_from_this())->Start();
+}
+
+std::unique_ptr<Connection>
+ClientImpl::TakeIdle(const Endpoint& aEndpoint)
+{
+  const auto found = idle_.find(aEndpoint);
+  if (found == idle_.end())
+    return nullptr;
+  auto& kept = found->second;
+  while (!kept.empty()) {
+    std::unique_ptr<Connection> connection = std::move(kept.back());
+    kept.pop_back();
+    if (!IsClosedByPeer(*connection))
+      return connection;
+  }
+  idle_.erase(found);
+  return nullptr;
+}
+
+void
+ClientImpl::KeepIdle(const Endpoint& aEndpoint,
+                     std::unique_ptr<Connection> aConnection)
+{
+  aConnection->stream.expires_never();
+  auto& kept = idle_[aEndpoint];
+  kept.push_back(std::move(aConnection));
+  if (kept.size() > options_.idlePerEndpoint)
+    kept.pop_front();
+}
+
+} // namespace greengage::http::detail
+
+Client::Client(pipe::IoDuty& aDuty,
+               const ClientOptions& aOptions,
+               pipe::Pipe<ClientResult>& aResults)
+  : impl_(std::make_shared<detail::ClientImpl>(aDuty, aOptions, aResults))
+{
+}
+
+Client::~Client() = default;
+
+pipe::Pipe<ClientCall>&
+Client::Calls()
+{
+  return impl_->Calls();
+}
--- /dev/null
+++ b/packages/http/lib/Server.cpp
@@ -0,0 +1,374 @@
+#include "greengage/http/Server.h"
+
+#include "greengage/core/Error.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::http;
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+static constexpr std::int64_t kMillisPerSecond = 1000;
+/// How long a client may take to read its response.
+static constexpr std::chrono::seconds kWriteTimeout(30);
+
+static std::chrono::milliseconds
+ToChrono(Duration aSpan)
+{
+  return std::chrono::milliseconds(aSpan.Millis());
+}
+
+static std::string
+ErrorBody(ErrorKind aKind, const std::string& aDetail)
+{
+  // The details here are fixed texts without characters that need escaping.
+  std::string body = R"({"outcome":"not-run","error":")";
+  body += CodeOf(aKind);
+  body += R"(","detail":")" + aDetail + R"(","remedy":")";
+  body += RemedyOf(aKind);
+  return body + "\"}\n";
+}
+
+static HttpResponse
+RefusalOf(unsigned aStatus, ErrorKind aKind, const std::string& aDetail)
+{
+  HttpResponse response;
+  response.status = aStatus;
+  response.body = ErrorBody(aKind, aDetail);
+  if (aStatus == 503)
+    response.retryAfter = Duration::Seconds(1);
+  return response;
+}
+
+/// The response to a request that could not be read, if one can be sent.
+static std::optional<HttpResponse>
+RefusalOf(const beast::error_code& aError)
+{
+  if (aError == bhttp::error::header_limit)
+    return RefusalOf(431, ErrorKind::TooLarge, "header exceeds its limit");
+  if (aError == bhttp::error::body_limit)
+    return RefusalOf(413, ErrorKind::TooLarge, "body exceeds its limit");
+  if (aError == beast::error::timeout)
+    return RefusalOf(408, ErrorKind::Timeout, "request did not arrive in time");
+  if (aError.category() == make_error_code(bhttp::error::bad_method).category())
+    return RefusalOf(400, ErrorKind::Malformed, "request is not HTTP/1.1");
+  return std::nullopt;
+}
+
+static bhttp::response<bhttp::string_body>
+ToBeast(HttpResponse&& aResponse, bool aKeepAlive)
+{
+  bhttp::response<bhttp::string_body> response;
+  response.version(11);
+  response.result(aResponse.status);
+  response.set(bhttp::field::content_type, aResponse.contentType);
+  if (aResponse.retryAfter) {
+    const std::int64_t millis = aResponse.retryAfter->Millis();
+    response.set(
+      bhttp::field::retry_after,
+      std::to_string((millis + kMillisPerSecond - 1) / kMillisPerSecond));
+  }
+  response.body() = std::move(aResponse.body);
+  response.keep_alive(aKeepAlive);
+  response.prepare_payload();
+  return response;
+}
+
+namespace greengage::http::detail {
+
+class Session;
+
+class ServerImpl : public std::enable_shared_from_this<ServerImpl>
+{
+public:
+  ServerImpl(pipe::IoDuty& aDuty,
+             const ServerOptions& aOptions,
+             pipe::Pipe<HttpRequest>& aNext)
+    : options_(aOptions)
+    , next_(aNext)
+    , context_(aDuty.Context())
+    , acceptor_(context_)
+    , responses_(
+        aDuty,
+        RingCapacity(aOptions.maxConnections),
+        [this](HttpResponse&& aResponse) { Deliver(std::move(aResponse)); })
+  {
+  }
+
+  bool Listen(Error& aReason);
+  void Accept();
+  void Close();
+  /// Breaks the cycles between this object and the sessions that wait.
+  void DropSessions() { waiting_.clear(); }
+  ExchangeId Register(std::shared_ptr<Session> aSession);
+  void Deliver(HttpResponse&& aResponse);
+  void SessionEnded() { --connections_; }
+
+  const ServerOptions& Options() const { return options_; }
+  bool IsClosing() const { return closing_; }
+  pipe::Pipe<HttpRequest>& Next() { return next_; }
+  pipe::Pipe<HttpResponse>& Responses() { return responses_; }
+  asio::io_context& Context() { return context_; }
+
+private:
+  /// Each connection waits for at most one response, so a ring with a place
+  /// for each connection never makes the encoder wait for long.
+  static std::size_t RingCapacity(std::size_t aConnections)
+  {
+    std::size_t capacity = 2;
+    while (capacity <= aConnections)
+      capacity *= 2;
+    return capacity;
+  }
+
+  ServerOptions options_;
+  pipe::Pipe<HttpRequest>& next_;
+  asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  pipe::IoPipe<HttpResponse> responses_;
+  std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
+  std::uint64_t lastExchange_ = 0;
+  std::size_t connections_ = 0;
+  bool closing_ = false;
+};
+
+/// One connection.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket&& aSocket, std::shared_ptr<ServerImpl> aServer)
+    : stream_(std::move(aSocket))
+    , server_(std::move(aServer))
+  {
+  }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+  ~Session() { server_->SessionEnded(); }
+
+  void Read()
+  {
+    parser_.emplace();
+    parser_->header_limit(server_->Options().maxHeaderBytes);
+    parser_->body_limit(server_->Options().maxBodyBytes);
+    if (buffer_.size() > 0) {
+      OnFirstBytes({});
+      return;
+    }
+    // An idle connection may wait longer than a request that has begun.
+    stream_.expires_after(ToChrono(server_->Options().idleTimeout));
+    auto self = shared_from_this();
+    stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      [self](beast::error_code aError, std::size_t aBytes) {
+        self->buffer_.commit(aBytes);
+        self->OnFirstBytes(aError);
+      });
+  }
+
+  void Refuse(HttpResponse&& aResponse)
+  {
+    Write(std::move(aResponse), /*aKeepAlive=*/false);
+  }
+
+  void Respond(HttpResponse&& aResponse)
+  {
+    Write(std::move(aResponse), keepAlive_ && !server_->IsClosing());
+  }
+
+private:
+  static constexpr std::size_t kFirstRead = 4096;
+
+  void OnFirstBytes(beast::error_code aError)
+  {
+    if (aError)
+      return; // The client left, or was idle for too long.
+    stream_.expires_after(ToChrono(server_->Options().readTimeout));
+    auto self = shared_from_this();
+    bhttp::async_read(stream_,
+                      buffer_,
+                      *parser_,
+                      [self](beast::error_code aResult, std::size_t) {
+                        self->OnRead(aResult);
+                      });
+  }
+
+  void OnRead(beast::error_code aError)
+  {
+    if (aError) {
+      auto refusal = RefusalOf(aError);
+      if (refusal)
+        Refuse(std::move(*refusal));
+      return;
+    }
+    auto message = parser_->release();
+    keepAlive_ = message.keep_alive();
+    HttpRequest request;
+    request.port = server_->Options().port;
+    request.exchange = server_->Register(shared_from_this());
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.authorization = std::string(message[bhttp::field::authorization]);
+    beast::error_code ignored;
+    request.remoteAddress =
+      stream_.socket().remote_endpoint(ignored).address().to_string();
+    request.body = std::move(message.body());
+    stream_.expires_never();
+    const ExchangeId exchange = request.exchange;
+    if (server_->Next().TryPush(std::move(request)))
+      return;
+    HttpResponse refusal =
+      RefusalOf(503, ErrorKind::Overloaded, "entry host is at its limit");
+    refusal.exchange = exchange;
+    server_->Deliver(std::move(refusal));
+  }
+
+  void Write(HttpResponse&& aResponse, bool aKeepAlive)
+  {
+    response_ = ToBeast(std::move(aResponse), aKeepAlive);
+    stream_.expires_after(kWriteTimeout);
+    auto self = shared_from_this();
+    bhttp::async_write(
+      stream_,
+      response_,
+      [self, aKeepAlive](beast::error_code aError, std::size_t) {
+        self->OnWritten(aError, aKeepAlive);
+      });
+  }
+
+  void OnWritten(beast::error_code aError, bool aKeepAlive)
+  {
+    if (!aError && aKeepAlive && !server_->IsClosing()) {
+      Read();
+      return;
+    }
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<ServerImpl> server_;
+  beast::flat_buffer buffer_;
+  std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
+  bhttp::response<bhttp::string_body> response_;
+  bool keepAlive_ = true;
+};
+
+bool
+ServerImpl::Listen(Error& aReason)
+{
+  beast::error_code error;
+  const auto address = asio::ip::make_address(options_.endpoint.address, error);
+  const tcp::endpoint endpoint(address, options_.endpoint.port);
+  if (!error)
+    acceptor_.open(endpoint.protocol(), error);
+  if (!error)
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    Fail(aReason,
+         ErrorKind::Unreachable,
+         "cannot listen on " + ToString(options_.endpoint) + ": " +
+           error.message());
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+void
+ServerImpl::Accept()
+{
+  auto self = shared_from_this();
+  acceptor_.async_accept([self](beast::error_code aError, tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || self->closing_)
+      return;
+    if (!aError) {
+      beast::error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      const bool isFull = self->connections_ >= self->options_.maxConnections;
+      ++self->connections_;
+      auto session = std::make_shared<Session>(std::move(aSocket), self);
+      if (isFull)
+        session->Refuse(
+          RefusalOf(503, ErrorKind::Overloaded, "too many connections"));
+      else
+        session->Read();
+    }
+    self->Accept();
+  });
+}
+
+void
+ServerImpl::Close()
+{
+  closing_ = true;
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+ExchangeId
+ServerImpl::Register(std::shared_ptr<Session> aSession)
+{
+  const ExchangeId exchange(++lastExchange_);
+  waiting_.emplace(exchange, std::move(aSession));
+  return exchange;
+}
+
+void
+ServerImpl::Deliver(HttpResponse&& aResponse)
+{
+  const auto found = waiting_.find(aResponse.exchange);
+  if (found == waiting_.end())
+    return;
+  const std::shared_ptr<Session> session = std::move(found->second);
+  waiting_.erase(found);
+  session->Respond(std::move(aResponse));
+}
+
+} // namespace greengage::http::detail
+
+Server::Server(pipe::IoDuty& aDuty,
+               const ServerOptions& aOptions,
+               pipe::Pipe<HttpRequest>& aNext)
+  : impl_(std::make_shared<detail::ServerImpl>(aDuty, aOptions, aNext))
+{
+}
+
+Server::~Server()
+{
+  impl_->DropSessions();
+}
+
+bool
+Server::Listen(Error& aReason)
+{
+  return impl_->Listen(aReason);
+}
+
+pipe::Pipe<HttpResponse>&
+Server::Responses()
+{
+  return impl_->Responses();
+}
+
+void
+Server::StopAccepting()
+{
+  asio::post(impl_->Context(), [impl = impl_] { impl->Close(); });
+}
--- /dev/null
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -0,0 +1,135 @@
+#include "greengage/peer/Links.h"
+#include "greengage/wire/Frame.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace greengage;
+using namespace greengage::peer;
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Collects events for a test to wait for.
+class EventRing final : public pipe::Pipe<PeerEvent>
+{
+public:
+  bool TryPush(PeerEvent&& aEvent) override
+  {
+    return ring_.TryPush(std::move(aEvent));
+  }
+  bool Push(PeerEvent&& aEvent) override
+  {
+    return ring_.Push(std::move(aEvent));
+  }
+  /// The next event of type Kind within five seconds; others are dropped.
+  template<typename Kind>
+  std::optional<Kind> Await()
+  {
+    PeerEvent event;
+    while (ring_.PopFor(event, Duration::Seconds(5)) == pipe::PopStatus::Taken)
+      if (auto* kind = std::get_if<Kind>(&event))
+        return std::move(*kind);
+    return std::nullopt;
+  }
+
+private:
+  pipe::Ring<PeerEvent> ring_{ 256 };
+};
+
+/// One entry host's links on the loopback.
+struct Host
+{
+  Host(const std::string& aSelf,
+       std::uint16_t aPort,
+       const std::string& aPeer,
+       std::uint16_t aPeerPort,
+       const std::string& aSecret = "secret")
+    : links(duty,
+            { .self = EntryHostId(aSelf),
+              .availabilityZone = AvailabilityZoneId("z-" + aSelf),
+              .endpoint = { .address = "127.0.0.1", .port = aPort },
+              .secret = aSecret,
+              .peers = { { EntryHostId(aPeer), { "127.0.0.1", aPeerPort } } },
+              .heartbeat = Duration(50),
+              .silence = Duration(400),
+              .redial = Duration(50) },
+            clock,
+            events)
+  {
+    Error reason;
+    REQUIRE(links.Start(reason));
+    duty.Start();
+  }
+  ~Host() { duty.Stop(); }
+
+  BootClock clock;
+  EventRing events;
+  pipe::IoDuty duty{ "links" };
+  Links links;
+};
+
+} // namespace
+
+TEST_CASE("two hosts meet, exchange messages, and notice a loss")
+{
+  Host first("e1", 17101, "e2", 17102);
+  {
+    Host second("e2", 17102, "e1", 17101);
+    const auto up = first.events.Await<PeerConnected>();
+    REQUIRE(up);
+    REQUIRE(up->availabilityZone == AvailabilityZoneId("z-e2"));
+    REQUIRE(second.events.Await<PeerConnected>());
+    first.links.Outbox().Push(
+      { .to = EntryHostId("e2"),
+        .message = wire::LoadReport{ .leaving = true, .pools = {} } });
+    const auto received = second.events.Await<PeerReceived>();
+    REQUIRE(received);
+    REQUIRE(received->peer == EntryHostId("e1"));
+    REQUIRE(std::get<wire::LoadReport>(received->message).leaving);
+  }
+  REQUIRE(first.events.Await<PeerDisconnected>());
+  first.links.Outbox().Push(
+    { .to = EntryHostId("e2"), .message = wire::LoadReport{} });
+  REQUIRE(first.events.Await<PeerUndeliverable>());
+  Host again("e2", 17102, "e1", 17101);
+  REQUIRE(first.events.Await<PeerConnected>());
+}
+
+TEST_CASE("a host with another secret is not let in")
+{
+  Host first("e1", 17103, "e2", 17104);
+  Host second("e2", 17104, "e1", 17103, "other");
+  pipe::Ring<int> unused(2);
+  int nothing = 0;
+  REQUIRE(unused.PopFor(nothing, Duration(500)) == pipe::PopStatus::TimedOut);
+  first.links.Outbox().Push(
+    { .to = EntryHostId("e2"), .message = wire::LoadReport{} });
+  REQUIRE(first.events.Await<PeerUndeliverable>());
+}
+
+TEST_CASE("a stranger is cut off, whatever it sends")
+{
+  const std::string row = GENERATE(std::string("\xFF\xFF\xFF\xFF", 4),
+                                   std::string("\0\0\0\0", 4),
+                                   wire::MakeFrame("not a message"),
+                                   std::string("\x10\0\0\0part", 8),
+                                   std::string());
+  Host host("e1", 17105, "e2", 17106);
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), 17105 });
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(row), error);
+  // Reads the challenge and then the end of the connection.
+  std::string all;
+  asio::read(socket, asio::dynamic_buffer(all), error);
+  REQUIRE(error);
+  REQUIRE(all.size() < 200);
+}
--- /dev/null
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -0,0 +1,314 @@
+#include "greengage/wire/PeerMessage.h"
+
+#include "greengage/wire/peer_generated.h"
+
+#include <type_traits>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::wire;
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+namespace {
+
+/// A finished body with its type.
+struct EncodedBody
+{
+  fb::Body type;
+  flatbuffers::Offset<void> offset;
+};
+
+} // namespace
+
+template<typename Table>
+static EncodedBody
+MakeBody(fb::Body aType, flatbuffers::Offset<Table> aOffset)
+{
+  return { aType, aOffset.Union() };
+}
+
+static flatbuffers::Offset<fb::Request>
+EncodeRequest(Builder& aBuilder, const Request& aRequest, Time aNow)
+{
+  return fb::CreateRequest(aBuilder,
+                           aBuilder.CreateString(aRequest.id.Value()),
+                           aBuilder.CreateString(aRequest.team.Value()),
+                           aBuilder.CreateString(aRequest.pool.Value()),
+                           aBuilder.CreateString(aRequest.kind),
+                           static_cast<fb::PriceClass>(aRequest.priceClass),
+                           aRequest.idempotence == Idempotence::Idempotent,
+                           (aRequest.deadline - aNow).Millis(),
+                           aBuilder.CreateString(aRequest.payload));
+}
+
+static flatbuffers::Offset<fb::Outcome>
+EncodeOutcome(Builder& aBuilder, const Outcome& aOutcome)
+{
+  if (const auto* answered = std::get_if<Answered>(&aOutcome))
+    return fb::CreateOutcome(aBuilder,
+                             fb::OutcomeKind::Answered,
+                             aBuilder.CreateString(answered->upstream.Value()),
+                             answered->succeeded,
+                             aBuilder.CreateString(answered->payload));
+  const auto* notRun = std::get_if<NotRun>(&aOutcome);
+  const Error& error =
+    notRun != nullptr ? notRun->error : std::get<Unknown>(aOutcome).error;
+  const auto kind =
+    notRun != nullptr ? fb::OutcomeKind::NotRun : fb::OutcomeKind::Unknown;
+  const auto detail = aBuilder.CreateString(error.detail);
+  fb::OutcomeBuilder builder(aBuilder);
+  builder.add_kind(kind);
+  builder.add_error_kind(static_cast<std::uint8_t>(error.kind));
+  builder.add_error_detail(detail);
+  if (notRun != nullptr)
+    builder.add_retry_after_ms(notRun->retryAfter.Millis());
+  return builder.Finish();
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const Challenge& aMessage, Time)
+{
+  return MakeBody(fb::Body::Challenge,
+                  fb::CreateChallenge(aBuilder,
+                                      aMessage.protocol,
+                                      aBuilder.CreateString(aMessage.nonce)));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const Hello& aMessage, Time)
+{
+  return MakeBody(
+    fb::Body::Hello,
+    fb::CreateHello(aBuilder,
+                    aMessage.protocol,
+                    aBuilder.CreateString(aMessage.from.Value()),
+                    aBuilder.CreateString(aMessage.availabilityZone.Value()),
+                    aBuilder.CreateString(aMessage.mac)));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const Heartbeat&, Time)
+{
+  return MakeBody(fb::Body::Heartbeat, fb::CreateHeartbeat(aBuilder));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const ForwardRequest& aMessage, Time aNow)
+{
+  return MakeBody(
+    fb::Body::Forward,
+    fb::CreateForward(aBuilder,
+                      aMessage.dispatch.Value(),
+                      EncodeRequest(aBuilder, aMessage.request, aNow)));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const ForwardResult& aMessage, Time)
+{
+  return MakeBody(fb::Body::Result,
+                  fb::CreateResult(aBuilder,
+                                   aMessage.dispatch.Value(),
+                                   EncodeOutcome(aBuilder, aMessage.outcome)));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedAnnouncement& aMessage, Time)
+{
+  const UpstreamAnnouncement& from = aMessage.announcement;
+  return MakeBody(
+    fb::Body::Announcement,
+    fb::CreateAnnouncement(aBuilder,
+                           aBuilder.CreateString(from.id.Value()),
+                           aBuilder.CreateString(from.endpoint.address),
+                           from.endpoint.port,
+                           aBuilder.CreateString(from.availabilityZone.Value()),
+                           aBuilder.CreateString(from.rack.Value()),
+                           aBuilder.CreateString(from.pool.Value()),
+                           from.slots.Count(),
+                           from.connections.Count(),
+                           from.processors.Count(),
+                           from.memory.Count(),
+                           from.accelerators.Count(),
+                           from.lease.Millis(),
+                           from.leaving));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const LoadReport& aMessage, Time)
+{
+  std::vector<flatbuffers::Offset<fb::PoolLoad>> pools;
+  pools.reserve(aMessage.pools.size());
+  for (const dispatch::PoolLoad& load : aMessage.pools)
+    pools.push_back(fb::CreatePoolLoad(aBuilder,
+                                       aBuilder.CreateString(load.pool.Value()),
+                                       load.freeSlots.Count(),
+                                       load.queued));
+  return MakeBody(
+    fb::Body::Load,
+    fb::CreateLoad(aBuilder, aMessage.leaving, aBuilder.CreateVector(pools)));
+}
+
+std::string
+greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
+{
+  Builder builder;
+  const EncodedBody body = std::visit(
+    [&](const auto& aAny) { return EncodeBody(builder, aAny, aNow); },
+    aMessage);
+  fb::FinishEnvelopeBuffer(
+    builder,
+    fb::CreateEnvelope(builder, body.type, body.offset, aNow.Millis()));
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+static std::string
+Text(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+static Request
+DecodeRequest(const fb::Request& aFrom, Time aNow)
+{
+  Request request;
+  request.id = RequestId(Text(aFrom.id()));
+  request.team = TeamId(Text(aFrom.team()));
+  request.pool = PoolId(Text(aFrom.pool()));
+  request.kind = Text(aFrom.kind());
+  request.priceClass = static_cast<PriceClass>(aFrom.price_class());
+  request.idempotence =
+    aFrom.idempotent() ? Idempotence::Idempotent : Idempotence::NonIdempotent;
+  request.deadline = aNow + Duration(aFrom.remaining_ms());
+  request.payload = Text(aFrom.payload());
+  return request;
+}
+
+static Outcome
+DecodeOutcome(const fb::Outcome& aFrom)
+{
+  if (aFrom.kind() == fb::OutcomeKind::Answered)
+    return Answered{ .upstream = UpstreamId(Text(aFrom.upstream())),
+                     .succeeded = aFrom.succeeded(),
+                     .payload = Text(aFrom.payload()) };
+  // A kind that this version does not know is still an error.
+  const bool isKnown =
+    aFrom.error_kind() <= static_cast<std::uint8_t>(ErrorKind::Internal);
+  Error error{ .kind = isKnown ? static_cast<ErrorKind>(aFrom.error_kind())
+                               : ErrorKind::Internal,
+               .detail = Text(aFrom.error_detail()) };
+  if (aFrom.kind() == fb::OutcomeKind::NotRun)
+    return NotRun{ .error = std::move(error),
+                   .retryAfter = Duration(aFrom.retry_after_ms()) };
+  return Unknown{ .error = std::move(error) };
+}
+
+static UpstreamAnnouncement
+DecodeAnnouncement(const fb::Announcement& aFrom)
+{
+  UpstreamAnnouncement announcement;
+  announcement.id = UpstreamId(Text(aFrom.id()));
+  announcement.endpoint = { .address = Text(aFrom.address()),
+                            .port = aFrom.port() };
+  announcement.availabilityZone =
+    AvailabilityZoneId(Text(aFrom.availability_zone()));
+  announcement.rack = RackId(Text(aFrom.rack()));
+  announcement.pool = PoolId(Text(aFrom.pool()));
+  announcement.slots = Slots(aFrom.slots());
+  announcement.connections = Connections(aFrom.connections());
+  announcement.processors = MilliCores(aFrom.millicores());
+  announcement.memory = Mebibytes(aFrom.memory_mib());
+  announcement.accelerators = Accelerators(aFrom.accelerators());
+  announcement.lease = Duration(aFrom.lease_ms());
+  announcement.leaving = aFrom.leaving();
+  return announcement;
+}
+
+static LoadReport
+DecodeLoad(const fb::Load& aFrom)
+{
+  LoadReport report;
+  report.leaving = aFrom.leaving();
+  if (aFrom.pools() == nullptr)
+    return report;
+  for (const fb::PoolLoad* load : *aFrom.pools())
+    report.pools.push_back({ .pool = PoolId(Text(load->pool())),
+                             .freeSlots = Slots(load->free_slots()),
+                             .queued = load->queued() });
+  return report;
+}
+
+static std::optional<PeerMessage>
+DecodeBody(const fb::Envelope& aEnvelope, Time aNow, Error& aReason)
+{
+  switch (aEnvelope.body_type()) {
+    case fb::Body::Challenge: {
+      const auto* from = aEnvelope.body_as_Challenge();
+      return Challenge{ .protocol = from->protocol(),
+                        .nonce = Text(from->nonce()) };
+    }
+    case fb::Body::Hello: {
+      const auto* from = aEnvelope.body_as_Hello();
+      return Hello{ .protocol = from->protocol(),
+                    .from = EntryHostId(Text(from->from())),
+                    .availabilityZone =
+                      AvailabilityZoneId(Text(from->availability_zone())),
+                    .mac = Text(from->mac()) };
+    }
+    case fb::Body::Heartbeat:
+      return Heartbeat{};
+    case fb::Body::Forward: {
+      const auto* from = aEnvelope.body_as_Forward();
+      return ForwardRequest{ .dispatch = DispatchId(from->dispatch()),
+                             .request = DecodeRequest(*from->request(), aNow) };
+    }
+    case fb::Body::Result: {
+      const auto* from = aEnvelope.body_as_Result();
+      return ForwardResult{ .dispatch = DispatchId(from->dispatch()),
+                            .outcome = DecodeOutcome(*from->outcome()) };
+    }
+    case fb::Body::Announcement:
+      return RelayedAnnouncement{ .announcement = DecodeAnnouncement(
+                                    *aEnvelope.body_as_Announcement()) };
+    case fb::Body::Load:
+      return DecodeLoad(*aEnvelope.body_as_Load());
+    case fb::Body::NONE:
+      break;
+  }
+  return Fail(
+    aReason, ErrorKind::Unsupported, "message type of a peer is not known");
+}
+
+/// The verified envelope in \p aBytes, or null.
+static const fb::Envelope*
+Verified(std::string_view aBytes, Error& aReason)
+{
+  const auto* data = reinterpret_cast<const std::uint8_t*>(aBytes.data());
+  flatbuffers::Verifier verifier(data, aBytes.size());
+  const bool hasIdentifier =
+    aBytes.size() >= sizeof(flatbuffers::uoffset_t) * 2 &&
+    fb::EnvelopeBufferHasIdentifier(data);
+  if (hasIdentifier && fb::VerifyEnvelopeBuffer(verifier))
+    return fb::GetEnvelope(data);
+  Fail(aReason, ErrorKind::Malformed, "message of a peer is not well-formed");
+  return nullptr;
+}
+
+std::optional<Time>
+greengage::wire::SentAt(std::string_view aBytes, Error& aReason)
+{
+  const fb::Envelope* envelope = Verified(aBytes, aReason);
+  if (envelope == nullptr)
+    return std::nullopt;
+  return Time(envelope->sent_at_ms());
+}
+
+std::optional<PeerMessage>
+greengage::wire::Decode(std::string_view aBytes, Time aNow, Error& aReason)
+{
+  const fb::Envelope* envelope = Verified(aBytes, aReason);
+  if (envelope == nullptr)
+    return std::nullopt;
+  return DecodeBody(*envelope, aNow, aReason);
+}
--- /dev/null
+++ b/packages/wire/unittests/WireTest.cpp
@@ -0,0 +1,109 @@
+#include "greengage/wire/Frame.h"
+#include "greengage/wire/PeerMessage.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace greengage;
+using namespace greengage::wire;
+
+static const Time kNow(5000);
+
+static std::vector<PeerMessage>
+AllMessages()
+{
+  Request request;
+  request.id = RequestId("r1");
+  request.team = TeamId("a/b");
+  request.pool = PoolId("lines");
+  request.kind = "plan";
+  request.priceClass = PriceClass::Patient;
+  request.idempotence = Idempotence::Idempotent;
+  request.deadline = kNow + Duration(700);
+  request.payload = std::string("x\0y", 3);
+  UpstreamAnnouncement announcement;
+  announcement.id = UpstreamId("w1");
+  announcement.endpoint = { .address = "127.0.0.1", .port = 99 };
+  announcement.availabilityZone = AvailabilityZoneId("z1");
+  announcement.pool = PoolId("lines");
+  announcement.slots = Slots(8);
+  announcement.lease = Duration(3000);
+  announcement.leaving = true;
+  return {
+    Challenge{ .nonce = "n" },
+    Hello{ .from = EntryHostId("e1"),
+           .availabilityZone = AvailabilityZoneId("z1"),
+           .mac = "m" },
+    Heartbeat{},
+    ForwardRequest{ .dispatch = DispatchId(7), .request = request },
+    ForwardResult{ .dispatch = DispatchId(7),
+                   .outcome = Answered{ .upstream = UpstreamId("w1"),
+                                        .succeeded = false,
+                                        .payload = "p" } },
+    ForwardResult{ .dispatch = DispatchId(8),
+                   .outcome = NotRun{ .error = { ErrorKind::NoCapacity, "d" },
+                                      .retryAfter = Duration(9) } },
+    ForwardResult{ .dispatch = DispatchId(9),
+                   .outcome =
+                     Unknown{ .error = { ErrorKind::OutcomeUnknown, "u" } } },
+    RelayedAnnouncement{ .announcement = announcement },
+    LoadReport{ .leaving = true,
+                .pools = { { PoolId("lines"), Slots(3), 2 } } },
+  };
+}
+
+TEST_CASE("every message survives encoding, byte for byte")
+{
+  for (const PeerMessage& message : AllMessages()) {
+    Error reason;
+    const std::string bytes = Encode(message, kNow);
+    const auto decoded = Decode(bytes, kNow, reason);
+    REQUIRE(decoded);
+    REQUIRE(decoded->index() == message.index());
+    REQUIRE(Encode(*decoded, kNow) == bytes);
+  }
+}
+
+TEST_CASE("a deadline crosses as the time that remains")
+{
+  Error reason;
+  const std::string bytes = Encode(AllMessages()[3], kNow);
+  const auto decoded = Decode(bytes, Time(90), reason);
+  const auto& forward = std::get<ForwardRequest>(*decoded);
+  REQUIRE(forward.request.deadline == Time(790));
+  REQUIRE(forward.request.payload == std::string("x\0y", 3));
+}
+
+TEST_CASE("broken messages are refused, never read past their end")
+{
+  std::mt19937_64 random(20261204);
+  int refused = 0;
+  for (const PeerMessage& message : AllMessages()) {
+    const std::string bytes = Encode(message, kNow);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      Error reason;
+      if (!Decode(std::string(bytes, 0, size), kNow, reason))
+        ++refused;
+    }
+    for (int round = 0; round < 200; ++round) {
+      std::string damaged = bytes;
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+      Error reason;
+      const auto decoded = Decode(damaged, kNow, reason);
+      if (decoded)
+        Encode(*decoded, kNow);
+    }
+  }
+  REQUIRE(refused > 100);
+}
+
+TEST_CASE("frames are bounded")
+{
+  Error reason;
+  const std::string frame = MakeFrame("abc");
+  REQUIRE(ParseFrameHeader(frame.substr(0, 4), reason) == 3);
+  REQUIRE_FALSE(ParseFrameHeader(std::string(4, '\0'), reason));
+  REQUIRE_FALSE(ParseFrameHeader("\xFF\xFF\xFF\xFF", reason));
+  REQUIRE(reason.kind == ErrorKind::TooLarge);
+}
