--- /dev/null
+++ b/packages/daemon/include/greengage/daemon/Daemon.h
@@ -0,0 +1,43 @@
+/// \file
+/// The process of one entry host: its duties, the rings that join them, and
+/// the order in which they start and stop.
+
+#ifndef GREENGAGE_DAEMON_DAEMON_H
+#define GREENGAGE_DAEMON_DAEMON_H
+
+#include "greengage/core/Error.h"
+#include "greengage/daemon/DaemonSettings.h"
+#include "greengage/state/FleetView.h"
+
+#include <memory>
+
+namespace greengage::daemon {
+
+namespace detail {
+class DaemonImpl;
+} // namespace detail
+
+/// One running entry host.
+class Daemon
+{
+public:
+  Daemon(DaemonSettings aSettings, state::FleetViewPtr aInitialView);
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+  ~Daemon();
+
+  /// Opens all ports and starts all duties.
+  bool Start(Error& aReason);
+
+  /// Stops without cutting off a request: says not ready, waits for the
+  /// notice, ends admission, finishes what is in progress, and only then
+  /// closes the ports. False if work was still running after the timeout.
+  bool ShutDown();
+
+private:
+  std::unique_ptr<detail::DaemonImpl> impl_;
+};
+
+} // namespace greengage::daemon
+
+#endif // GREENGAGE_DAEMON_DAEMON_H
--- /dev/null
+++ b/packages/daemon/include/greengage/daemon/DaemonSettings.h
@@ -0,0 +1,60 @@
+/// \file
+/// The settings of one entry host's process, read from INI and checked as a
+/// whole before anything starts.
+
+#ifndef GREENGAGE_DAEMON_DAEMONSETTINGS_H
+#define GREENGAGE_DAEMON_DAEMONSETTINGS_H
+
+#include "greengage/core/Endpoint.h"
+#include "greengage/core/Error.h"
+#include "greengage/core/Ids.h"
+#include "greengage/core/Units.h"
+#include "greengage/observe/Log.h"
+#include "greengage/peer/Links.h"
+#include "greengage/settings/IniFile.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace greengage::daemon {
+
+/// One HTTP port.
+struct PortSettings
+{
+  Endpoint endpoint;
+  std::size_t maxConnections = 1024;
+  std::uint64_t maxBodyBytes = 1024 * 1024 + 64 * 1024;
+  Duration readTimeout = Duration::Seconds(10);
+};
+
+/// Everything that an entry host's settings file says.
+struct DaemonSettings
+{
+  EntryHostId id;
+  AvailabilityZoneId availabilityZone;
+  PortSettings callers;
+  PortSettings upstreams;
+  PortSettings operators;
+  Endpoint peerEndpoint;
+  std::string peerSecret;
+  /// All entry hosts, this one included, in order of their ids.
+  std::vector<peer::PeerAddress> members;
+  /// The settings tree to begin with.
+  std::string fleetFile;
+  observe::LogOptions log;
+  /// How long /readyz says no before admission ends.
+  Duration shutdownNotice = Duration::Seconds(2);
+  /// How long work in progress may take at shutdown.
+  Duration shutdownTimeout = Duration::Seconds(30);
+};
+
+/// Reads the settings. The reason names file, line, section and key.
+std::optional<DaemonSettings>
+ReadDaemonSettings(const settings::IniFile& aFile, Error& aReason);
+
+} // namespace greengage::daemon
+
+#endif // GREENGAGE_DAEMON_DAEMONSETTINGS_H
--- /dev/null
+++ b/packages/daemon/lib/Daemon.cpp
@@ -0,0 +1,252 @@
+#include "greengage/daemon/Daemon.h"
+
+#include "HostState.h"
+#include "filters/AuthenticateFilter.h"
+#include "filters/DecodeFilter.h"
+#include "filters/DispatchFilter.h"
+#include "filters/EncodeFilter.h"
+#include "filters/OperateFilter.h"
+#include "sources/PeerSource.h"
+#include "sources/UpstreamSource.h"
+
+#include "greengage/dispatch/LimitLedger.h"
+#include "greengage/dispatch/RequestQueue.h"
+#include "greengage/http/Server.h"
+#include "greengage/observe/Log.h"
+#include "greengage/pipe/Duty.h"
+#include "greengage/pipe/IoDuty.h"
+
+#include <chrono>
+#include <future>
+#include <thread>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::daemon;
+
+/// Places in the ring in front of a filter.
+static constexpr std::size_t kRingCapacity = 4096;
+/// How long the last responses may take to leave at shutdown.
+static constexpr std::chrono::seconds kFlushTimeout(5);
+
+static http::ServerOptions
+ServerOptionsOf(http::PortRole aRole, const PortSettings& aPort)
+{
+  return { .port = aRole,
+           .endpoint = aPort.endpoint,
+           .maxConnections = aPort.maxConnections,
+           .maxBodyBytes = aPort.maxBodyBytes,
+           .readTimeout = aPort.readTimeout };
+}
+
+static peer::LinkOptions
+LinkOptionsOf(const DaemonSettings& aSettings)
+{
+  peer::LinkOptions options;
+  options.self = aSettings.id;
+  options.availabilityZone = aSettings.availabilityZone;
+  options.endpoint = aSettings.peerEndpoint;
+  options.secret = aSettings.peerSecret;
+  for (const peer::PeerAddress& member : aSettings.members)
+    if (member.id != aSettings.id)
+      options.peers.push_back(member);
+  return options;
+}
+
+static dispatch::SplitOptions
+SplitOptionsOf(const DaemonSettings& aSettings)
+{
+  dispatch::SplitOptions options;
+  options.hosts = aSettings.members.size();
+  while (aSettings.members[options.rank].id != aSettings.id)
+    ++options.rank;
+  return options;
+}
+
+namespace greengage::daemon::detail {
+
+/// The duties in the order of the pipeline. Members are destroyed from the
+/// last to the first, and everything that a filter refers to stands above it.
+class DaemonImpl
+{
+public:
+  DaemonImpl(DaemonSettings aSettings, state::FleetViewPtr aInitialView);
+
+  bool Start(Error& aReason);
+  bool ShutDown();
+
+private:
+  void StopDuties();
+
+  DaemonSettings settings_;
+  state::FleetViewPtr initialView_;
+  BootClock clock_;
+  HostState host_;
+  std::promise<void> drained_;
+
+  // The rings between the filters.
+  pipe::Duty<http::HttpRequest> decode_;
+  pipe::Duty<AuthenticateMessage> authenticate_;
+  pipe::Duty<dispatch::Event> dispatch_;
+  pipe::Duty<OperatorCall> operate_;
+  pipe::Duty<api::Reply> encode_;
+
+  // Sources and sinks: the sockets.
+  pipe::IoDuty callersDuty_{ "callers" };
+  pipe::IoDuty upstreamsDuty_{ "upstreams" };
+  pipe::IoDuty operatorsDuty_{ "operators" };
+  pipe::IoDuty clientDuty_{ "run-client" };
+  pipe::IoDuty peersDuty_{ "peers" };
+  http::Server callers_;
+  http::Server upstreams_;
+  http::Server operators_;
+  UpstreamSource upstreamSource_;
+  http::Client client_;
+  PeerSource peerSource_;
+  peer::Links links_;
+
+  // The decisions.
+  dispatch::FairQueue queue_;
+  dispatch::StaticSplitLedger limits_;
+  dispatch::RequestPlane plane_;
+
+  // The filters.
+  EncodeFilter encodeFilter_;
+  OperateFilter operateFilter_;
+  DispatchFilter dispatchFilter_;
+  AuthenticateFilter authenticateFilter_;
+  DecodeFilter decodeFilter_;
+};
+
+DaemonImpl::DaemonImpl(DaemonSettings aSettings,
+                       state::FleetViewPtr aInitialView)
+  : settings_(std::move(aSettings))
+  , initialView_(std::move(aInitialView))
+  , host_(settings_.id, settings_.availabilityZone)
+  , decode_({ .name = "decode", .capacity = kRingCapacity }, clock_)
+  , authenticate_({ .name = "authenticate", .capacity = kRingCapacity }, clock_)
+  , dispatch_({ .name = "dispatch", .capacity = kRingCapacity }, clock_)
+  , operate_({ .name = "operate", .capacity = kRingCapacity }, clock_)
+  , encode_({ .name = "encode", .capacity = kRingCapacity }, clock_)
+  , callers_(callersDuty_,
+             ServerOptionsOf(http::PortRole::Callers, settings_.callers),
+             decode_)
+  , upstreams_(upstreamsDuty_,
+               ServerOptionsOf(http::PortRole::Upstreams, settings_.upstreams),
+               decode_)
+  , operators_(operatorsDuty_,
+               ServerOptionsOf(http::PortRole::Operators, settings_.operators),
+               decode_)
+  , upstreamSource_(dispatch_)
+  , client_(clientDuty_, {}, upstreamSource_)
+  , peerSource_(dispatch_)
+  , links_(peersDuty_, LinkOptionsOf(settings_), clock_, peerSource_)
+  , limits_(SplitOptionsOf(settings_))
+  , plane_(
+      { .self = settings_.id, .availabilityZone = settings_.availabilityZone },
+      queue_,
+      limits_)
+  , encodeFilter_({ { http::PortRole::Callers, &callers_.Responses() },
+                    { http::PortRole::Upstreams, &upstreams_.Responses() },
+                    { http::PortRole::Operators, &operators_.Responses() } })
+  , operateFilter_(host_, encode_)
+  , dispatchFilter_(plane_,
+                    host_,
+                    { .replies = encode_,
+                      .upstreams = client_.Calls(),
+                      .peers = links_.Outbox(),
+                      .onDrained = [this] { drained_.set_value(); } })
+  , authenticateFilter_(dispatch_, operate_, encode_)
+  , decodeFilter_(authenticate_, encode_)
+{
+}
+
+bool
+DaemonImpl::Start(Error& aReason)
+{
+  if (!callers_.Listen(aReason) || !upstreams_.Listen(aReason) ||
+      !operators_.Listen(aReason) || !links_.Start(aReason))
+    return false;
+  encode_.Start(encodeFilter_);
+  operate_.Start(operateFilter_);
+  dispatch_.Start(dispatchFilter_);
+  authenticate_.Start(authenticateFilter_);
+  decode_.Start(decodeFilter_);
+  if (initialView_) {
+    dispatch_.Push(dispatch::ViewChanged{ .view = initialView_ });
+    authenticate_.Push(AuthenticateMessage(initialView_));
+  }
+  peersDuty_.Start();
+  clientDuty_.Start();
+  upstreamsDuty_.Start();
+  operatorsDuty_.Start();
+  callersDuty_.Start();
+  host_.isReady = true;
+  observe::Log(observe::LogLevel::Info,
+               "started",
+               { { "host", settings_.id.Value() },
+                 { "availability_zone", settings_.availabilityZone.Value() },
+                 { "callers", ToString(settings_.callers.endpoint) } });
+  return true;
+}
+
+bool
+DaemonImpl::ShutDown()
+{
+  const std::string id = settings_.id.Value();
+  observe::Log(observe::LogLevel::Info, "shutdown-notice", { { "host", id } });
+  host_.isReady = false;
+  std::this_thread::sleep_for(
+    std::chrono::milliseconds(settings_.shutdownNotice.Millis()));
+  dispatch_.Push(dispatch::BeginShutdown{});
+  const auto status = drained_.get_future().wait_for(
+    std::chrono::milliseconds(settings_.shutdownTimeout.Millis()));
+  const bool isDrained = status == std::future_status::ready;
+  StopDuties();
+  observe::Log(isDrained ? observe::LogLevel::Info : observe::LogLevel::Error,
+               isDrained ? "stopped" : "stopped-with-work-in-progress",
+               { { "host", id } });
+  return isDrained;
+}
+
+/// Ends the duties from the sources to the sinks, so that each can finish
+/// what is in its ring.
+void
+DaemonImpl::StopDuties()
+{
+  decode_.Stop();
+  authenticate_.Stop();
+  operate_.Stop();
+  dispatch_.Stop();
+  encode_.Stop();
+  callers_.Drain().wait_for(kFlushTimeout);
+  upstreams_.Drain().wait_for(kFlushTimeout);
+  operators_.Drain().wait_for(kFlushTimeout);
+  callersDuty_.Stop();
+  upstreamsDuty_.Stop();
+  operatorsDuty_.Stop();
+  clientDuty_.Stop();
+  peersDuty_.Stop();
+}
+
+} // namespace greengage::daemon::detail
+
+Daemon::Daemon(DaemonSettings aSettings, state::FleetViewPtr aInitialView)
+  : impl_(std::make_unique<detail::DaemonImpl>(std::move(aSettings),
+                                               std::move(aInitialView)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool
+Daemon::Start(Error& aReason)
+{
+  return impl_->Start(aReason);
+}
+
+bool
+Daemon::ShutDown()
+{
+  return impl_->ShutDown();
+}
--- /dev/null
+++ b/packages/daemon/lib/HostState.h
@@ -0,0 +1,33 @@
+/// \file
+/// What several duties of one entry host read of the process as a whole.
+
+#ifndef GREENGAGE_DAEMON_LIB_HOSTSTATE_H
+#define GREENGAGE_DAEMON_LIB_HOSTSTATE_H
+
+#include "greengage/core/Ids.h"
+#include "greengage/observe/Metrics.h"
+
+#include <atomic>
+#include <utility>
+
+namespace greengage::daemon::detail {
+
+/// Shared by the duties; every member is safe from any thread.
+struct HostState
+{
+  HostState(EntryHostId aId, AvailabilityZoneId aAvailabilityZone)
+    : id(std::move(aId))
+    , availabilityZone(std::move(aAvailabilityZone))
+  {
+  }
+
+  const EntryHostId id;
+  const AvailabilityZoneId availabilityZone;
+  /// What /readyz says.
+  std::atomic<bool> isReady{ false };
+  observe::Metrics metrics;
+};
+
+} // namespace greengage::daemon::detail
+
+#endif // GREENGAGE_DAEMON_LIB_HOSTSTATE_H
--- /dev/null
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -0,0 +1,84 @@
+#include "PeerSource.h"
+
+#include <optional>
+#include <utility>
+#include <variant>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+PeerSource::PeerSource(pipe::Pipe<dispatch::Event>& aDispatch)
+  : dispatch_(aDispatch)
+{
+}
+
+static std::optional<dispatch::Event>
+ToEvent(peer::PeerReceived&& aEvent)
+{
+  if (auto* forward = std::get_if<wire::ForwardRequest>(&aEvent.message))
+    return dispatch::Forwarded{ .from = std::move(aEvent.peer),
+                                .dispatch = forward->dispatch,
+                                .request = std::move(forward->request) };
+  if (auto* result = std::get_if<wire::ForwardResult>(&aEvent.message))
+    return dispatch::ForwardEnded{ .from = std::move(aEvent.peer),
+                                   .dispatch = result->dispatch,
+                                   .outcome = std::move(result->outcome) };
+  if (auto* relayed = std::get_if<wire::RelayedAnnouncement>(&aEvent.message))
+    return dispatch::Announced{ .announcement =
+                                  std::move(relayed->announcement),
+                                .call = std::nullopt };
+  if (auto* load = std::get_if<wire::LoadReport>(&aEvent.message))
+    return dispatch::PeerLoad{ .peer = std::move(aEvent.peer),
+                               .leaving = load->leaving,
+                               .pools = std::move(load->pools) };
+  return std::nullopt;
+}
+
+static std::optional<dispatch::Event>
+ToEvent(peer::PeerConnected&& aEvent)
+{
+  return dispatch::PeerUp{ .peer = std::move(aEvent.peer),
+                           .availabilityZone =
+                             std::move(aEvent.availabilityZone) };
+}
+
+static std::optional<dispatch::Event>
+ToEvent(peer::PeerDisconnected&& aEvent)
+{
+  return dispatch::PeerDown{ .peer = std::move(aEvent.peer) };
+}
+
+static std::optional<dispatch::Event>
+ToEvent(peer::PeerUndeliverable&& aEvent)
+{
+  const auto* forward = std::get_if<wire::ForwardRequest>(&aEvent.message);
+  if (forward == nullptr)
+    return std::nullopt;
+  return dispatch::ForwardEnded{ .from = std::move(aEvent.peer),
+                                 .dispatch = forward->dispatch,
+                                 .outcome = NotRun{
+                                   .error = { ErrorKind::Unreachable,
+                                              "entry host cannot be reached" },
+                                   .retryAfter = {} } };
+}
+
+static std::optional<dispatch::Event>
+ToEvent(peer::PeerEvent&& aEvent)
+{
+  return std::visit([](auto&& aAny) { return ToEvent(std::move(aAny)); },
+                    std::move(aEvent));
+}
+
+bool
+PeerSource::TryPush(peer::PeerEvent&& aEvent)
+{
+  auto event = ToEvent(std::move(aEvent));
+  return !event || dispatch_.TryPush(std::move(*event));
+}
+
+bool
+PeerSource::Push(peer::PeerEvent&& aEvent)
+{
+  auto event = ToEvent(std::move(aEvent));
+  return !event || dispatch_.Push(std::move(*event));
+}
--- /dev/null
+++ b/packages/daemon/lib/sources/PeerSource.h
@@ -0,0 +1,28 @@
+/// \file
+/// The source that turns what happens on peer links into events of the request
+/// plane.
+
+#ifndef GREENGAGE_DAEMON_LIB_SOURCES_PEERSOURCE_H
+#define GREENGAGE_DAEMON_LIB_SOURCES_PEERSOURCE_H
+
+#include "greengage/dispatch/Messages.h"
+#include "greengage/peer/Links.h"
+#include "greengage/pipe/Pipe.h"
+
+namespace greengage::daemon::detail {
+
+/// Called by the link duty; pushes to the dispatch duty.
+class PeerSource final : public pipe::Pipe<peer::PeerEvent>
+{
+public:
+  explicit PeerSource(pipe::Pipe<dispatch::Event>& aDispatch);
+  bool TryPush(peer::PeerEvent&& aEvent) override;
+  bool Push(peer::PeerEvent&& aEvent) override;
+
+private:
+  pipe::Pipe<dispatch::Event>& dispatch_;
+};
+
+} // namespace greengage::daemon::detail
+
+#endif // GREENGAGE_DAEMON_LIB_SOURCES_PEERSOURCE_H
--- a/packages/http/include/greengage/http/Server.h
+++ b/packages/http/include/greengage/http/Server.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <future>
 #include <memory>
 
 namespace greengage::http {
@@ -61,8 +62,9 @@
   pipe::Pipe<HttpResponse>& Responses();
 
   /// Closes the listening socket and ends each connection after the response
-  /// it waits for. Safe from any thread.
-  void StopAccepting();
+  /// it waits for. The future is ready once all those responses have been
+  /// written. Safe from any thread.
+  std::future<void> Drain();
 
 private:
   std::shared_ptr<detail::ServerImpl> impl_;
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <future>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -110,12 +111,18 @@
 
   bool Listen(Error& aReason);
   void Accept();
-  void Close();
+  void Drain(std::promise<void>&& aDone);
   /// Breaks the cycles between this object and the sessions that wait.
   void DropSessions() { waiting_.clear(); }
   ExchangeId Register(std::shared_ptr<Session> aSession);
   void Deliver(HttpResponse&& aResponse);
   void SessionEnded() { --connections_; }
+  void WriteBegins() { ++writing_; }
+  void WriteEnded()
+  {
+    --writing_;
+    CheckDrained();
+  }
 
   const ServerOptions& Options() const { return options_; }
   bool IsClosing() const { return closing_; }
@@ -134,6 +141,8 @@
     return capacity;
   }
 
+  void CheckDrained();
+
   ServerOptions options_;
   pipe::Pipe<HttpRequest>& next_;
   asio::io_context& context_;
@@ -142,6 +151,8 @@
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   std::uint64_t lastExchange_ = 0;
   std::size_t connections_ = 0;
+  std::size_t writing_ = 0;
+  std::optional<std::promise<void>> drained_;
   bool closing_ = false;
 };
 
@@ -237,6 +248,7 @@
 
   void Write(HttpResponse&& aResponse, bool aKeepAlive)
   {
+    server_->WriteBegins();
     response_ = ToBeast(std::move(aResponse), aKeepAlive);
     stream_.expires_after(kWriteTimeout);
     auto self = shared_from_this();
@@ -250,6 +262,7 @@
 
   void OnWritten(beast::error_code aError, bool aKeepAlive)
   {
+    server_->WriteEnded();
     if (!aError && aKeepAlive && !server_->IsClosing()) {
       Read();
       return;
@@ -315,11 +328,22 @@
 }
 
 void
-ServerImpl::Close()
+ServerImpl::Drain(std::promise<void>&& aDone)
 {
   closing_ = true;
   beast::error_code ignored;
   acceptor_.close(ignored);
+  drained_ = std::move(aDone);
+  CheckDrained();
+}
+
+void
+ServerImpl::CheckDrained()
+{
+  if (!drained_ || !waiting_.empty() || writing_ > 0)
+    return;
+  drained_->set_value();
+  drained_.reset();
 }
 
 ExchangeId
@@ -339,6 +363,7 @@
   const std::shared_ptr<Session> session = std::move(found->second);
   waiting_.erase(found);
   session->Respond(std::move(aResponse));
+  CheckDrained();
 }
 
 } // namespace greengage::http::detail
@@ -367,8 +392,11 @@
   return impl_->Responses();
 }
 
-void
-Server::StopAccepting()
+std::future<void>
+Server::Drain()
 {
-  asio::post(impl_->Context(), [impl = impl_] { impl->Close(); });
+  auto done = std::make_shared<std::promise<void>>();
+  asio::post(impl_->Context(),
+             [impl = impl_, done] { impl->Drain(std::move(*done)); });
+  return done->get_future();
 }
--- /dev/null
+++ b/tools/greengaged/main.cpp
@@ -0,0 +1,109 @@
+/// \file
+/// The entry-host daemon. Exit codes: 0 stopped after all work was finished,
+/// 1 a port or file could not be had, 2 the command line or a settings file is
+/// wrong, 3 stopped while work was still in progress.
+
+#include "greengage/core/Error.h"
+#include "greengage/daemon/Daemon.h"
+#include "greengage/daemon/DaemonSettings.h"
+#include "greengage/observe/Log.h"
+#include "greengage/settings/IniFile.h"
+#include "greengage/state/FleetView.h"
+#include "greengage/state/SettingsTree.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace greengage;
+
+static constexpr int kExitUnavailable = 1;
+static constexpr int kExitUsage = 2;
+static constexpr int kExitWorkInProgress = 3;
+
+static std::optional<daemon::DaemonSettings>
+LoadSettings(const std::string& aPath, Error& aReason)
+{
+  const auto file = settings::IniFile::Load(aPath, aReason);
+  if (!file)
+    return std::nullopt;
+  return daemon::ReadDaemonSettings(*file, aReason);
+}
+
+static state::FleetViewPtr
+LoadView(const std::string& aPath, Error& aReason)
+{
+  const auto file = settings::IniFile::Load(aPath, aReason);
+  if (!file)
+    return nullptr;
+  auto view = state::BuildFleetView(
+    state::SettingsTree::FromIni(*file), Version(1), aReason);
+  if (!view)
+    return nullptr;
+  return std::make_shared<const state::FleetView>(std::move(*view));
+}
+
+static int
+Report(const Error& aReason, int aExitCode)
+{
+  std::cerr << "greengaged: " << Describe(aReason) << "\n";
+  return aExitCode;
+}
+
+/// Blocks the signals that end the daemon in this and all later threads.
+static sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app{ "greengagepick entry-host daemon" };
+  std::string path;
+  bool checkOnly = false;
+  app.add_option("--config", path, "settings file (INI)")->required();
+  app.add_flag("--check-config", checkOnly, "check the settings and exit");
+  app.set_version_flag("--version", GREENGAGE_VERSION);
+  app.footer("Exit codes: 0 stopped with all work finished, 1 port or file "
+             "not available,\n2 wrong command line or settings, 3 stopped "
+             "while work was in progress.");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kExitUsage;
+  }
+
+  Error reason;
+  auto settings = LoadSettings(path, reason);
+  if (!settings)
+    return Report(reason, kExitUsage);
+  auto view = LoadView(settings->fleetFile, reason);
+  if (!view)
+    return Report(reason, kExitUsage);
+  if (checkOnly) {
+    std::cout << path << ": settings are valid\n";
+    return 0;
+  }
+
+  const sigset_t signals = BlockStopSignals();
+  observe::ConfigureLog(settings->log);
+  daemon::Daemon daemon(std::move(*settings), std::move(view));
+  if (!daemon.Start(reason))
+    return Report(reason, kExitUnavailable);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return daemon.ShutDown() ? 0 : kExitWorkInProgress;
+}
