--- a/packages/api/lib/Encode.cpp
+++ b/packages/api/lib/Encode.cpp
@@ -151,7 +151,10 @@
   http::HttpResponse response;
   response.port = PortOf(aReply.call);
   response.exchange = ExchangeOf(aReply.call);
-  std::visit([&](auto&& aBody) { Encode(response, std::move(aBody)); },
-             std::move(aReply.body));
+  std::visit(
+    [&](auto&& aBody) {
+      Encode(response, std::forward<decltype(aBody)>(aBody));
+    },
+    std::move(aReply.body));
   return response;
 }
--- a/packages/api/unittests/ApiTest.cpp
+++ b/packages/api/unittests/ApiTest.cpp
@@ -123,11 +123,12 @@
   REQUIRE(reason.kind == ErrorKind::NotFound);
   REQUIRE_FALSE(Post(PortRole::Operators, "/v1/requests", "{}", reason));
   REQUIRE(reason.kind == ErrorKind::NotFound);
-  http::HttpRequest request;
-  request.port = PortRole::Callers;
-  request.method = "GET";
-  request.target = "/metrics";
-  REQUIRE_FALSE(DecodeCall(std::move(request), kNow, reason));
+  http::HttpRequest probe;
+  probe.port = PortRole::Callers;
+  probe.method = "GET";
+  probe.target = "/metrics";
+  const auto call = DecodeCall(std::move(probe), kNow, reason);
+  REQUIRE_FALSE(call);
 }
 
 TEST_CASE("outcomes keep their three names")
--- a/packages/daemon/lib/filters/DispatchFilter.cpp
+++ b/packages/daemon/lib/filters/DispatchFilter.cpp
@@ -43,8 +43,9 @@
 DispatchFilter::CarryOut(dispatch::Actions&& aActions, Time aNow)
 {
   for (dispatch::Action& action : aActions)
-    std::visit([&](auto&& aAny) { Do(std::move(aAny), aNow); },
-               std::move(action));
+    std::visit(
+      [&](auto&& aAny) { Do(std::forward<decltype(aAny)>(aAny), aNow); },
+      std::move(action));
 }
 
 static const char*
@@ -167,7 +168,7 @@
 }
 
 void
-DispatchFilter::Do(dispatch::Drained&& /*aAction*/, Time /*aNow*/)
+DispatchFilter::Do(dispatch::Drained&& /*aAction*/, Time /*aNow*/) const
 {
   outlets_.onDrained();
 }
--- a/packages/daemon/lib/sources/PeerSource.cpp
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -65,8 +65,9 @@
 static std::optional<dispatch::Event>
 ToEvent(peer::PeerEvent&& aEvent)
 {
-  return std::visit([](auto&& aAny) { return ToEvent(std::move(aAny)); },
-                    std::move(aEvent));
+  return std::visit(
+    [](auto&& aAny) { return ToEvent(std::forward<decltype(aAny)>(aAny)); },
+    std::move(aEvent));
 }
 
 bool
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -27,8 +27,9 @@
 void
 RequestPlane::Handle(Event&& aEvent, Time aNow, Actions& aOut)
 {
-  std::visit([&](auto&& aAny) { On(std::move(aAny), aNow, aOut); },
-             std::move(aEvent));
+  std::visit(
+    [&](auto&& aAny) { On(std::forward<decltype(aAny)>(aAny), aNow, aOut); },
+    std::move(aEvent));
   if (shuttingDown_)
     ReportDrained(aOut);
 }
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -116,6 +116,8 @@
   }
   const auto upstream = upstreams_.TakeSlot(aEvent.request.pool, aNow);
   if (!upstream || works_.size() >= options_.maxWorks) {
+    // The peer's picture is out of date: report this pool again.
+    published_.erase(aEvent.request.pool);
     refuse(ErrorKind::NoCapacity, "no free slot on this entry host");
     return;
   }
@@ -202,6 +204,8 @@
   const PoolId pool = works_.at(attempt.work).request.pool;
   if (std::holds_alternative<NotRun>(aEvent.outcome))
     peers_.NoteFull(aEvent.from, pool);
+  else
+    peers_.ReturnSlot(aEvent.from, pool);
   Settle(attempt.work, std::move(aEvent.outcome), aNow, aOut);
   Schedule(pool, aNow, aOut);
 }
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -236,6 +236,45 @@
   REQUIRE(Take<Execute>().size() == 2);
 }
 
+TEST_CASE_METHOD(PlaneFixture, "a peer's slot is free again after its answer")
+{
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z2") });
+  Send(PeerLoad{ .peer = EntryHostId("e2"),
+                 .leaving = false,
+                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  for (std::uint64_t call = 1; call <= 3; ++call) {
+    Call(call, "r" + std::to_string(call));
+    const auto forwards = Take<Forward>();
+    REQUIRE(forwards.size() == 1);
+    Send(ForwardEnded{ .from = EntryHostId("e2"),
+                       .dispatch = forwards[0].dispatch,
+                       .outcome = Answered{} });
+    REQUIRE(Take<Answer>().size() == 1);
+  }
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a refused peer soon hears of the room again")
+{
+  AddUpstream("w1", 1);
+  Pass(Duration::Seconds(1));
+  Take<PublishLoad>();
+  Request request;
+  request.pool = PoolId("lines");
+  request.deadline = now + Duration::Seconds(5);
+  for (std::uint64_t dispatch = 1; dispatch <= 2; ++dispatch)
+    Send(Forwarded{ .from = EntryHostId("e2"),
+                    .dispatch = DispatchId(dispatch),
+                    .request = request });
+  const auto executes = Take<Execute>();
+  REQUIRE(executes.size() == 1);
+  End(executes[0].dispatch, AttemptEnd::Succeeded);
+  out.clear();
+  // The room is what was published before, and yet it is published again.
+  Pass(Duration(100));
+  REQUIRE(Take<PublishLoad>().at(0).pools.at(0).freeSlots == Slots(1));
+}
+
 TEST_CASE_METHOD(PlaneFixture, "losing a peer makes its work unknown")
 {
   Send(PeerUp{ .peer = EntryHostId("e2"),
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -1,4 +1,5 @@
 #include "greengage/peer/Links.h"
+#include "greengage/support/FreePort.h"
 #include "greengage/wire/Frame.h"
 
 #include <boost/asio/buffer.hpp>
@@ -79,9 +80,11 @@
 
 TEST_CASE("two hosts meet, exchange messages, and notice a loss")
 {
-  Host first("e1", 17101, "e2", 17102);
+  const std::uint16_t port1 = support::FreePort();
+  const std::uint16_t port2 = support::FreePort();
+  Host first("e1", port1, "e2", port2);
   {
-    Host second("e2", 17102, "e1", 17101);
+    Host second("e2", port2, "e1", port1);
     const auto up = first.events.Await<PeerConnected>();
     REQUIRE(up);
     REQUIRE(up->availabilityZone == AvailabilityZoneId("z-e2"));
@@ -98,14 +101,16 @@
   first.links.Outbox().Push(
     { .to = EntryHostId("e2"), .message = wire::LoadReport{} });
   REQUIRE(first.events.Await<PeerUndeliverable>());
-  Host again("e2", 17102, "e1", 17101);
+  Host again("e2", port2, "e1", port1);
   REQUIRE(first.events.Await<PeerConnected>());
 }
 
 TEST_CASE("a host with another secret is not let in")
 {
-  Host first("e1", 17103, "e2", 17104);
-  Host second("e2", 17104, "e1", 17103, "other");
+  const std::uint16_t port1 = support::FreePort();
+  const std::uint16_t port2 = support::FreePort();
+  Host first("e1", port1, "e2", port2);
+  Host second("e2", port2, "e1", port1, "other");
   pipe::Ring<int> unused(2);
   int nothing = 0;
   REQUIRE(unused.PopFor(nothing, Duration(500)) == pipe::PopStatus::TimedOut);
@@ -121,10 +126,11 @@
                                    wire::MakeFrame("not a message"),
                                    std::string("\x10\0\0\0part", 8),
                                    std::string());
-  Host host("e1", 17105, "e2", 17106);
+  const std::uint16_t port = support::FreePort();
+  Host host("e1", port, "e2", support::FreePort());
   asio::io_context context;
   asio::ip::tcp::socket socket(context);
-  socket.connect({ asio::ip::make_address("127.0.0.1"), 17105 });
+  socket.connect({ asio::ip::make_address("127.0.0.1"), port });
   boost::system::error_code error;
   asio::write(socket, asio::buffer(row), error);
   // Reads the challenge and then the end of the connection.
--- a/packages/pipe/unittests/DutyTest.cpp
+++ b/packages/pipe/unittests/DutyTest.cpp
@@ -61,7 +61,8 @@
   Duty<std::vector<int>> duty({ .name = "full", .capacity = 2 }, clock);
   REQUIRE(duty.TryPush({ 1 }));
   std::vector<int> second{ 1, 2, 3 };
-  REQUIRE_FALSE(duty.TryPush(std::move(second)));
+  const bool isTaken = duty.TryPush(std::move(second));
+  REQUIRE_FALSE(isTaken);
   REQUIRE(second.size() == 3); // NOLINT(bugprone-use-after-move)
 }
 
--- a/packages/state/lib/SettingsTree.cpp
+++ b/packages/state/lib/SettingsTree.cpp
@@ -37,7 +37,7 @@
 AppendValues(std::string& aText, const SettingsTree::Values& aValues)
 {
   for (const auto& [name, value] : aValues)
-    aText += name + " = " + value + "\n";
+    aText.append(name).append(" = ").append(value).append("\n");
 }
 
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -1,6 +1,6 @@
 #include "greengage/wire/PeerMessage.h"
 
-#include "greengage/wire/peer_generated.h"
+#include "generated/peer_generated.h"
 
 #include <type_traits>
 #include <utility>
