Hand upstreams over when peers come and go; HTTP ports answer slow senders

Cause of what was left of the tail on a fresh fleet: an upstream that announced itself before all entry hosts had met stayed with its first owner until its lease ran out, while a second owner already offered its slots. Owners now pass upstreams on when a peer comes up, and all of them at shutdown. New HTTP contract tests failed first on three faults: a slow sender was cut off without its 408, Drain could lose the race for its own future (an entry host aborted at shutdown with it), and idle kept connections outlived the drain.

--- a/packages/dispatch/include/greengage/dispatch/PeerTable.h
+++ b/packages/dispatch/include/greengage/dispatch/PeerTable.h
@@ -24,6 +24,8 @@
   void Up(const PeerUp& aPeer);
   void Down(const EntryHostId& aPeer);
   void UpdateLoad(const PeerLoad& aLoad);
+  /// From now on this entry host serves no upstream if another one can.
+  void LeaveSelf() { isSelfLeaving_ = true; }
 
   /// The entry host that serves an upstream: by rendezvous hashing among the
   /// reachable ones of the upstream's zone or, without any, of all zones.
@@ -48,6 +50,7 @@
 
   EntryHostId self_;
   AvailabilityZoneId availabilityZone_;
+  bool isSelfLeaving_ = false;
   std::map<EntryHostId, Peer> peers_;
 };
 
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -116,6 +116,7 @@
   void On(ViewChanged&& aEvent, Time aNow, Actions& aOut);
   void On(BeginShutdown&& aEvent, Time aNow, Actions& aOut);
 
+  void HandOverUpstreams(Time aNow, Actions& aOut);
   std::optional<NotRun> Refusal(const Request& aRequest, Time aNow) const;
   bool AnswerFromRecord(const Submit& aEvent, Actions& aOut);
   void Admit(Submit&& aEvent, Time aNow, Actions& aOut);
--- a/packages/dispatch/include/greengage/dispatch/UpstreamTable.h
+++ b/packages/dispatch/include/greengage/dispatch/UpstreamTable.h
@@ -38,6 +38,8 @@
   /// Keeps work away from an upstream until \p aUntil.
   void HoldBack(const UpstreamId& aId, Time aUntil);
 
+  /// The announcements of all upstreams, each with the rest of its lease.
+  std::vector<UpstreamAnnouncement> All(Time aNow) const;
   /// The announcement of an upstream, or null.
   const UpstreamAnnouncement* Find(const UpstreamId& aId) const;
   Slots FreeSlots(const PoolId& aPool) const;
--- a/packages/dispatch/lib/PeerTable.cpp
+++ b/packages/dispatch/lib/PeerTable.cpp
@@ -71,11 +71,14 @@
     if (aZone == aAvailabilityZone)
       inZone.Offer(aHost, weight);
   };
-  offer(self_, availabilityZone_);
+  if (!isSelfLeaving_)
+    offer(self_, availabilityZone_);
   for (const auto& [host, peer] : peers_)
     if (!peer.leaving)
       offer(host, peer.availabilityZone);
-  return inZone.host != nullptr ? *inZone.host : *anywhere.host;
+  if (inZone.host != nullptr)
+    return *inZone.host;
+  return anywhere.host != nullptr ? *anywhere.host : self_;
 }
 
 std::optional<EntryHostId>
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -233,11 +233,28 @@
 }
 
 void
-RequestPlane::On(PeerUp&& aEvent, Time /*aNow*/, Actions& /*aOut*/)
+RequestPlane::On(PeerUp&& aEvent, Time aNow, Actions& aOut)
 {
   peers_.Up(aEvent);
   // The new peer has heard nothing yet.
   nextPublishAll_ = Time(0);
+  HandOverUpstreams(aNow, aOut);
+}
+
+/// Passes the upstreams on that another entry host serves from now on. What
+/// they are running for this host goes on.
+void
+RequestPlane::HandOverUpstreams(Time aNow, Actions& aOut)
+{
+  for (UpstreamAnnouncement& announcement : upstreams_.All(aNow)) {
+    EntryHostId owner =
+      peers_.OwnerOf(announcement.id, announcement.availabilityZone);
+    if (owner == options_.self)
+      continue;
+    upstreams_.Remove(announcement.id);
+    aOut.push_back(RelayAnnouncement{
+      .peer = std::move(owner), .announcement = std::move(announcement) });
+  }
 }
 
 void
@@ -265,7 +282,10 @@
   shuttingDown_ = true;
   nextPublish_ = Time(0);
   nextPublishAll_ = Time(0);
+  // Peers must know that this host leaves before they get its upstreams.
   Publish(aNow, aOut);
+  peers_.LeaveSelf();
+  HandOverUpstreams(aNow, aOut);
 }
 
 void
--- a/packages/dispatch/lib/UpstreamTable.cpp
+++ b/packages/dispatch/lib/UpstreamTable.cpp
@@ -109,6 +109,19 @@
     found->second.heldBackUntil = aUntil;
 }
 
+std::vector<UpstreamAnnouncement>
+UpstreamTable::All(Time aNow) const
+{
+  std::vector<UpstreamAnnouncement> all;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.leaseEnd <= aNow)
+      continue;
+    all.push_back(entry.announcement);
+    all.back().lease = entry.leaseEnd - aNow;
+  }
+  return all;
+}
+
 const UpstreamAnnouncement*
 UpstreamTable::Find(const UpstreamId& aId) const
 {
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -322,6 +322,40 @@
   REQUIRE(Take<Drained>().size() == 1);
 }
 
+TEST_CASE_METHOD(PlaneFixture, "a new peer gets the upstreams that are its own")
+{
+  for (int index = 0; index < 40; ++index)
+    AddUpstream("w" + std::to_string(index), 1);
+  Pass(Duration::Seconds(1));
+  out.clear();
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z1") });
+  const auto relayed = Take<RelayAnnouncement>();
+  REQUIRE(relayed.size() > 10);
+  REQUIRE(relayed.size() < 30);
+  REQUIRE(relayed[0].peer == EntryHostId("e2"));
+  REQUIRE(relayed[0].announcement.lease == Duration::Seconds(2));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "without peers shutdown keeps the upstreams")
+{
+  AddUpstream("w1", 1);
+  Send(BeginShutdown{});
+  REQUIRE(Take<RelayAnnouncement>().empty());
+}
+
+TEST_CASE_METHOD(PlaneFixture, "shutdown hands the upstreams to the peers")
+{
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z2") });
+  AddUpstream("w1", 1);
+  out.clear();
+  Send(BeginShutdown{});
+  const auto relayed = Take<RelayAnnouncement>();
+  REQUIRE(relayed.size() == 1);
+  REQUIRE(relayed[0].peer == EntryHostId("e2"));
+}
+
 TEST_CASE_METHOD(PlaneFixture, "a cancelled request that waits is not run")
 {
   Call(1, "r1");
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -4,12 +4,14 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <chrono>
 #include <future>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -62,8 +64,6 @@
     return RefusalOf(431, ErrorKind::TooLarge, "header exceeds its limit");
   if (aError == bhttp::error::body_limit)
     return RefusalOf(413, ErrorKind::TooLarge, "body exceeds its limit");
-  if (aError == beast::error::timeout)
-    return RefusalOf(408, ErrorKind::Timeout, "request did not arrive in time");
   if (aError.category() == make_error_code(bhttp::error::bad_method).category())
     return RefusalOf(400, ErrorKind::Malformed, "request is not HTTP/1.1");
   return std::nullopt;
@@ -117,6 +117,8 @@
   ExchangeId Register(std::shared_ptr<Session> aSession);
   void Deliver(HttpResponse&& aResponse);
   void SessionEnded() { --connections_; }
+  void IdleBegins(Session* aSession) { idle_.insert(aSession); }
+  void IdleEnded(Session* aSession) { idle_.erase(aSession); }
   void WriteBegins() { ++writing_; }
   void WriteEnded()
   {
@@ -152,6 +154,8 @@
   std::uint64_t lastExchange_ = 0;
   std::size_t connections_ = 0;
   std::size_t writing_ = 0;
+  /// Connections that wait for a request.
+  std::set<Session*> idle_;
   std::optional<std::promise<void>> drained_;
   bool closing_ = false;
 };
@@ -162,6 +166,7 @@
 public:
   Session(tcp::socket&& aSocket, std::shared_ptr<ServerImpl> aServer)
     : stream_(std::move(aSocket))
+    , readTimer_(stream_.get_executor())
     , server_(std::move(aServer))
   {
   }
@@ -180,15 +185,20 @@
     }
     // An idle connection may wait longer than a request that has begun.
     stream_.expires_after(ToChrono(server_->Options().idleTimeout));
+    server_->IdleBegins(this);
     auto self = shared_from_this();
     stream_.async_read_some(
       buffer_.prepare(kFirstRead),
       [self](beast::error_code aError, std::size_t aBytes) {
+        self->server_->IdleEnded(self.get());
         self->buffer_.commit(aBytes);
         self->OnFirstBytes(aError);
       });
   }
 
+  /// Ends a connection that waits for a request.
+  void Close() { stream_.close(); }
+
   void Refuse(HttpResponse&& aResponse)
   {
     Write(std::move(aResponse), /*aKeepAlive=*/false);
@@ -206,20 +216,39 @@
   {
     if (aError)
       return; // The client left, or was idle for too long.
-    stream_.expires_after(ToChrono(server_->Options().readTimeout));
+    stream_.expires_never();
+    StartReadTimer();
     auto self = shared_from_this();
     bhttp::async_read(stream_,
                       buffer_,
                       *parser_,
                       [self](beast::error_code aResult, std::size_t) {
+                        self->readTimer_.cancel();
                         self->OnRead(aResult);
                       });
   }
 
+  /// Ends the reading, but not the connection: the sender is told why.
+  void StartReadTimer()
+  {
+    isLate_ = false;
+    readTimer_.expires_after(ToChrono(server_->Options().readTimeout));
+    auto self = shared_from_this();
+    readTimer_.async_wait([self](beast::error_code aError) {
+      if (aError)
+        return;
+      self->isLate_ = true;
+      self->stream_.cancel();
+    });
+  }
+
   void OnRead(beast::error_code aError)
   {
     if (aError) {
-      auto refusal = RefusalOf(aError);
+      auto refusal =
+        isLate_
+          ? RefusalOf(408, ErrorKind::Timeout, "request did not arrive in time")
+          : RefusalOf(aError);
       if (refusal)
         Refuse(std::move(*refusal));
       return;
@@ -236,7 +265,6 @@
     request.remoteAddress =
       stream_.socket().remote_endpoint(ignored).address().to_string();
     request.body = std::move(message.body());
-    stream_.expires_never();
     const ExchangeId exchange = request.exchange;
     if (server_->Next().TryPush(std::move(request)))
       return;
@@ -272,6 +300,8 @@
   }
 
   beast::tcp_stream stream_;
+  asio::steady_timer readTimer_;
+  bool isLate_ = false;
   std::shared_ptr<ServerImpl> server_;
   beast::flat_buffer buffer_;
   std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
@@ -333,6 +363,8 @@
   closing_ = true;
   beast::error_code ignored;
   acceptor_.close(ignored);
+  for (Session* session : idle_)
+    session->Close();
   drained_ = std::move(aDone);
   CheckDrained();
 }
@@ -396,7 +428,9 @@
 Server::Drain()
 {
   auto done = std::make_shared<std::promise<void>>();
+  // Taken first: the loop may use up the promise at any moment.
+  std::future<void> future = done->get_future();
   asio::post(impl_->Context(),
              [impl = impl_, done] { impl->Drain(std::move(*done)); });
-  return done->get_future();
+  return future;
 }
--- /dev/null
+++ b/packages/http/unittests/HttpTest.cpp
@@ -0,0 +1,324 @@
+#include "greengage/http/Client.h"
+#include "greengage/http/Server.h"
+#include "greengage/pipe/Ring.h"
+#include "greengage/support/FreePort.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::http;
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Keeps messages for a test to take.
+template<typename Message>
+class RingPipe final : public pipe::Pipe<Message>
+{
+public:
+  explicit RingPipe(std::size_t aCapacity)
+    : ring_(aCapacity)
+  {
+  }
+  bool TryPush(Message&& aMessage) override
+  {
+    return ring_.TryPush(std::move(aMessage));
+  }
+  bool Push(Message&& aMessage) override
+  {
+    return ring_.Push(std::move(aMessage));
+  }
+  /// The next message within five seconds.
+  Message Take()
+  {
+    Message message;
+    const auto status = ring_.PopFor(message, Duration::Seconds(5));
+    REQUIRE(status == pipe::PopStatus::Taken);
+    return message;
+  }
+
+private:
+  pipe::Ring<Message> ring_;
+};
+
+/// A server whose requests a test answers.
+class ServerFixture
+{
+public:
+  ServerFixture()
+  {
+    Error reason;
+    REQUIRE(server.Listen(reason));
+    duty.Start();
+  }
+  ~ServerFixture() { duty.Stop(); }
+
+  asio::ip::tcp::socket Connect()
+  {
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+    return socket;
+  }
+
+  /// All that the server sends until it closes the connection.
+  static std::string ReadAll(asio::ip::tcp::socket& aSocket)
+  {
+    std::string text;
+    boost::system::error_code error;
+    asio::read(aSocket, asio::dynamic_buffer(text), error);
+    return text;
+  }
+
+  std::string Exchange(const std::string& aBytes)
+  {
+    auto socket = Connect();
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(aBytes), ignored);
+    return ReadAll(socket);
+  }
+
+  void Answer(const HttpRequest& aRequest, std::string aBody)
+  {
+    HttpResponse response;
+    response.exchange = aRequest.exchange;
+    response.body = std::move(aBody);
+    server.Responses().Push(std::move(response));
+  }
+
+  asio::io_context context;
+  std::uint16_t port = support::FreePort();
+  RingPipe<HttpRequest> requests{ 4 };
+  pipe::IoDuty duty{ "server" };
+  Server server{ duty,
+                 { .endpoint = { "127.0.0.1", port },
+                   .maxConnections = 8,
+                   .maxHeaderBytes = 1024,
+                   .maxBodyBytes = 2048,
+                   .readTimeout = Duration(300) },
+                 requests };
+};
+
+} // namespace
+
+static const std::string kGet =
+  "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+TEST_CASE_METHOD(ServerFixture, "bad requests get their documented status")
+{
+  struct Case
+  {
+    const char* name;
+    std::string bytes;
+    const char* status;
+    const char* code;
+  };
+  const std::vector<Case> rows = {
+    { "header too large",
+      "GET /x HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n",
+      "HTTP/1.1 431",
+      "too-large" },
+    { "body too large by its length",
+      "POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+      "HTTP/1.1 413",
+      "too-large" },
+    { "body too large in chunks",
+      "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" +
+        std::string(0x1000, 'x') + "\r\n0\r\n\r\n",
+      "HTTP/1.1 413",
+      "too-large" },
+    { "not HTTP", "\x16\x03\x01 hello\r\n\r\n", "HTTP/1.1 400", "malformed" },
+    { "other version", "GET /x HTTP/9.9\r\n\r\n", "HTTP/1.1 400", "malformed" },
+    { "negative length",
+      "POST /x HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+      "HTTP/1.1 400",
+      "malformed" },
+    { "two lengths",
+      "POST /x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      "HTTP/1.1 400",
+      "malformed" },
+    { "bad chunk",
+      "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "HTTP/1.1 400",
+      "malformed" },
+    { "slow header", "GET /x HTT", "HTTP/1.1 408", "timeout" },
+    { "slow body",
+      "POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+      "HTTP/1.1 408",
+      "timeout" },
+  };
+  for (const Case& row : rows) {
+    CAPTURE(row.name);
+    const std::string response = Exchange(row.bytes);
+    CAPTURE(response);
+    CHECK(response.find(row.status) == 0);
+    CHECK(response.find(row.code) != std::string::npos);
+    CHECK(response.find("\"remedy\"") != std::string::npos);
+  }
+}
+
+TEST_CASE_METHOD(ServerFixture, "a slow sender does not hold others up")
+{
+  auto slow = Connect();
+  asio::write(slow, asio::buffer(std::string("GET /x HT")));
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(kGet));
+  Answer(requests.Take(), "quick");
+  REQUIRE(ReadAll(socket).find("quick") != std::string::npos);
+  REQUIRE(ReadAll(slow).find("408") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture, "answers find their callers out of order")
+{
+  auto first = Connect();
+  asio::write(first, asio::buffer(kGet));
+  const HttpRequest firstRequest = requests.Take();
+  auto second = Connect();
+  asio::write(second, asio::buffer(kGet));
+  const HttpRequest secondRequest = requests.Take();
+  Answer(secondRequest, "for the second");
+  Answer(firstRequest, "for the first");
+  REQUIRE(ReadAll(second).find("for the second") != std::string::npos);
+  REQUIRE(ReadAll(first).find("for the first") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture, "an answer to a caller that left hurts nobody")
+{
+  {
+    auto gone = Connect();
+    asio::write(gone, asio::buffer(kGet));
+  }
+  const HttpRequest request = requests.Take();
+  Answer(request, "too late");
+  Answer(request, "and twice");
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(kGet));
+  Answer(requests.Take(), "still here");
+  REQUIRE(ReadAll(socket).find("still here") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture, "a full ring is answered not run, with a time")
+{
+  std::vector<asio::ip::tcp::socket> waiting;
+  for (int index = 0; index < 3; ++index) {
+    waiting.push_back(Connect());
+    asio::write(waiting.back(), asio::buffer(kGet));
+  }
+  // The ring has room for three; the next one must be refused.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  const std::string response = Exchange(kGet);
+  CAPTURE(response);
+  REQUIRE(response.find("HTTP/1.1 503") == 0);
+  REQUIRE(response.find("\"not-run\"") != std::string::npos);
+  REQUIRE(response.find("Retry-After: 1") != std::string::npos);
+  for (auto& socket : waiting) {
+    Answer(requests.Take(), "served");
+    REQUIRE(ReadAll(socket).find("served") != std::string::npos);
+  }
+}
+
+TEST_CASE_METHOD(ServerFixture, "connections beyond the limit are refused")
+{
+  std::vector<asio::ip::tcp::socket> idle;
+  for (int index = 0; index < 8; ++index)
+    idle.push_back(Connect());
+  auto refused = Connect();
+  REQUIRE(ReadAll(refused).find("HTTP/1.1 503") == 0);
+  idle.clear();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(kGet));
+  Answer(requests.Take(), "room again");
+  REQUIRE(ReadAll(socket).find("room again") != std::string::npos);
+}
+
+TEST_CASE("draining waits for the response, however the threads run")
+{
+  for (int round = 0; round < 300; ++round) {
+    RingPipe<HttpRequest> requests(4);
+    pipe::IoDuty duty("server");
+    Server server(
+      duty, { .endpoint = { "127.0.0.1", support::FreePort() } }, requests);
+    duty.Start();
+    const auto status = server.Drain().wait_for(std::chrono::seconds(5));
+    duty.Stop();
+    REQUIRE(status == std::future_status::ready);
+  }
+}
+
+TEST_CASE_METHOD(ServerFixture, "draining writes what is under way")
+{
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(kGet));
+  const HttpRequest request = requests.Take();
+  auto drained = server.Drain();
+  REQUIRE(drained.wait_for(std::chrono::milliseconds(50)) ==
+          std::future_status::timeout);
+  Answer(request, std::string(100000, 'y'));
+  REQUIRE(ReadAll(socket).size() > 100000);
+  REQUIRE(drained.wait_for(std::chrono::seconds(5)) ==
+          std::future_status::ready);
+}
+
+namespace {
+
+/// A client with its results.
+struct ClientFixture : ServerFixture
+{
+  ClientFixture() { clientDuty.Start(); }
+  ~ClientFixture() { clientDuty.Stop(); }
+
+  void Call(std::uint16_t aPort, Duration aTimeout = Duration::Seconds(5))
+  {
+    ClientCall call;
+    call.id = ClientCallId(++lastId);
+    call.endpoint = { "127.0.0.1", aPort };
+    call.body = "work";
+    call.timeout = aTimeout;
+    client.Calls().Push(std::move(call));
+  }
+
+  std::uint64_t lastId = 0;
+  RingPipe<ClientResult> results{ 16 };
+  pipe::IoDuty clientDuty{ "client" };
+  Client client{ clientDuty, {}, results };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ClientFixture, "a call to a closed port was not sent")
+{
+  Call(support::FreePort());
+  REQUIRE(results.Take().progress == CallProgress::NotSent);
+}
+
+TEST_CASE_METHOD(ClientFixture, "a call without an answer may have run")
+{
+  Call(port, Duration(200));
+  REQUIRE(requests.Take().body == "work");
+  REQUIRE(results.Take().progress == CallProgress::SentNoResponse);
+}
+
+TEST_CASE_METHOD(ClientFixture, "a kept connection that was closed is not used")
+{
+  Call(port);
+  Answer(requests.Take(), "one");
+  REQUIRE(results.Take().body == "one");
+  // The server closes the kept connection when it drains.
+  server.Drain().wait();
+  duty.Stop();
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  Call(port);
+  const ClientResult result = results.Take();
+  REQUIRE(result.progress != CallProgress::Responded);
+}
