--- a/packages/load/include/greengage/load/Load.h
+++ b/packages/load/include/greengage/load/Load.h
@@ -45,6 +45,9 @@
   /// Put in front of each payload; the stand-in upstreams run "ms=N" for N
   /// milliseconds.
   std::string payload = "ms=5";
+  /// How often a request is sent at most: again, to the next entry host, when
+  /// it was not run.
+  int maxSends = 1;
   /// Distinguishes the request ids of one run from another's.
   std::string runId;
   /// The file that the callers' record is appended to, if any.
@@ -63,7 +66,10 @@
   std::size_t noResponse = 0;
   /// Answers that belong to another request.
   std::size_t crossed = 0;
-  /// Milliseconds from sending to the whole answer, answered requests only.
+  /// The ids of the requests that were not run.
+  std::vector<std::string> notRunIds;
+  /// Milliseconds from the first sending to the whole answer, answered requests
+  /// only.
   std::vector<double> latencies;
 
   /// The latency that \p aPart (0 to 1) of the answers do not exceed, in
--- a/packages/load/lib/Load.cpp
+++ b/packages/load/lib/Load.cpp
@@ -45,6 +45,9 @@
   std::size_t team = 0;
   std::string id;
   std::string payload;
+  /// The entry host that it was sent to last.
+  std::size_t entryHost = 0;
+  int sends = 0;
   std::chrono::steady_clock::time_point at;
 };
 
@@ -85,7 +88,15 @@
   void Accept(http::ClientResult&& aResult, Time /*aNow*/) override
   {
     const auto found = waiting_.find(aResult.id);
-    Count(found->second, aResult);
+    const json body = json::parse(aResult.body, nullptr, false);
+    std::string outcome = body.is_object() ? body.value("outcome", "") : "";
+    if (aResult.progress == http::CallProgress::NotSent)
+      outcome = "not-run";
+    if (outcome == "not-run" && found->second.sends < options_.maxSends) {
+      SendAgain(aResult.id, found->second);
+      return;
+    }
+    Count(found->second, outcome, body);
     waiting_.erase(found);
     if (sent_ >= total_ && waiting_.empty())
       done_.set_value();
@@ -103,30 +114,44 @@
   {
     const std::uint64_t index = sent_++;
     const std::size_t team = index % options_.teams.size();
+    // Every team visits every entry host.
+    const std::uint64_t turn = index / options_.teams.size() + team;
     Sent sent{ .team = team,
                .id = options_.runId + "-" + std::to_string(index),
                .payload = options_.payload + " n=" + std::to_string(index),
+               .entryHost = turn % options_.entryHosts.size(),
+               .sends = 0,
                .at = std::chrono::steady_clock::now() };
+    Note("sent", sent);
+    ++ReportOf(team).sent;
+    const http::ClientCallId id(index);
+    Send(id, waiting_.emplace(id, std::move(sent)).first->second);
+  }
+
+  void SendAgain(http::ClientCallId aId, Sent& aSent)
+  {
+    aSent.entryHost = (aSent.entryHost + 1) % options_.entryHosts.size();
+    Send(aId, aSent);
+  }
+
+  void Send(http::ClientCallId aId, Sent& aSent)
+  {
+    ++aSent.sends;
     json body;
-    body["id"] = sent.id;
+    body["id"] = aSent.id;
     body["pool"] = options_.pool.Value();
     body["kind"] = "load";
     body["price_class"] = NameOf(options_.priceClass);
     body["idempotent"] = options_.idempotence == Idempotence::Idempotent;
     body["deadline_ms"] = options_.deadline.Millis();
-    body["payload"] = sent.payload;
+    body["payload"] = aSent.payload;
     http::ClientCall call;
-    call.id = http::ClientCallId(index);
-    // Every team visits every entry host.
-    const std::uint64_t turn = index / options_.teams.size() + team;
-    call.endpoint = options_.entryHosts[turn % options_.entryHosts.size()];
+    call.id = aId;
+    call.endpoint = options_.entryHosts[aSent.entryHost];
     call.target = "/v1/requests";
-    call.authorization = "Bearer " + options_.teams[team].key;
+    call.authorization = "Bearer " + options_.teams[aSent.team].key;
     call.body = body.dump();
     call.timeout = options_.deadline + kAnswerGrace;
-    Note("sent", sent);
-    ++ReportOf(team).sent;
-    waiting_.emplace(call.id, std::move(sent));
     calls_.Push(std::move(call));
   }
 
@@ -135,21 +160,24 @@
     return report_[options_.teams[aTeam].name];
   }
 
-  void Count(const Sent& aSent, const http::ClientResult& aResult)
+  void Count(const Sent& aSent, const std::string& aOutcome, const json& aBody)
   {
     TeamReport& report = ReportOf(aSent.team);
-    const json body = json::parse(aResult.body, nullptr, false);
-    const std::string outcome =
-      body.is_object() ? body.value("outcome", "") : "";
-    if (outcome == "answered")
-      CountAnswer(aSent, body, report);
-    else if (outcome == "not-run")
-      ++report.notRun;
-    else if (outcome == "unknown")
+    if (aOutcome == "answered")
+      CountAnswer(aSent, aBody, report);
+    else if (aOutcome == "not-run")
+      CountNotRun(aSent, report);
+    else if (aOutcome == "unknown")
       ++report.unknown;
     else
       ++report.noResponse;
-    Note(outcome.empty() ? "no-response" : outcome.c_str(), aSent);
+    Note(aOutcome.empty() ? "no-response" : aOutcome.c_str(), aSent);
+  }
+
+  static void CountNotRun(const Sent& aSent, TeamReport& aReport)
+  {
+    ++aReport.notRun;
+    aReport.notRunIds.push_back(aSent.id);
   }
 
   static void CountAnswer(const Sent& aSent,
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -1,4 +1,5 @@
 #include "greengage/peer/Links.h"
+#include "greengage/state/Key.h"
 #include "greengage/support/FreePort.h"
 #include "greengage/wire/Frame.h"
 
@@ -139,3 +140,65 @@
   REQUIRE(error);
   REQUIRE(all.size() < 200);
 }
+
+namespace {
+
+/// The other end of a link, written by hand.
+class RawPeer
+{
+public:
+  RawPeer(std::uint16_t aPort, const std::string& aSecret)
+  {
+    socket_.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+    Error reason;
+    const auto challenge = wire::Decode(ReadFrame(), Time(0), reason);
+    REQUIRE(challenge);
+    const std::string nonce = std::get<wire::Challenge>(*challenge).nonce;
+    Send(wire::Hello{ .from = EntryHostId("e2"),
+                      .availabilityZone = AvailabilityZoneId("z"),
+                      .mac = state::MacOf(aSecret, nonce + "|e2|e1") },
+         Time(0));
+  }
+
+  /// Sends a message that claims to have been encoded at \p aSentAt.
+  void Send(const wire::PeerMessage& aMessage, Time aSentAt)
+  {
+    asio::write(socket_,
+                asio::buffer(wire::MakeFrame(Encode(aMessage, aSentAt))));
+  }
+
+private:
+  std::string ReadFrame()
+  {
+    std::string header(wire::kFrameHeaderBytes, 0);
+    asio::read(socket_, asio::buffer(header));
+    Error reason;
+    std::string body(*wire::ParseFrameHeader(header, reason), 0);
+    asio::read(socket_, asio::buffer(body));
+    return body;
+  }
+
+  asio::io_context context_;
+  asio::ip::tcp::socket socket_{ context_ };
+};
+
+} // namespace
+
+TEST_CASE("a delayed message has so much less time left")
+{
+  const std::uint16_t port = support::FreePort();
+  Host host("e1", port, "e2", support::FreePort());
+  RawPeer peer(port, "secret");
+  const Time sentAt = host.clock.Now();
+  peer.Send(wire::Heartbeat{}, sentAt);
+  wire::ForwardRequest forward;
+  // The next message claims to be a minute old: it has expired on its way.
+  forward.request.deadline =
+    sentAt - Duration::Seconds(60) + Duration::Seconds(10);
+  peer.Send(forward, sentAt - Duration::Seconds(60));
+  const auto received = host.events.Await<PeerReceived>();
+  REQUIRE(received);
+  const auto& request =
+    std::get<wire::ForwardRequest>(received->message).request;
+  REQUIRE(request.deadline < host.clock.Now());
+}
--- a/tools/greengagectl/LoadCommand.cpp
+++ b/tools/greengagectl/LoadCommand.cpp
@@ -26,6 +26,7 @@
   std::string deadline = "5s";
   std::string payload = "ms=5";
   std::string record;
+  int sends = 1;
 };
 
 } // namespace
@@ -92,6 +93,7 @@
                                               : Idempotence::NonIdempotent;
   options.rate = aArguments.rate;
   options.payload = aArguments.payload;
+  options.maxSends = aArguments.sends;
   options.recordPath = aArguments.record;
   options.runId = "load-" + state::RandomHex(kRunIdBytes);
   return options;
@@ -130,6 +132,8 @@
   app->add_option("--duration", arguments->duration, "such as 5s");
   app->add_option("--deadline", arguments->deadline, "such as 800ms");
   app->add_option("--payload", arguments->payload);
+  app->add_option(
+    "--sends", arguments->sends, "times to send a request that was not run");
   app->add_option("--record", arguments->record, "file for the record");
   return { .app = app, .run = [arguments] { return Run(*arguments); } };
 }
--- /dev/null
+++ b/unittests/system/FailureTest.cpp
@@ -0,0 +1,112 @@
+#include "Fleet.h"
+#include "Http.h"
+
+#include <nlohmann/json.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+#include <future>
+#include <thread>
+
+using namespace greengage;
+using namespace greengage::system_tests;
+using nlohmann::json;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// No request may run twice, and one that its caller was told is not run may
+/// not have run at all.
+static void
+CheckTruth(const Fleet& aFleet, const load::LoadReport& aReport)
+{
+  const auto runs = aFleet.Runs();
+  for (const auto& [id, count] : runs) {
+    CAPTURE(id);
+    CHECK(count == 1);
+  }
+  for (const auto& [team, counts] : aReport) {
+    CAPTURE(team);
+    CHECK(counts.crossed == 0);
+    for (const std::string& id : counts.notRunIds) {
+      CAPTURE(id);
+      CHECK_FALSE(runs.contains(team + " " + id));
+    }
+  }
+}
+
+TEST_CASE("killing an entry host costs only what it had in progress")
+{
+  Fleet fleet;
+  auto options = fleet.Load(150, Duration::Seconds(6));
+  options.maxSends = 4;
+  auto done = std::async(std::launch::async, [&] {
+    Error reason;
+    return load::RunLoad(options, reason);
+  });
+  std::this_thread::sleep_for(seconds(2));
+  fleet.Host(1).Signal(SIGKILL);
+  const auto report = done.get();
+  REQUIRE(report);
+  CheckTruth(fleet, *report);
+  for (const auto& [team, counts] : *report) {
+    CAPTURE(team, counts.sent, counts.answered, counts.notRun, counts.unknown);
+    // 150 a second, 20 ms each: a handful was on its way through the host.
+    CHECK(counts.answered + 25 >= counts.sent);
+  }
+}
+
+TEST_CASE("a frozen entry host wakes without doubling anything")
+{
+  Fleet fleet;
+  auto options = fleet.Load(150, Duration::Seconds(8));
+  options.maxSends = 4;
+  auto done = std::async(std::launch::async, [&] {
+    Error reason;
+    return load::RunLoad(options, reason);
+  });
+  std::this_thread::sleep_for(seconds(1));
+  fleet.Host(3).Signal(SIGSTOP);
+  std::this_thread::sleep_for(seconds(4));
+  fleet.Host(3).Signal(SIGCONT);
+  const auto report = done.get();
+  REQUIRE(report);
+  CheckTruth(fleet, *report);
+  fleet.AwaitReady(3);
+}
+
+TEST_CASE("a killed upstream process makes its requests unknown, no more")
+{
+  Fleet fleet;
+  auto options = fleet.Load(100, Duration::Seconds(5));
+  auto done = std::async(std::launch::async, [&] {
+    Error reason;
+    return load::RunLoad(options, reason);
+  });
+  std::this_thread::sleep_for(seconds(2));
+  fleet.Workers("z1").Signal(SIGKILL);
+  const auto report = done.get();
+  REQUIRE(report);
+  CheckTruth(fleet, *report);
+  for (const auto& [team, counts] : *report) {
+    CAPTURE(team, counts.answered, counts.unknown, counts.notRun);
+    CHECK(counts.answered + 25 >= counts.sent);
+  }
+}
+
+TEST_CASE("a leaving upstream gets no new work after two seconds")
+{
+  Fleet fleet({ .zones = { "z1", "z2" }, .workersPerZone = 1 });
+  fleet.Workers("z1").Signal(SIGTERM);
+  CHECK(fleet.Workers("z1").Wait(seconds(5)) == 0);
+  const auto before = fleet.Runs().size();
+  Error reason;
+  const auto report =
+    load::RunLoad(fleet.Load(100, Duration::Seconds(1)), reason);
+  REQUIRE(report);
+  CHECK(report->at("plan").answered == 50);
+  CHECK(report->at("certify").answered == 50);
+  CHECK(fleet.Runs().size() == before + 100);
+}
--- a/utils/lib/fleet.sh
+++ b/utils/lib/fleet.sh
@@ -114,11 +114,15 @@
 
 # Starts workers in each zone: four to a rack.
 start_workers() { # workers-per-zone
-  local zone index=0
+  local zone index=0 worker listen
   for zone in z1 z2 z3; do
+    listen=()
+    for worker in $(seq 0 $(($1 - 1))); do
+      listen+=("127.0.0.1:$((base_port + 500 + 50 * index + worker))")
+    done
     # shellcheck disable=SC2046
     "$bin/unittests/standins/standin-upstream" --id "worker-$zone" \
-      --listen "127.0.0.1:$((base_port + 500 + 50 * index))" --count "$1" \
+      --listen "${listen[@]}" \
       --zone "$zone" --pool lines --key "$upstream_key" \
       --entry $(ports_of 1) --record "$run/runs.jsonl" &
     pids+=($!)
