--- a/packages/load/include/greengage/load/Load.h
+++ b/packages/load/include/greengage/load/Load.h
@@ -45,6 +45,9 @@
   /// Put in front of each payload; the stand-in upstreams run "ms=N" for N
   /// milliseconds.
   std::string payload = "ms=5";
+  /// Send straight to upstreams instead of entry hosts, to measure what the
+  /// entry hosts add.
+  bool direct = false;
   /// How often a request is sent at most: again, to the next entry host, when
   /// it was not run.
   int maxSends = 1;
--- a/packages/load/lib/Load.cpp
+++ b/packages/load/lib/Load.cpp
@@ -22,6 +22,7 @@
 static constexpr std::size_t kRingCapacity = 65536;
 /// How much longer than the deadline a caller waits for its answer.
 static constexpr Duration kAnswerGrace = Duration::Seconds(2);
+static constexpr unsigned kStatusOk = 200;
 static constexpr double kMicrosPerMilli = 1000;
 static constexpr double kMillisPerSecond = 1000;
 
@@ -90,6 +91,8 @@
     const auto found = waiting_.find(aResult.id);
     const json body = json::parse(aResult.body, nullptr, false);
     std::string outcome = body.is_object() ? body.value("outcome", "") : "";
+    if (options_.direct && aResult.status == kStatusOk)
+      outcome = "answered";
     if (aResult.progress == http::CallProgress::NotSent)
       outcome = "not-run";
     if (outcome == "not-run" && found->second.sends < options_.maxSends) {
@@ -137,6 +140,28 @@
   void Send(http::ClientCallId aId, Sent& aSent)
   {
     ++aSent.sends;
+    http::ClientCall call;
+    call.id = aId;
+    call.endpoint = options_.entryHosts[aSent.entryHost];
+    call.target = options_.direct ? "/v1/run" : "/v1/requests";
+    call.authorization = "Bearer " + options_.teams[aSent.team].key;
+    call.body = options_.direct ? RunBody(aSent) : SubmitBody(aSent);
+    call.timeout = options_.deadline + kAnswerGrace;
+    calls_.Push(std::move(call));
+  }
+
+  std::string RunBody(const Sent& aSent) const
+  {
+    return json{
+      { "id", aSent.id },
+      { "team", options_.teams[aSent.team].name },
+      { "payload", aSent.payload },
+      { "lease_ms", options_.deadline.Millis() }
+    }.dump();
+  }
+
+  std::string SubmitBody(const Sent& aSent) const
+  {
     json body;
     body["id"] = aSent.id;
     body["pool"] = options_.pool.Value();
@@ -145,14 +170,7 @@
     body["idempotent"] = options_.idempotence == Idempotence::Idempotent;
     body["deadline_ms"] = options_.deadline.Millis();
     body["payload"] = aSent.payload;
-    http::ClientCall call;
-    call.id = aId;
-    call.endpoint = options_.entryHosts[aSent.entryHost];
-    call.target = "/v1/requests";
-    call.authorization = "Bearer " + options_.teams[aSent.team].key;
-    call.body = body.dump();
-    call.timeout = options_.deadline + kAnswerGrace;
-    calls_.Push(std::move(call));
+    return body.dump();
   }
 
   TeamReport& ReportOf(std::size_t aTeam)
--- a/tools/greengagectl/LoadCommand.cpp
+++ b/tools/greengagectl/LoadCommand.cpp
@@ -27,6 +27,7 @@
   std::string payload = "ms=5";
   std::string record;
   int sends = 1;
+  bool direct = false;
 };
 
 } // namespace
@@ -93,6 +94,7 @@
                                               : Idempotence::NonIdempotent;
   options.rate = aArguments.rate;
   options.payload = aArguments.payload;
+  options.direct = aArguments.direct;
   options.maxSends = aArguments.sends;
   options.recordPath = aArguments.record;
   options.runId = "load-" + state::RandomHex(kRunIdBytes);
@@ -132,6 +134,9 @@
   app->add_option("--duration", arguments->duration, "such as 5s");
   app->add_option("--deadline", arguments->deadline, "such as 800ms");
   app->add_option("--payload", arguments->payload);
+  app->add_flag("--direct",
+                arguments->direct,
+                "send straight to upstreams, for comparison");
   app->add_option(
     "--sends", arguments->sends, "times to send a request that was not run");
   app->add_option("--record", arguments->record, "file for the record");
--- a/unittests/standins/StandinUpstream.cpp
+++ b/unittests/standins/StandinUpstream.cpp
@@ -208,7 +208,8 @@
                     { "id", aRun.id } });
     Respond(aRun.exchange,
             200,
-            { { "succeeded", !options_.failsAll },
+            { { "id", aRun.id },
+              { "succeeded", !options_.failsAll },
               { "answer", aRun.id + ":" + aRun.payload } });
   }
 
