One way to listen, to wait for signals, to start a test's load

Three pieces of code stood twice. The test that a leaving upstream gets no work did not fail with the check for leaving taken out, since the stand-in refused the work itself; now the stand-in takes it and the record shows each start.

--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -1,5 +1,7 @@
 #include "greengage/http/Client.h"
 
+#include "greengage/pipe/Sockets.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -16,14 +18,9 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
+using pipe::ToChrono;
 using tcp = asio::ip::tcp;
 
-static std::chrono::milliseconds
-ToChrono(Duration aSpan)
-{
-  return std::chrono::milliseconds(aSpan.Millis());
-}
-
 namespace greengage::http::detail {
 
 /// A kept connection. \p buffer may hold bytes beyond the last response.
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -1,6 +1,7 @@
 #include "greengage/http/Server.h"
 
 #include "greengage/core/Error.h"
+#include "greengage/pipe/Sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -22,18 +23,13 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
+using pipe::ToChrono;
 using tcp = asio::ip::tcp;
 
 static constexpr std::int64_t kMillisPerSecond = 1000;
 /// How long a client may take to read its response.
 static constexpr std::chrono::seconds kWriteTimeout(30);
 
-static std::chrono::milliseconds
-ToChrono(Duration aSpan)
-{
-  return std::chrono::milliseconds(aSpan.Millis());
-}
-
 static std::string
 ErrorBody(ErrorKind aKind, const std::string& aDetail)
 {
@@ -312,24 +308,8 @@
 bool
 ServerImpl::Listen(Error& aReason)
 {
-  beast::error_code error;
-  const auto address = asio::ip::make_address(options_.endpoint.address, error);
-  const tcp::endpoint endpoint(address, options_.endpoint.port);
-  if (!error)
-    acceptor_.open(endpoint.protocol(), error);
-  if (!error)
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error)
-    acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    Fail(aReason,
-         ErrorKind::Unreachable,
-         "cannot listen on " + ToString(options_.endpoint) + ": " +
-           error.message());
+  if (!pipe::ListenOn(acceptor_, options_.endpoint, aReason))
     return false;
-  }
   Accept();
   return true;
 }
--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -3,6 +3,7 @@
 #include "FrameStream.h"
 
 #include "greengage/observe/Log.h"
+#include "greengage/pipe/Sockets.h"
 #include "greengage/state/Key.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -20,16 +21,11 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using pipe::ToChrono;
 using tcp = asio::ip::tcp;
 
 static constexpr std::size_t kNonceBytes = 16;
 
-static std::chrono::milliseconds
-ToChrono(Duration aSpan)
-{
-  return std::chrono::milliseconds(aSpan.Millis());
-}
-
 /// What the dialling host proves: who it is, to whom, on this connection.
 static std::string
 MacOfHello(const std::string& aSecret,
@@ -139,24 +135,8 @@
 bool
 LinksImpl::Start(Error& aReason)
 {
-  error_code error;
-  const auto address = asio::ip::make_address(options_.endpoint.address, error);
-  const tcp::endpoint endpoint(address, options_.endpoint.port);
-  if (!error)
-    acceptor_.open(endpoint.protocol(), error);
-  if (!error)
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error)
-    acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    Fail(aReason,
-         ErrorKind::Unreachable,
-         "cannot listen on " + ToString(options_.endpoint) + ": " +
-           error.message());
+  if (!pipe::ListenOn(acceptor_, options_.endpoint, aReason))
     return false;
-  }
   Accept();
   Tick();
   return true;
--- a/tools/greengaged/main.cpp
+++ b/tools/greengaged/main.cpp
@@ -7,14 +7,13 @@
 #include "greengage/daemon/Daemon.h"
 #include "greengage/daemon/DaemonSettings.h"
 #include "greengage/observe/Log.h"
+#include "greengage/pipe/StopSignals.h"
 #include "greengage/settings/IniFile.h"
 #include "greengage/state/FleetView.h"
 #include "greengage/state/SettingsTree.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
-
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -55,19 +54,6 @@
   return aExitCode;
 }
 
-/// Blocks the signals that end the daemon in this and all later threads.
-static sigset_t
-BlockStopSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 int
 main(int argc, char** argv)
 {
@@ -98,12 +84,11 @@
     return 0;
   }
 
-  const sigset_t signals = BlockStopSignals();
+  const pipe::StopSignals signals;
   observe::ConfigureLog(settings->log);
   daemon::Daemon daemon(std::move(*settings), std::move(view));
   if (!daemon.Start(reason))
     return Report(reason, kExitUnavailable);
-  int signal = 0;
-  sigwait(&signals, &signal);
+  signals.Wait();
   return daemon.ShutDown() ? 0 : kExitWorkInProgress;
 }
--- a/unittests/standins/StandinUpstream.cpp
+++ b/unittests/standins/StandinUpstream.cpp
@@ -8,19 +8,20 @@
 #include "greengage/http/Server.h"
 #include "greengage/pipe/Duty.h"
 #include "greengage/pipe/IoDuty.h"
+#include "greengage/pipe/StopSignals.h"
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
-#include <csignal>
-
 #include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -28,6 +29,10 @@
 using namespace greengage;
 using nlohmann::json;
 
+/// How long workers that leave stay to announce it and finish their work.
+static constexpr std::chrono::seconds kLeaveTime(2);
+static constexpr std::chrono::seconds kLingerTime(5);
+
 namespace {
 
 struct WorkerOptions
@@ -42,6 +47,8 @@
   std::vector<Endpoint> entryHosts;
   /// Each request fails if set: a broken worker.
   bool failsAll = false;
+  /// Takes work even while leaving, for tests that count such work.
+  bool lingers = false;
   /// Runs take so many times as long as asked for.
   double slowness = 1;
 };
@@ -119,6 +126,9 @@
     if (std::holds_alternative<LeaveMessage>(aMessage)) {
       leaving_ = true;
       nextAnnouncement_ = aNow;
+      record_.Write({ { "event", "leave" },
+                      { "at_ms", aNow.Millis() },
+                      { "upstream", options_.id } });
     }
   }
 
@@ -169,7 +179,7 @@
       Respond(aRequest.exchange, 400, { { "error", "malformed" } });
       return;
     }
-    if (leaving_) {
+    if (leaving_ && !options_.lingers) {
       Respond(aRequest.exchange, 503, { { "error", "leaving" } });
       return;
     }
@@ -312,16 +322,11 @@
   app.add_option("--rack-size", rackSize);
   app.add_option("--record", recordPath, "file for the record of runs");
   app.add_flag("--fails-all", base.failsAll);
+  app.add_flag("--lingers", base.lingers, "take work while leaving");
   app.add_option("--slowness", base.slowness);
   CLI11_PARSE(app, argc, argv);
 
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-
+  const pipe::StopSignals signals;
   Error reason;
   const auto listenOn = ParseEndpoints(listen, reason);
   base.entryHosts = ParseEndpoints(entries, reason);
@@ -352,13 +357,11 @@
   serverDuty.Start();
   clientDuty.Start();
 
-  int signal = 0;
-  sigwait(&signals, &signal);
+  signals.Wait();
   for (const auto& worker : workers)
     worker->duty.Push(LeaveMessage{});
   // Long enough for the leaving to be announced and the work to finish.
-  timespec wait{ 2, 0 };
-  sigtimedwait(&signals, nullptr, &wait);
+  std::this_thread::sleep_for(base.lingers ? kLingerTime : kLeaveTime);
   for (const auto& worker : workers)
     worker->duty.Stop();
   serverDuty.Stop();
--- a/unittests/system/Fleet.cpp
+++ b/unittests/system/Fleet.cpp
@@ -210,6 +210,8 @@
     for (std::size_t worker = 0; worker < options_.workersPerZone; ++worker)
       arguments.insert(arguments.end(),
                        { "--listen", ToString(FreeEndpoint()) });
+    if (options_.workersLinger)
+      arguments.emplace_back("--lingers");
     for (const HostPorts& ports : ports_)
       arguments.insert(arguments.end(),
                        { "--entry", ToString(ports.upstreams) });
@@ -262,16 +264,32 @@
   return options;
 }
 
+std::future<load::LoadReport>
+Fleet::StartLoad(const load::LoadOptions& aOptions)
+{
+  return std::async(std::launch::async, [aOptions] {
+    Error reason;
+    return load::RunLoad(aOptions, reason).value_or(load::LoadReport());
+  });
+}
+
+std::vector<nlohmann::json>
+Fleet::Record() const
+{
+  std::vector<nlohmann::json> record;
+  std::ifstream file(folder_ / "runs.jsonl");
+  std::string line;
+  while (std::getline(file, line))
+    record.push_back(nlohmann::json::parse(line));
+  return record;
+}
+
 std::map<std::string, int>
 Fleet::Runs() const
 {
   std::map<std::string, int> runs;
-  std::ifstream file(folder_ / "runs.jsonl");
-  std::string line;
-  while (std::getline(file, line)) {
-    const auto entry = nlohmann::json::parse(line, nullptr, false);
-    if (entry.is_object() && entry.value("event", "") == "start")
+  for (const auto& entry : Record())
+    if (entry["event"] == "start")
       ++runs[entry.value("team", "") + " " + entry.value("id", "")];
-  }
   return runs;
 }
--- a/unittests/system/Fleet.h
+++ b/unittests/system/Fleet.h
@@ -8,11 +8,14 @@
 #include "greengage/core/Endpoint.h"
 #include "greengage/load/Load.h"
 
+#include <nlohmann/json.hpp>
+
 #include <sys/types.h>
 
 #include <chrono>
 #include <cstddef>
 #include <filesystem>
+#include <future>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,6 +56,8 @@
   /// The availability zone of each entry host.
   std::vector<std::string> zones = { "z1", "z1", "z1", "z2", "z2", "z3", "z3" };
   std::size_t workersPerZone = 2;
+  /// Workers that leave stay for five seconds and take any work they get.
+  bool workersLinger = false;
   /// Lines of the settings tree in place of the default limits.
   std::string defaults = "limit = 64\nqueue.max = 2000\n";
   std::string shutdownNotice = "200ms";
@@ -81,7 +86,12 @@
 
   /// A load over all hosts for both teams.
   load::LoadOptions Load(double aRate, Duration aSpan) const;
+  /// Runs a load in the background; it must not be empty.
+  static std::future<load::LoadReport> StartLoad(
+    const load::LoadOptions& aOptions);
   std::string Key(const std::string& aTeam) const { return keys_.at(aTeam); }
+  /// The lines of the workers' record.
+  std::vector<nlohmann::json> Record() const;
   /// Starts of each request id that the workers recorded, by "team id".
   std::map<std::string, int> Runs() const;
   const std::filesystem::path& Folder() const { return folder_; }
--- a/unittests/system/ServingTest.cpp
+++ b/unittests/system/ServingTest.cpp
@@ -6,7 +6,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <fstream>
 
 using namespace greengage;
 using namespace greengage::system_tests;
@@ -190,12 +189,10 @@
   REQUIRE(report);
   CHECK(report->at("plan").answered + report->at("plan").notRun ==
         report->at("plan").sent);
-  std::ifstream file(fleet.Folder() / "runs.jsonl");
-  std::string line;
   int running = 0;
   int most = 0;
-  while (std::getline(file, line)) {
-    running += json::parse(line)["event"] == "start" ? 1 : -1;
+  for (const json& entry : fleet.Record()) {
+    running += entry["event"] == "start" ? 1 : -1;
     most = std::max(most, running);
   }
   CHECK(most <= 5);
--- a/unittests/system/ShutdownTest.cpp
+++ b/unittests/system/ShutdownTest.cpp
@@ -65,10 +65,7 @@
   Fleet fleet;
   auto options = fleet.Load(150, Duration::Seconds(12));
   options.maxSends = 8;
-  auto done = std::async(std::launch::async, [&] {
-    Error reason;
-    return load::RunLoad(options, reason);
-  });
+  auto done = Fleet::StartLoad(options);
   for (std::size_t host = 0; host < fleet.size(); ++host) {
     fleet.Host(host).Signal(SIGTERM);
     CAPTURE(host);
@@ -77,9 +74,9 @@
     fleet.AwaitReady(host);
     std::this_thread::sleep_for(milliseconds(300));
   }
-  const auto report = done.get();
-  REQUIRE(report);
-  for (const auto& [team, counts] : *report) {
+  const load::LoadReport report = done.get();
+  REQUIRE(report.size() == 2);
+  for (const auto& [team, counts] : report) {
     CAPTURE(team,
             counts.sent,
             counts.answered,
