Let a client send a refused body to its end

Seen once in four runs of the system tests: a body over the limit got no 413. Cause: the server closed with unread bytes, which resets the connection; a client that writes everything before it reads never sees the response. The server now reads on for at most 2 s or 16 MB.

--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -207,6 +207,9 @@
 
 private:
   static constexpr std::size_t kFirstRead = 4096;
+  static constexpr std::size_t kDiscardRead = 64 * 1024;
+  static constexpr std::size_t kMaxLingerBytes = 16 * 1024 * 1024;
+  static constexpr std::chrono::seconds kLingerTime{ 2 };
 
   void OnFirstBytes(beast::error_code aError)
   {
@@ -293,6 +296,24 @@
     }
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (aError)
+      return;
+    stream_.expires_after(kLingerTime);
+    Discard(kMaxLingerBytes);
+  }
+
+  /// Reads on for a while after the last response: closing with unread bytes
+  /// would reset the connection and could take the response with it.
+  void Discard(std::size_t aMost)
+  {
+    buffer_.clear();
+    auto self = shared_from_this();
+    stream_.async_read_some(
+      buffer_.prepare(kDiscardRead),
+      [self, aMost](beast::error_code aError, std::size_t aBytes) {
+        if (!aError && aBytes < aMost)
+          self->Discard(aMost - aBytes);
+      });
   }
 
   beast::tcp_stream stream_;
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -167,6 +167,21 @@
   }
 }
 
+TEST_CASE_METHOD(ServerFixture, "a refused body can be sent to its end")
+{
+  // Most clients read the response only after they have sent everything.
+  const std::string bytes = "POST /x HTTP/1.1\r\nContent-Length: 4000000\r\n"
+                            "\r\n" +
+                            std::string(4000000, 'x');
+  auto socket = Connect();
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(bytes), error);
+  CAPTURE(error.message());
+  REQUIRE_FALSE(error);
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  REQUIRE(ReadAll(socket).find("HTTP/1.1 413") == 0);
+}
+
 TEST_CASE_METHOD(ServerFixture, "a slow sender does not hold others up")
 {
   auto slow = Connect();
