Add the registry of pool members and the steps of moves

Cause: each host has to belong to exactly one pool at any moment, through racing operators and lost drivers. Change: packages/fleet with PoolRegistry, a deterministic part of the agreed state: commands carry the epoch they are based on; a move drains, hands over and resumes; NextSteps tells any driver what remains. Ruled out: a lease on the driver (steps are idempotent and each report is accepted once, so two drivers do no harm), and epochs per host (a host that is removed and added again would see an old epoch; one counter serves all). The tests fail without the epoch check, without the pool check of announcements, with the pool changed at the end of the drain, and with epochs per host.

--- /dev/null
+++ b/packages/fleet/lib/MoveSteps.cpp
@@ -0,0 +1,63 @@
+#include "greengage/fleet/MoveSteps.h"
+
+namespace greengage::fleet {
+
+namespace {
+
+StepKind
+StepOf(const Move& aMove, Time aNow, const MoveTimeouts& aTimeouts)
+{
+  const Duration spent = aNow - aMove.phaseSince;
+  switch (aMove.phase) {
+    case MovePhase::Draining:
+      return spent > aTimeouts.drain ? StepKind::Abort : StepKind::AwaitDrain;
+    case MovePhase::HandingOver:
+      return spent > aTimeouts.handOver ? StepKind::Abort
+                                        : StepKind::Reconfigure;
+    case MovePhase::Resuming:
+      break;
+  }
+  return spent > aTimeouts.resume ? StepKind::AskOperator
+                                  : StepKind::AwaitAnnouncement;
+}
+
+} // namespace
+
+std::vector<MoveStep>
+NextSteps(const PoolRegistry& aRegistry,
+          Time aNow,
+          const MoveTimeouts& aTimeouts)
+{
+  std::vector<MoveStep> steps;
+  for (const auto& [host, member] : aRegistry.Members()) {
+    if (!member.move) {
+      continue;
+    }
+    steps.push_back({ .kind = StepOf(*member.move, aNow, aTimeouts),
+                      .host = host,
+                      .from = member.move->from,
+                      .to = member.move->to,
+                      .basedOn = member.epoch });
+  }
+  return steps;
+}
+
+std::optional<RegistryCommand>
+ReportOf(const MoveStep& aStep, Time aAt)
+{
+  switch (aStep.kind) {
+    case StepKind::AwaitDrain:
+      return FinishDrain{ aStep.host, aStep.basedOn, aAt };
+    case StepKind::Reconfigure:
+      return HandOver{ aStep.host, aStep.basedOn, aAt };
+    case StepKind::AwaitAnnouncement:
+      return FinishMove{ aStep.host, aStep.basedOn };
+    case StepKind::Abort:
+      return AbortMove{ aStep.host, aStep.basedOn };
+    case StepKind::AskOperator:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/lib/PoolRegistry.cpp
@@ -0,0 +1,255 @@
+#include "greengage/fleet/PoolRegistry.h"
+
+#include <string>
+#include <utility>
+
+namespace greengage::fleet {
+
+namespace {
+
+std::string
+Quoted(const HostId& aHost)
+{
+  return "host \"" + aHost.Value() + "\"";
+}
+
+std::nullopt_t
+WrongPool(const HostId& aHost, const PoolId& aPool, Error& aReason)
+{
+  return Fail(aReason,
+              ErrorKind::Conflict,
+              Quoted(aHost) + " belongs to pool \"" + aPool.Value() + "\"");
+}
+
+} // namespace
+
+PoolRegistry::PoolRegistry(RegistryState aState)
+  : state_(std::move(aState))
+{
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::Apply(const RegistryCommand& aCommand, Error& aReason)
+{
+  return std::visit(
+    [this, &aReason](const auto& aTyped) { return On(aTyped, aReason); },
+    aCommand);
+}
+
+const Membership*
+PoolRegistry::Find(const HostId& aHost) const
+{
+  auto found = state_.members.find(aHost);
+  return found == state_.members.end() ? nullptr : &found->second;
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const AddHost& aCommand, Error& aReason)
+{
+  if (aCommand.host.Value().empty() || aCommand.pool.Value().empty()) {
+    return Fail(aReason, ErrorKind::Malformed, "host or pool is empty");
+  }
+  if (const Membership* known = Find(aCommand.host)) {
+    const bool isRepeat =
+      known->pool == aCommand.pool && known->placement == aCommand.placement;
+    if (!isRepeat) {
+      return WrongPool(aCommand.host, known->pool, aReason);
+    }
+    return known->epoch;
+  }
+  Membership& added = state_.members[aCommand.host];
+  added.pool = aCommand.pool;
+  added.placement = aCommand.placement;
+  added.memberSince = aCommand.at;
+  return Advance(added);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const BeginMove& aCommand, Error& aReason)
+{
+  if (aCommand.to.Value().empty() || aCommand.from == aCommand.to) {
+    return Fail(aReason, ErrorKind::Malformed, "move without another pool");
+  }
+  Membership* member = FindAt(aCommand.host, aCommand.basedOn, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  if (member->pool != aCommand.from) {
+    return WrongPool(aCommand.host, member->pool, aReason);
+  }
+  if (member->move) {
+    return Fail(
+      aReason, ErrorKind::Conflict, Quoted(aCommand.host) + " is moving");
+  }
+  member->move = Move{ .from = aCommand.from,
+                       .to = aCommand.to,
+                       .phase = MovePhase::Draining,
+                       .phaseSince = aCommand.at };
+  return Advance(*member);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const FinishDrain& aCommand, Error& aReason)
+{
+  Membership* member =
+    FindMoving(aCommand.host, aCommand.basedOn, MovePhase::Draining, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  member->move->phase = MovePhase::HandingOver;
+  member->move->phaseSince = aCommand.at;
+  return Advance(*member);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const HandOver& aCommand, Error& aReason)
+{
+  Membership* member = FindMoving(
+    aCommand.host, aCommand.basedOn, MovePhase::HandingOver, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  member->pool = member->move->to;
+  member->memberSince = aCommand.at;
+  member->move->phase = MovePhase::Resuming;
+  member->move->phaseSince = aCommand.at;
+  return Advance(*member);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const FinishMove& aCommand, Error& aReason)
+{
+  Membership* member =
+    FindMoving(aCommand.host, aCommand.basedOn, MovePhase::Resuming, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  member->move.reset();
+  return Advance(*member);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const AbortMove& aCommand, Error& aReason)
+{
+  Membership* member = FindAt(aCommand.host, aCommand.basedOn, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  if (!member->move) {
+    return Fail(
+      aReason, ErrorKind::Conflict, Quoted(aCommand.host) + " is not moving");
+  }
+  if (member->move->phase == MovePhase::Resuming) {
+    return Fail(aReason,
+                ErrorKind::Conflict,
+                Quoted(aCommand.host) + " has been handed over");
+  }
+  member->move.reset();
+  return Advance(*member);
+}
+
+std::optional<PoolEpoch>
+PoolRegistry::On(const RemoveHost& aCommand, Error& aReason)
+{
+  Membership* member = FindAt(aCommand.host, aCommand.basedOn, aReason);
+  if (!member) {
+    return std::nullopt;
+  }
+  const PoolEpoch epoch = Advance(*member);
+  state_.members.erase(aCommand.host);
+  return epoch;
+}
+
+Membership*
+PoolRegistry::FindAt(const HostId& aHost, PoolEpoch aBasedOn, Error& aReason)
+{
+  auto found = state_.members.find(aHost);
+  if (found == state_.members.end()) {
+    Fail(aReason, ErrorKind::NotFound, Quoted(aHost) + " is not known");
+    return nullptr;
+  }
+  const PoolEpoch epoch = found->second.epoch;
+  if (epoch != aBasedOn) {
+    Fail(aReason,
+         ErrorKind::Conflict,
+         Quoted(aHost) + " is at epoch " + std::to_string(epoch.Value()) +
+           ", not " + std::to_string(aBasedOn.Value()));
+    return nullptr;
+  }
+  return &found->second;
+}
+
+Membership*
+PoolRegistry::FindMoving(const HostId& aHost,
+                         PoolEpoch aBasedOn,
+                         MovePhase aPhase,
+                         Error& aReason)
+{
+  Membership* member = FindAt(aHost, aBasedOn, aReason);
+  if (!member) {
+    return nullptr;
+  }
+  if (!member->move || member->move->phase != aPhase) {
+    Fail(aReason,
+         ErrorKind::Conflict,
+         Quoted(aHost) + " is in another phase of its move");
+    return nullptr;
+  }
+  return member;
+}
+
+PoolEpoch
+PoolRegistry::Advance(Membership& aMembership)
+{
+  state_.lastEpoch = PoolEpoch(state_.lastEpoch.Value() + 1);
+  aMembership.epoch = state_.lastEpoch;
+  return aMembership.epoch;
+}
+
+std::optional<PoolEpoch>
+CheckAnnouncement(const PoolRegistry& aRegistry,
+                  const UpstreamAnnouncement& aAnnouncement,
+                  Error& aReason)
+{
+  const HostId host = HostOf(aAnnouncement);
+  const Membership* member = aRegistry.Find(host);
+  if (!member) {
+    return Fail(aReason, ErrorKind::NotFound, Quoted(host) + " is not known");
+  }
+  if (member->pool != aAnnouncement.pool) {
+    return WrongPool(host, member->pool, aReason);
+  }
+  const Placement claimed{ .availabilityZone = aAnnouncement.availabilityZone,
+                           .rack = aAnnouncement.rack };
+  if (member->placement != claimed) {
+    return Fail(aReason,
+                ErrorKind::Conflict,
+                Quoted(host) + " is registered in another zone or rack");
+  }
+  return member->epoch;
+}
+
+bool
+MayDispatch(const PoolRegistry& aRegistry,
+            const HostId& aHost,
+            const PoolId& aPool,
+            PoolEpoch aBasedOn,
+            Error& aReason)
+{
+  const Membership* member = aRegistry.Find(aHost);
+  if (!member) {
+    Fail(aReason, ErrorKind::NotFound, Quoted(aHost) + " is not known");
+    return false;
+  }
+  if (member->epoch != aBasedOn || member->pool != aPool) {
+    Fail(aReason, ErrorKind::Conflict, Quoted(aHost) + " has a newer epoch");
+    return false;
+  }
+  if (member->move) {
+    Fail(aReason, ErrorKind::Conflict, Quoted(aHost) + " is moving");
+    return false;
+  }
+  return true;
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/unittests/PoolRegistryTest.cpp
@@ -0,0 +1,258 @@
+#include "greengage/fleet/PoolRegistry.h"
+#include "greengage/fleet/MoveSteps.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace greengage;
+using namespace greengage::fleet;
+
+namespace {
+
+const HostId kHost("h1");
+const PoolId kSpare("spare");
+const PoolId kLines("lines");
+const Placement kPlacement{ AvailabilityZoneId("z1"), RackId("r1") };
+
+PoolRegistry
+OneHost()
+{
+  PoolRegistry registry;
+  Error reason;
+  REQUIRE(
+    registry.Apply(AddHost{ kHost, kPlacement, kSpare, Time(0) }, reason));
+  return registry;
+}
+
+PoolEpoch
+EpochOf(const PoolRegistry& aRegistry)
+{
+  return aRegistry.Find(kHost)->epoch;
+}
+
+UpstreamAnnouncement
+AnnouncementIn(const PoolId& aPool)
+{
+  UpstreamAnnouncement announcement;
+  announcement.id = UpstreamId("h1");
+  announcement.availabilityZone = kPlacement.availabilityZone;
+  announcement.rack = kPlacement.rack;
+  announcement.pool = aPool;
+  return announcement;
+}
+
+/// Does the one step that remains, as a driver that knows the registry only.
+void
+DriveOnce(PoolRegistry& aRegistry, Time aNow)
+{
+  const auto steps = NextSteps(aRegistry, aNow);
+  REQUIRE(steps.size() == 1);
+  const auto command = ReportOf(steps[0], aNow);
+  REQUIRE(command);
+  Error reason;
+  REQUIRE(aRegistry.Apply(*command, reason));
+}
+
+} // namespace
+
+TEST_CASE("A move drains, hands over and resumes, each by another driver")
+{
+  PoolRegistry registry = OneHost();
+  Error reason;
+  REQUIRE(registry.Apply(
+    BeginMove{ kHost, kSpare, kLines, EpochOf(registry), Time(0) }, reason));
+  CHECK_FALSE(MayDispatch(registry, kHost, kSpare, EpochOf(registry), reason));
+  DriveOnce(registry, Time(1));
+  CHECK(registry.Find(kHost)->pool == kSpare);
+  PoolRegistry restored(registry.State());
+  DriveOnce(restored, Time(2));
+  CHECK(restored.Find(kHost)->pool == kLines);
+  CHECK_FALSE(CheckAnnouncement(restored, AnnouncementIn(kSpare), reason));
+  CHECK(reason.kind == ErrorKind::Conflict);
+  CHECK(CheckAnnouncement(restored, AnnouncementIn(kLines), reason));
+  DriveOnce(restored, Time(3));
+  CHECK(NextSteps(restored, Time(4)).empty());
+  CHECK(MayDispatch(restored, kHost, kLines, EpochOf(restored), reason));
+}
+
+TEST_CASE("Commands that are based on something else change nothing")
+{
+  PoolRegistry registry = OneHost();
+  const PoolEpoch old = EpochOf(registry);
+  Error reason;
+  REQUIRE(
+    registry.Apply(BeginMove{ kHost, kSpare, kLines, old, Time(0) }, reason));
+  const PoolEpoch now = EpochOf(registry);
+  struct Case
+  {
+    RegistryCommand command;
+    ErrorKind kind;
+  };
+  const HostId stranger("h2");
+  const std::vector<Case> cases = {
+    { AddHost{ kHost, kPlacement, kLines, Time(1) }, ErrorKind::Conflict },
+    { AddHost{ stranger, kPlacement, PoolId(), Time(1) },
+      ErrorKind::Malformed },
+    { BeginMove{ kHost, kSpare, kLines, old, Time(1) }, ErrorKind::Conflict },
+    { BeginMove{ kHost, kSpare, kLines, now, Time(1) }, ErrorKind::Conflict },
+    { BeginMove{ kHost, kLines, kSpare, now, Time(1) }, ErrorKind::Conflict },
+    { BeginMove{ kHost, kSpare, kSpare, now, Time(1) }, ErrorKind::Malformed },
+    { FinishDrain{ kHost, old, Time(1) }, ErrorKind::Conflict },
+    { HandOver{ kHost, now, Time(1) }, ErrorKind::Conflict },
+    { FinishMove{ kHost, now }, ErrorKind::Conflict },
+    { AbortMove{ kHost, old }, ErrorKind::Conflict },
+    { AbortMove{ stranger, now }, ErrorKind::NotFound },
+    { RemoveHost{ kHost, old }, ErrorKind::Conflict },
+  };
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    CAPTURE(i);
+    const RegistryState before = registry.State();
+    CHECK_FALSE(registry.Apply(cases[i].command, reason));
+    CHECK(reason.kind == cases[i].kind);
+    CHECK(registry.State() == before);
+  }
+}
+
+TEST_CASE("An announcement of another pool or place is refused")
+{
+  const PoolRegistry registry = OneHost();
+  Error reason;
+  CHECK(CheckAnnouncement(registry, AnnouncementIn(kSpare), reason));
+  CHECK_FALSE(CheckAnnouncement(registry, AnnouncementIn(kLines), reason));
+  UpstreamAnnouncement liar = AnnouncementIn(kSpare);
+  liar.rack = RackId("r2");
+  CHECK_FALSE(CheckAnnouncement(registry, liar, reason));
+  CHECK(reason.kind == ErrorKind::Conflict);
+  liar.id = UpstreamId("h2");
+  CHECK_FALSE(CheckAnnouncement(registry, liar, reason));
+  CHECK(reason.kind == ErrorKind::NotFound);
+}
+
+TEST_CASE("A stuck move is aborted before and left to people after hand-over")
+{
+  PoolRegistry registry = OneHost();
+  Error reason;
+  REQUIRE(registry.Apply(
+    BeginMove{ kHost, kSpare, kLines, EpochOf(registry), Time(0) }, reason));
+  const Time late = Time(0) + Duration::Seconds(3600);
+  CHECK(NextSteps(registry, late)[0].kind == StepKind::Abort);
+  PoolRegistry handedOver(registry.State());
+  DriveOnce(registry, late);
+  CHECK(registry.Find(kHost)->pool == kSpare);
+  CHECK_FALSE(registry.Find(kHost)->move);
+  DriveOnce(handedOver, Time(1));
+  DriveOnce(handedOver, Time(2));
+  CHECK(NextSteps(handedOver, late)[0].kind == StepKind::AskOperator);
+  CHECK_FALSE(
+    handedOver.Apply(AbortMove{ kHost, EpochOf(handedOver) }, reason));
+}
+
+namespace {
+
+/// Racing drivers: each holds a picture of some age, acts on it, and may be
+/// lost and replaced by one that has only the registry's snapshot.
+class RaceModel
+{
+public:
+  explicit RaceModel(unsigned aSeed)
+    : random_(aSeed)
+    , pictures_(3)
+  {
+  }
+
+  void Step()
+  {
+    now_ = now_ + Duration::Seconds(1);
+    PoolRegistry& picture = pictures_[Below(pictures_.size())];
+    if (Below(3) == 0) {
+      picture = PoolRegistry(registry_.State());
+    }
+    const auto steps = NextSteps(picture, now_);
+    std::optional<RegistryCommand> command;
+    if (!steps.empty() && Below(2) == 0) {
+      command = ReportOf(steps[Below(steps.size())], now_);
+    }
+    Send(command ? *command : AnyCommand(picture));
+  }
+
+private:
+  std::size_t Below(std::size_t aBound) { return random_() % aBound; }
+  HostId AnyHost() { return HostId("h" + std::to_string(Below(6))); }
+  PoolId AnyPool() { return PoolId("p" + std::to_string(Below(3))); }
+
+  RegistryCommand AnyCommand(const PoolRegistry& aPicture)
+  {
+    const HostId host = AnyHost();
+    const Membership* known = aPicture.Find(host);
+    const PoolEpoch epoch = known ? known->epoch : PoolEpoch(Below(50));
+    switch (Below(5)) {
+      case 0:
+        return AddHost{ host, kPlacement, AnyPool(), now_ };
+      case 1:
+        return AbortMove{ host, epoch };
+      case 2:
+        return Below(4) == 0 ? RegistryCommand(RemoveHost{ host, epoch })
+                             : HandOver{ host, epoch, now_ };
+      default:
+        return BeginMove{
+          host, known ? known->pool : AnyPool(), AnyPool(), epoch, now_
+        };
+    }
+  }
+
+  void Send(const RegistryCommand& aCommand)
+  {
+    const RegistryState before = registry_.State();
+    PoolRegistry replica(before);
+    Error reason;
+    const auto epoch = registry_.Apply(aCommand, reason);
+    Error replicaReason;
+    REQUIRE(replica.Apply(aCommand, replicaReason) == epoch);
+    REQUIRE(replica.State() == registry_.State());
+    REQUIRE((epoch || registry_.State() == before));
+    CheckChange(before, aCommand);
+  }
+
+  void CheckChange(const RegistryState& aBefore,
+                   const RegistryCommand& aCommand)
+  {
+    REQUIRE(registry_.State().lastEpoch >= aBefore.lastEpoch);
+    for (const auto& [host, member] : registry_.Members()) {
+      REQUIRE_FALSE(member.pool.Value().empty());
+      auto& last = lastEpoch_[host];
+      REQUIRE(member.epoch >= last);
+      auto old = aBefore.members.find(host);
+      if (old != aBefore.members.end() && !(old->second == member)) {
+        REQUIRE(member.epoch > last);
+      }
+      if (old != aBefore.members.end() && old->second.pool != member.pool) {
+        REQUIRE(std::holds_alternative<HandOver>(aCommand));
+        REQUIRE(old->second.move->to == member.pool);
+      }
+      last = member.epoch;
+    }
+    for (const auto& [host, member] : aBefore.members) {
+      REQUIRE(
+        (registry_.Find(host) || std::holds_alternative<RemoveHost>(aCommand)));
+    }
+  }
+
+  std::mt19937 random_;
+  PoolRegistry registry_;
+  std::vector<PoolRegistry> pictures_;
+  std::map<HostId, PoolEpoch> lastEpoch_;
+  Time now_;
+};
+
+} // namespace
+
+TEST_CASE("Racing and dying drivers leave each host in exactly one pool")
+{
+  const unsigned seed = GENERATE(range(1U, 21U));
+  CAPTURE(seed);
+  RaceModel model(seed);
+  for (int i = 0; i < 2000; ++i) {
+    model.Step();
+  }
+}
