Add availability budgets that failures and maintenance spend alike

Cause: budgets per pool, zone and rack have to hold through failures, races of drivers and cuts between zones. Change: BudgetBook, a deterministic part of the agreed state, grants takedowns with an expiry and checks again at the drain; BudgetPicture answers what may go down and why not, with what each budget is spent by. A pool's budget can be split into parts of zones that only their holders spend and give away. Ruled out: counting a zone that is not heard as having spent its part (the zone can't know when it stopped being heard, so both sides could spend the same unit in between); leases on parts (they need clocks that agree).

--- /dev/null
+++ b/packages/fleet/lib/BudgetBook.cpp
@@ -0,0 +1,270 @@
+#include "greengage/fleet/BudgetBook.h"
+
+#include "greengage/fleet/BudgetPicture.h"
+
+#include <utility>
+
+namespace greengage::fleet {
+
+namespace {
+
+bool
+Refuse(BudgetRefusal& aRefusal, ErrorKind aKind, std::string aDetail)
+{
+  aRefusal.error = { .kind = aKind, .detail = std::move(aDetail) };
+  return false;
+}
+
+bool
+Refuse(BudgetRefusal& aRefusal, Denials&& aDenials)
+{
+  const ErrorKind kind = aDenials.front().kind == DenialKind::UnknownHost
+                           ? ErrorKind::NotFound
+                           : ErrorKind::LimitReached;
+  aRefusal.error = { .kind = kind, .detail = Describe(aDenials.front()) };
+  aRefusal.denials = std::move(aDenials);
+  return false;
+}
+
+bool
+RefuseHost(BudgetRefusal& aRefusal, DenialKind aKind, const HostId& aHost)
+{
+  return Refuse(aRefusal,
+                Denials{ { .kind = aKind, .subject = aHost.Value() } });
+}
+
+/// The parts of a pool's budget that zones hold.
+Hosts
+PartsOf(const BudgetState& aState, const PoolId& aPool)
+{
+  Hosts sum;
+  for (const auto& [key, part] : aState.parts) {
+    if (key.first == aPool) {
+      sum += part.hosts;
+    }
+  }
+  return sum;
+}
+
+} // namespace
+
+BudgetBook::BudgetBook(BudgetState aState)
+  : state_(std::move(aState))
+{
+}
+
+const DownRecord*
+BudgetBook::Find(const HostId& aHost) const
+{
+  auto found = state_.down.find(aHost);
+  return found == state_.down.end() ? nullptr : &found->second;
+}
+
+bool
+BudgetBook::Apply(const BudgetCommand& aCommand,
+                  const PoolRegistry& aRegistry,
+                  BudgetRefusal& aRefusal)
+{
+  return std::visit(
+    [&](const auto& aTyped) { return On(aTyped, aRegistry, aRefusal); },
+    aCommand);
+}
+
+bool
+BudgetBook::On(const SetBudgets& aCommand, const PoolRegistry&, BudgetRefusal&)
+{
+  state_.budgets = aCommand.budgets;
+  return true;
+}
+
+bool
+BudgetBook::On(const SetPart& aCommand,
+               const PoolRegistry&,
+               BudgetRefusal& aRefusal)
+{
+  auto found = state_.parts.find(aCommand.key);
+  const bool hasHolder = found != state_.parts.end();
+  if (hasHolder && aCommand.replaces != found->second.holder) {
+    return Refuse(aRefusal,
+                  ErrorKind::Conflict,
+                  "the part is held by \"" + found->second.holder.Value() +
+                    "\"");
+  }
+  const Hosts former = hasHolder ? found->second.hosts : Hosts(0);
+  const Hosts others = PartsOf(state_, aCommand.key.first) - former;
+  const Hosts budget = state_.budgets.OfPool(aCommand.key.first);
+  if (aCommand.part.hosts < Hosts(0) || others + aCommand.part.hosts > budget) {
+    return Refuse(aRefusal,
+                  ErrorKind::LimitReached,
+                  "the parts would exceed the pool's budget of " +
+                    std::to_string(budget.Count()));
+  }
+  state_.parts[aCommand.key] = aCommand.part;
+  return true;
+}
+
+bool
+BudgetBook::On(const GivePart& aCommand,
+               const PoolRegistry& aRegistry,
+               BudgetRefusal& aRefusal)
+{
+  auto from = state_.parts.find(aCommand.from);
+  auto to = state_.parts.find({ aCommand.from.first, aCommand.to });
+  if (from == state_.parts.end() || to == state_.parts.end()) {
+    return Refuse(aRefusal, ErrorKind::NotFound, "the zone has no part");
+  }
+  if (from->second.holder != aCommand.by) {
+    return Refuse(aRefusal, ErrorKind::Forbidden, "only the holder may give");
+  }
+  // Grants count even after their expiry here: no clock decides what is spent.
+  const BudgetPicture picture(aRegistry, *this, Time(INT64_MIN));
+  const Hosts unspent =
+    from->second.hosts - picture.OnPart(aCommand.from).Total();
+  if (aCommand.hosts <= Hosts(0) || aCommand.hosts > unspent) {
+    return Refuse(aRefusal, ErrorKind::LimitReached, "the part is spent");
+  }
+  from->second.hosts -= aCommand.hosts;
+  to->second.hosts += aCommand.hosts;
+  return true;
+}
+
+bool
+BudgetBook::On(const TakeGrant& aCommand,
+               const PoolRegistry& aRegistry,
+               BudgetRefusal& aRefusal)
+{
+  const BudgetPicture picture(aRegistry, *this, aCommand.at);
+  const DownRecord* record = Find(aCommand.host);
+  const bool isClaimed = record && record->claim;
+  if (isClaimed) {
+    const Claim& claim = *record->claim;
+    const bool isOver =
+      claim.stage == ClaimStage::Granted && aCommand.at >= claim.expiresAt;
+    const bool isOwn =
+      claim.stage == ClaimStage::Granted && claim.by == aCommand.by;
+    if (!isOver && !isOwn) {
+      return RefuseHost(aRefusal, DenialKind::HostClaimed, aCommand.host);
+    }
+  }
+  Denials denials = picture.MayTakeDown(aCommand.host, aCommand.by);
+  if (!denials.empty()) {
+    return Refuse(aRefusal, std::move(denials));
+  }
+  state_.down[aCommand.host].claim = Claim{ .stage = ClaimStage::Granted,
+                                            .by = aCommand.by,
+                                            .expiresAt = aCommand.expiresAt };
+  return true;
+}
+
+bool
+BudgetBook::On(const ConfirmDrain& aCommand,
+               const PoolRegistry& aRegistry,
+               BudgetRefusal& aRefusal)
+{
+  auto found = state_.down.find(aCommand.host);
+  if (found == state_.down.end() || !found->second.claim) {
+    return RefuseHost(aRefusal, DenialKind::NoGrant, aCommand.host);
+  }
+  Claim& claim = *found->second.claim;
+  if (claim.by != aCommand.by) {
+    return RefuseHost(aRefusal, DenialKind::HostClaimed, aCommand.host);
+  }
+  if (claim.stage == ClaimStage::InMaintenance) {
+    return true;
+  }
+  if (claim.stage == ClaimStage::Watched) {
+    return RefuseHost(aRefusal, DenialKind::NoGrant, aCommand.host);
+  }
+  if (aCommand.at >= claim.expiresAt) {
+    return RefuseHost(aRefusal, DenialKind::GrantExpired, aCommand.host);
+  }
+  const BudgetPicture picture(aRegistry, *this, aCommand.at);
+  Denials denials = picture.MayTakeDown(aCommand.host, aCommand.by);
+  if (!denials.empty()) {
+    return Refuse(aRefusal, std::move(denials));
+  }
+  claim.stage = ClaimStage::InMaintenance;
+  return true;
+}
+
+bool
+BudgetBook::On(const RecordTakenAlone& aCommand,
+               const PoolRegistry& aRegistry,
+               BudgetRefusal& aRefusal)
+{
+  const Membership* member = aRegistry.Find(aCommand.host);
+  if (!member) {
+    return RefuseHost(aRefusal, DenialKind::UnknownHost, aCommand.host);
+  }
+  auto part =
+    state_.parts.find({ member->pool, member->placement.availabilityZone });
+  if (part == state_.parts.end() || part->second.holder != aCommand.by) {
+    return Refuse(
+      aRefusal, ErrorKind::Forbidden, "only the part's holder may spend it");
+  }
+  state_.down[aCommand.host].claim = Claim{ .stage = ClaimStage::InMaintenance,
+                                            .by = aCommand.by,
+                                            .expiresAt = Time() };
+  return true;
+}
+
+bool
+BudgetBook::On(const BeginWatch& aCommand,
+               const PoolRegistry&,
+               BudgetRefusal& aRefusal)
+{
+  auto found = state_.down.find(aCommand.host);
+  const bool isClaimed = found != state_.down.end() && found->second.claim;
+  if (!isClaimed || found->second.claim->stage == ClaimStage::Granted) {
+    return RefuseHost(aRefusal, DenialKind::NoGrant, aCommand.host);
+  }
+  found->second.claim->stage = ClaimStage::Watched;
+  return true;
+}
+
+bool
+BudgetBook::On(const EndClaim& aCommand, const PoolRegistry&, BudgetRefusal&)
+{
+  auto found = state_.down.find(aCommand.host);
+  if (found != state_.down.end()) {
+    found->second.claim.reset();
+    ForgetIfUp(aCommand.host);
+  }
+  return true;
+}
+
+bool
+BudgetBook::On(const NoteFailed& aCommand,
+               const PoolRegistry& aRegistry,
+               BudgetRefusal& aRefusal)
+{
+  if (!aRegistry.Find(aCommand.host)) {
+    return RefuseHost(aRefusal, DenialKind::UnknownHost, aCommand.host);
+  }
+  state_.down[aCommand.host].failed = true;
+  return true;
+}
+
+bool
+BudgetBook::On(const NoteRecovered& aCommand,
+               const PoolRegistry&,
+               BudgetRefusal&)
+{
+  auto found = state_.down.find(aCommand.host);
+  if (found != state_.down.end()) {
+    found->second.failed = false;
+    ForgetIfUp(aCommand.host);
+  }
+  return true;
+}
+
+void
+BudgetBook::ForgetIfUp(const HostId& aHost)
+{
+  const DownRecord& record = state_.down[aHost];
+  if (!record.failed && !record.claim) {
+    state_.down.erase(aHost);
+  }
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/lib/BudgetPicture.cpp
@@ -0,0 +1,244 @@
+#include "greengage/fleet/BudgetPicture.h"
+
+#include <string>
+
+namespace greengage::fleet {
+
+namespace {
+
+constexpr Hosts kOneHost(1);
+
+std::optional<DownCause>
+CauseOfRecord(const DownRecord& aRecord, Time aNow)
+{
+  if (aRecord.failed) {
+    return DownCause::Failed;
+  }
+  if (!aRecord.claim) {
+    return std::nullopt;
+  }
+  switch (aRecord.claim->stage) {
+    case ClaimStage::InMaintenance:
+      return DownCause::InMaintenance;
+    case ClaimStage::Watched:
+      return DownCause::Watched;
+    case ClaimStage::Granted:
+      break;
+  }
+  if (aNow >= aRecord.claim->expiresAt) {
+    return std::nullopt;
+  }
+  return DownCause::Granted;
+}
+
+template<typename Key>
+Spent
+SpentOn(const std::map<Key, Spent>& aSpending, const Key& aKey)
+{
+  auto found = aSpending.find(aKey);
+  return found == aSpending.end() ? Spent{} : found->second;
+}
+
+/// Denies one host more than \p aBudget; one that is down counts already.
+void
+CheckBudget(Denial&& aDenial, bool aIsDown, Denials& aOut)
+{
+  const Hosts more = aIsDown ? Hosts(0) : kOneHost;
+  if (aDenial.spent.Total() + more > aDenial.budget) {
+    aOut.push_back(std::move(aDenial));
+  }
+}
+
+std::string
+NameOfRack(const Placement& aRack)
+{
+  return aRack.availabilityZone.Value() + "/" + aRack.rack.Value();
+}
+
+} // namespace
+
+BudgetPicture::BudgetPicture(const PoolRegistry& aRegistry,
+                             const BudgetBook& aBook,
+                             Time aNow)
+  : registry_(aRegistry)
+  , book_(aBook.State())
+{
+  for (const auto& [key, part] : book_.parts) {
+    splitPools_[key.first] += part.hosts;
+  }
+  for (const auto& [host, record] : book_.down) {
+    const Membership* member = registry_.Find(host);
+    const auto cause = CauseOfRecord(record, aNow);
+    if (member && cause) {
+      Count(host, *member, *cause);
+    }
+  }
+  for (const auto& [host, member] : registry_.Members()) {
+    if (member.move && !causes_.contains(host)) {
+      Count(host, member, DownCause::Moving);
+    }
+  }
+}
+
+void
+BudgetPicture::Count(const HostId& aHost,
+                     const Membership& aMember,
+                     DownCause aCause)
+{
+  const AvailabilityZoneId& zone = aMember.placement.availabilityZone;
+  causes_[aHost] = aCause;
+  pools_[aMember.pool].Add(aCause, kOneHost);
+  parts_[{ aMember.pool, zone }].Add(aCause, kOneHost);
+  zones_[zone].Add(aCause, kOneHost);
+  racks_[aMember.placement].Add(aCause, kOneHost);
+}
+
+std::optional<DownCause>
+BudgetPicture::CauseOf(const HostId& aHost) const
+{
+  auto found = causes_.find(aHost);
+  if (found == causes_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+Spent
+BudgetPicture::OnPart(const ZonePartKey& aKey) const
+{
+  return SpentOn(parts_, aKey);
+}
+
+void
+BudgetPicture::AssumeGranted(const HostId& aHost)
+{
+  const Membership* member = registry_.Find(aHost);
+  if (member && !causes_.contains(aHost)) {
+    Count(aHost, *member, DownCause::Granted);
+  }
+}
+
+const Membership*
+BudgetPicture::Claimable(const HostId& aHost, Denials& aOut) const
+{
+  const Membership* member = registry_.Find(aHost);
+  if (!member) {
+    aOut.push_back(
+      { .kind = DenialKind::UnknownHost, .subject = aHost.Value() });
+    return nullptr;
+  }
+  if (member->move) {
+    aOut.push_back(
+      { .kind = DenialKind::HostMoving, .subject = aHost.Value() });
+    return nullptr;
+  }
+  return member;
+}
+
+void
+BudgetPicture::CheckPool(const Membership& aMember,
+                         bool aIsDown,
+                         Denials& aOut) const
+{
+  CheckBudget({ .kind = DenialKind::PoolBudgetSpent,
+                .subject = aMember.pool.Value(),
+                .budget = book_.budgets.OfPool(aMember.pool),
+                .spent = SpentOn(pools_, aMember.pool) },
+              aIsDown,
+              aOut);
+}
+
+void
+BudgetPicture::CheckPart(const Membership& aMember,
+                         bool aIsDown,
+                         const std::optional<EntryHostId>& aBy,
+                         Denials& aOut) const
+{
+  const AvailabilityZoneId& zone = aMember.placement.availabilityZone;
+  const ZonePartKey key(aMember.pool, zone);
+  auto part = book_.parts.find(key);
+  const bool hasPart = part != book_.parts.end();
+  if (hasPart && aBy && *aBy != part->second.holder) {
+    aOut.push_back({ .kind = DenialKind::NotPartHolder,
+                     .subject = part->second.holder.Value() });
+    return;
+  }
+  CheckBudget({ .kind = DenialKind::ZonePartSpent,
+                .subject = zone.Value(),
+                .budget = hasPart ? part->second.hosts : Hosts(0),
+                .spent = SpentOn(parts_, key) },
+              aIsDown,
+              aOut);
+}
+
+void
+BudgetPicture::CheckZoneAndRack(const Membership& aMember,
+                                bool aIsDown,
+                                Denials& aOut) const
+{
+  const AvailabilityZoneId& zone = aMember.placement.availabilityZone;
+  CheckBudget({ .kind = DenialKind::ZoneBudgetSpent,
+                .subject = zone.Value(),
+                .budget = book_.budgets.OfZone(zone),
+                .spent = SpentOn(zones_, zone) },
+              aIsDown,
+              aOut);
+  CheckBudget({ .kind = DenialKind::RackBudgetSpent,
+                .subject = NameOfRack(aMember.placement),
+                .budget = book_.budgets.OfRack(aMember.placement),
+                .spent = SpentOn(racks_, aMember.placement) },
+              aIsDown,
+              aOut);
+}
+
+Denials
+BudgetPicture::MayTakeDown(const HostId& aHost,
+                           const std::optional<EntryHostId>& aBy) const
+{
+  Denials denials;
+  const Membership* member = Claimable(aHost, denials);
+  if (!member) {
+    return denials;
+  }
+  const bool isDown = causes_.contains(aHost);
+  CheckPool(*member, isDown, denials);
+  if (splitPools_.contains(member->pool)) {
+    CheckPart(*member, isDown, aBy, denials);
+  }
+  CheckZoneAndRack(*member, isDown, denials);
+  return denials;
+}
+
+Denials
+BudgetPicture::MayTakeDownAlone(const HostId& aHost,
+                                const EntryHostId& aBy) const
+{
+  Denials denials;
+  const Membership* member = Claimable(aHost, denials);
+  if (!member) {
+    return denials;
+  }
+  const bool isDown = causes_.contains(aHost);
+  CheckPart(*member, isDown, aBy, denials);
+  CheckZoneAndRack(*member, isDown, denials);
+  return denials;
+}
+
+std::vector<HostAnswer>
+AnswerForAll(const PoolRegistry& aRegistry, const BudgetBook& aBook, Time aNow)
+{
+  const BudgetPicture picture(aRegistry, aBook, aNow);
+  std::vector<HostAnswer> answers;
+  answers.reserve(aRegistry.Members().size());
+  for (const auto& [host, member] : aRegistry.Members()) {
+    answers.push_back({ .host = host, .denials = picture.MayTakeDown(host) });
+    const DownRecord* record = aBook.Find(host);
+    if (record && record->claim && picture.CauseOf(host)) {
+      answers.back().denials.push_back(
+        { .kind = DenialKind::HostClaimed, .subject = host.Value() });
+    }
+  }
+  return answers;
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/unittests/BudgetBookTest.cpp
@@ -0,0 +1,408 @@
+#include "greengage/fleet/BudgetBook.h"
+#include "greengage/fleet/BudgetPicture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <set>
+
+using namespace greengage;
+using namespace greengage::fleet;
+
+namespace {
+
+const EntryHostId kDriver("e1");
+const PoolId kLines("lines");
+const PoolId kSort("sort");
+
+AvailabilityZoneId
+Zone(int aNumber)
+{
+  return AvailabilityZoneId("z" + std::to_string(aNumber));
+}
+
+/// Hosts "z<zone>r<rack>h<0..3>" of three zones with two racks each. The even
+/// ones belong to "lines", the odd ones to "sort".
+PoolRegistry
+SmallFleet()
+{
+  PoolRegistry registry;
+  Error reason;
+  for (int i = 0; i < 24; ++i) {
+    const int zone = i / 8;
+    const int rack = i / 4 % 2;
+    const std::string name = "z" + std::to_string(zone) + "r" +
+                             std::to_string(rack) + "h" + std::to_string(i % 4);
+    const Placement place{ Zone(zone), RackId("r" + std::to_string(rack)) };
+    REQUIRE(registry.Apply(
+      AddHost{ HostId(name), place, i % 2 == 0 ? kLines : kSort, Time(0) },
+      reason));
+  }
+  return registry;
+}
+
+/// A book over the small fleet.
+struct BookFixture
+{
+  BookFixture()
+  {
+    Budgets budgets;
+    budgets.defaultPool = Hosts(3);
+    budgets.defaultZone = Hosts(4);
+    budgets.defaultRack = Hosts(2);
+    Must(SetBudgets{ budgets });
+  }
+
+  bool Apply(const BudgetCommand& aCommand)
+  {
+    refusal = {};
+    const BudgetState before = book.State();
+    const bool accepted = book.Apply(aCommand, registry, refusal);
+    REQUIRE((accepted || book.State() == before));
+    return accepted;
+  }
+  void Must(const BudgetCommand& aCommand) { REQUIRE(Apply(aCommand)); }
+  bool Grant(const std::string& aHost, Time aNow = Time(0))
+  {
+    return Apply(
+      TakeGrant{ HostId(aHost), kDriver, aNow, aNow + Duration(100) });
+  }
+  bool Confirm(const std::string& aHost, Time aNow = Time(0))
+  {
+    return Apply(ConfirmDrain{ HostId(aHost), kDriver, aNow });
+  }
+  DenialKind FirstDenial() const
+  {
+    REQUIRE_FALSE(refusal.denials.empty());
+    return refusal.denials.front().kind;
+  }
+
+  PoolRegistry registry = SmallFleet();
+  BudgetBook book;
+  BudgetRefusal refusal;
+};
+
+} // namespace
+
+TEST_CASE("Failures and maintenance spend the same budgets, and each says so")
+{
+  BookFixture fleet;
+  fleet.Must(NoteFailed{ HostId("z0r0h0") });
+  fleet.Must(NoteFailed{ HostId("z0r0h1") });
+  CHECK_FALSE(fleet.Grant("z0r0h2"));
+  CHECK(fleet.FirstDenial() == DenialKind::RackBudgetSpent);
+  CHECK(fleet.refusal.denials[0].spent.failed == Hosts(2));
+  CHECK(Describe(fleet.refusal.denials[0]) ==
+        "the budget of rack \"z0/r0\" is spent: 2 may be down, 2 failed");
+  REQUIRE(fleet.Grant("z0r1h0"));
+  REQUIRE(fleet.Grant("z1r0h0"));
+  CHECK_FALSE(fleet.Grant("z2r0h0"));
+  CHECK(fleet.FirstDenial() == DenialKind::PoolBudgetSpent);
+  CHECK(fleet.refusal.denials[0].spent.granted == Hosts(2));
+  REQUIRE(fleet.Grant("z0r1h1"));
+  CHECK_FALSE(fleet.Grant("z0r1h3"));
+  CHECK(fleet.refusal.denials.size() == 2);
+  fleet.Must(NoteRecovered{ HostId("z0r0h0") });
+  CHECK(fleet.Grant("z2r0h0"));
+}
+
+TEST_CASE("A grant is checked again when the drain begins")
+{
+  BookFixture fleet;
+  SECTION("a rack has failed meanwhile")
+  {
+    REQUIRE(fleet.Grant("z0r0h0"));
+    for (const char* host : { "z1r0h0", "z1r0h1", "z1r0h2", "z1r0h3" }) {
+      fleet.Must(NoteFailed{ HostId(host) });
+    }
+    fleet.Must(NoteFailed{ HostId("z2r0h0") });
+    CHECK_FALSE(fleet.Confirm("z0r0h0"));
+    CHECK(fleet.FirstDenial() == DenialKind::PoolBudgetSpent);
+  }
+  SECTION("it has expired")
+  {
+    REQUIRE(fleet.Grant("z0r0h0"));
+    CHECK_FALSE(fleet.Confirm("z0r0h0", Time(100)));
+    CHECK(fleet.FirstDenial() == DenialKind::GrantExpired);
+    CHECK(fleet.Grant("z0r0h1", Time(100)));
+  }
+  SECTION("it is in time, and a repeat has no effect")
+  {
+    REQUIRE(fleet.Grant("z0r0h0"));
+    REQUIRE(fleet.Confirm("z0r0h0", Time(99)));
+    CHECK(fleet.Confirm("z0r0h0", Time(500)));
+    CHECK_FALSE(fleet.Grant("z0r0h0", Time(500)));
+    CHECK(fleet.FirstDenial() == DenialKind::HostClaimed);
+  }
+  SECTION("it was never given")
+  {
+    CHECK_FALSE(fleet.Confirm("z0r0h0"));
+    CHECK(fleet.FirstDenial() == DenialKind::NoGrant);
+  }
+}
+
+TEST_CASE("A host that failed in maintenance counts once, and so does a move")
+{
+  BookFixture fleet;
+  REQUIRE(fleet.Grant("z0r0h0"));
+  REQUIRE(fleet.Confirm("z0r0h0"));
+  fleet.Must(NoteFailed{ HostId("z0r0h0") });
+  REQUIRE(fleet.Grant("z1r0h0"));
+  Error reason;
+  const HostId moving("z1r1h0");
+  REQUIRE(fleet.registry.Apply(
+    BeginMove{
+      moving, kLines, kSort, fleet.registry.Find(moving)->epoch, Time(0) },
+    reason));
+  CHECK_FALSE(fleet.Grant("z1r1h0"));
+  CHECK(fleet.FirstDenial() == DenialKind::HostMoving);
+  CHECK_FALSE(fleet.Grant("z2r0h0"));
+  const Spent spent = fleet.refusal.denials[0].spent;
+  CHECK(spent == Spent{ .failed = Hosts(1),
+                        .inMaintenance = Hosts(0),
+                        .watched = Hosts(0),
+                        .granted = Hosts(1),
+                        .moving = Hosts(1) });
+}
+
+TEST_CASE("Operators learn which hosts may go and why not the others")
+{
+  BookFixture fleet;
+  for (const char* host : { "z0r0h0", "z0r0h1" }) {
+    fleet.Must(NoteFailed{ HostId(host) });
+  }
+  REQUIRE(fleet.Grant("z1r0h0"));
+  int free = 0;
+  for (const HostAnswer& answer :
+       AnswerForAll(fleet.registry, fleet.book, Time(1))) {
+    CAPTURE(answer.host.Value());
+    free += answer.denials.empty() ? 1 : 0;
+    const bool inFailedRack = answer.host.Value().rfind("z0r0", 0) == 0;
+    const bool isFailed =
+      answer.host.Value() == "z0r0h0" || answer.host.Value() == "z0r0h1";
+    const bool isGranted = answer.host == HostId("z1r0h0");
+    CHECK(answer.denials.empty() ==
+          ((!inFailedRack || isFailed) && !isGranted));
+  }
+  CHECK(free == 21);
+}
+
+TEST_CASE("Only the holder spends or gives a zone's part")
+{
+  BookFixture fleet;
+  const ZonePartKey first(kLines, Zone(0));
+  const ZonePartKey second(kLines, Zone(1));
+  const EntryHostId other("e2");
+  fleet.Must(SetPart{ first, { kDriver, Hosts(2) }, std::nullopt });
+  fleet.Must(SetPart{ second, { other, Hosts(1) }, std::nullopt });
+  CHECK_FALSE(fleet.Apply(
+    SetPart{ { kLines, Zone(2) }, { other, Hosts(1) }, std::nullopt }));
+  CHECK(fleet.refusal.error.kind == ErrorKind::LimitReached);
+  CHECK_FALSE(fleet.Apply(SetPart{ first, { other, Hosts(2) }, std::nullopt }));
+  CHECK(fleet.refusal.error.kind == ErrorKind::Conflict);
+  CHECK_FALSE(fleet.Grant("z1r0h0"));
+  CHECK(fleet.FirstDenial() == DenialKind::NotPartHolder);
+  CHECK_FALSE(fleet.Grant("z2r0h0"));
+  CHECK(fleet.FirstDenial() == DenialKind::ZonePartSpent);
+  REQUIRE(fleet.Grant("z0r0h0"));
+  CHECK_FALSE(fleet.Apply(GivePart{ first, Zone(1), Hosts(1), other }));
+  CHECK_FALSE(fleet.Apply(GivePart{ first, Zone(1), Hosts(2), kDriver }));
+  fleet.Must(GivePart{ first, Zone(1), Hosts(1), kDriver });
+  CHECK_FALSE(fleet.Grant("z0r1h0"));
+  const BudgetPicture picture(fleet.registry, fleet.book, Time(0));
+  CHECK(picture.MayTakeDownAlone(HostId("z1r0h0"), other).empty());
+  CHECK_FALSE(picture.MayTakeDownAlone(HostId("z0r1h0"), kDriver).empty());
+  CHECK_FALSE(picture.MayTakeDownAlone(HostId("z0r0h1"), kDriver).empty());
+}
+
+namespace {
+
+/// Three zones with one holder each, which are cut off and come back at any
+/// moment. A holder works on its own copy of the book, counts what it proposes
+/// before that is accepted, and hands in later what it did alone.
+class CutModel
+{
+public:
+  explicit CutModel(unsigned aSeed)
+    : random_(aSeed)
+  {
+    Budgets budgets;
+    budgets.defaultPool = kBudget;
+    Agree(SetBudgets{ budgets });
+    for (int i = 0; i < kZones; ++i) {
+      Agree(SetPart{ KeyOf(i), { HolderOf(i), Hosts(i + 1) }, std::nullopt });
+    }
+    for (ZoneSide& side : sides_) {
+      side.copy = agreed_;
+    }
+  }
+
+  void Step()
+  {
+    const int zone = static_cast<int>(Below(kZones));
+    ZoneSide& side = sides_[zone];
+    switch (Below(6)) {
+      case 0:
+        side.isCut ? Rejoin(side) : void(side.isCut = true);
+        break;
+      case 1:
+        Commit(side);
+        break;
+      case 2:
+        ProposeGift(zone, side);
+        break;
+      case 3:
+        Finish(zone, side);
+        break;
+      default:
+        side.isCut ? TakeAlone(zone, side) : ProposeTake(zone, side);
+        break;
+    }
+    REQUIRE(Hosts(static_cast<std::int64_t>(down_.size())) <= kBudget);
+  }
+
+  std::size_t Most() const { return most_; }
+
+private:
+  static constexpr int kZones = 3;
+  static constexpr Hosts kBudget = Hosts(6);
+  struct ZoneSide
+  {
+    bool isCut = false;
+    BudgetBook copy;
+    std::vector<BudgetCommand> pending;
+    std::vector<BudgetCommand> doneAlone;
+  };
+
+  std::size_t Below(std::size_t aBound) { return random_() % aBound; }
+  static ZonePartKey KeyOf(int aZone) { return { kLines, Zone(aZone) }; }
+  static EntryHostId HolderOf(int aZone)
+  {
+    return EntryHostId("e" + std::to_string(aZone));
+  }
+  HostId AnyHost(int aZone)
+  {
+    return HostId("z" + std::to_string(aZone) + "r" + std::to_string(Below(2)) +
+                  "h" + std::to_string(2 * Below(2)));
+  }
+  bool Agree(const BudgetCommand& aCommand)
+  {
+    BudgetRefusal refusal;
+    return agreed_.Apply(aCommand, registry_, refusal);
+  }
+  void SetDown(const HostId& aHost)
+  {
+    down_.insert(aHost);
+    most_ = std::max(most_, down_.size());
+  }
+
+  /// The agreed state accepts what a holder proposed, perhaps long after the
+  /// holder was cut off.
+  void Commit(ZoneSide& aSide)
+  {
+    for (const BudgetCommand& command : aSide.pending) {
+      const auto* confirm = std::get_if<ConfirmDrain>(&command);
+      if (Agree(command) && confirm) {
+        SetDown(confirm->host);
+      }
+    }
+    aSide.pending.clear();
+    if (!aSide.isCut) {
+      aSide.copy = agreed_;
+    }
+  }
+
+  void Rejoin(ZoneSide& aSide)
+  {
+    Commit(aSide);
+    for (const BudgetCommand& command : aSide.doneAlone) {
+      REQUIRE(Agree(command));
+    }
+    aSide.doneAlone.clear();
+    aSide.isCut = false;
+    aSide.copy = agreed_;
+  }
+
+  void Propose(ZoneSide& aSide, const BudgetCommand& aCommand)
+  {
+    BudgetRefusal refusal;
+    if (aSide.copy.Apply(aCommand, registry_, refusal)) {
+      aSide.pending.push_back(aCommand);
+    }
+  }
+
+  void ProposeTake(int aZone, ZoneSide& aSide)
+  {
+    if (!aSide.pending.empty()) {
+      return;
+    }
+    const HostId host = AnyHost(aZone);
+    const EntryHostId by = HolderOf(aZone);
+    Propose(aSide, TakeGrant{ host, by, Time(0), Time(1) });
+    Propose(aSide, ConfirmDrain{ host, by, Time(0) });
+  }
+
+  void ProposeGift(int aZone, ZoneSide& aSide)
+  {
+    const int to = (aZone + 1) % kZones;
+    if (!aSide.isCut && aSide.pending.empty()) {
+      Propose(aSide,
+              GivePart{ KeyOf(aZone), Zone(to), Hosts(1), HolderOf(aZone) });
+    }
+  }
+
+  void TakeAlone(int aZone, ZoneSide& aSide)
+  {
+    const HostId host = AnyHost(aZone);
+    const BudgetPicture picture(registry_, aSide.copy, Time(0));
+    const DownRecord* record = aSide.copy.Find(host);
+    if (record || !picture.MayTakeDownAlone(host, HolderOf(aZone)).empty()) {
+      return;
+    }
+    BudgetRefusal refusal;
+    const RecordTakenAlone taken{ host, HolderOf(aZone) };
+    REQUIRE(aSide.copy.Apply(taken, registry_, refusal));
+    aSide.doneAlone.emplace_back(taken);
+    SetDown(host);
+  }
+
+  void Finish(int aZone, ZoneSide& aSide)
+  {
+    const HostId host = AnyHost(aZone);
+    if (!down_.contains(host) || !aSide.pending.empty()) {
+      return;
+    }
+    BudgetRefusal refusal;
+    const EndClaim end{ host };
+    aSide.copy.Apply(end, registry_, refusal);
+    if (aSide.isCut) {
+      aSide.doneAlone.emplace_back(end);
+    } else {
+      Agree(end);
+      aSide.copy = agreed_;
+    }
+    down_.erase(host);
+  }
+
+  std::mt19937 random_;
+  PoolRegistry registry_ = SmallFleet();
+  BudgetBook agreed_;
+  std::array<ZoneSide, kZones> sides_;
+  std::set<HostId> down_;
+  std::size_t most_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("Zones that are cut off never spend more than the pool's budget")
+{
+  const unsigned seed = GENERATE(range(1U, 21U));
+  CAPTURE(seed);
+  CutModel model(seed);
+  for (int i = 0; i < 5000; ++i) {
+    model.Step();
+  }
+  CHECK(model.Most() == 6);
+}
