--- /dev/null
+++ b/packages/fleet/benchmarks/WaveBench.cpp
@@ -0,0 +1,190 @@
+/// \file
+/// Roll-outs against one host at a time and against a driver that asks no
+/// budget, with the same losses; and what planning costs as the fleet grows.
+
+#include "../unittests/FakeFleet.h"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+using namespace greengage;
+using namespace greengage::fleet;
+using namespace greengage::fleet::test;
+
+namespace {
+
+constexpr int kSeeds = 20;
+
+FleetShape
+ShapeOf(std::int64_t aUser)
+{
+  return aUser == 0 ? RenovaSul() : Tinkerbots();
+}
+
+/// Runs one wave per seed; the time shown is the mean roll-out in the fleet's
+/// own time.
+template<typename Planner, bool HasBudgets>
+void
+RollOut(benchmark::State& aState)
+{
+  const FleetShape shape = ShapeOf(aState.range(0));
+  const LossRates rates{ .span = Duration::Seconds(10 * 3600) };
+  unsigned seed = 0;
+  int broken = 0;
+  std::size_t given = 0;
+  for (auto _ : aState) {
+    ++seed;
+    FakeFleet fleet(
+      shape, DefaultBudgets(shape), MakeLosses(shape, rates, seed), seed);
+    if (!HasBudgets) {
+      fleet.IgnoreBudgets();
+    }
+    const WaveOutcome outcome = RunWave(fleet, Planner());
+    aState.SetIterationTime(static_cast<double>(outcome.rollOut.Millis()) /
+                            1000.0);
+    broken += outcome.promisesBroken;
+    given += outcome.failed;
+  }
+  aState.counters["broken"] = broken;
+  aState.counters["not_done"] = static_cast<double>(given);
+}
+BENCHMARK_TEMPLATE(RollOut, OneAtATimePlanner, true)
+  ->Name("RollOut/OneAtATime")
+  ->Arg(0)
+  ->Arg(1)
+  ->UseManualTime()
+  ->Iterations(kSeeds);
+BENCHMARK_TEMPLATE(RollOut, OneAtATimePlanner, false)
+  ->Name("RollOut/OneAtATimeNoBudgets")
+  ->Arg(0)
+  ->Arg(1)
+  ->UseManualTime()
+  ->Iterations(kSeeds);
+BENCHMARK_TEMPLATE(RollOut, BottleneckPlanner, true)
+  ->Name("RollOut/Bottleneck")
+  ->Arg(0)
+  ->Arg(1)
+  ->UseManualTime()
+  ->Iterations(kSeeds);
+
+FleetShape
+Sized(std::int64_t aWorkers)
+{
+  return { .zones = 18,
+           .workers = static_cast<int>(aWorkers),
+           .pools = aWorkers < 500 ? 5 : 26,
+           .spares = static_cast<int>(aWorkers / 5) };
+}
+
+/// A fleet in the middle of a wave.
+struct SizedFleet
+{
+  explicit SizedFleet(std::int64_t aWorkers)
+    : shape(Sized(aWorkers))
+    , registry(BuildRegistry(shape))
+    , budgets(DefaultBudgets(shape))
+  {
+    BudgetRefusal refusal;
+    book.Apply(SetBudgets{ budgets }, registry, refusal);
+    for (std::int64_t i = 0; i < aWorkers; i += 50) {
+      book.Apply(NoteFailed{ HostAt(static_cast<int>(i)) }, registry, refusal);
+    }
+  }
+  WaveState Plan() const
+  {
+    const std::map<HostId, Time> never;
+    return BottleneckPlanner().Plan({ .registry = registry,
+                                      .budgets = budgets,
+                                      .lastMaintained = never,
+                                      .period = {},
+                                      .cycle = kCycleGuess,
+                                      .now = Time(0) });
+  }
+
+  FleetShape shape;
+  PoolRegistry registry;
+  Budgets budgets;
+  BudgetBook book;
+};
+
+double
+BytesInUse()
+{
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+void
+PlanWave(benchmark::State& aState)
+{
+  const SizedFleet fleet(aState.range(0));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(fleet.Plan());
+  }
+  aState.SetComplexityN(aState.range(0));
+}
+BENCHMARK(PlanWave)->Arg(50)->Arg(500)->Arg(2200)->Complexity();
+
+void
+TickWave(benchmark::State& aState)
+{
+  const SizedFleet fleet(aState.range(0));
+  WaveRunner runner({}, EntryHostId("e1"), fleet.Plan());
+  Time now;
+  for (auto _ : aState) {
+    WaveActions actions;
+    runner.Tick(now, BudgetPicture(fleet.registry, fleet.book, now), actions);
+    benchmark::DoNotOptimize(actions);
+    now = now + Duration::Seconds(1);
+  }
+  aState.SetComplexityN(aState.range(0));
+}
+BENCHMARK(TickWave)->Arg(50)->Arg(500)->Arg(2200)->Complexity();
+
+void
+AnswerOperators(benchmark::State& aState)
+{
+  const SizedFleet fleet(aState.range(0));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(AnswerForAll(fleet.registry, fleet.book, Time(0)));
+  }
+  aState.SetComplexityN(aState.range(0));
+}
+BENCHMARK(AnswerOperators)->Arg(50)->Arg(500)->Arg(2200)->Complexity();
+
+void
+GrantAndConfirm(benchmark::State& aState)
+{
+  SizedFleet fleet(aState.range(0));
+  const EntryHostId by("e1");
+  const HostId host = HostAt(49);
+  BudgetRefusal refusal;
+  for (auto _ : aState) {
+    fleet.book.Apply(
+      TakeGrant{ host, by, Time(0), Time(1) }, fleet.registry, refusal);
+    fleet.book.Apply(
+      ConfirmDrain{ host, by, Time(0) }, fleet.registry, refusal);
+    fleet.book.Apply(EndClaim{ host }, fleet.registry, refusal);
+  }
+  aState.SetComplexityN(aState.range(0));
+}
+BENCHMARK(GrantAndConfirm)->Arg(50)->Arg(500)->Arg(2200)->Complexity();
+
+void
+MemoryOfState(benchmark::State& aState)
+{
+  double bytes = 0;
+  for (auto _ : aState) {
+    const double before = BytesInUse();
+    const SizedFleet fleet(aState.range(0));
+    const WaveState wave = fleet.Plan();
+    bytes = BytesInUse() - before;
+    benchmark::DoNotOptimize(wave.order.data());
+  }
+  aState.counters["bytes"] = bytes;
+  aState.counters["bytes_per_worker"] =
+    bytes / static_cast<double>(aState.range(0));
+}
+BENCHMARK(MemoryOfState)->Arg(50)->Arg(500)->Arg(2200)->Iterations(3);
+
+} // namespace
--- a/packages/fleet/include/greengage/fleet/BudgetPicture.h
+++ b/packages/fleet/include/greengage/fleet/BudgetPicture.h
@@ -44,6 +44,7 @@
   /// Counts \p aHost as granted from now on.
   void AssumeGranted(const HostId& aHost);
 
+  bool IsKnown(const HostId& aHost) const;
   /// By what a host is down, if it is.
   std::optional<DownCause> CauseOf(const HostId& aHost) const;
   /// The spending on a zone's part of a pool's budget.
--- a/packages/fleet/lib/BudgetPicture.cpp
+++ b/packages/fleet/lib/BudgetPicture.cpp
@@ -93,6 +93,12 @@
   racks_[aMember.placement].Add(aCause, kOneHost);
 }
 
+bool
+BudgetPicture::IsKnown(const HostId& aHost) const
+{
+  return registry_.Find(aHost) != nullptr;
+}
+
 std::optional<DownCause>
 BudgetPicture::CauseOf(const HostId& aHost) const
 {
--- /dev/null
+++ b/packages/fleet/lib/WavePlanner.cpp
@@ -0,0 +1,148 @@
+#include "greengage/fleet/WavePlanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace greengage::fleet {
+
+namespace {
+
+double
+Rounds(Hosts aHosts, Hosts aBudget)
+{
+  if (aHosts.Count() == 0) {
+    return 0;
+  }
+  // A budget of nothing never gets through: it goes first and stays visible.
+  const double budget =
+    static_cast<double>(std::max(aBudget, Hosts(0)).Count());
+  return static_cast<double>(aHosts.Count()) / std::max(budget, 0.001);
+}
+
+template<typename Key>
+Hosts
+CountOf(const std::map<Key, Hosts>& aCounts, const Key& aKey)
+{
+  auto found = aCounts.find(aKey);
+  return found == aCounts.end() ? Hosts(0) : found->second;
+}
+
+Time
+DueAt(const WaveInput& aInput, const HostId& aHost)
+{
+  auto found = aInput.lastMaintained.find(aHost);
+  return found == aInput.lastMaintained.end()
+           ? aInput.now
+           : found->second + aInput.period.period;
+}
+
+bool
+IsDue(const WaveInput& aInput, const HostId& aHost)
+{
+  return DueAt(aInput, aHost) <= aInput.now + aInput.period.lead;
+}
+
+/// The wave over all hosts that are due, in the order of their ids.
+WaveState
+AllDue(const WaveInput& aInput)
+{
+  WaveState wave;
+  wave.startedAt = aInput.now;
+  for (const auto& [host, member] : aInput.registry.Members()) {
+    if (!IsDue(aInput, host)) {
+      continue;
+    }
+    wave.order.push_back(host);
+    HostProgress& progress = wave.hosts[host];
+    progress.since = aInput.now;
+    progress.placement = member.placement;
+  }
+  return wave;
+}
+
+/// Sorts by \p aRank(host, membership), lowest first.
+template<typename Rank>
+void
+SortBy(WaveState& aWave, const PoolRegistry& aRegistry, const Rank& aRank)
+{
+  using RankType = decltype(aRank(HostId(), Membership()));
+  std::vector<std::pair<RankType, HostId>> ranked;
+  ranked.reserve(aWave.order.size());
+  for (const HostId& host : aWave.order) {
+    ranked.emplace_back(aRank(host, *aRegistry.Find(host)), host);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    aWave.order[i] = std::move(ranked[i].second);
+  }
+}
+
+} // namespace
+
+void
+RemainingWork::Add(const Membership& aMember)
+{
+  const Hosts one(1);
+  total_ += one;
+  pools_[aMember.pool] += one;
+  zones_[aMember.placement.availabilityZone] += one;
+  racks_[aMember.placement] += one;
+}
+
+double
+RemainingWork::RoundsOf(const Membership& aMember) const
+{
+  const AvailabilityZoneId& zone = aMember.placement.availabilityZone;
+  const Placement& rack = aMember.placement;
+  const double pool =
+    Rounds(CountOf(pools_, aMember.pool), budgets_.OfPool(aMember.pool));
+  return std::max({ pool,
+                    Rounds(CountOf(zones_, zone), budgets_.OfZone(zone)),
+                    Rounds(CountOf(racks_, rack), budgets_.OfRack(rack)) });
+}
+
+Duration
+RemainingWork::Forecast(Duration aCycle, Hosts aAtOnce) const
+{
+  double rounds = Rounds(total_, aAtOnce);
+  for (const auto& [pool, hosts] : pools_) {
+    rounds = std::max(rounds, Rounds(hosts, budgets_.OfPool(pool)));
+  }
+  for (const auto& [zone, hosts] : zones_) {
+    rounds = std::max(rounds, Rounds(hosts, budgets_.OfZone(zone)));
+  }
+  for (const auto& [rack, hosts] : racks_) {
+    rounds = std::max(rounds, Rounds(hosts, budgets_.OfRack(rack)));
+  }
+  return aCycle * static_cast<std::int64_t>(std::ceil(rounds));
+}
+
+WaveState
+OneAtATimePlanner::Plan(const WaveInput& aInput) const
+{
+  WaveState wave = AllDue(aInput);
+  wave.atOnce = Hosts(1);
+  SortBy(wave, aInput.registry, [](const HostId&, const Membership& aMember) {
+    return aMember.placement;
+  });
+  return wave;
+}
+
+WaveState
+BottleneckPlanner::Plan(const WaveInput& aInput) const
+{
+  WaveState wave = AllDue(aInput);
+  RemainingWork work(aInput.budgets);
+  for (const HostId& host : wave.order) {
+    work.Add(*aInput.registry.Find(host));
+  }
+  const auto rank = [&](const HostId& aHost, const Membership& aMember) {
+    const bool isOverdue = DueAt(aInput, aHost) < aInput.now;
+    return std::tuple(!isOverdue, -work.RoundsOf(aMember), aMember.placement);
+  };
+  SortBy(wave, aInput.registry, rank);
+  return wave;
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/lib/WaveProgress.cpp
@@ -0,0 +1,216 @@
+#include "greengage/fleet/WaveProgress.h"
+
+#include "greengage/fleet/WavePlanner.h"
+
+#include <algorithm>
+
+namespace greengage::fleet {
+
+namespace {
+
+/// A forecast beyond this is none.
+constexpr Duration kFarFuture = Duration::Seconds(10LL * 365 * 24 * 3600);
+
+std::string
+DescribeSpan(Duration aSpan)
+{
+  constexpr std::int64_t kMinuteMillis = 60 * 1000;
+  const std::int64_t minutes =
+    (aSpan.Millis() + kMinuteMillis - 1) / kMinuteMillis;
+  if (minutes < 60) {
+    return std::to_string(minutes) + " min";
+  }
+  return std::to_string(minutes / 60) + " h " + std::to_string(minutes % 60) +
+         " min";
+}
+
+const char*
+NameOf(PauseKind aKind)
+{
+  return aKind == PauseKind::SecondLoss
+           ? "a host was lost soon after another came back"
+           : "several hosts were lost together";
+}
+
+std::string
+Describe(const Pause& aPause)
+{
+  const std::string where =
+    aPause.zone ? "zone \"" + aPause.zone->Value() + "\"" : "the wave";
+  return where + " is paused, " + NameOf(aPause.kind);
+}
+
+std::optional<Time>
+ForecastOf(const WaveRunner& aRunner,
+           const PoolRegistry& aRegistry,
+           const Budgets& aBudgets,
+           Duration aCycle,
+           Time aNow)
+{
+  const WaveState& wave = aRunner.State();
+  const Duration cycle = wave.doneCount > 0
+                           ? Duration(wave.doneTime.Millis() / wave.doneCount)
+                           : aCycle;
+  RemainingWork work(aBudgets);
+  for (const auto& [host, progress] : wave.hosts) {
+    const Membership* member = aRegistry.Find(host);
+    const bool isLeft =
+      progress.phase != HostPhase::Done && progress.phase != HostPhase::Failed;
+    if (member && isLeft) {
+      work.Add(*member);
+    }
+  }
+  Time start = aNow;
+  for (const Pause& pause : wave.pauses) {
+    start = std::max(start, pause.until);
+  }
+  const Duration rest = work.Forecast(cycle, wave.atOnce);
+  return rest > kFarFuture ? std::nullopt : std::optional(start + rest);
+}
+
+std::size_t
+Scale(std::size_t aCount, std::size_t aTotal, std::size_t aWidth)
+{
+  return aTotal == 0 ? 0 : aCount * aWidth / aTotal;
+}
+
+} // namespace
+
+WaveProgress
+ProgressOf(const WaveRunner& aRunner,
+           const PoolRegistry& aRegistry,
+           const BudgetBook& aBook,
+           Duration aCycle,
+           Time aNow)
+{
+  const BudgetPicture picture(aRegistry, aBook, aNow);
+  const WaveState& wave = aRunner.State();
+  WaveProgress progress;
+  progress.at = aNow;
+  progress.startedAt = wave.startedAt;
+  progress.total = wave.hosts.size();
+  progress.pauses = wave.pauses;
+  progress.forecastEnd =
+    ForecastOf(aRunner, aRegistry, aBook.State().budgets, aCycle, aNow);
+  for (const HostId& host : wave.order) {
+    const HostProgress& entry = wave.hosts.at(host);
+    ++progress.inPhase[static_cast<std::size_t>(entry.phase)];
+    if (entry.phase == HostPhase::Waiting) {
+      progress.waiting.push_back(
+        { .host = host, .reason = aRunner.ReasonOf(host, picture, aNow) });
+    } else if (entry.phase == HostPhase::Failed) {
+      progress.failed.push_back({ .host = host, .remedy = entry.remedy });
+    }
+  }
+  return progress;
+}
+
+std::string
+Describe(const WaitReason& aReason, Time aNow)
+{
+  switch (aReason.kind) {
+    case WaitKind::Paused:
+      return Describe(*aReason.pause) + ", for another " +
+             DescribeSpan(aReason.until - aNow);
+    case WaitKind::Budget:
+      return Describe(aReason.denials.front());
+    case WaitKind::RetryLater:
+      return "an earlier attempt failed, tried again in " +
+             DescribeSpan(aReason.until - aNow);
+    case WaitKind::Down:
+      return "the host is down, taken once it is back";
+    case WaitKind::AtOnce:
+      return "the wave takes no more hosts at once";
+    case WaitKind::Next:
+      break;
+  }
+  return "goes next";
+}
+
+std::string
+RenderBar(const WaveProgress& aProgress, std::size_t aWidth)
+{
+  const std::size_t total = aProgress.total;
+  const std::size_t done = aProgress.Count(HostPhase::Done);
+  const std::size_t failed = aProgress.Count(HostPhase::Failed);
+  const std::size_t waiting = aProgress.Count(HostPhase::Waiting);
+  const std::size_t taken = total - done - failed - waiting;
+  // Each boundary is scaled by itself, so that the parts fill the bar exactly.
+  const std::size_t doneEnd = Scale(done, total, aWidth);
+  const std::size_t takenEnd = Scale(done + taken, total, aWidth);
+  const std::size_t failedEnd = Scale(done + taken + failed, total, aWidth);
+  return std::string(doneEnd, '#') + std::string(takenEnd - doneEnd, '>') +
+         std::string(failedEnd - takenEnd, 'x') +
+         std::string(aWidth - failedEnd, '.');
+}
+
+std::string
+RenderStatus(const WaveProgress& aProgress,
+             std::size_t aWidth,
+             std::size_t aMaxHosts)
+{
+  const std::size_t done = aProgress.Count(HostPhase::Done);
+  std::string text = "[" + RenderBar(aProgress, aWidth) + "] " +
+                     std::to_string(done) + "/" +
+                     std::to_string(aProgress.total) + "\n";
+  for (std::size_t i = 0; i < kHostPhases; ++i) {
+    text += i == 0 ? "" : ", ";
+    text += std::to_string(aProgress.inPhase[i]) + " " +
+            NameOf(static_cast<HostPhase>(i));
+  }
+  text += aProgress.forecastEnd
+            ? "\nends in " + DescribeSpan(*aProgress.forecastEnd - aProgress.at)
+            : "\nnever ends: a budget allows no host to be down";
+  for (const FailedHost& failed : aProgress.failed) {
+    text += "\n" + failed.host.Value() + ": " + Describe(failed.remedy);
+  }
+  const std::size_t shown = std::min(aMaxHosts, aProgress.waiting.size());
+  for (std::size_t i = 0; i < shown; ++i) {
+    const WaitingHost& entry = aProgress.waiting[i];
+    text +=
+      "\n" + entry.host.Value() + ": " + Describe(entry.reason, aProgress.at);
+  }
+  if (shown < aProgress.waiting.size()) {
+    text += "\n" + std::to_string(aProgress.waiting.size() - shown) +
+            " more are waiting";
+  }
+  return text + "\n";
+}
+
+const char*
+NameOf(HostPhase aPhase)
+{
+  switch (aPhase) {
+    case HostPhase::Waiting:
+      return "waiting";
+    case HostPhase::Draining:
+      return "draining";
+    case HostPhase::Rebooting:
+      return "rebooting";
+    case HostPhase::Checking:
+      return "checking";
+    case HostPhase::Watching:
+      return "watched";
+    case HostPhase::Done:
+      return "done";
+    case HostPhase::Failed:
+      break;
+  }
+  return "failed";
+}
+
+const char*
+Describe(HostRemedy aRemedy)
+{
+  switch (aRemedy) {
+    case HostRemedy::FindStuckTask:
+      return "the drain never ended; find the task that holds it";
+    case HostRemedy::PowerCycle:
+      return "it did not come back from its reboot; power-cycle it";
+    case HostRemedy::Replace:
+      break;
+  }
+  return "it is not healthy; replace it";
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/lib/WaveRunner.cpp
@@ -0,0 +1,428 @@
+#include "greengage/fleet/WaveRunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengage::fleet {
+
+namespace {
+
+bool
+IsTaken(HostPhase aPhase)
+{
+  return aPhase == HostPhase::Draining || aPhase == HostPhase::Rebooting ||
+         aPhase == HostPhase::Checking || aPhase == HostPhase::Watching;
+}
+
+void
+Enter(HostProgress& aHost, HostPhase aPhase, Time aNow)
+{
+  aHost.phase = aPhase;
+  aHost.since = aNow;
+}
+
+} // namespace
+
+WaveRunner::WaveRunner(WaveOptions aOptions,
+                       EntryHostId aSelf,
+                       WaveState aState)
+  : options_(aOptions)
+  , self_(std::move(aSelf))
+  , state_(std::move(aState))
+{
+}
+
+void
+WaveRunner::Resume(WaveActions& aOut) const
+{
+  for (const auto& [host, progress] : state_.hosts) {
+    switch (progress.phase) {
+      case HostPhase::Draining:
+        aOut.emplace_back(Drain{ host });
+        break;
+      case HostPhase::Rebooting:
+        aOut.emplace_back(Reboot{ host });
+        break;
+      case HostPhase::Checking:
+        aOut.emplace_back(Check{ host });
+        break;
+      case HostPhase::Watching:
+        aOut.emplace_back(Return{ .host = host, .isWatched = true });
+        break;
+      case HostPhase::Waiting:
+      case HostPhase::Done:
+      case HostPhase::Failed:
+        break;
+    }
+  }
+}
+
+void
+WaveRunner::Handle(const WaveEvent& aEvent, Time aNow, WaveActions& aOut)
+{
+  std::visit([&](const auto& aTyped) { On(aTyped, aNow, aOut); }, aEvent);
+}
+
+HostProgress*
+WaveRunner::InPhase(const HostId& aHost, HostPhase aPhase)
+{
+  auto found = state_.hosts.find(aHost);
+  const bool isThere =
+    found != state_.hosts.end() && found->second.phase == aPhase;
+  return isThere ? &found->second : nullptr;
+}
+
+void
+WaveRunner::On(const GrantGiven& aEvent, Time aNow, WaveActions& aOut)
+{
+  requested_.erase(aEvent.host);
+  HostProgress* host = InPhase(aEvent.host, HostPhase::Waiting);
+  // A grant that came too late runs out by itself.
+  if (!host || aNow >= aEvent.expiresAt || PauseOf(*host, aNow)) {
+    return;
+  }
+  Enter(*host, HostPhase::Draining, aNow);
+  host->startedAt = aNow;
+  host->isCheckpointAsked = false;
+  aOut.emplace_back(Drain{ aEvent.host });
+}
+
+void
+WaveRunner::On(const GrantDenied& aEvent, Time aNow, WaveActions&)
+{
+  requested_.erase(aEvent.host);
+  if (HostProgress* host = InPhase(aEvent.host, HostPhase::Draining)) {
+    Enter(*host, HostPhase::Waiting, aNow);
+  }
+}
+
+void
+WaveRunner::On(const HostDrained& aEvent, Time aNow, WaveActions& aOut)
+{
+  if (HostProgress* host = InPhase(aEvent.host, HostPhase::Draining)) {
+    Enter(*host, HostPhase::Rebooting, aNow);
+    aOut.emplace_back(Reboot{ aEvent.host });
+  }
+}
+
+void
+WaveRunner::On(const HostRebooted& aEvent, Time aNow, WaveActions& aOut)
+{
+  if (HostProgress* host = InPhase(aEvent.host, HostPhase::Rebooting)) {
+    Enter(*host, HostPhase::Checking, aNow);
+    aOut.emplace_back(Check{ aEvent.host });
+  }
+}
+
+void
+WaveRunner::On(const HostChecked& aEvent, Time aNow, WaveActions& aOut)
+{
+  HostProgress* host = InPhase(aEvent.host, HostPhase::Checking);
+  if (!host) {
+    return;
+  }
+  if (!aEvent.isHealthy) {
+    Abandon(aEvent.host, *host, HostRemedy::Replace, aNow, aOut);
+    return;
+  }
+  Enter(*host, HostPhase::Watching, aNow);
+  aOut.emplace_back(Return{ .host = aEvent.host, .isWatched = true });
+}
+
+void
+WaveRunner::On(const HostFailed& aEvent, Time aNow, WaveActions& aOut)
+{
+  auto found = state_.hosts.find(aEvent.host);
+  if (found == state_.hosts.end()) {
+    return;
+  }
+  HostProgress& host = found->second;
+  if (host.phase == HostPhase::Failed) {
+    return;
+  }
+  if (IsSecondLoss(host.placement, aNow)) {
+    PauseUntil(PauseKind::SecondLoss, std::nullopt, aNow);
+  }
+  NoteLoss(host.placement, aNow);
+  if (IsTaken(host.phase)) {
+    Abandon(aEvent.host, host, HostRemedy::Replace, aNow, aOut);
+  }
+}
+
+void
+WaveRunner::On(const HostRecovered& aEvent, Time aNow, WaveActions&)
+{
+  HostProgress* host = InPhase(aEvent.host, HostPhase::Failed);
+  if (host) {
+    RetryLater(aEvent.host, *host, aNow);
+  }
+}
+
+void
+WaveRunner::On(const ResumeWave&, Time, WaveActions&)
+{
+  state_.pauses.clear();
+  state_.losses.clear();
+}
+
+void
+WaveRunner::Abandon(const HostId& aHost,
+                    HostProgress& aHostProgress,
+                    HostRemedy aRemedy,
+                    Time aNow,
+                    WaveActions& aOut)
+{
+  Enter(aHostProgress, HostPhase::Failed, aNow);
+  aHostProgress.remedy = aRemedy;
+  aOut.emplace_back(GiveUp{ .host = aHost, .remedy = aRemedy });
+}
+
+void
+WaveRunner::RetryLater(const HostId& aHost,
+                       HostProgress& aHostProgress,
+                       Time aNow)
+{
+  requested_.erase(aHost);
+  Enter(aHostProgress, HostPhase::Waiting, aNow);
+  ++aHostProgress.attempts;
+  aHostProgress.notBefore = aNow + options_.retryAfter;
+}
+
+void
+WaveRunner::PauseUntil(PauseKind aKind,
+                       std::optional<AvailabilityZoneId> aZone,
+                       Time aNow)
+{
+  const Time until = aNow + options_.pause;
+  for (Pause& pause : state_.pauses) {
+    if (pause.kind == aKind && pause.zone == aZone) {
+      pause.until = until;
+      return;
+    }
+  }
+  state_.pauses.push_back(
+    { .kind = aKind, .zone = std::move(aZone), .until = until });
+}
+
+void
+WaveRunner::NoteLoss(const Placement& aPlacement, Time aNow)
+{
+  ForgetOld(aNow);
+  state_.losses.push_back({ .placement = aPlacement, .at = aNow });
+  int inRack = 0;
+  int inZone = 0;
+  for (const LossRecord& loss : state_.losses) {
+    inRack += loss.placement == aPlacement ? 1 : 0;
+    const bool isSameZone =
+      loss.placement.availabilityZone == aPlacement.availabilityZone;
+    inZone += isSameZone ? 1 : 0;
+  }
+  if (inRack >= options_.lossesInRack || inZone >= options_.lossesInZone) {
+    PauseUntil(
+      PauseKind::CorrelatedFailures, aPlacement.availabilityZone, aNow);
+  }
+}
+
+bool
+WaveRunner::IsSecondLoss(const Placement& aPlacement, Time aNow) const
+{
+  return std::any_of(
+    state_.hosts.begin(), state_.hosts.end(), [&](const auto& aEntry) {
+      const HostProgress& host = aEntry.second;
+      const bool isSameZone =
+        host.placement.availabilityZone == aPlacement.availabilityZone;
+      const bool isFresh = host.phase == HostPhase::Done &&
+                           host.since + options_.lossWindow > aNow;
+      return isSameZone && (host.phase == HostPhase::Watching || isFresh);
+    });
+}
+
+void
+WaveRunner::CheckTimeout(const HostId& aHost,
+                         HostProgress& aHostProgress,
+                         Time aNow,
+                         WaveActions& aOut)
+{
+  const Duration spent = aNow - aHostProgress.since;
+  switch (aHostProgress.phase) {
+    case HostPhase::Draining:
+      if (spent >= options_.drainTimeout) {
+        OnDrainTimeout(aHost, aHostProgress, aNow, aOut);
+      }
+      return;
+    case HostPhase::Rebooting:
+      if (spent >= options_.rebootTimeout) {
+        Abandon(aHost, aHostProgress, HostRemedy::PowerCycle, aNow, aOut);
+      }
+      return;
+    case HostPhase::Checking:
+      if (spent >= options_.checkTimeout) {
+        Abandon(aHost, aHostProgress, HostRemedy::Replace, aNow, aOut);
+      }
+      return;
+    case HostPhase::Watching:
+      if (spent >= options_.watch) {
+        Enter(aHostProgress, HostPhase::Done, aNow);
+        state_.doneTime = state_.doneTime + (aNow - aHostProgress.startedAt);
+        ++state_.doneCount;
+        aOut.emplace_back(EndWatch{ aHost });
+      }
+      return;
+    case HostPhase::Waiting:
+    case HostPhase::Done:
+    case HostPhase::Failed:
+      return;
+  }
+}
+
+void
+WaveRunner::OnDrainTimeout(const HostId& aHost,
+                           HostProgress& aHostProgress,
+                           Time aNow,
+                           WaveActions& aOut)
+{
+  if (!aHostProgress.isCheckpointAsked) {
+    aHostProgress.isCheckpointAsked = true;
+    aHostProgress.since = aNow;
+    aOut.emplace_back(CheckpointTasks{ aHost });
+    return;
+  }
+  RetryLater(aHost, aHostProgress, aNow);
+  aOut.emplace_back(Return{ .host = aHost, .isWatched = false });
+  if (aHostProgress.attempts >= options_.maxAttempts) {
+    Enter(aHostProgress, HostPhase::Failed, aNow);
+    aHostProgress.remedy = HostRemedy::FindStuckTask;
+  }
+}
+
+void
+WaveRunner::ForgetOld(Time aNow)
+{
+  std::erase_if(state_.pauses,
+                [&](const Pause& aPause) { return aPause.until <= aNow; });
+  std::erase_if(state_.losses, [&](const LossRecord& aLoss) {
+    return aLoss.at + options_.lossWindow <= aNow;
+  });
+}
+
+std::optional<Pause>
+WaveRunner::PauseOf(const HostProgress& aHostProgress, Time aNow) const
+{
+  for (const Pause& pause : state_.pauses) {
+    const bool isHere =
+      !pause.zone || *pause.zone == aHostProgress.placement.availabilityZone;
+    if (isHere && pause.until > aNow) {
+      return pause;
+    }
+  }
+  return std::nullopt;
+}
+
+Hosts
+WaveRunner::TakenNow() const
+{
+  const auto taken = std::count_if(
+    state_.hosts.begin(), state_.hosts.end(), [](const auto& aEntry) {
+      return IsTaken(aEntry.second.phase);
+    });
+  return Hosts(taken + static_cast<std::int64_t>(requested_.size()));
+}
+
+void
+WaveRunner::ForgetRemoved(const BudgetPicture& aPicture)
+{
+  const auto isRemoved = [&](const HostId& aHost) {
+    return !aPicture.IsKnown(aHost);
+  };
+  std::erase_if(state_.order, isRemoved);
+  std::erase_if(requested_,
+                [&](const auto& aEntry) { return isRemoved(aEntry.first); });
+  std::erase_if(state_.hosts,
+                [&](const auto& aEntry) { return isRemoved(aEntry.first); });
+}
+
+void
+WaveRunner::Tick(Time aNow, BudgetPicture aPicture, WaveActions& aOut)
+{
+  ForgetOld(aNow);
+  ForgetRemoved(aPicture);
+  std::erase_if(requested_, [&](const auto& aEntry) {
+    return aEntry.second + options_.grantTimeout <= aNow;
+  });
+  for (auto& [host, progress] : state_.hosts) {
+    CheckTimeout(host, progress, aNow, aOut);
+  }
+  RequestGrants(aNow, aPicture, aOut);
+}
+
+void
+WaveRunner::RequestGrants(Time aNow, BudgetPicture& aPicture, WaveActions& aOut)
+{
+  for (const auto& [host, since] : requested_) {
+    aPicture.AssumeGranted(host);
+  }
+  Hosts taken = TakenNow();
+  for (const HostId& host : state_.order) {
+    if (taken >= state_.atOnce) {
+      return;
+    }
+    const HostProgress& progress = state_.hosts.at(host);
+    const bool mayTry =
+      progress.phase == HostPhase::Waiting && progress.notBefore <= aNow &&
+      !requested_.contains(host) && !PauseOf(progress, aNow) &&
+      aPicture.CauseOf(host) != DownCause::Failed;
+    if (!mayTry || !aPicture.MayTakeDown(host, self_).empty()) {
+      continue;
+    }
+    requested_[host] = aNow;
+    aPicture.AssumeGranted(host);
+    taken += Hosts(1);
+    aOut.emplace_back(RequestGrant{ host });
+  }
+}
+
+WaitReason
+WaveRunner::ReasonOf(const HostId& aHost,
+                     const BudgetPicture& aPicture,
+                     Time aNow) const
+{
+  WaitReason reason;
+  auto found = state_.hosts.find(aHost);
+  if (found == state_.hosts.end() || requested_.contains(aHost)) {
+    return reason;
+  }
+  if (std::optional<Pause> pause = PauseOf(found->second, aNow)) {
+    reason.kind = WaitKind::Paused;
+    reason.until = pause->until;
+    reason.pause = std::move(pause);
+    return reason;
+  }
+  if (found->second.notBefore > aNow) {
+    reason.kind = WaitKind::RetryLater;
+    reason.until = found->second.notBefore;
+    return reason;
+  }
+  if (aPicture.CauseOf(aHost) == DownCause::Failed) {
+    reason.kind = WaitKind::Down;
+    return reason;
+  }
+  reason.denials = aPicture.MayTakeDown(aHost, self_);
+  if (!reason.denials.empty()) {
+    reason.kind = WaitKind::Budget;
+  } else if (TakenNow() >= state_.atOnce) {
+    reason.kind = WaitKind::AtOnce;
+  }
+  return reason;
+}
+
+bool
+WaveRunner::IsOver() const
+{
+  return std::all_of(
+    state_.hosts.begin(), state_.hosts.end(), [](const auto& aEntry) {
+      return aEntry.second.phase == HostPhase::Done ||
+             aEntry.second.phase == HostPhase::Failed;
+    });
+}
+
+} // namespace greengage::fleet
--- /dev/null
+++ b/packages/fleet/unittests/FakeFleet.h
@@ -0,0 +1,480 @@
+/// \file
+/// A fleet for tests and benchmarks of decisions: hosts in zones, racks and
+/// pools, a seeded list of losses, and a driver that does what the runner asks
+/// for. It keeps its own count of what is really down, apart from the book's.
+
+#ifndef GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
+#define GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
+
+#include "greengage/fleet/BudgetBook.h"
+#include "greengage/fleet/BudgetPicture.h"
+#include "greengage/fleet/PoolRegistry.h"
+#include "greengage/fleet/WavePlanner.h"
+#include "greengage/fleet/WaveRunner.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace greengage::fleet::test {
+
+/// The size of a fleet. Hosts are dealt to racks of four, racks to zones, and
+/// pools are spread over all racks.
+struct FleetShape
+{
+  int zones = 3;
+  int workers = 50;
+  int pools = 5;
+  /// The last pool is the spare one and has this many hosts.
+  int spares = 10;
+};
+
+constexpr int kHostsPerRack = 4;
+
+inline FleetShape
+RenovaSul()
+{
+  return { .zones = 3, .workers = 50, .pools = 5, .spares = 10 };
+}
+
+inline FleetShape
+Tinkerbots()
+{
+  return { .zones = 4, .workers = 50, .pools = 5, .spares = 10 };
+}
+
+inline PoolId
+PoolOf(int aPool)
+{
+  return PoolId("p" + std::to_string(aPool));
+}
+
+inline PoolId
+SparePool(const FleetShape& aShape)
+{
+  return PoolOf(aShape.pools - 1);
+}
+
+inline HostId
+HostAt(int aIndex)
+{
+  return HostId("h" + std::to_string(aIndex));
+}
+
+inline Placement
+PlaceOf(const FleetShape& aShape, int aHost)
+{
+  const int rack = aHost / kHostsPerRack;
+  return { AvailabilityZoneId("z" + std::to_string(rack % aShape.zones)),
+           RackId("r" + std::to_string(rack)) };
+}
+
+inline PoolRegistry
+BuildRegistry(const FleetShape& aShape)
+{
+  PoolRegistry registry;
+  Error reason;
+  const int stride = std::max(1, aShape.workers / std::max(1, aShape.spares));
+  int spares = 0;
+  for (int i = 0; i < aShape.workers; ++i) {
+    const bool isSpare = i % stride == 0 && spares < aShape.spares;
+    spares += isSpare ? 1 : 0;
+    const PoolId pool =
+      isSpare ? SparePool(aShape) : PoolOf(i % (aShape.pools - 1));
+    registry.Apply(AddHost{ HostAt(i), PlaceOf(aShape, i), pool, Time(0) },
+                   reason);
+  }
+  return registry;
+}
+
+/// Hosts that are lost together.
+struct Loss
+{
+  Time at;
+  std::vector<HostId> hosts;
+  Duration repair;
+};
+
+/// How often what is lost.
+struct LossRates
+{
+  Duration span = Duration::Seconds(48 * 3600);
+  int singles = 8;
+  int racks = 1;
+  int zones = 1;
+};
+
+/// A seeded list of losses: single hosts, whole racks and whole zones.
+inline std::vector<Loss>
+MakeLosses(const FleetShape& aShape, const LossRates& aRates, unsigned aSeed)
+{
+  std::mt19937 random(aSeed);
+  std::vector<Loss> losses;
+  const auto when = [&] {
+    return Time(static_cast<std::int64_t>(
+      random() % static_cast<std::uint64_t>(aRates.span.Millis())));
+  };
+  const auto add = [&](const auto& aIsLost, Duration aRepair) {
+    Loss loss{ .at = when(), .hosts = {}, .repair = aRepair };
+    for (int i = 0; i < aShape.workers; ++i) {
+      if (aIsLost(i)) {
+        loss.hosts.push_back(HostAt(i));
+      }
+    }
+    losses.push_back(std::move(loss));
+  };
+  const auto pick = [&](int aBound) {
+    return static_cast<int>(random() % static_cast<unsigned>(aBound));
+  };
+  for (int n = 0; n < aRates.singles; ++n) {
+    const int host = pick(aShape.workers);
+    add([&](int aHost) { return aHost == host; }, Duration::Seconds(3600));
+  }
+  for (int n = 0; n < aRates.racks; ++n) {
+    const int rack = pick(aShape.workers / kHostsPerRack);
+    add([&](int aHost) { return aHost / kHostsPerRack == rack; },
+        Duration::Seconds(2 * 3600));
+  }
+  for (int n = 0; n < aRates.zones; ++n) {
+    const AvailabilityZoneId zone =
+      PlaceOf(aShape, kHostsPerRack * pick(aShape.zones)).availabilityZone;
+    add(
+      [&](int aHost) {
+        return PlaceOf(aShape, aHost).availabilityZone == zone;
+      },
+      Duration::Seconds(1800));
+  }
+  return losses;
+}
+
+/// What the fake hosts take for their steps, at least and at most.
+struct StepTimes
+{
+  std::int64_t drainMin = 60;
+  std::int64_t drainMax = 600;
+  std::int64_t rebootMin = 180;
+  std::int64_t rebootMax = 300;
+  std::int64_t check = 30;
+  /// One in so many hosts is not healthy after its reboot.
+  unsigned unhealthyOneIn = 100;
+  /// One in so many returns is followed by the loss of a neighbour.
+  unsigned secondLossOneIn = 10;
+};
+
+/// What a run shows.
+struct WaveOutcome
+{
+  Duration rollOut;
+  /// Drains that began although a budget was spent.
+  int promisesBroken = 0;
+  std::size_t drains = 0;
+  std::size_t done = 0;
+  std::size_t failed = 0;
+  bool isOver = false;
+};
+
+/// Does what a runner asks for, over a fleet with losses.
+class FakeFleet
+{
+public:
+  FakeFleet(const FleetShape& aShape,
+            Budgets aBudgets,
+            std::vector<Loss> aLosses,
+            unsigned aSeed,
+            StepTimes aTimes = {})
+    : registry(BuildRegistry(aShape))
+    , budgets(std::move(aBudgets))
+    , random_(aSeed)
+    , times_(aTimes)
+  {
+    BudgetRefusal refusal;
+    book.Apply(SetBudgets{ budgets }, registry, refusal);
+    for (const Loss& loss : aLosses) {
+      losses_.emplace(loss.at, loss);
+    }
+  }
+
+  /// Lets the book grant whatever is asked for, as a driver without budgets.
+  void IgnoreBudgets()
+  {
+    BudgetRefusal refusal;
+    book.Apply(SetBudgets{ Budgets{} }, registry, refusal);
+  }
+
+  /// Hands everything that is due to the runner.
+  void Step(WaveRunner& aRunner, Time aNow)
+  {
+    LoseHosts(aRunner, aNow);
+    RecoverHosts(aRunner, aNow);
+    while (!events_.empty() && events_.begin()->first <= aNow) {
+      const WaveEvent event = events_.begin()->second;
+      events_.erase(events_.begin());
+      Send(aRunner, event, aNow);
+    }
+    WaveActions actions;
+    aRunner.Tick(aNow, BudgetPicture(registry, book, aNow), actions);
+    Execute(aRunner, actions, aNow);
+  }
+
+  /// Does what a new runner asks for after a restart.
+  void Restart(const WaveRunner& aRunner, Time aNow)
+  {
+    events_.clear();
+    WaveActions actions;
+    aRunner.Resume(actions);
+    Execute(aRunner, actions, aNow);
+  }
+
+  /// Whether a host takes work.
+  bool IsServing(const HostId& aHost) const
+  {
+    const Membership* member = registry.Find(aHost);
+    return member && !member->move && !lost_.contains(aHost) &&
+           !out_.contains(aHost);
+  }
+
+  /// Loses hosts now.
+  void Lose(WaveRunner& aRunner,
+            const std::vector<HostId>& aHosts,
+            Duration aRepair,
+            Time aNow)
+  {
+    for (const HostId& host : aHosts) {
+      if (lost_.insert(host).second) {
+        repairs_.emplace(aNow + aRepair, host);
+        Apply(NoteFailed{ host });
+        if (!rebooting_.contains(host)) {
+          Send(aRunner, HostFailed{ host }, aNow);
+        }
+      }
+    }
+  }
+
+  PoolRegistry registry;
+  BudgetBook book;
+  /// The budgets that were promised.
+  Budgets budgets;
+  int promisesBroken = 0;
+  std::size_t drains = 0;
+  /// The hosts that each drain was confirmed for, in order.
+  std::vector<HostId> drained;
+
+private:
+  std::int64_t Between(std::int64_t aMin, std::int64_t aMax)
+  {
+    return aMin + static_cast<std::int64_t>(
+                    random_() % static_cast<std::uint64_t>(aMax - aMin + 1));
+  }
+  bool OneIn(unsigned aCount) { return aCount > 0 && random_() % aCount == 0; }
+  bool Apply(const BudgetCommand& aCommand)
+  {
+    refusal_ = {};
+    return book.Apply(aCommand, registry, refusal_);
+  }
+  void After(Time aNow, std::int64_t aSeconds, WaveEvent aEvent)
+  {
+    events_.emplace(aNow + Duration::Seconds(aSeconds), std::move(aEvent));
+  }
+  void Send(WaveRunner& aRunner, const WaveEvent& aEvent, Time aNow)
+  {
+    WaveActions actions;
+    aRunner.Handle(aEvent, aNow, actions);
+    Execute(aRunner, actions, aNow);
+  }
+  void Execute(const WaveRunner&, const WaveActions& aActions, Time aNow)
+  {
+    for (const WaveAction& action : aActions) {
+      std::visit([&](const auto& aTyped) { On(aTyped, aNow); }, action);
+    }
+  }
+
+  void On(const RequestGrant& aAction, Time aNow)
+  {
+    const Time expiry = aNow + Duration::Seconds(60);
+    if (Apply(TakeGrant{ aAction.host, kSelf, aNow, expiry })) {
+      After(aNow, 1, GrantGiven{ aAction.host, expiry });
+    } else {
+      After(aNow, 1, GrantDenied{ aAction.host, refusal_.denials });
+    }
+  }
+  void On(const Drain& aAction, Time aNow)
+  {
+    if (!Apply(ConfirmDrain{ aAction.host, kSelf, aNow })) {
+      After(aNow, 1, GrantDenied{ aAction.host, refusal_.denials });
+      return;
+    }
+    const bool isNew = out_.insert(aAction.host).second;
+    if (isNew) {
+      ++drains;
+      drained.push_back(aAction.host);
+      Audit(aAction.host);
+    }
+    After(aNow,
+          Between(times_.drainMin, times_.drainMax),
+          HostDrained{ aAction.host });
+  }
+  void On(const CheckpointTasks&, Time) {}
+  void On(const Reboot& aAction, Time aNow)
+  {
+    rebooting_.insert(aAction.host);
+    After(aNow,
+          Between(times_.rebootMin, times_.rebootMax),
+          HostRebooted{ aAction.host });
+  }
+  void On(const Check& aAction, Time aNow)
+  {
+    rebooting_.erase(aAction.host);
+    const bool isHealthy =
+      !OneIn(times_.unhealthyOneIn) && !lost_.contains(aAction.host);
+    After(aNow, times_.check, HostChecked{ aAction.host, isHealthy });
+  }
+  void On(const Return& aAction, Time aNow)
+  {
+    out_.erase(aAction.host);
+    aAction.isWatched ? Apply(BeginWatch{ aAction.host })
+                      : Apply(EndClaim{ aAction.host });
+    if (aAction.isWatched && OneIn(times_.secondLossOneIn)) {
+      LoseNeighbour(aAction.host, aNow);
+    }
+  }
+  void On(const EndWatch& aAction, Time) { Apply(EndClaim{ aAction.host }); }
+  void On(const GiveUp& aAction, Time aNow)
+  {
+    out_.erase(aAction.host);
+    rebooting_.erase(aAction.host);
+    Apply(NoteFailed{ aAction.host });
+    Apply(EndClaim{ aAction.host });
+    if (lost_.insert(aAction.host).second) {
+      repairs_.emplace(aNow + Duration::Seconds(3600), aAction.host);
+    }
+  }
+
+  void LoseNeighbour(const HostId& aHost, Time aNow)
+  {
+    const Placement& place = registry.Find(aHost)->placement;
+    for (const auto& [host, member] : registry.Members()) {
+      if (host != aHost && member.placement == place && IsServing(host)) {
+        const Time at =
+          aNow + Duration::Seconds(static_cast<std::int64_t>(random_() % 300));
+        losses_.emplace(at, Loss{ at, { host }, Duration::Seconds(3600) });
+        return;
+      }
+    }
+  }
+  void LoseHosts(WaveRunner& aRunner, Time aNow)
+  {
+    while (!losses_.empty() && losses_.begin()->first <= aNow) {
+      const Loss loss = losses_.begin()->second;
+      losses_.erase(losses_.begin());
+      Lose(aRunner, loss.hosts, loss.repair, aNow);
+    }
+  }
+  void RecoverHosts(WaveRunner& aRunner, Time aNow)
+  {
+    while (!repairs_.empty() && repairs_.begin()->first <= aNow) {
+      const HostId host = repairs_.begin()->second;
+      repairs_.erase(repairs_.begin());
+      lost_.erase(host);
+      Apply(NoteRecovered{ host });
+      Send(aRunner, HostRecovered{ host }, aNow);
+    }
+  }
+
+  /// Counts what is really down beside the host whose drain begins.
+  void Audit(const HostId& aHost)
+  {
+    const Membership& drained_ = *registry.Find(aHost);
+    Hosts inPool;
+    Hosts inZone;
+    Hosts inRack;
+    for (const auto& [host, member] : registry.Members()) {
+      if (!lost_.contains(host) && !out_.contains(host) && !member.move) {
+        continue;
+      }
+      inPool += Hosts(member.pool == drained_.pool ? 1 : 0);
+      inZone += Hosts(member.placement.availabilityZone ==
+                          drained_.placement.availabilityZone
+                        ? 1
+                        : 0);
+      inRack += Hosts(member.placement == drained_.placement ? 1 : 0);
+    }
+    const bool isBroken =
+      inPool > budgets.OfPool(drained_.pool) ||
+      inZone > budgets.OfZone(drained_.placement.availabilityZone) ||
+      inRack > budgets.OfRack(drained_.placement);
+    promisesBroken += isBroken ? 1 : 0;
+  }
+
+  const EntryHostId kSelf{ "e1" };
+  std::mt19937 random_;
+  StepTimes times_;
+  std::multimap<Time, Loss> losses_;
+  std::multimap<Time, HostId> repairs_;
+  std::multimap<Time, WaveEvent> events_;
+  std::set<HostId> lost_;
+  std::set<HostId> out_;
+  std::set<HostId> rebooting_;
+  BudgetRefusal refusal_;
+};
+
+/// The budgets of both users' sizes: a fifth of a pool of ten, a fifth of a
+/// zone, and half a rack.
+inline Budgets
+DefaultBudgets(const FleetShape& aShape)
+{
+  Budgets budgets;
+  budgets.defaultPool = Hosts(std::max(1, aShape.workers / aShape.pools / 5));
+  budgets.defaultZone = Hosts(std::max(1, aShape.workers / aShape.zones / 5));
+  budgets.defaultRack = Hosts(2);
+  return budgets;
+}
+
+constexpr Duration kTickStep = Duration::Seconds(10);
+constexpr Duration kCycleGuess = Duration::Seconds(1300);
+
+/// Runs a whole wave. \p aRestartEvery replaces the runner by one that has
+/// only the stored state, every so many steps.
+inline WaveOutcome
+RunWave(FakeFleet& aFleet,
+        const WavePlanner& aPlanner,
+        const WaveOptions& aOptions = {},
+        int aRestartEvery = 0)
+{
+  const std::map<HostId, Time> never;
+  WaveRunner runner(aOptions,
+                    EntryHostId("e1"),
+                    aPlanner.Plan({ .registry = aFleet.registry,
+                                    .budgets = aFleet.budgets,
+                                    .lastMaintained = never,
+                                    .period = {},
+                                    .cycle = kCycleGuess,
+                                    .now = Time(0) }));
+  const Time limit = Time(0) + Duration::Seconds(30 * 24 * 3600);
+  Time now;
+  for (int step = 1; now < limit && !runner.IsOver(); ++step) {
+    now = now + kTickStep;
+    if (aRestartEvery > 0 && step % aRestartEvery == 0) {
+      runner = WaveRunner(aOptions, EntryHostId("e1"), runner.State());
+      aFleet.Restart(runner, now);
+    }
+    aFleet.Step(runner, now);
+  }
+  WaveOutcome outcome;
+  outcome.rollOut = now - Time(0);
+  outcome.promisesBroken = aFleet.promisesBroken;
+  outcome.drains = aFleet.drains;
+  outcome.isOver = runner.IsOver();
+  for (const auto& [host, progress] : runner.State().hosts) {
+    outcome.done += progress.phase == HostPhase::Done ? 1 : 0;
+    outcome.failed += progress.phase == HostPhase::Failed ? 1 : 0;
+  }
+  return outcome;
+}
+
+} // namespace greengage::fleet::test
+
+#endif // GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
--- /dev/null
+++ b/packages/fleet/unittests/WaveTest.cpp
@@ -0,0 +1,295 @@
+#include "FakeFleet.h"
+
+#include "greengage/fleet/WavePlanner.h"
+#include "greengage/fleet/WaveProgress.h"
+#include "greengage/fleet/WaveRunner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengage;
+using namespace greengage::fleet;
+using namespace greengage::fleet::test;
+
+namespace {
+
+const EntryHostId kSelf("e1");
+
+Time
+At(std::int64_t aSeconds)
+{
+  return Time(0) + Duration::Seconds(aSeconds);
+}
+
+/// A wave over eight hosts: two racks in zone z0 and z1, all in two pools.
+struct WaveFixture
+{
+  WaveFixture()
+    : shape{ .zones = 2, .workers = 8, .pools = 2, .spares = 0 }
+    , registry(BuildRegistry(shape))
+    , runner({}, kSelf, Planned())
+  {
+    Budgets budgets;
+    budgets.defaultRack = Hosts(1);
+    BudgetRefusal refusal;
+    book.Apply(SetBudgets{ budgets }, registry, refusal);
+  }
+
+  WaveState Planned() const
+  {
+    const std::map<HostId, Time> never;
+    const Budgets budgets;
+    return BottleneckPlanner().Plan({ .registry = registry,
+                                      .budgets = budgets,
+                                      .lastMaintained = never,
+                                      .period = {},
+                                      .cycle = kCycleGuess,
+                                      .now = Time(0) });
+  }
+  void Tick(Time aNow)
+  {
+    out.clear();
+    runner.Tick(aNow, BudgetPicture(registry, book, aNow), out);
+  }
+  void Send(const WaveEvent& aEvent, Time aNow)
+  {
+    out.clear();
+    runner.Handle(aEvent, aNow, out);
+  }
+  template<typename Action>
+  std::vector<HostId> Asked() const
+  {
+    std::vector<HostId> hosts;
+    for (const WaveAction& action : out) {
+      if (const auto* typed = std::get_if<Action>(&action)) {
+        hosts.push_back(typed->host);
+      }
+    }
+    return hosts;
+  }
+  HostPhase PhaseOf(const HostId& aHost) const
+  {
+    return runner.State().hosts.at(aHost).phase;
+  }
+  /// Takes a host up to the begin of its watch.
+  void TakeToWatch(const HostId& aHost, Time aNow)
+  {
+    Send(GrantGiven{ aHost, aNow + Duration::Seconds(60) }, aNow);
+    Send(HostDrained{ aHost }, aNow);
+    Send(HostRebooted{ aHost }, aNow);
+    Send(HostChecked{ aHost, true }, aNow);
+    REQUIRE(Asked<Return>() == std::vector<HostId>{ aHost });
+  }
+
+  FleetShape shape;
+  PoolRegistry registry;
+  BudgetBook book;
+  WaveRunner runner;
+  WaveActions out;
+};
+
+} // namespace
+
+TEST_CASE("A host is drained, rebooted, checked, returned and watched")
+{
+  WaveFixture wave;
+  wave.Tick(At(0));
+  REQUIRE(wave.Asked<RequestGrant>().size() == 2);
+  const HostId host = wave.Asked<RequestGrant>()[0];
+  wave.Send(GrantGiven{ host, At(60) }, At(1));
+  CHECK(wave.Asked<Drain>() == std::vector<HostId>{ host });
+  wave.Send(HostDrained{ host }, At(2));
+  CHECK(wave.Asked<Reboot>() == std::vector<HostId>{ host });
+  wave.Send(HostRebooted{ host }, At(3));
+  CHECK(wave.Asked<Check>() == std::vector<HostId>{ host });
+  wave.Send(HostChecked{ host, true }, At(4));
+  CHECK(wave.Asked<Return>() == std::vector<HostId>{ host });
+  wave.Tick(At(603));
+  CHECK(wave.Asked<EndWatch>().empty());
+  wave.Tick(At(604));
+  CHECK(wave.Asked<EndWatch>() == std::vector<HostId>{ host });
+  CHECK(wave.PhaseOf(host) == HostPhase::Done);
+}
+
+TEST_CASE(
+  "Grants that came too late or were refused at the drain begin nothing")
+{
+  WaveFixture wave;
+  wave.Tick(At(0));
+  const HostId host = wave.Asked<RequestGrant>()[0];
+  wave.Send(GrantGiven{ host, At(5) }, At(5));
+  CHECK(wave.out.empty());
+  wave.Send(GrantGiven{ host, At(60) }, At(6));
+  wave.Send(GrantDenied{ host, {} }, At(7));
+  CHECK(wave.PhaseOf(host) == HostPhase::Waiting);
+  wave.Send(HostDrained{ host }, At(8));
+  CHECK(wave.out.empty());
+}
+
+TEST_CASE("Each step that takes too long has its remedy")
+{
+  WaveFixture wave;
+  const HostId host = HostAt(0);
+  SECTION("a stuck drain is checkpointed, given back, and tried again")
+  {
+    std::int64_t now = 0;
+    for (int attempt = 1; attempt <= 3; ++attempt) {
+      wave.Send(GrantGiven{ host, At(now + 60) }, At(now));
+      wave.Tick(At(now + 1800));
+      CHECK(wave.Asked<CheckpointTasks>() == std::vector<HostId>{ host });
+      wave.Tick(At(now + 3600));
+      CHECK(wave.Asked<Return>() == std::vector<HostId>{ host });
+      now += 7200;
+    }
+    CHECK(wave.PhaseOf(host) == HostPhase::Failed);
+    CHECK(wave.runner.State().hosts.at(host).remedy ==
+          HostRemedy::FindStuckTask);
+  }
+  SECTION("a host that does not come back is power-cycled")
+  {
+    wave.Send(GrantGiven{ host, At(60) }, At(0));
+    wave.Send(HostDrained{ host }, At(1));
+    wave.Tick(At(901));
+    REQUIRE(wave.Asked<GiveUp>().size() == 1);
+    CHECK(std::get<GiveUp>(wave.out[0]).remedy == HostRemedy::PowerCycle);
+  }
+  SECTION("a host that is not healthy is replaced")
+  {
+    wave.Send(GrantGiven{ host, At(60) }, At(0));
+    wave.Send(HostDrained{ host }, At(1));
+    wave.Send(HostRebooted{ host }, At(2));
+    wave.Send(HostChecked{ host, false }, At(3));
+    REQUIRE(wave.Asked<GiveUp>().size() == 1);
+    CHECK(std::get<GiveUp>(wave.out[0]).remedy == HostRemedy::Replace);
+    wave.Send(HostRecovered{ host }, At(100));
+    CHECK(wave.PhaseOf(host) == HostPhase::Waiting);
+  }
+}
+
+TEST_CASE("Correlated failures pause their zone")
+{
+  WaveFixture wave;
+  wave.Send(HostFailed{ HostAt(0) }, At(0));
+  CHECK(wave.runner.State().pauses.empty());
+  wave.Send(HostFailed{ HostAt(1) }, At(299));
+  REQUIRE(wave.runner.State().pauses.size() == 1);
+  CHECK(wave.runner.State().pauses[0].kind == PauseKind::CorrelatedFailures);
+  wave.Tick(At(300));
+  REQUIRE(wave.Asked<RequestGrant>().size() == 1);
+  const HostId other = wave.Asked<RequestGrant>()[0];
+  CHECK(PlaceOf(wave.shape, 4) == wave.registry.Find(other)->placement);
+  wave.Send(GrantGiven{ HostAt(2), At(400) }, At(301));
+  CHECK(wave.out.empty());
+  wave.Tick(At(299 + 1800));
+  CHECK(wave.runner.State().pauses.empty());
+  CHECK(wave.Asked<RequestGrant>().size() == 2);
+}
+
+TEST_CASE("A second loss soon after a repair pauses the wave until resumed")
+{
+  WaveFixture wave;
+  wave.TakeToWatch(HostAt(0), At(0));
+  SECTION("while the first is watched")
+  {
+    wave.Send(HostFailed{ HostAt(1) }, At(10));
+    REQUIRE(wave.runner.State().pauses.size() == 1);
+    CHECK(wave.runner.State().pauses[0].kind == PauseKind::SecondLoss);
+    wave.Tick(At(11));
+    CHECK(wave.Asked<RequestGrant>().empty());
+    wave.Send(ResumeWave{}, At(12));
+    wave.Tick(At(13));
+    CHECK_FALSE(wave.Asked<RequestGrant>().empty());
+  }
+  SECTION("the repaired host itself")
+  {
+    wave.Send(HostFailed{ HostAt(0) }, At(10));
+    CHECK(wave.Asked<GiveUp>().size() == 1);
+    CHECK(wave.runner.State().pauses.size() == 1);
+  }
+  SECTION("in another zone, or later")
+  {
+    wave.Send(HostFailed{ HostAt(4) }, At(10));
+    CHECK(wave.runner.State().pauses.empty());
+    wave.Tick(At(600));
+    wave.Send(HostFailed{ HostAt(1) }, At(901));
+    CHECK(wave.runner.State().pauses.empty());
+  }
+}
+
+TEST_CASE("A plan takes the hosts that are due, the scarcest budget first")
+{
+  const FleetShape shape = RenovaSul();
+  const PoolRegistry registry = BuildRegistry(shape);
+  const Time now = At(100LL * 24 * 3600);
+  constexpr std::int64_t kWeek = 7 * 24 * 3600;
+  std::map<HostId, Time> last;
+  for (int i = 0; i < shape.workers; ++i) {
+    last[HostAt(i)] = now - Duration::Seconds(5 * kWeek);
+  }
+  last[HostAt(7)] = now - Duration::Seconds(6 * kWeek);
+  last[HostAt(8)] = now - Duration::Seconds(9 * kWeek);
+  last.erase(HostAt(9));
+  Budgets budgets;
+  budgets.defaultPool = Hosts(4);
+  budgets.pools[registry.Find(HostAt(9))->pool] = Hosts(1);
+  const WaveState wave = BottleneckPlanner().Plan({ .registry = registry,
+                                                    .budgets = budgets,
+                                                    .lastMaintained = last,
+                                                    .period = {},
+                                                    .cycle = kCycleGuess,
+                                                    .now = now });
+  const std::vector<HostId> expected = { HostAt(8), HostAt(9), HostAt(7) };
+  CHECK(wave.order == expected);
+}
+
+TEST_CASE("Progress names the reason for each wait and draws a bar")
+{
+  WaveFixture wave;
+  wave.Tick(At(0));
+  wave.TakeToWatch(HostAt(0), At(1));
+  BudgetRefusal refusal;
+  const auto apply = [&](const BudgetCommand& aCommand) {
+    REQUIRE(wave.book.Apply(aCommand, wave.registry, refusal));
+  };
+  apply(TakeGrant{ HostAt(0), kSelf, At(1), At(60) });
+  apply(ConfirmDrain{ HostAt(0), kSelf, At(1) });
+  apply(NoteFailed{ HostAt(5) });
+  wave.Send(HostFailed{ HostAt(5) }, At(2));
+  wave.Send(HostFailed{ HostAt(6) }, At(2));
+  const WaveProgress progress =
+    ProgressOf(wave.runner, wave.registry, wave.book, kCycleGuess, At(3));
+  CHECK(progress.Count(HostPhase::Watching) == 1);
+  REQUIRE(progress.waiting.size() == 7);
+  CHECK(progress.forecastEnd > At(1802));
+  for (const WaitingHost& entry : progress.waiting) {
+    CAPTURE(entry.host.Value());
+    const bool isFirstRack = entry.host < HostAt(4);
+    CHECK((entry.reason.kind == WaitKind::Budget) == isFirstRack);
+  }
+  CHECK(RenderBar(progress, 16) == ">>..............");
+  const std::string text = RenderStatus(progress, 16, 2);
+  CHECK(text.find("rack \"z0/r0\" is spent: 1 may be down, 1 in maintenance") !=
+        std::string::npos);
+  CHECK(text.find("5 more are waiting") != std::string::npos);
+}
+
+TEST_CASE("A wave takes every host once through losses and restarts")
+{
+  const unsigned seed = GENERATE(range(1U, 9U));
+  const int restartEvery = GENERATE(0, 37);
+  CAPTURE(seed, restartEvery);
+  const FleetShape shape = seed % 2 == 0 ? RenovaSul() : Tinkerbots();
+  const LossRates rates{ .span = Duration::Seconds(10 * 3600) };
+  FakeFleet fleet(
+    shape, DefaultBudgets(shape), MakeLosses(shape, rates, seed), seed);
+  const WaveOutcome outcome =
+    RunWave(fleet, BottleneckPlanner(), {}, restartEvery);
+  CHECK(outcome.isOver);
+  CHECK(outcome.promisesBroken == 0);
+  CHECK(outcome.done + outcome.failed == 50);
+  CHECK(outcome.failed <= 2);
+  std::map<HostId, int> taken;
+  for (const HostId& host : fleet.drained) {
+    ++taken[host];
+  }
+  CHECK(taken.size() == 50);
+}
