Add the replica of the agreed log as a pure state machine

Cause: what operators decide has to survive crashes, lost disks and cuts, so the hosts with disks need a replicated log of the project's own.

Writes are actions; votes, acknowledgements and the leader's own count wait until the driver reports them durable. A replica is a host and an incarnation of its data folder, so a host with a lost disk is another replica that follows until it has caught up.

Ruled out: learners in the agreed membership (each restart of a host without a disk would cost two entries); founding by one host alone (it would found again after a lost disk): founding is a unanimous vote of hosts with empty logs, and a founding vote is kept for one founder.

--- /dev/null
+++ b/packages/consensus/lib/ReplicaElection.cpp
@@ -0,0 +1,289 @@
+#include "greengage/consensus/Replica.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace greengage::consensus {
+
+namespace {
+
+/// The term that a message carries; nothing for those outside terms.
+struct TermOfMessage
+{
+  std::optional<Term> operator()(const Join& /*aMessage*/) const { return {}; }
+  std::optional<Term> operator()(const JoinReply& /*aMessage*/) const
+  {
+    return {};
+  }
+  /// A pre-vote names a term that nobody has entered.
+  std::optional<Term> operator()(const RequestVote& aMessage) const
+  {
+    if (aMessage.isPreVote)
+      return {};
+    return aMessage.term;
+  }
+  std::optional<Term> operator()(const VoteReply& aMessage) const
+  {
+    if (aMessage.isPreVote && aMessage.granted)
+      return {};
+    return aMessage.term;
+  }
+  template<typename Kind>
+  std::optional<Term> operator()(const Kind& aMessage) const
+  {
+    return aMessage.term;
+  }
+};
+
+} // namespace
+
+bool
+Replica::ObserveTerm(const MemberId& aFrom, const Message& aMessage)
+{
+  const auto* vote = std::get_if<RequestVote>(&aMessage);
+  if (vote != nullptr && !vote->isTransfer && HasLeaderLease())
+    return false;
+  const std::optional<Term> term = std::visit(TermOfMessage(), aMessage);
+  if (!term || *term <= hard_.term)
+    return true;
+  const bool isOfLeader = std::holds_alternative<Append>(aMessage) ||
+                          std::holds_alternative<SnapshotChunk>(aMessage);
+  BecomeFollower(*term, isOfLeader ? std::optional(aFrom) : std::nullopt);
+  return true;
+}
+
+bool
+Replica::HasLeaderLease() const
+{
+  return role_ == Role::Leader ||
+         now_ < leaderHeardAt_ + options_.electionTimeout;
+}
+
+bool
+Replica::MayGrant(const MemberId& aFrom, const RequestVote& aMessage) const
+{
+  // After a founding vote the log may hold what only others have seen.
+  const bool isPromised = hard_.founder && *hard_.founder != aFrom;
+  if (aMessage.isFounding && (!log_.IsEmpty() || isPromised))
+    return false;
+  const bool isUpToDate = std::tuple(aMessage.lastTerm, aMessage.lastIndex) >=
+                          std::tuple(log_.LastTerm(), log_.LastIndex());
+  if (!isUpToDate)
+    return false;
+  if (aMessage.isPreVote)
+    return aMessage.term > hard_.term;
+  return aMessage.term == hard_.term && (!hard_.vote || *hard_.vote == aFrom);
+}
+
+void
+Replica::On(const MemberId& aFrom, RequestVote&& aMessage)
+{
+  const bool granted = MayGrant(aFrom, aMessage);
+  if (granted && !aMessage.isPreVote) {
+    if (hard_.vote != aFrom) {
+      hard_.vote = aFrom;
+      isHardStateDirty_ = true;
+    }
+    if (aMessage.isFounding)
+      hard_.founder = aFrom;
+    ResetElectionTimer();
+  }
+  const bool isPreGrant = granted && aMessage.isPreVote;
+  Queue(aFrom,
+        VoteReply{ .isPreVote = aMessage.isPreVote,
+                   .term = isPreGrant ? aMessage.term : hard_.term,
+                   .granted = granted },
+        !aMessage.isPreVote);
+}
+
+void
+Replica::On(const MemberId& aFrom, VoteReply&& aMessage)
+{
+  if (!aMessage.granted)
+    return;
+  const bool isPreVote = role_ == Role::PreCandidate && aMessage.isPreVote &&
+                         aMessage.term == Term(hard_.term.Value() + 1);
+  const bool isVote = role_ == Role::Candidate && !aMessage.isPreVote &&
+                      aMessage.term == hard_.term;
+  if (!isPreVote && !isVote)
+    return;
+  votes_.insert(aFrom);
+  CountVotes();
+}
+
+void
+Replica::On(const MemberId& /*aFrom*/, TimeoutNow&& aMessage)
+{
+  const bool isCurrent = aMessage.term == hard_.term && role_ == Role::Follower;
+  if (isCurrent && IsVoter())
+    StartElection(true);
+}
+
+void
+Replica::ResetElectionTimer()
+{
+  const std::int64_t least = options_.electionTimeout.Millis();
+  std::uniform_int_distribution<std::int64_t> draw(least, 2 * least - 1);
+  electionDeadline_ = now_ + Duration(draw(random_));
+}
+
+void
+Replica::OnElectionTimeout()
+{
+  ResetElectionTimer();
+  founders_.reset();
+  if (IsVoter()) {
+    StartPreVote();
+    return;
+  }
+  BecomeFollower(hard_.term, std::nullopt);
+  TryFound();
+}
+
+void
+Replica::StartPreVote()
+{
+  SetLeader(std::nullopt);
+  role_ = Role::PreCandidate;
+  votes_ = { options_.self };
+  RequestVotes(true, false);
+  CountVotes();
+}
+
+void
+Replica::StartElection(bool aIsTransfer)
+{
+  SetLeader(std::nullopt);
+  SetTerm(Term(hard_.term.Value() + 1));
+  hard_.vote = options_.self;
+  if (founders_)
+    hard_.founder = options_.self;
+  isHardStateDirty_ = true;
+  role_ = Role::Candidate;
+  votes_.clear();
+  ResetElectionTimer();
+  RequestVotes(false, aIsTransfer);
+}
+
+void
+Replica::RequestVotes(bool aIsPreVote, bool aIsTransfer)
+{
+  const std::uint64_t ahead = aIsPreVote ? 1 : 0;
+  const RequestVote request{ .isPreVote = aIsPreVote,
+                             .isFounding = founders_.has_value(),
+                             .isTransfer = aIsTransfer,
+                             .term = Term(hard_.term.Value() + ahead),
+                             .lastIndex = log_.LastIndex(),
+                             .lastTerm = log_.LastTerm() };
+  const Members& voters = founders_ ? *founders_ : log_.LatestMembers();
+  for (const MemberId& voter : voters)
+    if (voter != options_.self)
+      Queue(voter, request, !aIsPreVote);
+}
+
+void
+Replica::CountVotes()
+{
+  if (role_ == Role::Candidate && IsTermDurable())
+    votes_.insert(options_.self);
+  if (founders_) {
+    if (votes_ == *founders_)
+      BecomeLeader();
+    return;
+  }
+  std::size_t count = 0;
+  for (const MemberId& voter : log_.LatestMembers())
+    count += votes_.count(voter);
+  if (count < Majority())
+    return;
+  if (role_ == Role::PreCandidate)
+    StartElection(false);
+  else if (role_ == Role::Candidate)
+    BecomeLeader();
+}
+
+void
+Replica::BecomeLeader()
+{
+  role_ = Role::Leader;
+  votes_.clear();
+  SetLeader(options_.self);
+  termStart_ = Next(log_.LastIndex());
+  Entry opening{ .term = hard_.term, .kind = EntryKind::Noop };
+  if (founders_) {
+    opening.kind = EntryKind::NewMembers;
+    opening.members = *founders_;
+    founders_.reset();
+  }
+  AppendOwn(std::move(opening));
+  progress_.clear();
+  AddVoterProgress();
+  nextHeartbeat_ = now_ + options_.heartbeatInterval;
+  ReplicateToAll();
+}
+
+void
+Replica::CheckQuorum()
+{
+  std::size_t heard = 0;
+  for (const MemberId& member : log_.LatestMembers()) {
+    const auto found = progress_.find(member);
+    if (member == options_.self)
+      ++heard;
+    else if (found != progress_.end() &&
+             now_ - found->second.LastHeard() < options_.electionTimeout)
+      ++heard;
+  }
+  if (heard < Majority())
+    BecomeFollower(hard_.term, std::nullopt);
+}
+
+void
+Replica::On(TransferLeadership&& /*aEvent*/)
+{
+  if (role_ != Role::Leader || successor_)
+    return;
+  const MemberId* best = nullptr;
+  LogIndex bestMatch;
+  for (const auto& [member, progress] : progress_) {
+    const bool isVoter = log_.LatestMembers().count(member) != 0;
+    const bool isHeard = now_ - progress.LastHeard() < options_.electionTimeout;
+    if (!isVoter || !isHeard || progress.Match() < bestMatch)
+      continue;
+    best = &member;
+    bestMatch = progress.Match();
+  }
+  if (best == nullptr)
+    return;
+  successor_ = *best;
+  transferDeadline_ = now_ + options_.electionTimeout;
+  TryTransfer();
+}
+
+void
+Replica::TryTransfer()
+{
+  if (!successor_ || isSuccessorAsked_)
+    return;
+  const auto found = progress_.find(*successor_);
+  if (found == progress_.end() || found->second.Match() < log_.LastIndex())
+    return;
+  isSuccessorAsked_ = true;
+  Queue(*successor_, TimeoutNow{ .term = hard_.term });
+}
+
+void
+Replica::TickTransfer()
+{
+  if (!successor_ || now_ < transferDeadline_)
+    return;
+  // Once asked, the successor may stand at any time: the leader's lease is
+  // over for good, and with it the leadership.
+  if (isSuccessorAsked_) {
+    BecomeFollower(hard_.term, std::nullopt);
+    return;
+  }
+  successor_.reset();
+}
+
+} // namespace greengage::consensus
--- /dev/null
+++ b/packages/consensus/lib/ReplicaReplication.cpp
@@ -0,0 +1,193 @@
+#include "greengage/consensus/Replica.h"
+
+#include <algorithm>
+
+namespace greengage::consensus {
+
+bool
+Replica::RefuseStale(const MemberId& aFrom, Term aTerm, Time aSentAt)
+{
+  if (aTerm >= hard_.term)
+    return false;
+  Queue(aFrom, AppendReply{ .term = hard_.term, .sentAt = aSentAt });
+  return true;
+}
+
+void
+Replica::FollowLeader(const MemberId& aLeader)
+{
+  if (role_ != Role::Follower || leader_ != aLeader)
+    BecomeFollower(hard_.term, aLeader);
+  leaderHeardAt_ = now_;
+  ResetElectionTimer();
+}
+
+void
+Replica::On(const MemberId& aFrom, Append&& aMessage)
+{
+  if (RefuseStale(aFrom, aMessage.term, aMessage.sentAt))
+    return;
+  FollowLeader(aFrom);
+  lastSentAt_ = std::max(lastSentAt_, aMessage.sentAt);
+  const LogIndex end = Next(aMessage.prevIndex, aMessage.entries.size());
+  if (end < commit_) {
+    verified_ = std::max(verified_, commit_);
+    Acknowledge(aMessage.sentAt);
+    return;
+  }
+  const bool isCovered = aMessage.prevIndex < log_.BaseIndex();
+  if (!isCovered && log_.TermAt(aMessage.prevIndex) != aMessage.prevTerm) {
+    const LogIndex hint =
+      log_.LastNotAfter(aMessage.prevIndex, aMessage.prevTerm);
+    Queue(aFrom,
+          AppendReply{ .term = hard_.term,
+                       .prevIndex = aMessage.prevIndex,
+                       .hintIndex = hint,
+                       .hintTerm = log_.TermAt(hint).value_or(Term(0)),
+                       .sentAt = aMessage.sentAt });
+    return;
+  }
+  TakeEntries(aMessage.prevIndex, std::move(aMessage.entries));
+  verified_ = std::max({ verified_, end, commit_ });
+  CommitTo(std::min(aMessage.commit, end));
+  Acknowledge(aMessage.sentAt);
+}
+
+void
+Replica::TakeEntries(LogIndex aAfter, std::vector<Entry>&& aEntries)
+{
+  LogIndex at = aAfter;
+  for (Entry& entry : aEntries) {
+    at = Next(at);
+    if (at <= commit_ || log_.TermAt(at) == entry.term)
+      continue;
+    if (at <= log_.LastIndex())
+      TruncateFrom(at);
+    AppendOwn(std::move(entry));
+  }
+}
+
+LogIndex
+Replica::DurableMatch() const
+{
+  return IsTermDurable() ? std::min(verified_, durableIndex_) : LogIndex(0);
+}
+
+void
+Replica::Acknowledge(Time aSentAt)
+{
+  Queue(*leader_,
+        AppendReply{ .term = hard_.term,
+                     .accepted = true,
+                     .verified = verified_,
+                     .match = DurableMatch(),
+                     .sentAt = aSentAt });
+}
+
+void
+Replica::On(const MemberId& aFrom, AppendReply&& aMessage)
+{
+  const auto found = progress_.find(aFrom);
+  if (role_ != Role::Leader || aMessage.term != hard_.term ||
+      found == progress_.end())
+    return;
+  Progress& progress = found->second;
+  progress.Hear(now_, aMessage.sentAt);
+  if (aMessage.accepted) {
+    const bool hasGrown = progress.Accept(aMessage.verified, aMessage.match);
+    if (hasGrown) {
+      MaybeCommit();
+      TryTransfer();
+    }
+  } else if (progress.IsRefusalFresh(aMessage.prevIndex)) {
+    progress.Refuse(log_.LastNotAfter(aMessage.hintIndex, aMessage.hintTerm));
+  }
+  Replicate(aFrom, progress);
+}
+
+void
+Replica::ReplicateToAll()
+{
+  for (auto& [member, progress] : progress_)
+    Replicate(member, progress);
+}
+
+void
+Replica::Replicate(const MemberId& aTo, Progress& aProgress)
+{
+  while (aProgress.MaySend()) {
+    const bool hasMore = aProgress.NextIndex() <= log_.LastIndex();
+    const bool isProbe = aProgress.CurrentState() == Progress::State::Probe;
+    if (!hasMore && !isProbe)
+      return;
+    SendAppend(aTo, aProgress, true);
+  }
+}
+
+void
+Replica::SendAppend(const MemberId& aTo, Progress& aProgress, bool aWithEntries)
+{
+  const LogIndex previous = Previous(aProgress.NextIndex());
+  const std::optional<Term> previousTerm = log_.TermAt(previous);
+  if (!previousTerm) {
+    aProgress.BeginSnapshot(log_.LastSnapshot());
+    SendSnapshotChunk(aTo, aProgress);
+    return;
+  }
+  Append append{ .term = hard_.term,
+                 .prevIndex = previous,
+                 .prevTerm = *previousTerm,
+                 .entries = {},
+                 .commit = commit_,
+                 .sentAt = now_ };
+  if (aWithEntries) {
+    append.entries = log_.Slice(Next(previous), options_.maxMessageBytes);
+    std::size_t bytes = 0;
+    for (const Entry& entry : append.entries)
+      bytes += SizeOf(entry);
+    aProgress.Sent(Next(previous, append.entries.size()), bytes);
+  }
+  Queue(aTo, std::move(append));
+}
+
+void
+Replica::Heartbeat(const MemberId& aTo, Progress& aProgress)
+{
+  switch (aProgress.CurrentState()) {
+    case Progress::State::Probe:
+      aProgress.AllowProbe();
+      Replicate(aTo, aProgress);
+      break;
+    case Progress::State::Replicate:
+      SendAppend(aTo, aProgress, false);
+      break;
+    case Progress::State::Snapshot:
+      SendSnapshotChunk(aTo, aProgress);
+      break;
+  }
+}
+
+void
+Replica::MaybeCommit()
+{
+  std::vector<LogIndex> matches;
+  for (const MemberId& member : log_.LatestMembers()) {
+    const auto found = progress_.find(member);
+    if (member == options_.self)
+      matches.push_back(IsTermDurable() ? durableIndex_ : LogIndex(0));
+    else
+      matches.push_back(found == progress_.end() ? LogIndex(0)
+                                                 : found->second.Match());
+  }
+  std::sort(matches.rbegin(), matches.rend());
+  const LogIndex agreed = matches[Majority() - 1];
+  // Entries of earlier terms are only committed along with one of this term.
+  if (agreed <= commit_ || log_.TermAt(agreed) != hard_.term)
+    return;
+  CommitTo(agreed);
+  for (auto& [member, progress] : progress_)
+    if (progress.CurrentState() == Progress::State::Replicate)
+      SendAppend(member, progress, false);
+}
+
+} // namespace greengage::consensus
--- /dev/null
+++ b/packages/consensus/lib/ReplicaSnapshot.cpp
@@ -0,0 +1,130 @@
+#include "greengage/consensus/Replica.h"
+
+#include <algorithm>
+
+namespace greengage::consensus {
+
+void
+Replica::SendSnapshotChunk(const MemberId& aTo, Progress& aProgress)
+{
+  const Snapshot& snapshot = *aProgress.PendingSnapshot();
+  const std::uint64_t offset = aProgress.SnapshotOffset();
+  Queue(aTo,
+        SnapshotChunk{ .term = hard_.term,
+                       .index = snapshot.index,
+                       .lastTerm = snapshot.term,
+                       .members = snapshot.members,
+                       .size = snapshot.data.size(),
+                       .offset = offset,
+                       .bytes =
+                         snapshot.data.substr(offset, options_.maxMessageBytes),
+                       .sentAt = now_ });
+}
+
+void
+Replica::On(const MemberId& aFrom, SnapshotReply&& aMessage)
+{
+  const auto found = progress_.find(aFrom);
+  if (role_ != Role::Leader || aMessage.term != hard_.term ||
+      found == progress_.end())
+    return;
+  Progress& progress = found->second;
+  progress.Hear(now_, aMessage.sentAt);
+  const SnapshotPtr& snapshot = progress.PendingSnapshot();
+  const bool isCurrent = snapshot && snapshot->index == aMessage.index &&
+                         aMessage.received <= snapshot->data.size();
+  if (!isCurrent || aMessage.received == progress.SnapshotOffset())
+    return;
+  progress.SetSnapshotOffset(aMessage.received);
+  SendSnapshotChunk(aFrom, progress);
+}
+
+void
+Replica::On(const MemberId& aFrom, SnapshotChunk&& aMessage)
+{
+  if (RefuseStale(aFrom, aMessage.term, aMessage.sentAt))
+    return;
+  FollowLeader(aFrom);
+  lastSentAt_ = std::max(lastSentAt_, aMessage.sentAt);
+  if (aMessage.index <= commit_) {
+    verified_ = std::max(verified_, commit_);
+    Acknowledge(aMessage.sentAt);
+    return;
+  }
+  const bool isContinued = incoming_ && incoming_->from == aFrom &&
+                           incoming_->snapshot.index == aMessage.index;
+  if (!isContinued)
+    incoming_ = { .from = aFrom,
+                  .snapshot = { .index = aMessage.index,
+                                .term = aMessage.lastTerm,
+                                .members = aMessage.members,
+                                .data = {} },
+                  .size = aMessage.size };
+  std::string& data = incoming_->snapshot.data;
+  if (aMessage.offset == data.size())
+    data += aMessage.bytes;
+  if (data.size() < incoming_->size) {
+    Queue(aFrom,
+          SnapshotReply{ .term = hard_.term,
+                         .index = aMessage.index,
+                         .received = data.size(),
+                         .sentAt = aMessage.sentAt });
+    return;
+  }
+  Install(std::move(incoming_->snapshot));
+  incoming_.reset();
+  Acknowledge(aMessage.sentAt);
+}
+
+void
+Replica::Install(Snapshot&& aSnapshot)
+{
+  const LogIndex index = aSnapshot.index;
+  const bool isInLog = log_.TermAt(index) == aSnapshot.term;
+  auto snapshot = std::make_shared<const Snapshot>(std::move(aSnapshot));
+  dirtySnapshot_ = snapshot;
+  if (isInLog) {
+    // What follows may have been acknowledged and has to stay.
+    log_.Compact(snapshot, options_.keptEntries);
+  } else {
+    log_.Reset(snapshot);
+    truncateFrom_ = Next(index);
+    dirtyFrom_.reset();
+    durableIndex_ = LogIndex(0);
+    for (PendingWrite& write : pendingWrites_)
+      write.lastIndex = LogIndex(0);
+  }
+  commit_ = index;
+  delivered_ = index;
+  verified_ = std::max(verified_, index);
+  others_.push_back(RestoreSnapshot{ .snapshot = std::move(snapshot) });
+}
+
+void
+Replica::MaybeWantSnapshot()
+{
+  const bool isWanted = snapshotWanted_ > LogIndex(0);
+  if (isWanted || log_.BytesAfterSnapshot() < options_.snapshotBytes)
+    return;
+  snapshotWanted_ = delivered_;
+  others_.push_back(WantSnapshot{ .index = delivered_ });
+}
+
+void
+Replica::On(SnapshotTaken&& aEvent)
+{
+  snapshotWanted_ = LogIndex(0);
+  const LogIndex index = aEvent.index;
+  const bool isOld = log_.LastSnapshot() && index <= log_.LastSnapshot()->index;
+  if (isOld || index > delivered_)
+    return;
+  auto snapshot = std::make_shared<const Snapshot>(
+    Snapshot{ .index = index,
+              .term = *log_.TermAt(index),
+              .members = log_.MembersAt(index),
+              .data = std::move(aEvent.data) });
+  log_.Compact(snapshot, options_.keptEntries);
+  dirtySnapshot_ = std::move(snapshot);
+}
+
+} // namespace greengage::consensus
--- /dev/null
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -0,0 +1,281 @@
+#include "TestNetwork.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengage;
+using namespace greengage::consensus;
+using namespace greengage::consensus::test;
+
+namespace {
+
+constexpr Duration kLong = Duration::Seconds(30);
+
+/// Founds the log of a network without faults.
+void
+Found(Network& aNetwork)
+{
+  REQUIRE(aNetwork.RunUntil(
+    kLong, [&] { return aNetwork.IsWhole() && aNetwork.HaveAllDelivered(); }));
+}
+
+bool
+Commits(Network& aNetwork, const std::string& aCommand)
+{
+  return aNetwork.RunUntil(
+    kLong, [&] { return aNetwork.invariants.IsCommitted(aCommand); });
+}
+
+/// Commits \p aCount commands.
+void
+CommitMany(Network& aNetwork, int aCount)
+{
+  std::string last;
+  for (int count = 0; count < aCount; ++count) {
+    last = aNetwork.ProposeAt(*aNetwork.Leader());
+    aNetwork.Step();
+  }
+  REQUIRE(Commits(aNetwork, last));
+}
+
+void
+CheckSound(const Network& aNetwork)
+{
+  CHECK(aNetwork.invariants.Violations() == std::vector<std::string>());
+}
+
+} // namespace
+
+TEST_CASE("a log is founded only when all hosts with disks are there")
+{
+  Network network({ .disks = 3, .learners = 1 });
+  network.Crash(2);
+  network.Run(kLong);
+  CHECK_FALSE(network.Leader());
+  network.Restart(2);
+  Found(network);
+  CheckSound(network);
+}
+
+TEST_CASE("a founding vote is given once, also when the founder lost its disk")
+{
+  Network network({ .disks = 3 });
+  REQUIRE(
+    network.RunUntil(kLong, [&] { return network.Leader().has_value(); }));
+  const std::size_t founder = *network.Leader();
+  REQUIRE(founder == 0);
+  network.Isolate(2);
+  const std::string command = network.ProposeAt(founder);
+  REQUIRE(Commits(network, command));
+  network.LoseDisk(0);
+  network.LoseDisk(1);
+  network.Heal();
+  network.Run(kLong);
+  CHECK_FALSE(network.Leader());
+  CheckSound(network);
+}
+
+TEST_CASE("a host that lost its disk follows, and votes once it has caught up")
+{
+  Network network({ .disks = 3 });
+  Found(network);
+  CommitMany(network, 50);
+  const std::size_t victim = (*network.Leader() + 1) % 3;
+  network.LoseDisk(victim);
+  network.Restart(victim);
+  CHECK_FALSE(network.At(victim).replica->IsVoter());
+  REQUIRE(network.RunUntil(kLong, [&] { return network.IsWhole(); }));
+  CHECK(network.RunUntil(
+    kLong, [&] { return network.At(victim).replica->IsVoter(); }));
+  CHECK(network.At(victim).id.incarnation == Incarnation(2));
+  CheckSound(network);
+}
+
+TEST_CASE("a vote asked of a former incarnation is not given")
+{
+  ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(2) } };
+  Replica replica(options, {}, Time(0));
+  Actions actions;
+  const MemberId candidate{ EntryHostId("b"), Incarnation(1) };
+  const RequestVote request{ .term = Term(5),
+                             .lastIndex = LogIndex(9),
+                             .lastTerm = Term(4) };
+  const Time later(60000);
+  MemberId former = options.self;
+  former.incarnation = Incarnation(1);
+  replica.Handle(Receive{ .from = candidate, .to = former, .message = request },
+                 later,
+                 actions);
+  CHECK(actions.empty());
+  replica.Handle(
+    Receive{ .from = candidate, .to = options.self, .message = request },
+    later,
+    actions);
+  // The write comes first, and the vote only once it is durable.
+  REQUIRE(actions.size() == 1);
+  const PersistId id = std::get<Persist>(actions[0]).id;
+  actions.clear();
+  replica.Handle(Persisted{ .id = id }, later, actions);
+  REQUIRE(actions.size() == 1);
+  const Send& send = std::get<Send>(actions[0]);
+  CHECK(std::get<VoteReply>(send.message).granted);
+}
+
+TEST_CASE("a leader that hears no majority steps down and says so")
+{
+  Network network({ .disks = 3 });
+  Found(network);
+  const std::size_t leader = *network.Leader();
+  network.Isolate(leader);
+  const std::size_t unknown = network.unknownProposals;
+  network.ProposeAt(leader);
+  const Time cut = network.now;
+  REQUIRE(network.RunUntil(kLong, [&] { return !network.IsLeader(leader); }));
+  CHECK(network.now - cut <= Duration(1100));
+  CHECK(network.unknownProposals == unknown + 1);
+  CHECK(network.At(leader).replica->LeaderUntil() < network.now);
+  REQUIRE(
+    network.RunUntil(kLong, [&] { return network.Leader().has_value(); }));
+  CHECK(network.now - cut <= Duration(4000));
+  CheckSound(network);
+}
+
+TEST_CASE("a host cut off does not disturb the leader when it comes back")
+{
+  Network network({ .disks = 3 });
+  Found(network);
+  const std::size_t leader = *network.Leader();
+  const Term term = network.At(leader).replica->CurrentTerm();
+  const std::size_t victim = (leader + 1) % 3;
+  for (const bool isOneWay : { false, true }) {
+    CAPTURE(isOneWay);
+    if (isOneWay)
+      network.Cut(leader, victim);
+    else
+      network.Isolate(victim);
+    network.Run(kLong);
+    network.Heal();
+    network.Run(kLong);
+    CHECK(network.IsLeader(leader));
+    CHECK(network.At(leader).replica->CurrentTerm() == term);
+  }
+  CheckSound(network);
+}
+
+TEST_CASE("a planned stop hands over without an election timeout")
+{
+  Network network({ .disks = 3 });
+  Found(network);
+  CommitMany(network, 10);
+  const std::size_t former = *network.Leader();
+  const Time start = network.now;
+  network.Handle(former, TransferLeadership{});
+  network.ProposeAt(former);
+  REQUIRE(network.RunUntil(
+    kLong, [&] { return network.Leader() && *network.Leader() != former; }));
+  CHECK(network.now - start < Duration(500));
+  CHECK(network.transfersAsked > 0);
+  CheckSound(network);
+}
+
+TEST_CASE("a host far behind is brought up by a snapshot in parts")
+{
+  Network network({ .disks = 3, .learners = 1, .lostMessages = 100 });
+  Found(network);
+  const std::size_t victim = (*network.Leader() + 1) % 3;
+  network.Crash(victim);
+  CommitMany(network, 400);
+  const std::size_t restored = network.snapshotsRestored;
+  network.Restart(victim);
+  REQUIRE(network.RunUntil(kLong, [&] { return network.HaveAllDelivered(); }));
+  CHECK(network.snapshotsRestored > restored);
+  const Log& log = network.At(victim).replica->CurrentLog();
+  CHECK(log.BaseIndex() > LogIndex(300));
+  CheckSound(network);
+}
+
+TEST_CASE("a proposal is refused with its reason and the leader")
+{
+  Network network({ .disks = 3 });
+  Found(network);
+  const std::size_t leader = *network.Leader();
+  const MemberId self = network.At(leader).id;
+  const MemberId stranger{ EntryHostId("x"), Incarnation(1) };
+  struct Case
+  {
+    const char* name;
+    std::size_t at;
+    Event event;
+    Refusal reason;
+  };
+  const ProposalId id(77);
+  const Case cases[] = {
+    { "elsewhere",
+      (leader + 1) % 3,
+      Propose{ .id = id, .command = "x" },
+      Refusal::NotLeader },
+    { "too large",
+      leader,
+      Propose{ .id = id, .command = std::string(1 << 20, 'x') },
+      Refusal::TooLarge },
+    { "leader removed",
+      leader,
+      ChangeMember{ .id = id, .member = self, .isAdded = false },
+      Refusal::Invalid },
+    { "already a voter",
+      leader,
+      ChangeMember{ .id = id, .member = self },
+      Refusal::Invalid },
+    { "unknown replica",
+      leader,
+      ChangeMember{ .id = id, .member = stranger },
+      Refusal::NotCaughtUp },
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    Actions actions;
+    network.At(item.at).replica->Handle(
+      Event(item.event), network.now, actions);
+    REQUIRE(actions.size() == 1);
+    const auto& refused = std::get<ProposalRefused>(actions[0]);
+    CHECK(refused.id == id);
+    CHECK(refused.reason == item.reason);
+    CHECK(refused.leader == self);
+  }
+}
+
+TEST_CASE("a second change of members waits for the first")
+{
+  Network network({ .disks = 5 });
+  Found(network);
+  const std::size_t leader = *network.Leader();
+  Replica& replica = *network.At(leader).replica;
+  Actions actions;
+  for (const std::size_t step : { 1, 2 })
+    replica.Handle(ChangeMember{ .id = ProposalId(step),
+                                 .member = network.At((leader + step) % 5).id,
+                                 .isAdded = false },
+                   network.now,
+                   actions);
+  const auto& last = std::get<ProposalRefused>(actions.back());
+  CHECK(last.id == ProposalId(2));
+  CHECK(last.reason == Refusal::ChangePending);
+  CHECK(replica.CurrentLog().LatestMembers().size() == 4);
+}
+
+TEST_CASE("what is on the way to a silent follower is bounded")
+{
+  ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(1) } };
+  options.flow = { .maxMessages = 4, .maxBytes = 1000 };
+  Progress progress(LogIndex(1), Time(0), options.flow);
+  CHECK(progress.MaySend());
+  progress.Sent(LogIndex(1), 10);
+  CHECK_FALSE(progress.MaySend());
+  progress.Accept(LogIndex(1), LogIndex(1));
+  int sent = 0;
+  for (; progress.MaySend(); ++sent)
+    progress.Sent(Next(progress.NextIndex()), 10);
+  CHECK(sent == 4);
+  progress.Accept(LogIndex(20), LogIndex(20));
+  progress.Sent(LogIndex(21), 1000);
+  CHECK_FALSE(progress.MaySend());
+}
