--- a/packages/consensus/include/greengage/consensus/Log.h
+++ b/packages/consensus/include/greengage/consensus/Log.h
@@ -32,7 +32,8 @@
   const Entry& At(LogIndex aIndex) const;
   /// Entries from \p aFrom on, at least one, up to \p aMaxBytes in sum.
   std::vector<Entry> Slice(LogIndex aFrom, std::size_t aMaxBytes) const;
-  /// The largest index up to \p aIndex whose term is at most \p aTerm.
+  /// The largest index up to \p aIndex whose term is at most \p aTerm; one
+  /// before the base if all that is left is of later terms.
   LogIndex LastNotAfter(LogIndex aIndex, Term aTerm) const;
   /// The bytes of all entries from the snapshot's index on.
   std::size_t BytesAfterSnapshot() const { return bytesAfterSnapshot_; }
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -164,7 +164,8 @@
   void On(const MemberId& aFrom, AppendReply&& aMessage);
   void FollowLeader(const MemberId& aLeader);
   bool RefuseStale(const MemberId& aFrom, Term aTerm, Time aSentAt);
-  void TakeEntries(LogIndex aAfter, std::vector<Entry>&& aEntries);
+  /// \returns whether an entry was not there before.
+  bool TakeEntries(LogIndex aAfter, std::vector<Entry>&& aEntries);
   void Acknowledge(Time aSentAt);
   LogIndex DurableMatch() const;
   void ReplicateToAll();
--- a/packages/consensus/lib/Log.cpp
+++ b/packages/consensus/lib/Log.cpp
@@ -91,7 +91,8 @@
   LogIndex at = std::min(aIndex, LastIndex());
   while (at > base_ && At(at).term > aTerm)
     at = Previous(at);
-  return at;
+  const bool isBaseLater = at == base_ && baseTerm_ > aTerm;
+  return isBaseLater ? Previous(at) : at;
 }
 
 void
--- a/packages/consensus/lib/Progress.cpp
+++ b/packages/consensus/lib/Progress.cpp
@@ -90,7 +90,8 @@
 Progress::Refuse(LogIndex aHint)
 {
   const LogIndex floor = Next(match_);
-  next_ = std::max(floor, std::min(Next(aHint), next_));
+  // Each refusal leads further back, so that probing ends.
+  next_ = std::max(floor, std::min(Next(aHint), Previous(next_)));
   state_ = State::Probe;
   probeSent_ = false;
   flights_.clear();
--- a/packages/consensus/lib/ReplicaReplication.cpp
+++ b/packages/consensus/lib/ReplicaReplication.cpp
@@ -47,16 +47,20 @@
                        .sentAt = aMessage.sentAt });
     return;
   }
-  TakeEntries(aMessage.prevIndex, std::move(aMessage.entries));
+  const bool hasNew =
+    TakeEntries(aMessage.prevIndex, std::move(aMessage.entries));
   verified_ = std::max({ verified_, end, commit_ });
   CommitTo(std::min(aMessage.commit, end));
-  Acknowledge(aMessage.sentAt);
+  // New entries are acknowledged once they are durable.
+  if (!hasNew)
+    Acknowledge(aMessage.sentAt);
 }
 
-void
+bool
 Replica::TakeEntries(LogIndex aAfter, std::vector<Entry>&& aEntries)
 {
   LogIndex at = aAfter;
+  bool hasNew = false;
   for (Entry& entry : aEntries) {
     at = Next(at);
     if (at <= commit_ || log_.TermAt(at) == entry.term)
@@ -64,7 +68,9 @@
     if (at <= log_.LastIndex())
       TruncateFrom(at);
     AppendOwn(std::move(entry));
+    hasNew = true;
   }
+  return hasNew;
 }
 
 LogIndex
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -59,14 +59,7 @@
       Report("two leaders in term " + Text(aReplica.CurrentTerm()));
     if (!isNew)
       return;
-    const Log& log = aReplica.CurrentLog();
-    if (log.LastIndex().Value() < committed_.size())
-      Report("a leader lacks committed entries");
-    for (LogIndex at = Next(log.BaseIndex());
-         at <= log.LastIndex() && at.Value() <= committed_.size();
-         at = Next(at))
-      if (log.At(at) != committed_[at.Value() - 1])
-        Report("a leader has another entry at committed " + Text(at));
+    CheckCompleteness(aReplica);
   }
 
   /// Two logs with the same term at one index are equal up to there: each
@@ -98,6 +91,7 @@
       return;
     }
     committed_.push_back(log.At(aDeliver.index));
+    committedIn_.push_back(aReplica.CurrentTerm());
     const bool isCommand = aDeliver.kind == EntryKind::Command;
     if (isCommand && refused_.count(aDeliver.command) != 0)
       Report("refused " + aDeliver.command + " is committed");
@@ -126,6 +120,23 @@
   }
 
 private:
+  /// A leader has all that was committed in earlier terms. One that wins late,
+  /// after a later term has begun, may lack what that term has committed.
+  void CheckCompleteness(const Replica& aReplica)
+  {
+    const Log& log = aReplica.CurrentLog();
+    for (std::size_t at = 0; at < committed_.size(); ++at) {
+      const LogIndex index(at + 1);
+      const bool isEarlier = committedIn_[at] < aReplica.CurrentTerm();
+      if (!isEarlier || index <= log.BaseIndex())
+        continue;
+      if (index > log.LastIndex())
+        Report("a leader lacks committed " + Text(index));
+      else if (log.At(index) != committed_[at])
+        Report("a leader has another entry at committed " + Text(index));
+    }
+  }
+
   template<typename Id>
   static std::string Text(const Id& aId)
   {
@@ -135,6 +146,8 @@
   std::map<Term, MemberId> leaders_;
   std::map<std::pair<LogIndex, Term>, std::pair<Term, Entry>> written_;
   std::vector<Entry> committed_;
+  /// The term in which each was first seen to be committed.
+  std::vector<Term> committedIn_;
   std::set<std::string> commands_;
   std::set<std::string> refused_;
   std::vector<std::string> violations_;
