--- a/packages/consensus/lib/Progress.cpp
+++ b/packages/consensus/lib/Progress.cpp
@@ -57,16 +57,17 @@
     state_ = State::Probe;
     next_ = Next(aVerified);
   }
+  const bool hasGrown = aMatch > match_;
+  match_ = std::max(match_, aMatch);
+  // A late answer may tell of less than is known.
+  const LogIndex known = Next(std::max(aVerified, match_));
   if (state_ == State::Probe) {
     state_ = State::Replicate;
-    next_ = Next(aVerified);
+    next_ = known;
   }
-  next_ = std::max(next_, Next(aVerified));
-  if (aMatch <= match_)
-    return false;
-  match_ = aMatch;
+  next_ = std::max(next_, known);
   Land();
-  return true;
+  return hasGrown;
 }
 
 void
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -352,6 +352,18 @@
   CHECK(progress.NextIndex() == LogIndex(521));
 }
 
+TEST_CASE("a late answer to a probe does not send what is durable again")
+{
+  Progress progress(LogIndex(11), Time(0), { .maxMessages = 1 });
+  progress.Accept(LogIndex(10), LogIndex(10));
+  progress.Refuse(LogIndex(10));
+  progress.Accept(LogIndex(3), LogIndex(3));
+  CHECK(progress.NextIndex() == LogIndex(11));
+  progress.Sent(LogIndex(10), 10);
+  progress.Accept(LogIndex(10), LogIndex(10));
+  CHECK(progress.MaySend());
+}
+
 TEST_CASE("what is on the way to a silent follower is bounded")
 {
   ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(1) } };
