--- a/packages/state/include/greengage/state/Key.h
+++ b/packages/state/include/greengage/state/Key.h
@@ -58,6 +58,10 @@
   std::string secret;
 };
 
+/// Whether \p aText can be the id of a key: an identifier without a dot.
+bool
+IsKeyId(std::string_view aText);
+
 /// Reads the value of an Authorization header, "Bearer id.secret".
 std::optional<PresentedKey>
 ParseAuthorization(std::string_view aHeader, Error& aReason);
--- a/packages/state/include/greengage/state/SettingsTree.h
+++ b/packages/state/include/greengage/state/SettingsTree.h
@@ -24,6 +24,18 @@
   BranchPath from;
 };
 
+/// A value of one branch before and after a change; nothing where the branch
+/// does not set it.
+struct ValueChange
+{
+  BranchPath branch;
+  std::string name;
+  std::optional<std::string> before;
+  std::optional<std::string> after;
+
+  friend bool operator==(const ValueChange&, const ValueChange&) = default;
+};
+
 /// Branches with their own values.
 class SettingsTree
 {
@@ -50,6 +62,10 @@
   const Values& OwnValues(const BranchPath& aBranch) const;
   /// All branches in order of their paths.
   std::vector<BranchPath> Branches() const;
+  /// All branches with their own values.
+  const std::map<BranchPath, Values>& All() const { return branches_; }
+  /// Whether no branch stands below \p aBranch.
+  bool IsLeaf(const BranchPath& aBranch) const;
   /// The branches below \p aPrefix that have no branch below them.
   std::vector<BranchPath> LeavesBelow(const BranchPath& aPrefix) const;
 
@@ -59,6 +75,10 @@
   std::map<BranchPath, Values> branches_;
 };
 
+/// What turns \p aFrom into \p aTo.
+std::vector<ValueChange>
+Difference(const SettingsTree& aFrom, const SettingsTree& aTo);
+
 } // namespace greengage::state
 
 #endif // GREENGAGE_STATE_SETTINGSTREE_H
--- a/packages/state/lib/Key.cpp
+++ b/packages/state/lib/Key.cpp
@@ -102,6 +102,13 @@
   return ConstantTimeEqual(MacOf(salt_, aSecret), digest_);
 }
 
+bool
+greengage::state::IsKeyId(std::string_view aText)
+{
+  return IsValidIdentifier(aText, kMaxKeyId) &&
+         aText.find('.') == std::string_view::npos;
+}
+
 std::optional<PresentedKey>
 greengage::state::ParseAuthorization(std::string_view aHeader, Error& aReason)
 {
--- a/packages/state/lib/SettingsTree.cpp
+++ b/packages/state/lib/SettingsTree.cpp
@@ -102,18 +102,53 @@
   return paths;
 }
 
+bool
+SettingsTree::IsLeaf(const BranchPath& aBranch) const
+{
+  // The branches below stand together, behind names such as "a-b".
+  const auto next = branches_.lower_bound(aBranch + "/");
+  return next == branches_.end() || !IsBelow(next->first, aBranch);
+}
+
 std::vector<BranchPath>
 SettingsTree::LeavesBelow(const BranchPath& aPrefix) const
 {
   std::vector<BranchPath> leaves;
-  for (const BranchPath& branch : Branches()) {
-    if (!IsBelow(branch, aPrefix))
-      continue;
-    bool isLeaf = true;
-    for (const BranchPath& other : Branches())
-      isLeaf = isLeaf && !IsBelow(other, branch);
-    if (isLeaf)
-      leaves.push_back(branch);
-  }
+  auto next = branches_.lower_bound(aPrefix + "/");
+  for (; next != branches_.end() && IsBelow(next->first, aPrefix); ++next)
+    if (IsLeaf(next->first))
+      leaves.push_back(next->first);
   return leaves;
 }
+
+/// Adds what \p aFrom sets on one branch and \p aTo sets otherwise or not.
+static void
+AddDifferences(const BranchPath& aBranch,
+               const SettingsTree::Values& aFrom,
+               const SettingsTree::Values& aTo,
+               std::vector<ValueChange>& aChanges)
+{
+  for (const auto& [name, value] : aFrom) {
+    const auto found = aTo.find(name);
+    if (found == aTo.end())
+      aChanges.push_back({ aBranch, name, value, std::nullopt });
+    else if (found->second != value)
+      aChanges.push_back({ aBranch, name, value, found->second });
+  }
+  for (const auto& [name, value] : aTo)
+    if (!aFrom.contains(name))
+      aChanges.push_back({ aBranch, name, std::nullopt, value });
+}
+
+std::vector<ValueChange>
+greengage::state::Difference(const SettingsTree& aFrom, const SettingsTree& aTo)
+{
+  std::vector<ValueChange> changes;
+  const SettingsTree::Values none;
+  for (const auto& [branch, values] : aFrom.All())
+    AddDifferences(branch, values, aTo.OwnValues(branch), changes);
+  for (const auto& [branch, values] : aTo.All())
+    if (!aFrom.All().contains(branch))
+      AddDifferences(branch, none, values, changes);
+  return changes;
+}
