Decode and encode the operators' calls on the agreed state

Cause: operators had no way to the settings but a file read at the start.

Change: typed calls and replies for settings, keys, teams, pools and the audit trail, with a table of routes; a reader for queries; import as a command of its own, so that a resent import is known although nothing differs by then.

Ruled out: working out an import's difference before it is proposed; a resend would then be another change under the same request id.

--- a/packages/api/include/greengage/api/Calls.h
+++ b/packages/api/include/greengage/api/Calls.h
@@ -5,6 +5,7 @@
 #ifndef GREENGAGE_API_CALLS_H
 #define GREENGAGE_API_CALLS_H
 
+#include "greengage/api/Administration.h"
 #include "greengage/core/Error.h"
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
@@ -52,8 +53,12 @@
 struct StatusCall
 {};
 
-using CallBody =
-  std::variant<SubmitCall, CancelCall, AnnounceCall, ProbeCall, StatusCall>;
+using CallBody = std::variant<SubmitCall,
+                              CancelCall,
+                              AnnounceCall,
+                              ProbeCall,
+                              StatusCall,
+                              AdministrationCall>;
 
 /// One call that waits for its reply.
 struct Call
@@ -93,8 +98,11 @@
   std::string body;
 };
 
-using ReplyBody =
-  std::variant<OutcomeReply, AnnouncementReply, ErrorReply, TextReply>;
+using ReplyBody = std::variant<OutcomeReply,
+                               AnnouncementReply,
+                               ErrorReply,
+                               TextReply,
+                               AdministrationReply>;
 
 /// The reply to one call.
 struct Reply
--- a/packages/api/lib/Decode.cpp
+++ b/packages/api/lib/Decode.cpp
@@ -1,5 +1,6 @@
 #include "greengage/api/Decode.h"
 
+#include "DecodeAdministration.h"
 #include "JsonReader.h"
 
 #include "greengage/core/Utf8.h"
@@ -129,6 +130,12 @@
 static std::optional<CallBody>
 DecodeForOperators(const http::HttpRequest& aRequest, Error& aReason)
 {
+  if (detail::IsAdministration(aRequest)) {
+    auto call = detail::DecodeAdministration(aRequest, aReason);
+    if (!call)
+      return std::nullopt;
+    return CallBody(std::move(*call));
+  }
   if (aRequest.method != "GET")
     return FailRoute(aRequest, aReason);
   if (aRequest.target == "/healthz")
--- a/packages/api/lib/Encode.cpp
+++ b/packages/api/lib/Encode.cpp
@@ -1,5 +1,7 @@
 #include "greengage/api/Encode.h"
 
+#include "EncodeAdministration.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -8,7 +10,8 @@
 using namespace greengage;
 using namespace greengage::api;
 
-using Json = nlohmann::ordered_json;
+using detail::AddError;
+using detail::Json;
 
 static constexpr unsigned kUnknownOutcomeStatus = 504;
 
@@ -56,14 +59,6 @@
   return 500;
 }
 
-static void
-AddError(Json& aObject, const Error& aError)
-{
-  aObject["error"] = CodeOf(aError.kind);
-  aObject["detail"] = aError.detail;
-  aObject["remedy"] = RemedyOf(aError.kind);
-}
-
 /// The text of \p aObject; bytes that are not UTF-8 are replaced.
 static std::string
 Dump(const Json& aObject)
@@ -145,6 +140,15 @@
   aResponse.body = std::move(aReply.body);
 }
 
+static void
+Encode(http::HttpResponse& aResponse, AdministrationReply&& aReply)
+{
+  aResponse.status = StatusOf(detail::ErrorOf(aReply));
+  if (aResponse.status == 503)
+    aResponse.retryAfter = Duration::Seconds(1);
+  aResponse.body = Dump(detail::EncodeAdministration(aReply));
+}
+
 http::HttpResponse
 greengage::api::EncodeReply(Reply&& aReply)
 {
--- a/packages/api/lib/JsonReader.cpp
+++ b/packages/api/lib/JsonReader.cpp
@@ -14,6 +14,13 @@
     Reject("body is not a JSON object");
 }
 
+JsonReader::JsonReader(const nlohmann::json& aObject)
+  : object_(aObject)
+{
+  if (!object_.is_object())
+    Reject("not a JSON object");
+}
+
 void
 JsonReader::Reject(const std::string& aDetail)
 {
@@ -63,6 +70,46 @@
   return {};
 }
 
+std::string
+JsonReader::RequiredText(const char* aName, std::size_t aMaxLength)
+{
+  if (Field(aName) == nullptr)
+    Reject("field \"" + std::string(aName) + "\" is missing");
+  return Text(aName, aMaxLength);
+}
+
+std::optional<std::string>
+JsonReader::TextOrNull(const char* aName, std::size_t aMaxLength)
+{
+  const nlohmann::json* field = Field(aName);
+  if (field != nullptr && field->is_null())
+    return std::nullopt;
+  return RequiredText(aName, aMaxLength);
+}
+
+std::vector<JsonReader>
+JsonReader::Objects(const char* aName, std::size_t aMaxCount)
+{
+  std::vector<JsonReader> objects;
+  const nlohmann::json* field = Field(aName);
+  if (field == nullptr || !field->is_array() || field->size() > aMaxCount) {
+    Reject("field \"" + std::string(aName) + "\" is not a list of at most " +
+           std::to_string(aMaxCount) + " objects");
+    return objects;
+  }
+  for (const nlohmann::json& item : *field)
+    objects.push_back(JsonReader(item));
+  return objects;
+}
+
+void
+JsonReader::Include(const char* aName, JsonReader& aObject)
+{
+  Error reason;
+  if (!aObject.Finish(reason))
+    Reject("field \"" + std::string(aName) + "\": " + reason.detail);
+}
+
 std::int64_t
 JsonReader::Integer(const char* aName,
                     std::int64_t aLow,
--- a/packages/api/lib/JsonReader.h
+++ b/packages/api/lib/JsonReader.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace greengage::api::detail {
 
@@ -37,6 +38,15 @@
                        std::int64_t aLow,
                        std::int64_t aHigh,
                        std::optional<std::int64_t> aDefault = std::nullopt);
+  /// A text that must be there.
+  std::string RequiredText(const char* aName, std::size_t aMaxLength);
+  /// A text or null; one of them must be there.
+  std::optional<std::string> TextOrNull(const char* aName,
+                                        std::size_t aMaxLength);
+  /// A required list of at most \p aMaxCount objects.
+  std::vector<JsonReader> Objects(const char* aName, std::size_t aMaxCount);
+  /// Takes over what is wrong with an object of the list \p aName.
+  void Include(const char* aName, JsonReader& aObject);
   bool Boolean(const char* aName, bool aDefault);
 
   /// Notes that a field is wrong.
@@ -45,6 +55,8 @@
   bool Finish(Error& aReason);
 
 private:
+  explicit JsonReader(const nlohmann::json& aObject);
+
   /// The field, or null if it is missing.
   const nlohmann::json* Field(const char* aName);
 
--- a/packages/state/include/greengage/state/Command.h
+++ b/packages/state/include/greengage/state/Command.h
@@ -60,6 +60,13 @@
   std::vector<SettingChange> changes;
 };
 
+/// Makes the settings those of \p tree, under the same condition. Keys stay.
+struct ImportSettings
+{
+  Version basedOn;
+  SettingsTree tree;
+};
+
 /// Gives a key to a team, operator or upstream group.
 struct GrantKey
 {
@@ -77,8 +84,8 @@
   KeyId id;
 };
 
-using CommandBody =
-  std::variant<Bootstrap, ChangeSettings, GrantKey, WithdrawKey>;
+using CommandBody = std::
+  variant<Bootstrap, ChangeSettings, ImportSettings, GrantKey, WithdrawKey>;
 
 /// One change that someone asks for.
 struct Command
--- a/packages/state/include/greengage/state/FleetState.h
+++ b/packages/state/include/greengage/state/FleetState.h
@@ -79,9 +79,13 @@
   CommandResult Decide(const Command& aCommand, Changes& aChanges);
   CommandResult Do(const Bootstrap& aCommand, Changes& aChanges);
   CommandResult Do(const ChangeSettings& aCommand, Changes& aChanges);
+  CommandResult Do(const ImportSettings& aCommand, Changes& aChanges);
   CommandResult Do(const GrantKey& aCommand, Changes& aChanges);
   CommandResult Do(const WithdrawKey& aCommand, Changes& aChanges);
 
+  CommandResult Change(Version aBasedOn,
+                       const std::vector<SettingChange>& aWanted,
+                       Changes& aChanges);
   bool CheckBase(Version aBasedOn, Error& aReason) const;
   bool CheckGrant(const GrantKey& aCommand, Error& aReason) const;
   bool CheckWithdrawal(const KeyId& aId, Error& aReason) const;
--- a/packages/state/include/greengage/state/SettingCatalogue.h
+++ b/packages/state/include/greengage/state/SettingCatalogue.h
@@ -82,6 +82,10 @@
              const std::string& aValue,
              Error& aReason);
 
+/// The tree as it may be exported: without the digests of keys.
+SettingsTree
+WithoutKeys(const SettingsTree& aTree);
+
 /// Puts the place of the value in front of the reason.
 void
 Locate(Error& aReason, const BranchPath& aBranch, std::string_view aName);
--- a/packages/state/lib/Command.cpp
+++ b/packages/state/lib/Command.cpp
@@ -20,6 +20,12 @@
   return "change-settings";
 }
 
+static std::string_view
+NameOfOne(const ImportSettings& /*aCommand*/)
+{
+  return "import-settings";
+}
+
 static std::string_view
 NameOfOne(const GrantKey& /*aCommand*/)
 {
@@ -54,6 +60,13 @@
       .Add(change.value);
 }
 
+static void
+AddFields(CanonicalText& aText, const ImportSettings& aCommand)
+{
+  aText.Add(aCommand.basedOn.Value())
+    .Add(Difference(SettingsTree(), aCommand.tree));
+}
+
 static void
 AddFields(CanonicalText& aText, const GrantKey& aCommand)
 {
--- a/packages/state/lib/CommandCodec.cpp
+++ b/packages/state/lib/CommandCodec.cpp
@@ -25,6 +25,13 @@
            { "changes", std::move(list) } };
 }
 
+static Cbor
+ToCborOne(const ImportSettings& aCommand)
+{
+  return { { "based_on", aCommand.basedOn.Value() },
+           { "tree", detail::ToCbor(aCommand.tree) } };
+}
+
 static Cbor
 ToCborOne(const GrantKey& aCommand)
 {
@@ -89,6 +96,9 @@
     return Bootstrap{ detail::TreeFrom(aObject.at("tree")) };
   if (aName == NameOf(ChangeSettings{}))
     return ChangeSettingsFrom(aObject);
+  if (aName == NameOf(ImportSettings{}))
+    return ImportSettings{ Version(aObject.at("based_on").get<std::uint64_t>()),
+                           detail::TreeFrom(aObject.at("tree")) };
   if (aName == NameOf(GrantKey{}))
     return GrantKeyFrom(aObject, aReason);
   if (aName == NameOf(WithdrawKey{}))
--- a/packages/state/lib/FleetState.cpp
+++ b/packages/state/lib/FleetState.cpp
@@ -137,25 +137,46 @@
 }
 
 CommandResult
-FleetState::Do(const ChangeSettings& aCommand, Changes& aChanges)
+FleetState::Change(Version aBasedOn,
+                   const std::vector<SettingChange>& aWanted,
+                   Changes& aChanges)
 {
   Error reason;
-  if (aCommand.changes.size() <= kMaxChanges)
-    for (const SettingChange& change : aCommand.changes)
+  if (aWanted.size() <= kMaxChanges)
+    for (const SettingChange& change : aWanted)
       aChanges.push_back(DescribeChange(tree_, change));
-  if (!CheckChanges(aCommand.changes, reason))
+  if (!CheckChanges(aWanted, reason))
     return Refuse(std::move(reason));
-  if (!CheckBase(aCommand.basedOn, reason)) {
+  if (!CheckBase(aBasedOn, reason)) {
     CommandResult result = Refuse(std::move(reason));
-    std::get<Refused>(result.end).winner = WinnerSince(aCommand.basedOn);
+    std::get<Refused>(result.end).winner = WinnerSince(aBasedOn);
     return result;
   }
-  if (!Commit(aCommand.changes, reason))
+  if (!Commit(aWanted, reason))
     return Refuse(std::move(reason));
   settingsVersion_ = version_;
   return Accept();
 }
 
+CommandResult
+FleetState::Do(const ChangeSettings& aCommand, Changes& aChanges)
+{
+  return Change(aCommand.basedOn, aCommand.changes, aChanges);
+}
+
+CommandResult
+FleetState::Do(const ImportSettings& aCommand, Changes& aChanges)
+{
+  std::vector<SettingChange> wanted;
+  for (ValueChange& change : Difference(WithoutKeys(tree_), aCommand.tree))
+    wanted.push_back({ std::move(change.branch),
+                       std::move(change.name),
+                       std::move(change.after) });
+  if (wanted.empty())
+    return Accept("the settings are like this already");
+  return Change(aCommand.basedOn, wanted, aChanges);
+}
+
 /// Makes one change. False if there was nothing to unset.
 static bool
 ApplyTo(SettingsTree& aTree, const SettingChange& aChange)
@@ -376,17 +397,25 @@
              .error = std::move(aReason), .current = version_, .winner = {} } };
 }
 
+static bool
+IsWinner(const AuditEntry& aEntry)
+{
+  static const std::string kChange(NameOf(ChangeSettings{}));
+  static const std::string kImport(NameOf(ImportSettings{}));
+  return aEntry.refusal == ErrorKind::None &&
+         (aEntry.action == kChange || aEntry.action == kImport);
+}
+
 /// The first change of settings after \p aBasedOn that the trail still has.
 std::optional<Winner>
 FleetState::WinnerSince(Version aBasedOn) const
 {
-  static const std::string kAction(NameOf(ChangeSettings{}));
   const AuditEntry* first = nullptr;
   const auto& entries = audit_.Chain().entries;
   for (auto entry = entries.rbegin();
        entry != entries.rend() && entry->version > aBasedOn;
        ++entry)
-    if (entry->refusal == ErrorKind::None && entry->action == kAction)
+    if (IsWinner(*entry))
       first = &*entry;
   if (first == nullptr)
     return std::nullopt;
--- a/packages/state/lib/SettingCatalogue.cpp
+++ b/packages/state/lib/SettingCatalogue.cpp
@@ -244,6 +244,17 @@
   return isRight;
 }
 
+SettingsTree
+greengage::state::WithoutKeys(const SettingsTree& aTree)
+{
+  SettingsTree tree;
+  for (const auto& [branch, values] : aTree.All())
+    for (const auto& [name, value] : values)
+      if (!name.starts_with(kKeyPrefix))
+        tree.Set(branch, name, value);
+  return tree;
+}
+
 void
 greengage::state::Locate(Error& aReason,
                          const BranchPath& aBranch,
--- a/packages/state/unittests/FleetStateTest.cpp
+++ b/packages/state/unittests/FleetStateTest.cpp
@@ -324,3 +324,26 @@
   REQUIRE(lines.prices.urgent == 9);
   REQUIRE(lines.prices.patient == 1);
 }
+
+TEST_CASE("an import makes the settings those of the file and keeps the keys")
+{
+  FleetState state = BegunState();
+  const std::string text = std::string(kIni) + "[teams/c]\nlimit = 3\n";
+  const Command import{ From("night", "n1"),
+                        ImportSettings{ Version(1), TreeOf(text) } };
+  REQUIRE(VersionOf(state.Apply(import)) == Version(2));
+  REQUIRE(state.View()->teams.at(TeamId("c")).limit == Slots(3));
+  REQUIRE(state.View()->keys.contains(KeyId("op1")));
+  // A resend is known as such although nothing differs by now.
+  const auto resent = state.Apply(import);
+  REQUIRE(resent.isResend);
+  REQUIRE(VersionOf(resent) == Version(2));
+  // It removes what the file leaves out, and is subject to the same race.
+  const Command back{ From("night", "n2"),
+                      ImportSettings{ Version(2), TreeOf(kIni) } };
+  REQUIRE(VersionOf(state.Apply(back)) == Version(3));
+  REQUIRE_FALSE(state.View()->teams.contains(TeamId("c")));
+  const Command stale{ From("day", "d1"),
+                       ImportSettings{ Version(2), TreeOf(text) } };
+  REQUIRE(RefusalOf(state.Apply(stale)).winner->version == Version(3));
+}
