Own the agreed state in a duty and drive it from the command line

Cause: the state's decisions had no duty, and operators no commands.

Change: the state duty answers operators, proposes their changes, applies what the log delivers and publishes each version to the authenticate and dispatch duties. LocalLog stands where the replicated log goes. /readyz waits for the first version. greengagectl gets settings, keys, teams, pools and audit; the calls to entry hosts stand in one place.

Ruled out: secrets made on the entry host for the command line; a resend could not give the secret again.

--- a/packages/daemon/include/greengage/daemon/Daemon.h
+++ b/packages/daemon/include/greengage/daemon/Daemon.h
@@ -7,7 +7,7 @@
 
 #include "greengage/core/Error.h"
 #include "greengage/daemon/DaemonSettings.h"
-#include "greengage/state/FleetView.h"
+#include "greengage/state/SettingsTree.h"
 
 #include <memory>
 
@@ -21,7 +21,9 @@
 class Daemon
 {
 public:
-  Daemon(DaemonSettings aSettings, state::FleetViewPtr aInitialView);
+  /// \p aFirstSettings hold until the agreed state has settings of its own;
+  /// BuildFleetView must have found them right.
+  Daemon(DaemonSettings aSettings, state::SettingsTree aFirstSettings);
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
   ~Daemon();
--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -1,11 +1,13 @@
 #include "greengage/daemon/Daemon.h"
 
 #include "HostState.h"
+#include "LocalLog.h"
 #include "filters/AuthenticateFilter.h"
 #include "filters/DecodeFilter.h"
 #include "filters/DispatchFilter.h"
 #include "filters/EncodeFilter.h"
 #include "filters/OperateFilter.h"
+#include "filters/StateFilter.h"
 #include "sources/PeerSource.h"
 #include "sources/UpstreamSource.h"
 
@@ -70,7 +72,7 @@
 class DaemonImpl
 {
 public:
-  DaemonImpl(DaemonSettings aSettings, state::FleetViewPtr aInitialView);
+  DaemonImpl(DaemonSettings aSettings, state::SettingsTree aFirstSettings);
 
   bool Start(Error& aReason);
   bool ShutDown();
@@ -79,8 +81,9 @@
   void StopDuties();
 
   DaemonSettings settings_;
-  state::FleetViewPtr initialView_;
+  state::SettingsTree firstSettings_;
   BootClock clock_;
+  WallClock wallClock_;
   HostState host_;
   std::promise<void> drained_;
 
@@ -89,6 +92,7 @@
   pipe::Duty<AuthenticateMessage> authenticate_;
   pipe::Duty<dispatch::Event> dispatch_;
   pipe::Duty<OperatorCall> operate_;
+  pipe::Duty<StateMessage> state_;
   pipe::Duty<api::Reply> encode_;
 
   // Sources and sinks: the sockets.
@@ -110,8 +114,12 @@
   dispatch::StaticSplitLedger limits_;
   dispatch::RequestPlane plane_;
 
+  // Puts proposals in order; the replicated log takes this place.
+  LocalLog log_;
+
   // The filters.
   EncodeFilter encodeFilter_;
+  StateFilter stateFilter_;
   OperateFilter operateFilter_;
   DispatchFilter dispatchFilter_;
   AuthenticateFilter authenticateFilter_;
@@ -119,14 +127,15 @@
 };
 
 DaemonImpl::DaemonImpl(DaemonSettings aSettings,
-                       state::FleetViewPtr aInitialView)
+                       state::SettingsTree aFirstSettings)
   : settings_(std::move(aSettings))
-  , initialView_(std::move(aInitialView))
+  , firstSettings_(std::move(aFirstSettings))
   , host_(settings_.id, settings_.availabilityZone)
   , decode_({ .name = "decode", .capacity = kRingCapacity }, clock_)
   , authenticate_({ .name = "authenticate", .capacity = kRingCapacity }, clock_)
   , dispatch_({ .name = "dispatch", .capacity = kRingCapacity }, clock_)
   , operate_({ .name = "operate", .capacity = kRingCapacity }, clock_)
+  , state_({ .name = "state", .capacity = kRingCapacity }, clock_)
   , encode_({ .name = "encode", .capacity = kRingCapacity }, clock_)
   , callers_(callersDuty_,
              ServerOptionsOf(http::PortRole::Callers, settings_.callers),
@@ -146,10 +155,17 @@
       { .self = settings_.id, .availabilityZone = settings_.availabilityZone },
       queue_,
       limits_)
+  , log_(state_)
   , encodeFilter_({ { http::PortRole::Callers, &callers_.Responses() },
                     { http::PortRole::Upstreams, &upstreams_.Responses() },
                     { http::PortRole::Operators, &operators_.Responses() } })
-  , operateFilter_(host_, encode_)
+  , stateFilter_(host_,
+                 wallClock_,
+                 { .proposals = log_,
+                   .authenticate = authenticate_,
+                   .dispatch = dispatch_,
+                   .replies = encode_ })
+  , operateFilter_(host_, state_, encode_)
   , dispatchFilter_(plane_,
                     host_,
                     { .replies = encode_,
@@ -168,14 +184,12 @@
       !operators_.Listen(aReason) || !links_.Start(aReason))
     return false;
   encode_.Start(encodeFilter_);
+  state_.Start(stateFilter_);
   operate_.Start(operateFilter_);
   dispatch_.Start(dispatchFilter_);
   authenticate_.Start(authenticateFilter_);
   decode_.Start(decodeFilter_);
-  if (initialView_) {
-    dispatch_.Push(dispatch::ViewChanged{ .view = initialView_ });
-    authenticate_.Push(AuthenticateMessage(initialView_));
-  }
+  state_.Push(BeginFleet{ .tree = std::move(firstSettings_) });
   peersDuty_.Start();
   clientDuty_.Start();
   upstreamsDuty_.Start();
@@ -217,6 +231,7 @@
   decode_.Stop();
   authenticate_.Stop();
   operate_.Stop();
+  state_.Stop();
   dispatch_.Stop();
   encode_.Stop();
   callers_.Drain().wait_for(kFlushTimeout);
@@ -231,9 +246,9 @@
 
 } // namespace greengage::daemon::detail
 
-Daemon::Daemon(DaemonSettings aSettings, state::FleetViewPtr aInitialView)
+Daemon::Daemon(DaemonSettings aSettings, state::SettingsTree aFirstSettings)
   : impl_(std::make_unique<detail::DaemonImpl>(std::move(aSettings),
-                                               std::move(aInitialView)))
+                                               std::move(aFirstSettings)))
 {
 }
 
--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -23,8 +23,10 @@
 
   const EntryHostId id;
   const AvailabilityZoneId availabilityZone;
-  /// What /readyz says.
+  /// Whether the ports are open and no shutdown has begun.
   std::atomic<bool> isReady{ false };
+  /// Whether a version of the agreed state has reached the request path.
+  std::atomic<bool> hasState{ false };
   observe::Metrics metrics;
 };
 
--- a/packages/daemon/lib/filters/OperateFilter.cpp
+++ b/packages/daemon/lib/filters/OperateFilter.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cassert>
 #include <utility>
 
 using namespace greengage;
@@ -9,8 +10,11 @@
 
 static constexpr unsigned kUnavailable = 503;
 
-OperateFilter::OperateFilter(HostState& aHost, pipe::Pipe<api::Reply>& aReplies)
+OperateFilter::OperateFilter(HostState& aHost,
+                             pipe::Pipe<StateMessage>& aState,
+                             pipe::Pipe<api::Reply>& aReplies)
   : host_(aHost)
+  , state_(aState)
   , replies_(aReplies)
 {
 }
@@ -18,14 +22,32 @@
 void
 OperateFilter::Accept(OperatorCall&& aCall, Time /*aNow*/)
 {
+  const bool isAdministration =
+    std::holds_alternative<api::AdministrationCall>(aCall.call.body);
+  if (isAdministration && Administer(aCall))
+    return;
   api::Reply reply{ .call = aCall.call.id, .body = {} };
   if (const auto* probe = std::get_if<api::ProbeCall>(&aCall.call.body))
     reply.body = Probe(probe->kind);
+  else if (isAdministration)
+    reply.body = api::ErrorReply{ { ErrorKind::Overloaded,
+                                    "entry host is at its limit" } };
   else
     reply.body = Status();
   replies_.Push(std::move(reply));
 }
 
+bool
+OperateFilter::Administer(OperatorCall& aCall)
+{
+  assert(aCall.principal && "only probes come without a key");
+  return state_.TryPush(AdministrationRequest{
+    .call = aCall.call.id,
+    .who = state::OperatorId(aCall.principal->name),
+    .remoteAddress = std::move(aCall.call.remoteAddress),
+    .body = std::move(std::get<api::AdministrationCall>(aCall.call.body)) });
+}
+
 api::TextReply
 OperateFilter::Probe(api::ProbeKind aKind) const
 {
@@ -36,8 +58,8 @@
       reply.body = "ok\n";
       break;
     case api::ProbeKind::Ready:
-      reply.status = host_.isReady ? 200 : kUnavailable;
-      reply.body = host_.isReady ? "ready\n" : "not ready\n";
+      reply.status = IsReady() ? 200 : kUnavailable;
+      reply.body = IsReady() ? "ready\n" : "not ready\n";
       break;
     case api::ProbeKind::Metrics:
       reply.contentType = "text/plain; version=0.0.4; charset=utf-8";
@@ -53,7 +75,7 @@
   nlohmann::ordered_json object;
   object["host"] = host_.id.Value();
   object["availability_zone"] = host_.availabilityZone.Value();
-  object["ready"] = host_.isReady.load();
+  object["ready"] = IsReady();
   api::TextReply reply;
   reply.body = object.dump() + "\n";
   return reply;
--- a/tools/greengagectl/Commands.h
+++ b/tools/greengagectl/Commands.h
@@ -10,6 +10,7 @@
 #include <CLI/CLI.hpp>
 
 #include <functional>
+#include <vector>
 
 namespace greengage::ctl {
 
@@ -30,7 +31,27 @@
 int
 Report(const Error& aReason, int aExitCode);
 
-/// "keys new": makes a key and its digest.
+/// A subcommand that only holds others, one of which must be given.
+Command
+GroupOf(CLI::App* aApp, std::vector<Command> aCommands);
+
+/// "settings": shows and changes the settings tree.
+Command
+AddSettingsCommand(CLI::App& aApp);
+
+/// "teams list": shows what holds for each team.
+Command
+AddTeamsCommand(CLI::App& aApp);
+
+/// "pools list": shows what holds for each pool.
+Command
+AddPoolsCommand(CLI::App& aApp);
+
+/// "audit": reads and checks the audit trail.
+Command
+AddAuditCommand(CLI::App& aApp);
+
+/// "keys": makes, grants, withdraws and lists keys.
 Command
 AddKeyCommand(CLI::App& aApp);
 
--- a/tools/greengagectl/main.cpp
+++ b/tools/greengagectl/main.cpp
@@ -5,6 +5,7 @@
 #include "Commands.h"
 
 #include <iostream>
+#include <utility>
 #include <vector>
 
 using namespace greengage;
@@ -16,6 +17,19 @@
   return aExitCode;
 }
 
+ctl::Command
+greengage::ctl::GroupOf(CLI::App* aApp, std::vector<Command> aCommands)
+{
+  aApp->require_subcommand(1);
+  const auto run = [commands = std::move(aCommands)] {
+    for (const Command& command : commands)
+      if (command.app->parsed())
+        return command.run();
+    return kExitUsage;
+  };
+  return { .app = aApp, .run = run };
+}
+
 int
 main(int argc, char** argv)
 {
@@ -24,9 +38,12 @@
   app.set_version_flag("--version", GREENGAGE_VERSION);
   app.footer("Exit codes: 0 done, 1 the fleet refused or could not be "
              "reached,\n2 the command line is wrong.");
-  const std::vector<ctl::Command> commands = { ctl::AddKeyCommand(app),
-                                               ctl::AddLoadCommand(app),
-                                               ctl::AddStatusCommand(app) };
+  const std::vector<ctl::Command> commands = {
+    ctl::AddAuditCommand(app),    ctl::AddKeyCommand(app),
+    ctl::AddLoadCommand(app),     ctl::AddPoolsCommand(app),
+    ctl::AddSettingsCommand(app), ctl::AddStatusCommand(app),
+    ctl::AddTeamsCommand(app),
+  };
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/tools/greengaged/main.cpp
+++ b/tools/greengaged/main.cpp
@@ -16,7 +16,6 @@
 #include <csignal>
 
 #include <iostream>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -35,17 +34,16 @@
   return daemon::ReadDaemonSettings(*file, aReason);
 }
 
-static state::FleetViewPtr
-LoadView(const std::string& aPath, Error& aReason)
+static std::optional<state::SettingsTree>
+LoadFleet(const std::string& aPath, Error& aReason)
 {
   const auto file = settings::IniFile::Load(aPath, aReason);
   if (!file)
-    return nullptr;
-  auto view = state::BuildFleetView(
-    state::SettingsTree::FromIni(*file), Version(1), aReason);
-  if (!view)
-    return nullptr;
-  return std::make_shared<const state::FleetView>(std::move(*view));
+    return std::nullopt;
+  auto tree = state::SettingsTree::FromIni(*file);
+  if (!state::BuildFleetView(tree, Version(1), aReason))
+    return std::nullopt;
+  return tree;
 }
 
 static int
@@ -90,8 +88,8 @@
   auto settings = LoadSettings(path, reason);
   if (!settings)
     return Report(reason, kExitUsage);
-  auto view = LoadView(settings->fleetFile, reason);
-  if (!view)
+  auto fleet = LoadFleet(settings->fleetFile, reason);
+  if (!fleet)
     return Report(reason, kExitUsage);
   if (checkOnly) {
     std::cout << path << ": settings are valid\n";
@@ -100,7 +98,7 @@
 
   const sigset_t signals = BlockStopSignals();
   observe::ConfigureLog(settings->log);
-  daemon::Daemon daemon(std::move(*settings), std::move(view));
+  daemon::Daemon daemon(std::move(*settings), std::move(*fleet));
   if (!daemon.Start(reason))
     return Report(reason, kExitUnavailable);
   int signal = 0;
