--- a/tools/greengaged/main.cpp
+++ b/tools/greengaged/main.cpp
@@ -15,7 +15,6 @@
 #include <CLI/CLI.hpp>
 
 #include <iostream>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -34,17 +33,16 @@
   return daemon::ReadDaemonSettings(*file, aReason);
 }
 
-static state::FleetViewPtr
-LoadView(const std::string& aPath, Error& aReason)
+static std::optional<state::SettingsTree>
+LoadFleet(const std::string& aPath, Error& aReason)
 {
   const auto file = settings::IniFile::Load(aPath, aReason);
   if (!file)
-    return nullptr;
-  auto view = state::BuildFleetView(
-    state::SettingsTree::FromIni(*file), Version(1), aReason);
-  if (!view)
-    return nullptr;
-  return std::make_shared<const state::FleetView>(std::move(*view));
+    return std::nullopt;
+  auto tree = state::SettingsTree::FromIni(*file);
+  if (!state::BuildFleetView(tree, Version(1), aReason))
+    return std::nullopt;
+  return tree;
 }
 
 static int
@@ -76,8 +74,8 @@
   auto settings = LoadSettings(path, reason);
   if (!settings)
     return Report(reason, kExitUsage);
-  auto view = LoadView(settings->fleetFile, reason);
-  if (!view)
+  auto fleet = LoadFleet(settings->fleetFile, reason);
+  if (!fleet)
     return Report(reason, kExitUsage);
   if (checkOnly) {
     std::cout << path << ": settings are valid\n";
@@ -86,7 +84,7 @@
 
   const pipe::StopSignals signals;
   observe::ConfigureLog(settings->log);
-  daemon::Daemon daemon(std::move(*settings), std::move(view));
+  daemon::Daemon daemon(std::move(*settings), std::move(*fleet));
   if (!daemon.Start(reason))
     return Report(reason, kExitUnavailable);
   signals.Wait();
