Let the parts of a limit follow demand between entry hosts

Cause: each entry host held a fixed seventh of every limit, so a team whose demand came in at one host could use a seventh of what it may run.

Change: GrantLedger moves parts directly between hosts with cumulative counters per pair (a bounded-counter scheme): the giver takes its part down first, a lost message strands a part until the pair meets again, a repeated or overtaken one changes nothing. A restarted host asks every peer for the balance and until then spends its reserve, a quarter of its part, and what it is given. When a limit shrinks, borrowed parts are not used from the moment the new version is seen, and go back as requests end.

Ruled out: moving parts through the agreed state (a transfer would wait for a quorum), leased parts (a cut host would lose the right to what it runs).

--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -9,7 +9,7 @@
 #include "sources/PeerSource.h"
 #include "sources/UpstreamSource.h"
 
-#include "greengage/dispatch/LimitLedger.h"
+#include "greengage/dispatch/GrantLedger.h"
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/http/Server.h"
 #include "greengage/observe/Log.h"
@@ -17,6 +17,7 @@
 #include "greengage/pipe/IoDuty.h"
 
 #include <chrono>
+#include <cstdint>
 #include <future>
 #include <thread>
 #include <utility>
@@ -53,13 +54,16 @@
   return options;
 }
 
-static dispatch::SplitOptions
-SplitOptionsOf(const DaemonSettings& aSettings)
+static dispatch::GrantOptions
+GrantOptionsOf(const DaemonSettings& aSettings)
 {
-  dispatch::SplitOptions options;
-  options.hosts = aSettings.members.size();
-  while (aSettings.members[options.rank].id != aSettings.id)
-    ++options.rank;
+  dispatch::GrantOptions options;
+  options.self = aSettings.id;
+  for (const peer::PeerAddress& member : aSettings.members)
+    options.members.push_back(member.id);
+  // Later runs need larger numbers, also after the machine has restarted.
+  options.incarnation = dispatch::Incarnation(
+    static_cast<std::uint64_t>(WallClock().Now().Millis()));
   return options;
 }
 
@@ -107,7 +111,7 @@
 
   // The decisions.
   dispatch::FairQueue queue_;
-  dispatch::StaticSplitLedger limits_;
+  dispatch::GrantLedger limits_;
   dispatch::RequestPlane plane_;
 
   // The filters.
@@ -141,7 +145,7 @@
   , client_(clientDuty_, {}, upstreamSource_)
   , peerSource_(dispatch_)
   , links_(peersDuty_, LinkOptionsOf(settings_), clock_, peerSource_)
-  , limits_(SplitOptionsOf(settings_))
+  , limits_(GrantOptionsOf(settings_))
   , plane_(
       { .self = settings_.id, .availabilityZone = settings_.availabilityZone },
       queue_,
--- a/packages/daemon/lib/filters/DispatchFilter.cpp
+++ b/packages/daemon/lib/filters/DispatchFilter.cpp
@@ -167,6 +167,16 @@
     host_.metrics.Count("greengage_peer_messages_dropped_total");
 }
 
+void
+DispatchFilter::Do(dispatch::SendGrants&& aAction, Time /*aNow*/)
+{
+  // Reports are cumulative: a later one makes up for a lost one.
+  const bool isSent = outlets_.peers.TryPush(
+    { .to = std::move(aAction.peer), .message = std::move(aAction.report) });
+  if (!isSent)
+    host_.metrics.Count("greengage_peer_messages_dropped_total");
+}
+
 void
 DispatchFilter::Do(dispatch::Drained&& /*aAction*/, Time /*aNow*/) const
 {
--- a/packages/daemon/lib/filters/DispatchFilter.h
+++ b/packages/daemon/lib/filters/DispatchFilter.h
@@ -52,6 +52,7 @@
   void Do(dispatch::RelayAnnouncement&& aAction, Time aNow);
   void Do(dispatch::AnswerAnnouncement&& aAction, Time aNow);
   void Do(dispatch::PublishLoad&& aAction, Time aNow);
+  void Do(dispatch::SendGrants&& aAction, Time aNow);
   void Do(dispatch::Drained&& aAction, Time aNow) const;
 
   dispatch::RequestPlane& plane_;
--- a/packages/dispatch/include/greengage/dispatch/LimitLedger.h
+++ b/packages/dispatch/include/greengage/dispatch/LimitLedger.h
@@ -7,10 +7,12 @@
 
 #include "greengage/core/Ids.h"
 #include "greengage/core/Units.h"
+#include "greengage/dispatch/Messages.h"
 #include "greengage/state/FleetView.h"
 
 #include <cstddef>
 #include <unordered_map>
+#include <vector>
 
 namespace greengage::dispatch {
 
@@ -28,6 +30,14 @@
   virtual void Release(const TeamId& aTeam) = 0;
   /// Whether TryAcquire would succeed.
   virtual bool HasRoom(const TeamId& aTeam) const = 0;
+
+  /// Notes how many requests of a team wait on this host. Only a ledger that
+  /// follows demand needs it.
+  virtual void NoteWaiting(const TeamId& /*aTeam*/, std::size_t /*aWaiting*/) {}
+  /// Takes a peer's report on grants into account.
+  virtual void Receive(const PeerGrants& /*aReport*/, Time /*aNow*/) {}
+  /// The reports that are due for peers.
+  virtual std::vector<SendGrants> Reports(Time /*aNow*/) { return {}; }
 };
 
 /// The place of one entry host among all of them.
@@ -38,6 +48,11 @@
   std::size_t hosts = 1;
 };
 
+/// The part of \p aLimit that falls to one host. The parts of all hosts add up
+/// to the limit, and none shrinks while the limit grows.
+Slots
+EvenPart(Slots aLimit, const TeamId& aTeam, const SplitOptions& aOptions);
+
 /// Splits each limit evenly; the parts add up to exactly the limit.
 class StaticSplitLedger final : public LimitLedger
 {
@@ -57,8 +72,6 @@
     Slots part;
     Slots running;
   };
-  Slots PartOf(Slots aLimit, const TeamId& aTeam) const;
-
   SplitOptions options_;
   std::unordered_map<TeamId, Account> accounts_;
 };
--- a/packages/dispatch/include/greengage/dispatch/Messages.h
+++ b/packages/dispatch/include/greengage/dispatch/Messages.h
@@ -8,6 +8,7 @@
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
 #include "greengage/core/Upstream.h"
+#include "greengage/dispatch/Grants.h"
 #include "greengage/state/FleetView.h"
 
 #include <cstdint>
@@ -114,6 +115,13 @@
   std::vector<PoolLoad> pools;
 };
 
+/// A peer reports on grants.
+struct PeerGrants
+{
+  EntryHostId peer;
+  GrantReport report;
+};
+
 /// A version of the agreed state is in force.
 struct ViewChanged
 {
@@ -134,6 +142,7 @@
                            PeerUp,
                            PeerDown,
                            PeerLoad,
+                           PeerGrants,
                            ViewChanged,
                            BeginShutdown>;
 
@@ -200,6 +209,13 @@
   std::vector<PoolLoad> pools;
 };
 
+/// Report on grants to a peer.
+struct SendGrants
+{
+  EntryHostId peer;
+  GrantReport report;
+};
+
 /// After BeginShutdown: nothing is waiting or in progress any more.
 struct Drained
 {};
@@ -213,6 +229,7 @@
                             RelayAnnouncement,
                             AnswerAnnouncement,
                             PublishLoad,
+                            SendGrants,
                             Drained>;
 
 using Actions = std::vector<Action>;
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -113,6 +113,7 @@
   void On(PeerUp&& aEvent, Time aNow, Actions& aOut);
   void On(PeerDown&& aEvent, Time aNow, Actions& aOut);
   void On(PeerLoad&& aEvent, Time aNow, Actions& aOut);
+  void On(PeerGrants&& aEvent, Time aNow, Actions& aOut);
   void On(ViewChanged&& aEvent, Time aNow, Actions& aOut);
   void On(BeginShutdown&& aEvent, Time aNow, Actions& aOut);
 
@@ -147,6 +148,8 @@
   void AnswerOverdue(Time aNow, Actions& aOut);
   void ReleaseHolds(Time aNow);
   void Publish(Time aNow, Actions& aOut);
+  void ExchangeGrants(Time aNow, Actions& aOut);
+  void ScheduleAll(Time aNow, Actions& aOut);
   void ReportDrained(Actions& aOut);
 
   RequestPlaneOptions options_;
--- a/packages/dispatch/lib/LimitLedger.cpp
+++ b/packages/dispatch/lib/LimitLedger.cpp
@@ -8,18 +8,20 @@
 using namespace greengage::dispatch;
 
 Slots
-StaticSplitLedger::PartOf(Slots aLimit, const TeamId& aTeam) const
+greengage::dispatch::EvenPart(Slots aLimit,
+                              const TeamId& aTeam,
+                              const SplitOptions& aOptions)
 {
-  const auto hosts = static_cast<std::int64_t>(options_.hosts);
+  const auto hosts = static_cast<std::int64_t>(aOptions.hosts);
   const std::int64_t even = aLimit.Count() / hosts;
   const std::int64_t rest = aLimit.Count() % hosts;
   // The team decides which hosts get the rest, so that small limits of many
   // teams do not all fall to the first hosts.
   const std::string& team = aTeam.Value();
   const auto offset = static_cast<std::int64_t>(
-    XXH64(team.data(), team.size(), 0) % options_.hosts);
+    XXH64(team.data(), team.size(), 0) % aOptions.hosts);
   const auto place =
-    (static_cast<std::int64_t>(options_.rank) + offset) % hosts;
+    (static_cast<std::int64_t>(aOptions.rank) + offset) % hosts;
   return Slots(even + (place < rest ? 1 : 0));
 }
 
@@ -30,7 +32,7 @@
     if (!aView.teams.contains(team))
       account.part = Slots(0);
   for (const auto& [team, policy] : aView.teams)
-    accounts_[team].part = PartOf(policy.limit, team);
+    accounts_[team].part = EvenPart(policy.limit, team, options_);
 }
 
 bool
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -42,9 +42,9 @@
   ReleaseHolds(aNow);
   ExpireWaiting(aNow, aOut);
   AnswerOverdue(aNow, aOut);
-  for (const PoolId& pool : queue_.Pools())
-    Schedule(pool, aNow, aOut);
+  ScheduleAll(aNow, aOut);
   Publish(aNow, aOut);
+  ExchangeGrants(aNow, aOut);
   if (shuttingDown_)
     ReportDrained(aOut);
 }
@@ -265,6 +265,31 @@
     Schedule(load.pool, aNow, aOut);
 }
 
+void
+RequestPlane::On(PeerGrants&& aEvent, Time aNow, Actions& aOut)
+{
+  limits_.Receive(aEvent, aNow);
+  ScheduleAll(aNow, aOut);
+}
+
+void
+RequestPlane::ScheduleAll(Time aNow, Actions& aOut)
+{
+  for (const PoolId& pool : queue_.Pools())
+    Schedule(pool, aNow, aOut);
+}
+
+void
+RequestPlane::ExchangeGrants(Time aNow, Actions& aOut)
+{
+  if (!view_)
+    return;
+  for (const auto& [team, policy] : view_->teams)
+    limits_.NoteWaiting(team, queue_.Waiting(team));
+  for (SendGrants& report : limits_.Reports(aNow))
+    aOut.push_back(std::move(report));
+}
+
 void
 RequestPlane::On(ViewChanged&& aEvent, Time aNow, Actions& aOut)
 {
@@ -272,8 +297,7 @@
   limits_.Update(*view_);
   for (const auto& [team, policy] : view_->teams)
     queue_.SetShare(team, policy.share);
-  for (const PoolId& pool : queue_.Pools())
-    Schedule(pool, aNow, aOut);
+  ScheduleAll(aNow, aOut);
 }
 
 void
--- /dev/null
+++ b/packages/dispatch/unittests/GrantLedgerTest.cpp
@@ -0,0 +1,366 @@
+#include "greengage/dispatch/GrantLedger.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <random>
+#include <string>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+namespace {
+
+const TeamId kTeam("caxias/plan");
+constexpr std::size_t kHosts = 4;
+
+/// How the messages between the hosts fare, in thousandths.
+struct Weather
+{
+  unsigned lost = 0;
+  unsigned repeated = 0;
+  std::int64_t maxDelayMs = 5;
+};
+
+/// A ledger that trusts its even part after a restart, as one that has never
+/// lent anything could.
+class ForgetfulRestart
+{
+public:
+  static void Settle(GrantLedger& aLedger,
+                     const std::vector<EntryHostId>& aMembers,
+                     Incarnation aIncarnation)
+  {
+    for (const EntryHostId& peer : aMembers) {
+      GrantReport report;
+      report.receiver = aIncarnation;
+      report.isSettled = true;
+      report.isWhole = true;
+      aLedger.Receive({ .peer = peer, .report = report }, Time(0));
+    }
+  }
+};
+
+/// Several ledgers with a network between them that loses, repeats, reorders
+/// and delays messages, and is cut between hosts.
+class Network
+{
+public:
+  Network(std::uint64_t aSeed, Weather aWeather)
+    : random(aSeed)
+    , weather(aWeather)
+  {
+    for (std::size_t host = 0; host < kHosts; ++host)
+      members.emplace_back("e" + std::to_string(host));
+    hosts.resize(kHosts);
+    for (std::size_t host = 0; host < kHosts; ++host)
+      Restart(host);
+  }
+
+  void Restart(std::size_t aHost)
+  {
+    Host& host = hosts[aHost];
+    const Incarnation incarnation(++lastIncarnation);
+    host.ledger = std::make_unique<GrantLedger>(GrantOptions{
+      .self = members[aHost], .members = members, .incarnation = incarnation });
+    host.waiting = 0;
+    See(aHost, host.version == 0 ? 1 : host.version, host.limit);
+    if (isForgetful)
+      ForgetfulRestart::Settle(*host.ledger, members, incarnation);
+  }
+
+  void See(std::size_t aHost, std::uint64_t aVersion, std::int64_t aLimit)
+  {
+    state::FleetView view;
+    view.version = Version(aVersion);
+    view.teams[kTeam] = { .share = 1, .limit = Slots(aLimit), .maxQueued = 9 };
+    hosts[aHost].version = aVersion;
+    hosts[aHost].limit = aLimit;
+    hosts[aHost].ledger->Update(view);
+  }
+
+  /// One tick: messages arrive, requests end and start, reports leave.
+  void Step()
+  {
+    now = now + Duration(25);
+    Deliver();
+    for (std::size_t index = 0; index < kHosts; ++index) {
+      Host& host = hosts[index];
+      const auto running = host.ledger->Running(kTeam).Count();
+      for (std::int64_t each = 0; each < running; ++each)
+        if (random() % 1000 < endPerMille)
+          host.ledger->Release(kTeam);
+      while (host.waiting > 0 && host.ledger->TryAcquire(kTeam)) {
+        --host.waiting;
+        ++started;
+        peakRunning = std::max(peakRunning, TotalRunning());
+      }
+      host.ledger->NoteWaiting(kTeam, host.waiting);
+      for (SendGrants& report : host.ledger->Reports(now))
+        Send(index, std::move(report));
+    }
+  }
+
+  void Pass(Duration aSpan)
+  {
+    for (const Time end = now + aSpan; now < end;)
+      Step();
+  }
+
+  std::int64_t TotalRunning() const
+  {
+    std::int64_t total = 0;
+    for (const Host& host : hosts)
+      total += host.ledger->Running(kTeam).Count();
+    return total;
+  }
+  std::int64_t TotalHolding() const
+  {
+    std::int64_t total = 0;
+    for (const Host& host : hosts)
+      total += host.ledger->Holding(kTeam).Count();
+    return total;
+  }
+  std::int64_t HoldingOf(std::size_t aHost) const
+  {
+    return hosts[aHost].ledger->Holding(kTeam).Count();
+  }
+  std::uint64_t OldestVersion() const
+  {
+    std::uint64_t oldest = hosts[0].version;
+    for (const Host& host : hosts)
+      oldest = std::min(oldest, host.version);
+    return oldest;
+  }
+
+  struct Host
+  {
+    std::unique_ptr<GrantLedger> ledger;
+    std::uint64_t version = 0;
+    std::int64_t limit = 40;
+    std::size_t waiting = 0;
+  };
+  struct Flight
+  {
+    Time arrival;
+    std::size_t to = 0;
+    PeerGrants message;
+  };
+
+  void Send(std::size_t aFrom, SendGrants&& aReport)
+  {
+    const auto place = std::find(members.begin(), members.end(), aReport.peer);
+    const auto to = static_cast<std::size_t>(place - members.begin());
+    if (isCut[aFrom] != isCut[to] || random() % 1000 < weather.lost)
+      return;
+    const int copies = random() % 1000 < weather.repeated ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy)
+      flights.push_back(
+        { .arrival = now + Duration(static_cast<std::int64_t>(
+                             random() % (weather.maxDelayMs + 1))),
+          .to = to,
+          .message = { .peer = members[aFrom], .report = aReport.report } });
+  }
+
+  void Deliver()
+  {
+    std::vector<Flight> rest;
+    std::vector<Flight> arrived;
+    for (Flight& flight : flights)
+      (flight.arrival <= now ? arrived : rest).push_back(std::move(flight));
+    flights = std::move(rest);
+    for (const Flight& flight : arrived)
+      hosts[flight.to].ledger->Receive(flight.message, now);
+  }
+
+  std::mt19937_64 random;
+  Weather weather;
+  std::vector<EntryHostId> members;
+  std::vector<Host> hosts;
+  std::vector<Flight> flights;
+  std::array<bool, kHosts> isCut{};
+  Time now{ 1000 };
+  std::uint64_t lastIncarnation = 0;
+  unsigned endPerMille = 100;
+  std::int64_t started = 0;
+  std::int64_t peakRunning = 0;
+  bool isForgetful = false;
+};
+
+constexpr Weather kStorm{ .lost = 200, .repeated = 200, .maxDelayMs = 900 };
+
+/// Demand that jumps between hosts, cuts and restarts, for some minutes.
+/// \returns the largest sum of parts seen.
+std::int64_t
+Storm(Network& aNetwork)
+{
+  std::int64_t largest = 0;
+  for (int step = 0; step < 6000; ++step) {
+    auto& random = aNetwork.random;
+    const std::size_t host = random() % kHosts;
+    if (random() % 40 == 0)
+      aNetwork.hosts[host].waiting = random() % 60;
+    if (random() % 200 == 0)
+      aNetwork.isCut[host] = random() % 3 == 0;
+    if (random() % 300 == 0)
+      aNetwork.Restart(host);
+    aNetwork.Step();
+    largest = std::max(largest, aNetwork.TotalHolding());
+  }
+  return largest;
+}
+
+} // namespace
+
+TEST_CASE("parts never add up to more than the limit in any weather")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Network network(seed, kStorm);
+    REQUIRE(Storm(network) <= 40);
+    REQUIRE(network.peakRunning <= 40);
+    REQUIRE(network.started > 1000);
+  }
+}
+
+TEST_CASE("the checks catch a host that forgets on a restart what it lent")
+{
+  int caught = 0;
+  CAPTURE(caught);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Network network(seed, kStorm);
+    network.isForgetful = true;
+    caught += Storm(network) > 40 && network.peakRunning > 40 ? 1 : 0;
+  }
+  REQUIRE(caught >= 10);
+}
+
+/// The limit of a version, up and down between 10 and 69.
+static std::int64_t
+LimitAt(std::uint64_t aVersion)
+{
+  return aVersion == 1 ? 40
+                       : 10 + static_cast<std::int64_t>(aVersion * 37 % 60);
+}
+
+/// The greatest limit that some host may still have in force: that of the
+/// version that the slowest host has seen or of any later one.
+static std::int64_t
+GreatestLimit(const Network& aNetwork, std::uint64_t aNewest)
+{
+  std::int64_t greatest = 0;
+  for (auto version = aNetwork.OldestVersion(); version <= aNewest; ++version)
+    greatest = std::max(greatest, LimitAt(version));
+  return greatest;
+}
+
+TEST_CASE("parts stay within the limits in force while these change")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Network network(seed, kStorm);
+    std::uint64_t version = 1;
+    int exact = 0;
+    for (int step = 0; step < 6000; ++step) {
+      auto& random = network.random;
+      const std::size_t host = random() % kHosts;
+      if (random() % 40 == 0)
+        network.hosts[host].waiting = random() % 60;
+      if (random() % 400 == 0)
+        network.Restart(host);
+      if (random() % 200 == 0)
+        network.isCut[host] = random() % 3 == 0;
+      // Hosts see the versions at different times, and may pass over some.
+      if (random() % 100 == 0)
+        ++version;
+      if (random() % 20 == 0 && network.hosts[host].version < version)
+        network.See(host, version, LimitAt(version));
+      network.Step();
+      REQUIRE(network.TotalHolding() <= GreatestLimit(network, version));
+      exact += network.OldestVersion() == version ? 1 : 0;
+    }
+    // All hosts often had the same version, so that its limit alone counted.
+    REQUIRE(exact > 500);
+  }
+}
+
+TEST_CASE("a lost transfer is recovered when the hosts meet again")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(2));
+  REQUIRE(network.TotalHolding() == 40);
+  network.weather.lost = 900;
+  for (int turn = 0; turn < 20; ++turn) {
+    network.hosts[turn % kHosts].waiting = 50;
+    network.Pass(Duration::Seconds(1));
+  }
+  network.weather.lost = 0;
+  network.Pass(Duration::Seconds(5));
+  REQUIRE(network.TotalHolding() == 40);
+}
+
+TEST_CASE("a host in demand gets what the others do not need")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(2));
+  network.hosts[2].waiting = 1000;
+  network.Pass(Duration::Seconds(1));
+  // All but the reserves of three hosts with 10 each.
+  REQUIRE(network.HoldingOf(2) == 40 - 3 * 2);
+}
+
+TEST_CASE("two hosts in demand share the limit, and none is starved")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(2));
+  network.hosts[0].waiting = 100000;
+  network.Pass(Duration::Seconds(2));
+  network.hosts[1].waiting = 100000;
+  network.Pass(Duration::Seconds(5));
+  REQUIRE(network.HoldingOf(0) >= 14);
+  REQUIRE(network.HoldingOf(1) >= 14);
+}
+
+TEST_CASE("a smaller limit binds at once, without a word between the hosts")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(2));
+  network.hosts[2].waiting = 1000;
+  network.Pass(Duration::Seconds(2));
+  network.isCut = { true, false, false, false };
+  for (std::size_t host = 0; host < kHosts; ++host)
+    network.See(host, 2, 12);
+  REQUIRE(network.TotalHolding() <= 12);
+  network.isCut = {};
+  network.Pass(Duration::Seconds(5));
+  REQUIRE(network.TotalHolding() == 12);
+}
+
+TEST_CASE("a restarted host spends its reserve until all peers have answered")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(2));
+  network.isCut = { true, false, false, false };
+  network.Restart(1);
+  network.Pass(Duration::Seconds(2));
+  REQUIRE(network.HoldingOf(1) == 2);
+  network.hosts[1].waiting = 1000;
+  network.Pass(Duration::Seconds(2));
+  // Peers that have answered give to it all the same.
+  REQUIRE(network.HoldingOf(1) >= 2 + 8 + 8);
+  network.isCut = {};
+  network.hosts[1].waiting = 0;
+  network.Pass(Duration::Seconds(5));
+  REQUIRE(network.hosts[1].ledger->IsSettled());
+  REQUIRE(network.TotalHolding() == 40);
+}
+
+TEST_CASE("idle hosts that know each other send nothing")
+{
+  Network network(1, {});
+  network.Pass(Duration::Seconds(5));
+  for (auto& host : network.hosts)
+    REQUIRE(host.ledger->Reports(network.now + Duration::Seconds(9)).empty());
+}
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -10,6 +10,7 @@
 #include "greengage/core/Request.h"
 #include "greengage/core/Units.h"
 #include "greengage/core/Upstream.h"
+#include "greengage/dispatch/Grants.h"
 #include "greengage/dispatch/Messages.h"
 
 #include <cstdint>
@@ -77,7 +78,8 @@
                                  ForwardRequest,
                                  ForwardResult,
                                  RelayedAnnouncement,
-                                 LoadReport>;
+                                 LoadReport,
+                                 dispatch::GrantReport>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -149,6 +149,32 @@
     fb::CreateLoad(aBuilder, aMessage.leaving, aBuilder.CreateVector(pools)));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const dispatch::GrantReport& aMessage, Time)
+{
+  std::vector<flatbuffers::Offset<fb::TeamGrant>> grants;
+  grants.reserve(aMessage.grants.size());
+  for (const dispatch::TeamGrant& grant : aMessage.grants)
+    grants.push_back(
+      fb::CreateTeamGrant(aBuilder,
+                          aBuilder.CreateString(grant.team.Value()),
+                          grant.given.Count(),
+                          grant.givenVoid.Count(),
+                          grant.received.Count(),
+                          grant.acknowledged.Count(),
+                          grant.holding.Count(),
+                          grant.demand.Count(),
+                          grant.term.Value(),
+                          grant.limit.Count()));
+  return MakeBody(fb::Body::Grants,
+                  fb::CreateGrants(aBuilder,
+                                   aMessage.sender.Value(),
+                                   aMessage.receiver.Value(),
+                                   aMessage.isSettled,
+                                   aMessage.isWhole,
+                                   aBuilder.CreateVector(grants)));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -239,6 +265,29 @@
   return report;
 }
 
+static dispatch::GrantReport
+DecodeGrants(const fb::Grants& aFrom)
+{
+  dispatch::GrantReport report;
+  report.sender = dispatch::Incarnation(aFrom.sender());
+  report.receiver = dispatch::Incarnation(aFrom.receiver());
+  report.isSettled = aFrom.settled();
+  report.isWhole = aFrom.whole();
+  if (aFrom.grants() == nullptr)
+    return report;
+  for (const fb::TeamGrant* grant : *aFrom.grants())
+    report.grants.push_back({ .team = TeamId(Text(grant->team())),
+                              .given = Slots(grant->given()),
+                              .givenVoid = Slots(grant->given_void()),
+                              .received = Slots(grant->received()),
+                              .acknowledged = Slots(grant->acknowledged()),
+                              .holding = Slots(grant->holding()),
+                              .demand = Slots(grant->demand()),
+                              .term = Version(grant->term()),
+                              .limit = Slots(grant->limit()) });
+  return report;
+}
+
 static std::optional<PeerMessage>
 DecodeBody(const fb::Envelope& aEnvelope, Time aNow, Error& aReason)
 {
@@ -273,6 +322,8 @@
                                     *aEnvelope.body_as_Announcement()) };
     case fb::Body::Load:
       return DecodeLoad(*aEnvelope.body_as_Load());
+    case fb::Body::Grants:
+      return DecodeGrants(*aEnvelope.body_as_Grants());
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/unittests/WireTest.cpp
+++ b/packages/wire/unittests/WireTest.cpp
@@ -50,6 +50,19 @@
     RelayedAnnouncement{ .announcement = announcement },
     LoadReport{ .leaving = true,
                 .pools = { { PoolId("lines"), Slots(3), 2 } } },
+    dispatch::GrantReport{ .sender = dispatch::Incarnation(4),
+                           .receiver = dispatch::Incarnation(5),
+                           .isSettled = true,
+                           .isWhole = true,
+                           .grants = { { .team = TeamId("a/b"),
+                                         .given = Slots(1),
+                                         .givenVoid = Slots(2),
+                                         .received = Slots(3),
+                                         .acknowledged = Slots(4),
+                                         .holding = Slots(5),
+                                         .demand = Slots(6),
+                                         .term = Version(7),
+                                         .limit = Slots(8) } } },
   };
 }
 
@@ -65,6 +78,15 @@
   }
 }
 
+TEST_CASE("a report on grants is the same after its journey")
+{
+  Error reason;
+  const PeerMessage sent = AllMessages().back();
+  const auto decoded = Decode(Encode(sent, kNow), kNow, reason);
+  REQUIRE(std::get<dispatch::GrantReport>(*decoded) ==
+          std::get<dispatch::GrantReport>(sent));
+}
+
 TEST_CASE("a deadline crosses as the time that remains")
 {
   Error reason;
