Share pools by the tree of teams, with price classes, memory and a gate

Cause: teams shared a pool flat, price classes counted only inside a team, a team whose requests had expired started level again, a team at its limit was asked again for every free slot, and a request that could not be in time waited until its deadline.

Change: ShareTree does weighted fair queueing on each level of the team path. Service is charged by learned run times and corrected by the true ones; urgent work costs twice and leads its team's share by at most 5 s of the pool's service, patient work costs half and yields 20 s, and any request becomes urgent when its time runs short. What a team lacked is remembered and fades with a half-life of 30 s. A refused team is asked again only after NoteRoom. DeadlineGate refuses at the door what cannot be started in time at twice the measured pace, with a time to come back.

Ruled out: strict priority of classes across teams, since one team's urgent flood would starve the others; virtual time of the request in service, since urgent leads make it jump.

--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -9,8 +9,8 @@
 #include "sources/PeerSource.h"
 #include "sources/UpstreamSource.h"
 
+#include "greengage/dispatch/FairQueue.h"
 #include "greengage/dispatch/GrantLedger.h"
-#include "greengage/dispatch/RequestQueue.h"
 #include "greengage/http/Server.h"
 #include "greengage/observe/Log.h"
 #include "greengage/pipe/Duty.h"
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -9,11 +9,13 @@
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
 #include "greengage/core/Units.h"
+#include "greengage/dispatch/DeadlineGate.h"
 #include "greengage/dispatch/LimitLedger.h"
 #include "greengage/dispatch/Messages.h"
 #include "greengage/dispatch/PeerTable.h"
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/dispatch/RequestRecords.h"
+#include "greengage/dispatch/RunTimes.h"
 #include "greengage/dispatch/UpstreamTable.h"
 
 #include <cstdint>
@@ -85,6 +87,9 @@
     bool mayHaveRun = false;
     /// The callers have been told at the deadline.
     bool isAnswered = false;
+    /// How long the attempt in progress is likely to run, and its start.
+    Duration expectedRun;
+    Time startedAt;
   };
 
   /// Where a request can run now: an upstream of this host, or a peer.
@@ -119,15 +124,19 @@
 
   void HandOverUpstreams(Time aNow, Actions& aOut);
   std::optional<NotRun> Refusal(const Request& aRequest, Time aNow) const;
+  std::optional<NotRun> RefusalAtDoor(const Request& aRequest, Time aNow);
   bool AnswerFromRecord(const Submit& aEvent, Actions& aOut);
   void Admit(Submit&& aEvent, Time aNow, Actions& aOut);
   WorkId AddWork(Request&& aRequest, Origin&& aOrigin);
-  void Enqueue(WorkId aWork, const Request& aRequest);
+  QueueEntry EntryOf(WorkId aWork, const Request& aRequest) const;
+  void Enqueue(WorkId aWork, Time aNow);
 
   void Schedule(const PoolId& aPool, Time aNow, Actions& aOut);
   std::optional<Place> TakePlace(const PoolId& aPool, Time aNow);
   void ReturnPlace(const Place& aPlace, const PoolId& aPool);
-  void Start(WorkId aWork, Place&& aPlace, Actions& aOut);
+  void Start(WorkId aWork, Place&& aPlace, Time aNow, Actions& aOut);
+  void LearnRun(WorkId aWork, const Outcome& aOutcome, Time aNow);
+  void ReleaseLimit(const TeamId& aTeam, Time aNow);
   Attempt TakeAttempt(DispatchId aDispatch);
 
   void SettleSlot(const UpstreamId& aUpstream,
@@ -159,6 +168,8 @@
   UpstreamTable upstreams_;
   PeerTable peers_;
   RequestRecords records_;
+  RunTimes runTimes_;
+  DeadlineGate gate_;
 
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<DispatchId, Attempt> attempts_;
--- a/packages/dispatch/include/greengage/dispatch/RequestQueue.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestQueue.h
@@ -10,10 +10,8 @@
 
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
-#include <tuple>
+#include <string>
 #include <vector>
 
 namespace greengage::dispatch {
@@ -26,6 +24,8 @@
   PoolId pool;
   PriceClass priceClass = PriceClass::Standard;
   Time deadline;
+  /// How long it is likely to run.
+  Duration runTime = Duration(100);
 };
 
 /// An order of service.
@@ -37,67 +37,35 @@
 
   virtual ~RequestQueue() = default;
 
-  virtual void SetShare(const TeamId& aTeam, double aShare) = 0;
-  virtual void Add(const QueueEntry& aEntry) = 0;
+  /// Sets the weight of a team, or of a group by its path with a "/" behind.
+  virtual void SetShare(const std::string& aPath, double aShare) = 0;
+  virtual void Add(const QueueEntry& aEntry, Time aNow) = 0;
   /// Takes the request that is to run next in \p aPool, of a team that
-  /// \p aMayRun admits.
+  /// \p aMayRun admits. A team that it refuses is not asked for again before
+  /// NoteRoom.
   virtual std::optional<QueueEntry> TakeNext(const PoolId& aPool,
-                                             const TeamFilter& aMayRun) = 0;
+                                             const TeamFilter& aMayRun,
+                                             Time aNow) = 0;
+  /// Says that a team that was refused may run requests again.
+  virtual void NoteRoom(const TeamId& aTeam, Time aNow) = 0;
+  /// The teams that were refused since their last NoteRoom.
+  virtual std::vector<TeamId> Refused() const = 0;
+  /// Takes into account how long a request has run.
+  virtual void NoteRun(const QueueEntry& aEntry, Duration aRan, Time aNow) = 0;
   /// Removes a request that no longer waits. False if it is not in the queue.
-  virtual bool Remove(WorkId aWork) = 0;
+  virtual bool Remove(WorkId aWork, Time aNow) = 0;
   /// Removes and returns the requests whose deadlines have passed.
   virtual std::vector<QueueEntry> TakeExpired(Time aNow) = 0;
 
+  /// The waiting requests of a team that would be started before \p aEntry,
+  /// give or take those with nearly its deadline.
+  virtual std::size_t Ahead(const QueueEntry& aEntry) const = 0;
   virtual std::size_t Waiting(const TeamId& aTeam) const = 0;
   virtual std::size_t WaitingIn(const PoolId& aPool) const = 0;
   virtual std::vector<PoolId> Pools() const = 0;
   virtual std::optional<Time> EarliestDeadline() const = 0;
 };
 
-/// Start-time fair queueing between teams by their shares; inside a team by
-/// price class, then by deadline.
-class FairQueue final : public RequestQueue
-{
-public:
-  void SetShare(const TeamId& aTeam, double aShare) override;
-  void Add(const QueueEntry& aEntry) override;
-  std::optional<QueueEntry> TakeNext(const PoolId& aPool,
-                                     const TeamFilter& aMayRun) override;
-  bool Remove(WorkId aWork) override;
-  std::vector<QueueEntry> TakeExpired(Time aNow) override;
-  std::size_t Waiting(const TeamId& aTeam) const override;
-  std::size_t WaitingIn(const PoolId& aPool) const override;
-  std::vector<PoolId> Pools() const override;
-  std::optional<Time> EarliestDeadline() const override;
-
-private:
-  /// Service order inside a team.
-  using OrderKey = std::tuple<PriceClass, Time, WorkId>;
-  struct TeamLine
-  {
-    std::set<OrderKey> order;
-    /// Service received, divided by the share.
-    double virtualTime = 0;
-  };
-  struct PoolLines
-  {
-    std::map<TeamId, TeamLine> teams;
-    /// Teams with waiting requests by virtual time.
-    std::set<std::pair<double, TeamId>> byVirtualTime;
-    double virtualNow = 0;
-    std::size_t waiting = 0;
-  };
-
-  double ShareOf(const TeamId& aTeam) const;
-  void Unlink(const QueueEntry& aEntry);
-
-  std::map<TeamId, double> shares_;
-  std::map<PoolId, PoolLines> pools_;
-  std::map<WorkId, QueueEntry> entries_;
-  std::map<TeamId, std::size_t> waiting_;
-  std::set<std::pair<Time, WorkId>> byDeadline_;
-};
-
 } // namespace greengage::dispatch
 
 #endif // GREENGAGE_DISPATCH_REQUESTQUEUE_H
--- a/packages/dispatch/lib/FairQueue.cpp
+++ b/packages/dispatch/lib/FairQueue.cpp
@@ -1,90 +1,203 @@
-#include "greengage/dispatch/RequestQueue.h"
+#include "greengage/dispatch/FairQueue.h"
 
-#include <algorithm>
 #include <cassert>
 
 using namespace greengage;
 using namespace greengage::dispatch;
 
-/// A share of zero still gets what nobody else wants.
-static constexpr double kLeastShare = 1e-6;
+/// What a class pays for the same service.
+static double
+PriceOf(PriceClass aClass)
+{
+  switch (aClass) {
+    case PriceClass::Urgent:
+      return 2;
+    case PriceClass::Standard:
+      return 1;
+    case PriceClass::Patient:
+      break;
+  }
+  return 0.5;
+}
+
+static double
+CostOf(const QueueEntry& aEntry, Duration aSpan)
+{
+  constexpr double kMillisPerSecond = 1000;
+  return PriceOf(aEntry.priceClass) * static_cast<double>(aSpan.Millis()) /
+         kMillisPerSecond;
+}
+
+static std::pair<PriceClass, std::int64_t>
+BucketOf(PriceClass aClass, Time aDeadline)
+{
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  return { aClass, aDeadline.Millis() / kMillisPerSecond };
+}
+
+void
+FairQueue::TeamLine::Insert(const OrderKey& aKey)
+{
+  order.insert(aKey);
+  ++counts[BucketOf(std::get<PriceClass>(aKey), std::get<Time>(aKey))];
+}
 
 void
-FairQueue::SetShare(const TeamId& aTeam, double aShare)
+FairQueue::TeamLine::Erase(const OrderKey& aKey)
 {
-  shares_[aTeam] = std::max(aShare, kLeastShare);
+  order.erase(aKey);
+  const auto found =
+    counts.find(BucketOf(std::get<PriceClass>(aKey), std::get<Time>(aKey)));
+  assert(found != counts.end() && "each request is counted");
+  if (--found->second == 0)
+    counts.erase(found);
 }
 
-double
-FairQueue::ShareOf(const TeamId& aTeam) const
+FairQueue::FairQueue(FairQueueOptions aOptions)
+  : options_(aOptions)
 {
-  const auto found = shares_.find(aTeam);
-  return found == shares_.end() ? 1.0 : found->second;
 }
 
 void
-FairQueue::Add(const QueueEntry& aEntry)
+FairQueue::SetShare(const std::string& aPath, double aShare)
 {
+  shares_[aPath] = aShare;
+  for (auto& [id, pool] : pools_)
+    pool.tree.SetShare(aPath, aShare);
+}
+
+FairQueue::PoolLines&
+FairQueue::LinesOf(const PoolId& aPool)
+{
+  const auto [place, isNew] = pools_.try_emplace(aPool, options_.shares);
+  if (isNew)
+    for (const auto& [path, share] : shares_)
+      place->second.tree.SetShare(path, share);
+  return place->second;
+}
+
+Time
+FairQueue::PromotionOf(const QueueEntry& aEntry) const
+{
+  return aEntry.deadline - aEntry.runTime - options_.promotionMargin;
+}
+
+void
+FairQueue::Add(const QueueEntry& aEntry, Time aNow)
+{
+  const bool isLate = PromotionOf(aEntry) <= aNow;
+  const PriceClass served = isLate ? PriceClass::Urgent : aEntry.priceClass;
   [[maybe_unused]] const bool isNew =
-    entries_.emplace(aEntry.work, aEntry).second;
+    waiters_.emplace(aEntry.work, Waiter{ aEntry, served }).second;
   assert(isNew && "a request waits once");
-  PoolLines& pool = pools_[aEntry.pool];
-  TeamLine& line = pool.teams[aEntry.team];
-  if (line.order.empty()) {
-    // A team that comes back starts level with those that kept waiting.
-    line.virtualTime = std::max(line.virtualTime, pool.virtualNow);
-    pool.byVirtualTime.emplace(line.virtualTime, aEntry.team);
-  }
-  line.order.emplace(aEntry.priceClass, aEntry.deadline, aEntry.work);
+  PoolLines& pool = LinesOf(aEntry.pool);
+  pool.teams[aEntry.team].Insert({ served, aEntry.deadline, aEntry.work });
   byDeadline_.emplace(aEntry.deadline, aEntry.work);
+  if (served != PriceClass::Urgent)
+    byPromotion_.emplace(PromotionOf(aEntry), aEntry.work);
   ++pool.waiting;
   ++waiting_[aEntry.team];
+  Refresh(pool, aEntry.team, aNow);
+}
+
+/// Tells the tree what the team has waiting that may run.
+void
+FairQueue::Refresh(PoolLines& aPool, const TeamId& aTeam, Time aNow)
+{
+  const TeamLine& line = aPool.teams[aTeam];
+  if (line.order.empty() || refused_.contains(aTeam))
+    aPool.tree.Deactivate(aTeam, aNow);
+  else
+    aPool.tree.Activate(aTeam, std::get<PriceClass>(*line.order.begin()), aNow);
 }
 
+/// Serves as urgent what would otherwise miss its deadline.
 void
-FairQueue::Unlink(const QueueEntry& aEntry)
-{
-  PoolLines& pool = pools_.at(aEntry.pool);
-  TeamLine& line = pool.teams.at(aEntry.team);
-  line.order.erase({ aEntry.priceClass, aEntry.deadline, aEntry.work });
-  if (line.order.empty())
-    pool.byVirtualTime.erase({ line.virtualTime, aEntry.team });
-  byDeadline_.erase({ aEntry.deadline, aEntry.work });
+FairQueue::Promote(Time aNow)
+{
+  while (!byPromotion_.empty() && byPromotion_.begin()->first <= aNow) {
+    const WorkId work = byPromotion_.begin()->second;
+    byPromotion_.erase(byPromotion_.begin());
+    Waiter& waiter = waiters_.at(work);
+    const QueueEntry& entry = waiter.entry;
+    PoolLines& pool = pools_.at(entry.pool);
+    TeamLine& line = pool.teams.at(entry.team);
+    line.Erase({ waiter.served, entry.deadline, work });
+    waiter.served = PriceClass::Urgent;
+    line.Insert({ waiter.served, entry.deadline, work });
+    Refresh(pool, entry.team, aNow);
+  }
+}
+
+QueueEntry
+FairQueue::Unlink(WorkId aWork, Time aNow)
+{
+  const auto found = waiters_.find(aWork);
+  assert(found != waiters_.end() && "the request waits");
+  const Waiter waiter = found->second;
+  const QueueEntry& entry = waiter.entry;
+  waiters_.erase(found);
+  byDeadline_.erase({ entry.deadline, aWork });
+  byPromotion_.erase({ PromotionOf(entry), aWork });
+  PoolLines& pool = pools_.at(entry.pool);
+  pool.teams.at(entry.team).Erase({ waiter.served, entry.deadline, aWork });
   --pool.waiting;
-  --waiting_.at(aEntry.team);
-  entries_.erase(aEntry.work);
+  --waiting_.at(entry.team);
+  Refresh(pool, entry.team, aNow);
+  return entry;
 }
 
 std::optional<QueueEntry>
-FairQueue::TakeNext(const PoolId& aPool, const TeamFilter& aMayRun)
+FairQueue::TakeNext(const PoolId& aPool, const TeamFilter& aMayRun, Time aNow)
 {
   const auto found = pools_.find(aPool);
   if (found == pools_.end())
     return std::nullopt;
+  Promote(aNow);
   PoolLines& pool = found->second;
-  for (const auto& [virtualTime, team] : pool.byVirtualTime) {
-    if (!aMayRun(team))
+  while (const auto team = pool.tree.Next()) {
+    if (!aMayRun(*team)) {
+      refused_.insert(*team);
+      Refresh(pool, *team, aNow);
       continue;
-    TeamLine& line = pool.teams.at(team);
-    const QueueEntry entry = entries_.at(std::get<WorkId>(*line.order.begin()));
-    pool.virtualNow = std::max(pool.virtualNow, virtualTime);
-    pool.byVirtualTime.erase({ line.virtualTime, entry.team });
-    line.virtualTime += 1 / ShareOf(entry.team);
-    pool.byVirtualTime.emplace(line.virtualTime, entry.team);
-    Unlink(entry);
-    return entry;
+    }
+    const WorkId work = std::get<WorkId>(*pool.teams.at(*team).order.begin());
+    const QueueEntry& entry = waiters_.at(work).entry;
+    pool.tree.Charge(*team, CostOf(entry, entry.runTime), aNow);
+    return Unlink(work, aNow);
   }
   return std::nullopt;
 }
 
+void
+FairQueue::NoteRoom(const TeamId& aTeam, Time aNow)
+{
+  if (refused_.erase(aTeam) == 0)
+    return;
+  for (auto& [id, pool] : pools_)
+    if (pool.teams.contains(aTeam))
+      Refresh(pool, aTeam, aNow);
+}
+
+std::vector<TeamId>
+FairQueue::Refused() const
+{
+  return { refused_.begin(), refused_.end() };
+}
+
+void
+FairQueue::NoteRun(const QueueEntry& aEntry, Duration aRan, Time aNow)
+{
+  LinesOf(aEntry.pool)
+    .tree.Charge(aEntry.team, CostOf(aEntry, aRan - aEntry.runTime), aNow);
+}
+
 bool
-FairQueue::Remove(WorkId aWork)
+FairQueue::Remove(WorkId aWork, Time aNow)
 {
-  const auto found = entries_.find(aWork);
-  if (found == entries_.end())
+  if (!waiters_.contains(aWork))
     return false;
-  const QueueEntry entry = found->second;
-  Unlink(entry);
+  Unlink(aWork, aNow);
   return true;
 }
 
@@ -92,14 +205,30 @@
 FairQueue::TakeExpired(Time aNow)
 {
   std::vector<QueueEntry> expired;
-  while (!byDeadline_.empty() && byDeadline_.begin()->first <= aNow) {
-    const QueueEntry entry = entries_.at(byDeadline_.begin()->second);
-    Unlink(entry);
-    expired.push_back(entry);
-  }
+  while (!byDeadline_.empty() && byDeadline_.begin()->first <= aNow)
+    expired.push_back(Unlink(byDeadline_.begin()->second, aNow));
   return expired;
 }
 
+std::size_t
+FairQueue::Ahead(const QueueEntry& aEntry) const
+{
+  const auto pool = pools_.find(aEntry.pool);
+  if (pool == pools_.end())
+    return 0;
+  const auto line = pool->second.teams.find(aEntry.team);
+  if (line == pool->second.teams.end())
+    return 0;
+  std::size_t ahead = 0;
+  const auto own = BucketOf(aEntry.priceClass, aEntry.deadline);
+  for (const auto& [bucket, count] : line->second.counts) {
+    if (bucket >= own)
+      break;
+    ahead += count;
+  }
+  return ahead;
+}
+
 std::size_t
 FairQueue::Waiting(const TeamId& aTeam) const
 {
@@ -118,9 +247,9 @@
 FairQueue::Pools() const
 {
   std::vector<PoolId> pools;
-  for (const auto& [pool, lines] : pools_)
-    if (lines.waiting > 0)
-      pools.push_back(pool);
+  for (const auto& [id, pool] : pools_)
+    if (pool.waiting > 0)
+      pools.push_back(id);
   return pools;
 }
 
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -68,6 +68,8 @@
   if (AnswerFromRecord(aEvent, aOut))
     return;
   auto refusal = Refusal(aEvent.request, aNow);
+  if (!refusal)
+    refusal = RefusalAtDoor(aEvent.request, aNow);
   if (refusal) {
     aOut.push_back(Answer{ .call = aEvent.call,
                            .id = aEvent.request.id,
@@ -105,6 +107,25 @@
   return std::nullopt;
 }
 
+/// Refuses a request that can't meet its deadline.
+std::optional<NotRun>
+RequestPlane::RefusalAtDoor(const Request& aRequest, Time aNow)
+{
+  const QueueEntry entry = EntryOf(WorkId(), aRequest);
+  const auto retryAfter =
+    gate_.Refuse({ .pool = aRequest.pool,
+                   .team = aRequest.team,
+                   .ahead = queue_.Ahead(entry),
+                   .leastRun = runTimes_.Least(aRequest.team, aRequest.kind),
+                   .deadline = aRequest.deadline },
+                 aNow);
+  if (!retryAfter)
+    return std::nullopt;
+  return MakeNotRun(ErrorKind::DeadlineUnmeetable,
+                    "requests ahead and the usual run time leave no room",
+                    *retryAfter);
+}
+
 /// Answers a resend out of its record. False if there is no record.
 bool
 RequestPlane::AnswerFromRecord(const Submit& aEvent, Actions& aOut)
@@ -152,7 +173,7 @@
     AddWork(std::move(aEvent.request), LocalOrigin{ .key = key });
   record->work = work;
   record->waiters.push_back(aEvent.call);
-  Enqueue(work, works_.at(work).request);
+  Enqueue(work, aNow);
   Schedule(pool, aNow, aOut);
 }
 
@@ -167,14 +188,24 @@
   return id;
 }
 
+QueueEntry
+RequestPlane::EntryOf(WorkId aWork, const Request& aRequest) const
+{
+  return { .work = aWork,
+           .team = aRequest.team,
+           .pool = aRequest.pool,
+           .priceClass = aRequest.priceClass,
+           .deadline = aRequest.deadline,
+           .runTime = runTimes_.Mean(aRequest.team, aRequest.kind) };
+}
+
 void
-RequestPlane::Enqueue(WorkId aWork, const Request& aRequest)
+RequestPlane::Enqueue(WorkId aWork, Time aNow)
 {
-  queue_.Add({ .work = aWork,
-               .team = aRequest.team,
-               .pool = aRequest.pool,
-               .priceClass = aRequest.priceClass,
-               .deadline = aRequest.deadline });
+  Work& work = works_.at(aWork);
+  const QueueEntry entry = EntryOf(aWork, work.request);
+  work.expectedRun = entry.runTime;
+  queue_.Add(entry, aNow);
 }
 
 void
@@ -186,7 +217,7 @@
     MakeNotRun(ErrorKind::NotFound, "no such request on this entry host");
   if (record != nullptr && record->outcome)
     outcome = *record->outcome;
-  else if (record != nullptr && queue_.Remove(record->work)) {
+  else if (record != nullptr && queue_.Remove(record->work, aNow)) {
     outcome =
       Truthful(works_.at(record->work),
                MakeNotRun(ErrorKind::Cancelled, "request was cancelled"));
@@ -275,6 +306,9 @@
 void
 RequestPlane::ScheduleAll(Time aNow, Actions& aOut)
 {
+  for (const TeamId& team : queue_.Refused())
+    if (limits_.HasRoom(team))
+      queue_.NoteRoom(team, aNow);
   for (const PoolId& pool : queue_.Pools())
     Schedule(pool, aNow, aOut);
 }
@@ -296,7 +330,9 @@
   view_ = std::move(aEvent.view);
   limits_.Update(*view_);
   for (const auto& [team, policy] : view_->teams)
-    queue_.SetShare(team, policy.share);
+    queue_.SetShare(team.Value(), policy.share);
+  for (const auto& [group, share] : view_->groupShares)
+    queue_.SetShare(group, share);
   ScheduleAll(aNow, aOut);
 }
 
@@ -360,7 +396,7 @@
     const Hold hold = holds_.begin()->second;
     holds_.erase(holds_.begin());
     if (hold.team)
-      limits_.Release(*hold.team);
+      ReleaseLimit(*hold.team, aNow);
     if (hold.upstream)
       upstreams_.ReleaseSlot(*hold.upstream);
   }
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -32,14 +32,15 @@
     auto place = TakePlace(aPool, aNow);
     if (!place)
       return;
-    const auto entry = queue_.TakeNext(aPool, mayRun);
+    const auto entry = queue_.TakeNext(aPool, mayRun, aNow);
     if (!entry) {
       ReturnPlace(*place, aPool);
       return;
     }
     [[maybe_unused]] const bool isAcquired = limits_.TryAcquire(entry->team);
     assert(isAcquired && "the queue was asked for a team with room");
-    Start(entry->work, std::move(*place), aOut);
+    gate_.NoteStart(aPool, entry->team, queue_.Waiting(entry->team), aNow);
+    Start(entry->work, std::move(*place), aNow, aOut);
   }
 }
 
@@ -63,9 +64,11 @@
 }
 
 void
-RequestPlane::Start(WorkId aWork, Place&& aPlace, Actions& aOut)
+RequestPlane::Start(WorkId aWork, Place&& aPlace, Time aNow, Actions& aOut)
 {
-  const Request& request = works_.at(aWork).request;
+  Work& work = works_.at(aWork);
+  work.startedAt = aNow;
+  const Request& request = work.request;
   const DispatchId dispatch(++lastDispatch_);
   running_.emplace(request.deadline, aWork);
   if (const auto* id = std::get_if<UpstreamId>(&aPlace)) {
@@ -84,6 +87,33 @@
                     Attempt{ .work = aWork, .place = std::move(aPlace) });
 }
 
+/// Learns from a whole run, and charges the team for what it took.
+void
+RequestPlane::LearnRun(WorkId aWork, const Outcome& aOutcome, Time aNow)
+{
+  const auto* answered = std::get_if<Answered>(&aOutcome);
+  if (answered == nullptr)
+    return;
+  const Work& work = works_.at(aWork);
+  const Duration ran = aNow - work.startedAt;
+  // Work that fails may have stopped early and teaches nothing.
+  if (answered->succeeded)
+    runTimes_.Learn(work.request.team, work.request.kind, ran);
+  if (!std::holds_alternative<LocalOrigin>(work.origin))
+    return;
+  QueueEntry entry = EntryOf(aWork, work.request);
+  entry.runTime = work.expectedRun;
+  queue_.NoteRun(entry, ran, aNow);
+}
+
+void
+RequestPlane::ReleaseLimit(const TeamId& aTeam, Time aNow)
+{
+  limits_.Release(aTeam);
+  if (limits_.HasRoom(aTeam))
+    queue_.NoteRoom(aTeam, aNow);
+}
+
 /// Removes a known attempt, after which its request is not running any more.
 RequestPlane::Attempt
 RequestPlane::TakeAttempt(DispatchId aDispatch)
@@ -124,7 +154,7 @@
   const WorkId work =
     AddWork(std::move(aEvent.request),
             PeerOrigin{ .peer = aEvent.from, .dispatch = aEvent.dispatch });
-  Start(work, Place(*upstream), aOut);
+  Start(work, Place(*upstream), aNow, aOut);
 }
 
 /// What the end of an attempt means for the request.
@@ -183,6 +213,7 @@
   SettleSlot(upstream, work, aEvent.end, aNow);
   const PoolId pool = work.request.pool;
   Outcome outcome = OutcomeOf(std::move(aEvent), upstream);
+  LearnRun(attempt.work, outcome, aNow);
   if (const auto* origin = std::get_if<PeerOrigin>(&work.origin)) {
     aOut.push_back(ReturnOutcome{ .peer = origin->peer,
                                   .dispatch = origin->dispatch,
@@ -206,6 +237,7 @@
     peers_.NoteFull(aEvent.from, pool);
   else
     peers_.ReturnSlot(aEvent.from, pool);
+  LearnRun(attempt.work, aEvent.outcome, aNow);
   Settle(attempt.work, std::move(aEvent.outcome), aNow, aOut);
   Schedule(pool, aNow, aOut);
 }
@@ -240,13 +272,13 @@
     HoldUntilLeaseEnd(
       work, Hold{ .team = work.request.team, .upstream = std::nullopt });
   } else {
-    limits_.Release(work.request.team);
+    ReleaseLimit(work.request.team, aNow);
   }
   if (!MayRetry(work, aOutcome, aNow)) {
     Finish(aWork, std::move(aOutcome), aNow, aOut);
     return;
   }
-  Enqueue(aWork, work.request);
+  Enqueue(aWork, aNow);
 }
 
 bool
--- /dev/null
+++ b/packages/dispatch/lib/RunTimes.cpp
@@ -0,0 +1,70 @@
+#include "greengage/dispatch/RunTimes.h"
+
+#include <algorithm>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+/// How much of a new run goes into the mean, once many are known.
+static constexpr double kLeastWeight = 0.05;
+/// These steps hold the low estimate where one run in ten is shorter.
+static constexpr double kStepDown = 0.9;
+static constexpr double kStepUp = 1.01;
+
+void
+RunTimes::Update(Estimate& aEstimate, double aRanMs) const
+{
+  double ms = aRanMs;
+  if (aEstimate.runs >= options_.minRuns)
+    ms =
+      std::min(ms, aEstimate.meanMs * static_cast<double>(options_.maxRatio));
+  const double weight =
+    std::max(kLeastWeight, 1.0 / static_cast<double>(aEstimate.runs + 1));
+  aEstimate.meanMs += weight * (ms - aEstimate.meanMs);
+  if (aEstimate.runs == 0)
+    aEstimate.leastMs = ms;
+  aEstimate.leastMs *= ms < aEstimate.leastMs ? kStepDown : kStepUp;
+  ++aEstimate.runs;
+}
+
+void
+RunTimes::Learn(const TeamId& aTeam, const std::string& aKind, Duration aRan)
+{
+  const double ms = std::max(1.0, static_cast<double>(aRan.Millis()));
+  TeamEstimates& team = teams_[aTeam];
+  Update(team.all, ms);
+  const bool hasRoom = team.kinds.size() < options_.maxKinds;
+  if (hasRoom || team.kinds.contains(aKind))
+    Update(team.kinds[aKind], ms);
+}
+
+const RunTimes::Estimate*
+RunTimes::Find(const TeamId& aTeam, const std::string& aKind) const
+{
+  const auto team = teams_.find(aTeam);
+  if (team == teams_.end())
+    return nullptr;
+  const auto kind = team->second.kinds.find(aKind);
+  return kind == team->second.kinds.end() ? &team->second.all : &kind->second;
+}
+
+Duration
+RunTimes::Mean(const TeamId& aTeam, const std::string& aKind) const
+{
+  const Estimate* estimate = Find(aTeam, aKind);
+  if (estimate == nullptr)
+    return options_.initial;
+  const double all = teams_.at(aTeam).all.meanMs;
+  const auto ratio = static_cast<double>(options_.maxRatio);
+  const double bounded = std::clamp(estimate->meanMs, all / ratio, all * ratio);
+  return Duration(static_cast<std::int64_t>(std::max(1.0, bounded)));
+}
+
+Duration
+RunTimes::Least(const TeamId& aTeam, const std::string& aKind) const
+{
+  const Estimate* estimate = Find(aTeam, aKind);
+  if (estimate == nullptr || estimate->runs < options_.minRuns)
+    return Duration(0);
+  return Duration(static_cast<std::int64_t>(estimate->leastMs));
+}
--- /dev/null
+++ b/packages/dispatch/unittests/AdmissionTest.cpp
@@ -0,0 +1,134 @@
+#include "greengage/dispatch/DeadlineGate.h"
+#include "greengage/dispatch/RunTimes.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+static const TeamId kTeam("a");
+static const PoolId kPool("lines");
+
+TEST_CASE("run times are learned per team and kind")
+{
+  RunTimes times;
+  REQUIRE(times.Mean(kTeam, "weigh") == Duration(100));
+  for (int run = 0; run < 50; ++run) {
+    times.Learn(kTeam, "weigh", Duration(20));
+    times.Learn(kTeam, "plan", Duration(300));
+  }
+  REQUIRE(times.Mean(kTeam, "weigh") == Duration(20));
+  REQUIRE(times.Mean(kTeam, "plan") == Duration(300));
+  // A kind that is new counts as the team's others do.
+  const Duration fresh = times.Mean(kTeam, "sort");
+  REQUIRE(fresh > Duration(100));
+  REQUIRE(fresh < Duration(220));
+  REQUIRE(times.Mean(TeamId("b"), "plan") == Duration(100));
+}
+
+TEST_CASE("one false kind bends an estimate within a bound")
+{
+  RunTimes times;
+  for (int run = 0; run < 1000; ++run)
+    times.Learn(kTeam, "weigh", Duration(100));
+  times.Learn(kTeam, "false", Duration::Seconds(100000));
+  for (int run = 0; run < 200; ++run)
+    times.Learn(kTeam, "weigh", Duration(100));
+  REQUIRE(times.Mean(kTeam, "false") <= Duration(2100));
+}
+
+TEST_CASE("kinds beyond the bound count as one")
+{
+  RunTimes times({ .maxKinds = 2 });
+  for (int kind = 0; kind < 1000; ++kind)
+    times.Learn(kTeam, std::to_string(kind), Duration(10));
+  times.Learn(kTeam, "0", Duration(10));
+  REQUIRE(times.Mean(kTeam, "999") == times.Mean(kTeam, "998"));
+}
+
+TEST_CASE("the low estimate is what nine of ten runs exceed")
+{
+  std::mt19937_64 random(20261204);
+  RunTimes times;
+  const auto draw = [&] {
+    return Duration(100 + static_cast<std::int64_t>(random() % 900));
+  };
+  for (int run = 0; run < 19; ++run)
+    times.Learn(kTeam, "k", draw());
+  REQUIRE(times.Least(kTeam, "k") == Duration(0));
+  for (int run = 0; run < 2000; ++run)
+    times.Learn(kTeam, "k", draw());
+  int below = 0;
+  for (int run = 0; run < 1000; ++run) {
+    below += draw() < times.Least(kTeam, "k") ? 1 : 0;
+    times.Learn(kTeam, "k", draw());
+  }
+  REQUIRE(below > 30);
+  REQUIRE(below < 200);
+}
+
+namespace {
+
+/// A gate in front of a team that has had requests waiting for long, and
+/// starts ten of them a second.
+class GateFixture
+{
+public:
+  GateFixture()
+  {
+    REQUIRE_FALSE(gate.Refuse(Arrive(5, Duration::Seconds(60)), now));
+    for (int start = 0; start < 200; ++start) {
+      now = now + Duration(100);
+      gate.NoteStart(kPool, kTeam, 50, now);
+    }
+  }
+  DeadlineGate::Arrival Arrive(std::size_t aAhead, Duration aUntilDeadline)
+  {
+    return { .pool = kPool,
+             .team = kTeam,
+             .ahead = aAhead,
+             .leastRun = Duration(100),
+             .deadline = now + aUntilDeadline };
+  }
+
+  Time now{ 1000 };
+  DeadlineGate gate;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GateFixture, "what can't be started in time is refused")
+{
+  // 100 requests ahead take about 10 s.
+  REQUIRE_FALSE(gate.Refuse(Arrive(100, Duration::Seconds(11)), now));
+  REQUIRE_FALSE(gate.Refuse(Arrive(100, Duration::Seconds(6)), now));
+  const auto retry = gate.Refuse(Arrive(100, Duration::Seconds(4)), now);
+  REQUIRE(retry);
+  REQUIRE(*retry >= Duration::Seconds(5));
+  REQUIRE(*retry <= Duration::Seconds(7));
+}
+
+TEST_CASE_METHOD(GateFixture, "without others ahead only the run time counts")
+{
+  REQUIRE_FALSE(gate.Refuse(Arrive(0, Duration(101)), now));
+  REQUIRE(gate.Refuse(Arrive(0, Duration(100)), now));
+}
+
+TEST_CASE("a backlog that is new refuses nobody")
+{
+  DeadlineGate gate;
+  const DeadlineGate::Arrival arrival{ .pool = kPool,
+                                       .team = kTeam,
+                                       .ahead = 1000,
+                                       .leastRun = Duration(1),
+                                       .deadline = Time(5000) };
+  REQUIRE_FALSE(gate.Refuse(arrival, Time(0)));
+  REQUIRE_FALSE(gate.Refuse(arrival, Time(1999)));
+  REQUIRE(gate.Refuse(arrival, Time(2000)));
+  // The backlog has ended in between.
+  gate.NoteStart(kPool, kTeam, 0, Time(2100));
+  REQUIRE_FALSE(gate.Refuse(arrival, Time(2200)));
+}
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -1,5 +1,7 @@
 #include "greengage/dispatch/RequestPlane.h"
 
+#include "greengage/dispatch/FairQueue.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -385,41 +387,26 @@
   }
 }
 
-TEST_CASE("two teams share a pool by their weights")
-{
-  FairQueue queue;
-  queue.SetShare(TeamId("a"), 3);
-  queue.SetShare(TeamId("b"), 1);
-  const PoolId pool("lines");
-  for (std::uint64_t work = 1; work <= 200; ++work)
-    queue.Add({ .work = WorkId(work),
-                .team = TeamId(work % 2 == 0 ? "a" : "b"),
-                .pool = pool,
-                .priceClass = PriceClass::Standard,
-                .deadline = Time(static_cast<std::int64_t>(work)) });
-  int ofA = 0;
-  for (int taken = 0; taken < 80; ++taken)
-    if (queue.TakeNext(pool, [](const TeamId&) { return true; })->team ==
-        TeamId("a"))
-      ++ofA;
-  REQUIRE(ofA >= 59);
-  REQUIRE(ofA <= 61);
-}
-
-TEST_CASE("urgent work goes before patient work of the same team")
+TEST_CASE_METHOD(PlaneFixture, "a run that can't end in time is refused unrun")
 {
-  FairQueue queue;
-  const PoolId pool("lines");
-  queue.Add({ .work = WorkId(1),
-              .team = TeamId("a"),
-              .pool = pool,
-              .priceClass = PriceClass::Patient,
-              .deadline = Time(1) });
-  queue.Add({ .work = WorkId(2),
-              .team = TeamId("a"),
-              .pool = pool,
-              .priceClass = PriceClass::Urgent,
-              .deadline = Time(9) });
-  const auto first = queue.TakeNext(pool, [](const TeamId&) { return true; });
-  REQUIRE(first->work == WorkId(2));
+  AddUpstream("w1", 4);
+  for (std::uint64_t call = 1; call <= 20; ++call) {
+    Call(call, "r" + std::to_string(call));
+    now = now + Duration(900);
+    End(Take<Execute>().at(0).dispatch, AttemptEnd::Succeeded);
+    AddUpstream("w1", 4);
+    out.clear();
+  }
+  Request request;
+  request.id = RequestId("late");
+  request.team = TeamId("a");
+  request.pool = PoolId("lines");
+  request.deadline = now + Duration(500);
+  Send(Submit{ .call = CallId(99), .request = request });
+  const auto refusal = std::get<NotRun>(Take<Answer>().at(0).outcome);
+  REQUIRE(refusal.error.kind == ErrorKind::DeadlineUnmeetable);
+  REQUIRE(refusal.retryAfter > Duration(0));
+  request.deadline = now + Duration(1500);
+  Send(Submit{ .call = CallId(99), .request = request });
+  REQUIRE(Take<Execute>().size() == 1);
 }
--- a/packages/state/include/greengage/state/FleetView.h
+++ b/packages/state/include/greengage/state/FleetView.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace greengage::state {
 
@@ -42,6 +43,8 @@
 {
   Version version;
   std::map<TeamId, TeamPolicy> teams;
+  /// The weights of groups among their siblings, by path with a "/" behind.
+  std::map<std::string, double> groupShares;
   std::map<KeyId, KeyPolicy> keys;
   std::set<PoolId> pools;
 };
--- a/packages/state/lib/FleetView.cpp
+++ b/packages/state/lib/FleetView.cpp
@@ -35,20 +35,33 @@
   return aBranch.substr(aTop.size() + 1);
 }
 
+/// Reads the weight in force on \p aBranch; 1 if none is set.
+static bool
+ReadShare(const SettingsTree& aTree,
+          const BranchPath& aBranch,
+          double& aShare,
+          Error& aReason)
+{
+  const auto share = aTree.Explain(aBranch, "share");
+  if (!share)
+    return true;
+  const auto value = settings::ParseDecimal(share->value, kMaxShare, aReason);
+  if (!value) {
+    Locate(aReason, share->from, "share");
+    return false;
+  }
+  aShare = *value;
+  return true;
+}
+
 static bool
 ReadTeam(const SettingsTree& aTree,
          const BranchPath& aBranch,
          TeamPolicy& aPolicy,
          Error& aReason)
 {
-  if (const auto share = aTree.Explain(aBranch, "share")) {
-    const auto value = settings::ParseDecimal(share->value, kMaxShare, aReason);
-    if (!value) {
-      Locate(aReason, share->from, "share");
-      return false;
-    }
-    aPolicy.share = *value;
-  }
+  if (!ReadShare(aTree, aBranch, aPolicy.share, aReason))
+    return false;
   if (const auto limit = aTree.Explain(aBranch, "limit")) {
     const auto value =
       settings::ParseInteger(limit->value, kLimitRange, aReason);
@@ -97,6 +110,25 @@
   return true;
 }
 
+/// Reads the weights of the groups above a team.
+static bool
+ReadGroups(const SettingsTree& aTree,
+           const std::string& aTeam,
+           FleetView& aView,
+           Error& aReason)
+{
+  for (auto slash = aTeam.find('/'); slash != std::string::npos;
+       slash = aTeam.find('/', slash + 1)) {
+    double share = 1;
+    const BranchPath branch =
+      std::string(kTeamsBranch) + "/" + aTeam.substr(0, slash);
+    if (!ReadShare(aTree, branch, share, aReason))
+      return false;
+    aView.groupShares.emplace(aTeam.substr(0, slash + 1), share);
+  }
+  return true;
+}
+
 static bool
 ReadTeams(const SettingsTree& aTree, FleetView& aView, Error& aReason)
 {
@@ -104,7 +136,8 @@
        aTree.LeavesBelow(std::string(kTeamsBranch))) {
     const std::string name = NameBelow(branch, kTeamsBranch);
     TeamPolicy policy;
-    if (!ReadTeam(aTree, branch, policy, aReason))
+    if (!ReadTeam(aTree, branch, policy, aReason) ||
+        !ReadGroups(aTree, name, aView, aReason))
       return false;
     aView.teams.emplace(TeamId(name), policy);
     const Principal principal{ .role = Role::Team, .name = name };
