Quarantine upstreams that fail what succeeds elsewhere

Cause: an upstream that fails all it starts is soon free again, so least connections sends it ever more work; and work that fails everywhere must not cost healthy upstreams their place.

Change: UpstreamHealth compares each end with how such work (team, kind) last ended on other upstreams, and sums the failures beyond that. Three too many quarantine the upstream, for 2 s at first and twice as long each further time; then single requests probe it, and three successes bring it back. Slots of a slow upstream count for less.

Ruled out: a plain failure rate for each upstream, which blames it for work that can never run; probes after all others are full, which never came (the test of the mended upstream failed on that first).

--- /dev/null
+++ b/packages/dispatch/benchmarks/HealthBench.cpp
@@ -0,0 +1,74 @@
+#include "greengage/dispatch/UpstreamHealth.h"
+#include "greengage/dispatch/UpstreamTable.h"
+
+#include <benchmark/benchmark.h>
+
+#include <map>
+#include <random>
+#include <string>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+/// A minute of work on fifty upstreams of which some fail all they start at
+/// once, with least connections alone (0) and with health (1).
+static void
+BadWorkers(benchmark::State& aState)
+{
+  constexpr int kUpstreams = 50;
+  constexpr int kBad = 3;
+  constexpr std::uint64_t kSeed = 20261204;
+  const PoolId pool("lines");
+  double sent = 0;
+  double failed = 0;
+  for (auto _ : aState) {
+    std::mt19937_64 random(kSeed);
+    UpstreamTable table;
+    UpstreamHealth health;
+    Time now(0);
+    std::multimap<Time, RunEnd> ends;
+    const auto apply = [&](const UpstreamId& aId) {
+      table.SetHealth(aId, health.StateOf(aId), health.SlownessOf(aId));
+    };
+    for (int index = 0; index < kUpstreams; ++index) {
+      UpstreamAnnouncement announcement;
+      announcement.id = UpstreamId("w" + std::to_string(index));
+      announcement.pool = pool;
+      announcement.slots = Slots(8);
+      announcement.lease = Duration::Seconds(1000);
+      table.Announce(announcement, now);
+    }
+    sent = 0;
+    failed = 0;
+    while (now < Time(60000)) {
+      now = now + Duration(1);
+      for (const UpstreamId& id : health.TakeReleased(now))
+        apply(id);
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const RunEnd end = ends.begin()->second;
+        ends.erase(ends.begin());
+        table.ReleaseSlot(end.upstream);
+        if (aState.range(0) > 0 && health.NoteEnd(end, now))
+          apply(end.upstream);
+      }
+      const auto upstream = table.TakeSlot(pool, now);
+      if (!upstream)
+        continue;
+      const bool isBad = upstream->Value() < "w" + std::to_string(kBad) &&
+                         upstream->Value().size() == 2;
+      const Duration ran(isBad ? 2 : 100 + static_cast<int>(random() % 200));
+      ++sent;
+      failed += isBad ? 1 : 0;
+      ends.emplace(now + ran,
+                   RunEnd{ .upstream = *upstream,
+                           .team = TeamId("a"),
+                           .kind = "weigh",
+                           .hasSucceeded = !isBad,
+                           .ran = ran,
+                           .expectedRun = Duration(200) });
+    }
+  }
+  aState.counters["sent"] = sent;
+  aState.counters["failed"] = failed;
+}
+BENCHMARK(BadWorkers)->Arg(0)->Arg(1)->Unit(benchmark::kMillisecond);
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -16,6 +16,7 @@
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/dispatch/RequestRecords.h"
 #include "greengage/dispatch/RunTimes.h"
+#include "greengage/dispatch/UpstreamHealth.h"
 #include "greengage/dispatch/UpstreamTable.h"
 
 #include <cstdint>
@@ -136,6 +137,11 @@
   void ReturnPlace(const Place& aPlace, const PoolId& aPool);
   void Start(WorkId aWork, Place&& aPlace, Time aNow, Actions& aOut);
   void LearnRun(WorkId aWork, const Outcome& aOutcome, Time aNow);
+  void JudgeUpstream(const UpstreamId& aUpstream,
+                     const Work& aWork,
+                     AttemptEnd aEnd,
+                     Time aNow);
+  void ApplyHealth(const UpstreamId& aUpstream);
   void ReleaseLimit(const TeamId& aTeam, Time aNow);
   Attempt TakeAttempt(DispatchId aDispatch);
 
@@ -170,6 +176,7 @@
   RequestRecords records_;
   RunTimes runTimes_;
   DeadlineGate gate_;
+  UpstreamHealth health_;
 
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<DispatchId, Attempt> attempts_;
--- a/packages/dispatch/include/greengage/dispatch/UpstreamTable.h
+++ b/packages/dispatch/include/greengage/dispatch/UpstreamTable.h
@@ -9,6 +9,7 @@
 #include "greengage/core/Upstream.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,6 +19,15 @@
 
 namespace greengage::dispatch {
 
+/// How much work an upstream may get.
+enum class UpstreamState : std::uint8_t
+{
+  Normal,
+  /// One request at a time, to see whether it succeeds.
+  Probing,
+  Quarantined,
+};
+
 /// Upstreams by id, and per pool by free slots. Each operation costs a time
 /// logarithmic in the number of upstreams.
 class UpstreamTable
@@ -31,7 +41,12 @@
   /// Drops the upstreams whose leases have run out.
   void Expire(Time aNow);
 
-  /// Takes a slot of the upstream of \p aPool with the most free slots.
+  /// Sets how much work an upstream may get, and how many times slower than
+  /// others it is.
+  void SetHealth(const UpstreamId& aId, UpstreamState aState, double aSlowness);
+
+  /// Takes a slot of the upstream of \p aPool with the most free slots; those
+  /// of a slow upstream count for less.
   std::optional<UpstreamId> TakeSlot(const PoolId& aPool, Time aNow);
   /// Gives a slot back; no effect on an upstream that has been dropped.
   void ReleaseSlot(const UpstreamId& aId);
@@ -53,8 +68,10 @@
     Time leaseEnd;
     Time heldBackUntil;
     Slots running;
+    UpstreamState state = UpstreamState::Normal;
+    double slowness = 1;
   };
-  using FreeKey = std::pair<std::int64_t, UpstreamId>;
+  using FreeKey = std::pair<double, UpstreamId>;
   struct PoolIndex
   {
     /// Upstreams that may take work, by free slots.
@@ -63,6 +80,7 @@
   };
 
   static Slots FreeOf(const Entry& aEntry);
+  static FreeKey KeyOf(const Entry& aEntry);
   void Link(const Entry& aEntry);
   void Unlink(const Entry& aEntry);
 
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -38,6 +38,8 @@
 RequestPlane::Tick(Time aNow, Actions& aOut)
 {
   upstreams_.Expire(aNow);
+  for (const UpstreamId& upstream : health_.TakeReleased(aNow))
+    ApplyHealth(upstream);
   records_.Expire(aNow);
   ReleaseHolds(aNow);
   ExpireWaiting(aNow, aOut);
@@ -252,6 +254,7 @@
   const bool isOurs = !aEvent.call || owner == options_.self;
   if (isOurs) {
     upstreams_.Announce(announcement, aNow);
+    ApplyHealth(announcement.id);
     Schedule(announcement.pool, aNow, aOut);
   } else {
     upstreams_.Remove(announcement.id);
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -106,6 +106,37 @@
   queue_.NoteRun(entry, ran, aNow);
 }
 
+void
+RequestPlane::ApplyHealth(const UpstreamId& aUpstream)
+{
+  upstreams_.SetHealth(
+    aUpstream, health_.StateOf(aUpstream), health_.SlownessOf(aUpstream));
+}
+
+/// Compares an upstream's run with those of such work elsewhere.
+void
+RequestPlane::JudgeUpstream(const UpstreamId& aUpstream,
+                            const Work& aWork,
+                            AttemptEnd aEnd,
+                            Time aNow)
+{
+  // A full upstream is not at fault, and one that can't be reached gets no
+  // work for a while in any case.
+  if (aEnd == AttemptEnd::SlotsTaken || aEnd == AttemptEnd::NotSent)
+    return;
+  const Request& request = aWork.request;
+  const bool isChanged = health_.NoteEnd(
+    { .upstream = aUpstream,
+      .team = request.team,
+      .kind = request.kind,
+      .hasSucceeded = aEnd == AttemptEnd::Succeeded,
+      .ran = aNow - aWork.startedAt,
+      .expectedRun = runTimes_.Mean(request.team, request.kind) },
+    aNow);
+  if (isChanged)
+    ApplyHealth(aUpstream);
+}
+
 void
 RequestPlane::ReleaseLimit(const TeamId& aTeam, Time aNow)
 {
@@ -211,6 +242,7 @@
   const auto& upstream = std::get<UpstreamId>(attempt.place);
   const Work& work = works_.at(attempt.work);
   SettleSlot(upstream, work, aEvent.end, aNow);
+  JudgeUpstream(upstream, work, aEvent.end, aNow);
   const PoolId pool = work.request.pool;
   Outcome outcome = OutcomeOf(std::move(aEvent), upstream);
   LearnRun(attempt.work, outcome, aNow);
--- /dev/null
+++ b/packages/dispatch/lib/UpstreamHealth.cpp
@@ -0,0 +1,134 @@
+#include "greengage/dispatch/UpstreamHealth.h"
+
+#include <algorithm>
+#include <cstdint>
+
+using namespace greengage;
+using namespace greengage::dispatch;
+
+/// How much a run counts in the slowness of its upstream.
+static constexpr double kSlownessWeight = 0.1;
+/// No single run counts as slower than this.
+static constexpr double kMostSlowness = 20;
+/// Of work that ran nowhere else, one half is expected to fail.
+static constexpr double kPriorFailures = 0.5;
+static constexpr double kPriorRuns = 1;
+
+/// The part of the other upstreams on which such work failed last.
+double
+UpstreamHealth::ExpectedFailure(const RunEnd& aEnd) const
+{
+  double failures = kPriorFailures;
+  double runs = kPriorRuns;
+  const auto found = kinds_.find({ aEnd.team, aEnd.kind });
+  if (found == kinds_.end())
+    return failures / runs;
+  for (const auto& [upstream, hasSucceeded] : found->second.outcomes) {
+    if (upstream == aEnd.upstream)
+      continue;
+    runs += 1;
+    failures += hasSucceeded ? 0 : 1;
+  }
+  return failures / runs;
+}
+
+void
+UpstreamHealth::Remember(const RunEnd& aEnd)
+{
+  const std::pair<TeamId, std::string> key(aEnd.team, aEnd.kind);
+  if (kinds_.size() >= options_.maxKinds && !kinds_.contains(key))
+    return;
+  auto& outcomes = kinds_[key].outcomes;
+  std::erase_if(outcomes, [&](const auto& aOutcome) {
+    return aOutcome.first == aEnd.upstream;
+  });
+  if (outcomes.size() >= options_.comparedUpstreams)
+    outcomes.erase(outcomes.begin());
+  outcomes.emplace_back(aEnd.upstream, aEnd.hasSucceeded);
+}
+
+void
+UpstreamHealth::Quarantine(const UpstreamId& aUpstream,
+                           Health& aHealth,
+                           Time aNow)
+{
+  aHealth.quarantine = std::clamp(aHealth.quarantine * 2,
+                                  options_.firstQuarantine,
+                                  options_.longestQuarantine);
+  aHealth.state = UpstreamState::Quarantined;
+  aHealth.release = aNow + aHealth.quarantine;
+  quarantined_.emplace(aHealth.release, aUpstream);
+}
+
+void
+UpstreamHealth::NoteProbe(const RunEnd& aEnd, Health& aHealth, Time aNow)
+{
+  if (!aEnd.hasSucceeded) {
+    // Work that fails everywhere proves nothing about the upstream.
+    if (ExpectedFailure(aEnd) <= kPriorFailures)
+      Quarantine(aEnd.upstream, aHealth, aNow);
+    return;
+  }
+  if (--aHealth.probesLeft > 0)
+    return;
+  aHealth.state = UpstreamState::Normal;
+  aHealth.excess = 0;
+}
+
+bool
+UpstreamHealth::NoteEnd(const RunEnd& aEnd, Time aNow)
+{
+  Health& health = health_[aEnd.upstream];
+  health.lastEnd = aNow;
+  const UpstreamState before = health.state;
+  const double failed = aEnd.hasSucceeded ? 0 : 1;
+  health.excess += failed - ExpectedFailure(aEnd) - options_.tolerance;
+  health.excess = std::max(0.0, health.excess);
+  if (health.state == UpstreamState::Probing)
+    NoteProbe(aEnd, health, aNow);
+  else if (health.state == UpstreamState::Normal &&
+           health.excess >= options_.threshold)
+    Quarantine(aEnd.upstream, health, aNow);
+  Remember(aEnd);
+  if (aEnd.hasSucceeded) {
+    const double ratio =
+      static_cast<double>(aEnd.ran.Millis()) /
+      static_cast<double>(std::max<std::int64_t>(1, aEnd.expectedRun.Millis()));
+    health.slowness +=
+      kSlownessWeight * (std::min(ratio, kMostSlowness) - health.slowness);
+  }
+  return aEnd.hasSucceeded || health.state != before;
+}
+
+UpstreamState
+UpstreamHealth::StateOf(const UpstreamId& aUpstream) const
+{
+  const auto found = health_.find(aUpstream);
+  return found == health_.end() ? UpstreamState::Normal : found->second.state;
+}
+
+double
+UpstreamHealth::SlownessOf(const UpstreamId& aUpstream) const
+{
+  const auto found = health_.find(aUpstream);
+  return found == health_.end() ? 1 : std::max(1.0, found->second.slowness);
+}
+
+std::vector<UpstreamId>
+UpstreamHealth::TakeReleased(Time aNow)
+{
+  std::vector<UpstreamId> released;
+  while (!quarantined_.empty() && quarantined_.begin()->first <= aNow) {
+    const UpstreamId upstream = quarantined_.begin()->second;
+    quarantined_.erase(quarantined_.begin());
+    Health& health = health_.at(upstream);
+    health.state = UpstreamState::Probing;
+    health.probesLeft = options_.probes;
+    released.push_back(upstream);
+  }
+  std::erase_if(health_, [&](const auto& aEntry) {
+    return aEntry.second.state == UpstreamState::Normal &&
+           aEntry.second.lastEnd + options_.memory <= aNow;
+  });
+  return released;
+}
--- a/packages/dispatch/lib/UpstreamTable.cpp
+++ b/packages/dispatch/lib/UpstreamTable.cpp
@@ -6,14 +6,44 @@
 using namespace greengage;
 using namespace greengage::dispatch;
 
+/// Above any number of free slots.
+static constexpr double kProbeRank = 1e12;
+
 Slots
 UpstreamTable::FreeOf(const Entry& aEntry)
 {
-  if (aEntry.announcement.leaving)
+  if (aEntry.announcement.leaving || aEntry.state == UpstreamState::Quarantined)
     return Slots(0);
+  if (aEntry.state == UpstreamState::Probing)
+    return Slots(aEntry.running > Slots(0) ? 0 : 1);
   return std::max(Slots(0), aEntry.announcement.slots - aEntry.running);
 }
 
+UpstreamTable::FreeKey
+UpstreamTable::KeyOf(const Entry& aEntry)
+{
+  const auto free = static_cast<double>(FreeOf(aEntry).Count());
+  // A probe goes first, or it would wait until all others are full.
+  const bool isProbe = aEntry.state == UpstreamState::Probing;
+  return { isProbe ? kProbeRank : free / aEntry.slowness,
+           aEntry.announcement.id };
+}
+
+void
+UpstreamTable::SetHealth(const UpstreamId& aId,
+                         UpstreamState aState,
+                         double aSlowness)
+{
+  const auto found = entries_.find(aId);
+  if (found == entries_.end())
+    return;
+  Entry& entry = found->second;
+  Unlink(entry);
+  entry.state = aState;
+  entry.slowness = aSlowness;
+  Link(entry);
+}
+
 void
 UpstreamTable::Link(const Entry& aEntry)
 {
@@ -21,7 +51,7 @@
   const Slots free = FreeOf(aEntry);
   pool.freeSlots += free;
   if (free > Slots(0))
-    pool.byFreeSlots.emplace(free.Count(), aEntry.announcement.id);
+    pool.byFreeSlots.insert(KeyOf(aEntry));
 }
 
 void
@@ -31,7 +61,7 @@
   assert(found != pools_.end() && "a linked upstream's pool exists");
   const Slots free = FreeOf(aEntry);
   found->second.freeSlots -= free;
-  found->second.byFreeSlots.erase({ free.Count(), aEntry.announcement.id });
+  found->second.byFreeSlots.erase(KeyOf(aEntry));
 }
 
 void
