Bound retries by a budget; cancel running requests

Cause: retries were bounded only for each request, so an outage multiplied the load by four; a cancelled request that was running kept its slot.

Change: a team's retries take from a budget of a tenth of its first sends, 20 saved up at most. Cancelling a running request reaches the upstream (DELETE /v1/run/<dispatch>), through the peer that runs it; the slot and the place in the limit are free when the upstream has answered the run with 410. The outcome is unknown, and the request is not tried again. The stand-in stops runs.

Ruled out: freeing the slot when the cancellation is sent, since the upstream may still be running it and would be given a ninth request.

--- a/packages/api/include/greengage/api/UpstreamCodec.h
+++ b/packages/api/include/greengage/api/UpstreamCodec.h
@@ -18,6 +18,15 @@
           const EntryHostId& aSelf,
           Time aNow);
 
+/// The call that stops a running request. The upstream then answers the call
+/// that runs it with status 410.
+http::ClientCall
+EncodeCancel(const dispatch::CancelAttempt& aCancel, const EntryHostId& aSelf);
+
+/// Whether a result is that of a cancellation, which ends no attempt.
+bool
+IsCancelResult(const http::ClientResult& aResult);
+
 /// How the attempt ended. An answer that can't be read counts as lost: the
 /// request has run, and its caller is not given half an answer.
 dispatch::AttemptEnded
--- a/packages/api/lib/UpstreamCodec.cpp
+++ b/packages/api/lib/UpstreamCodec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <string>
 #include <utility>
 
 using namespace greengage;
@@ -12,6 +14,11 @@
 static constexpr unsigned kOk = 200;
 /// The upstream refused the request unrun: its slots are taken.
 static constexpr unsigned kConflict = 409;
+/// The upstream stopped the request when it was asked to.
+static constexpr unsigned kGone = 410;
+/// Tells the call that cancels a dispatch from the one that runs it.
+static constexpr std::uint64_t kCancelBit = std::uint64_t{ 1 } << 63;
+static constexpr Duration kCancelTimeout = Duration::Seconds(5);
 /// The upstream refused the request unrun: it is leaving.
 static constexpr unsigned kUnavailable = 503;
 
@@ -39,6 +46,28 @@
   return call;
 }
 
+http::ClientCall
+greengage::api::EncodeCancel(const dispatch::CancelAttempt& aCancel,
+                             const EntryHostId& aSelf)
+{
+  json object;
+  object["entry_host"] = aSelf.Value();
+  http::ClientCall call;
+  call.id = http::ClientCallId(aCancel.dispatch.Value() | kCancelBit);
+  call.endpoint = aCancel.endpoint;
+  call.method = "DELETE";
+  call.target = "/v1/run/" + std::to_string(aCancel.dispatch.Value());
+  call.body = object.dump();
+  call.timeout = kCancelTimeout;
+  return call;
+}
+
+bool
+greengage::api::IsCancelResult(const http::ClientResult& aResult)
+{
+  return (aResult.id.Value() & kCancelBit) != 0;
+}
+
 static dispatch::AttemptEnded
 EndWith(DispatchId aDispatch, dispatch::AttemptEnd aEnd, std::string aReason)
 {
@@ -80,6 +109,8 @@
     return DecodeAnswer(dispatch, aResult.body);
   if (aResult.status == kConflict)
     return EndWith(dispatch, AttemptEnd::SlotsTaken, "slots are taken");
+  if (aResult.status == kGone)
+    return EndWith(dispatch, AttemptEnd::Cancelled, "cancelled");
   if (aResult.status == kUnavailable)
     return EndWith(dispatch, AttemptEnd::NotSent, "upstream is leaving");
   return EndWith(dispatch,
--- a/packages/api/unittests/ApiTest.cpp
+++ b/packages/api/unittests/ApiTest.cpp
@@ -194,3 +194,24 @@
   REQUIRE(ended.end == row.end);
   REQUIRE(ended.dispatch == DispatchId(3));
 }
+
+TEST_CASE("a cancelled run and the cancellation itself are told apart")
+{
+  const auto call = EncodeCancel({ .dispatch = DispatchId(3),
+                                   .upstream = UpstreamId("w1"),
+                                   .endpoint = { "127.0.0.1", 9 } },
+                                 EntryHostId("e1"));
+  REQUIRE(call.method == "DELETE");
+  REQUIRE(call.target == "/v1/run/3");
+  REQUIRE(json::parse(call.body)["entry_host"] == "e1");
+  http::ClientResult result;
+  result.id = call.id;
+  REQUIRE(IsCancelResult(result));
+  result.id = http::ClientCallId(3);
+  REQUIRE_FALSE(IsCancelResult(result));
+  result.progress = http::CallProgress::Responded;
+  result.status = 410;
+  const auto ended = DecodeRun(std::move(result));
+  REQUIRE(ended.dispatch == DispatchId(3));
+  REQUIRE(ended.end == dispatch::AttemptEnd::Cancelled);
+}
--- a/packages/daemon/lib/filters/DispatchFilter.cpp
+++ b/packages/daemon/lib/filters/DispatchFilter.cpp
@@ -94,6 +94,24 @@
          aNow);
 }
 
+void
+DispatchFilter::Do(dispatch::CancelAttempt&& aAction, Time /*aNow*/)
+{
+  // A request whose cancellation is lost ends by itself or by its lease.
+  if (!outlets_.upstreams.TryPush(api::EncodeCancel(aAction, host_.id)))
+    host_.metrics.Count("greengage_cancellations_dropped_total");
+}
+
+void
+DispatchFilter::Do(dispatch::CancelForward&& aAction, Time /*aNow*/)
+{
+  const bool isSent = outlets_.peers.TryPush(
+    { .to = std::move(aAction.peer),
+      .message = wire::CancelRequest{ .dispatch = aAction.dispatch } });
+  if (!isSent)
+    host_.metrics.Count("greengage_peer_messages_dropped_total");
+}
+
 void
 DispatchFilter::Do(dispatch::Forward&& aAction, Time aNow)
 {
--- a/packages/daemon/lib/filters/DispatchFilter.h
+++ b/packages/daemon/lib/filters/DispatchFilter.h
@@ -47,6 +47,8 @@
   void Do(dispatch::Answer&& aAction, Time aNow);
   void Do(dispatch::AnswerCancel&& aAction, Time aNow);
   void Do(dispatch::Execute&& aAction, Time aNow);
+  void Do(dispatch::CancelAttempt&& aAction, Time aNow);
+  void Do(dispatch::CancelForward&& aAction, Time aNow);
   void Do(dispatch::Forward&& aAction, Time aNow);
   void Do(dispatch::ReturnOutcome&& aAction, Time aNow);
   void Do(dispatch::RelayAnnouncement&& aAction, Time aNow);
--- a/packages/daemon/lib/sources/PeerSource.cpp
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -31,6 +31,9 @@
     return dispatch::PeerLoad{ .peer = std::move(aEvent.peer),
                                .leaving = load->leaving,
                                .pools = std::move(load->pools) };
+  if (const auto* cancel = std::get_if<wire::CancelRequest>(&aEvent.message))
+    return dispatch::ForwardCancelled{ .from = std::move(aEvent.peer),
+                                       .dispatch = cancel->dispatch };
   if (auto* report = std::get_if<dispatch::GrantReport>(&aEvent.message))
     return dispatch::PeerGrants{ .peer = std::move(aEvent.peer),
                                  .report = std::move(*report) };
--- a/packages/daemon/lib/sources/UpstreamSource.cpp
+++ b/packages/daemon/lib/sources/UpstreamSource.cpp
@@ -15,11 +15,15 @@
 bool
 UpstreamSource::TryPush(http::ClientResult&& aResult)
 {
+  if (api::IsCancelResult(aResult))
+    return true;
   return dispatch_.TryPush(api::DecodeRun(std::move(aResult)));
 }
 
 bool
 UpstreamSource::Push(http::ClientResult&& aResult)
 {
+  if (api::IsCancelResult(aResult))
+    return true;
   return dispatch_.Push(api::DecodeRun(std::move(aResult)));
 }
--- a/packages/dispatch/include/greengage/dispatch/Messages.h
+++ b/packages/dispatch/include/greengage/dispatch/Messages.h
@@ -44,6 +44,13 @@
   Request request;
 };
 
+/// A peer withdraws a request that it forwarded.
+struct ForwardCancelled
+{
+  EntryHostId from;
+  DispatchId dispatch;
+};
+
 /// How a request that was forwarded to \p from ended there.
 struct ForwardEnded
 {
@@ -71,6 +78,8 @@
   Succeeded,
   /// The upstream ran it and says that the work failed.
   Failed,
+  /// The upstream stopped it on request; it may have run in part.
+  Cancelled,
   /// It was sent and no whole answer came.
   Lost,
 };
@@ -136,6 +145,7 @@
 using Event = std::variant<Submit,
                            Cancel,
                            Forwarded,
+                           ForwardCancelled,
                            ForwardEnded,
                            Announced,
                            AttemptEnded,
@@ -171,6 +181,21 @@
   Request request;
 };
 
+/// Ask an upstream to stop a request. Its slot is free when the attempt ends.
+struct CancelAttempt
+{
+  DispatchId dispatch;
+  UpstreamId upstream;
+  Endpoint endpoint;
+};
+
+/// Withdraw a request that was forwarded to a peer.
+struct CancelForward
+{
+  EntryHostId peer;
+  DispatchId dispatch;
+};
+
 /// Ask a peer to run a request on one of its upstreams.
 struct Forward
 {
@@ -224,6 +249,8 @@
 using Action = std::variant<Answer,
                             AnswerCancel,
                             Execute,
+                            CancelAttempt,
+                            CancelForward,
                             Forward,
                             ReturnOutcome,
                             RelayAnnouncement,
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -15,6 +15,7 @@
 #include "greengage/dispatch/PeerTable.h"
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/dispatch/RequestRecords.h"
+#include "greengage/dispatch/RetryBudget.h"
 #include "greengage/dispatch/RunTimes.h"
 #include "greengage/dispatch/UpstreamHealth.h"
 #include "greengage/dispatch/UpstreamTable.h"
@@ -91,6 +92,11 @@
     /// How long the attempt in progress is likely to run, and its start.
     Duration expectedRun;
     Time startedAt;
+    /// The attempt in progress.
+    DispatchId dispatch;
+    bool wasSent = false;
+    /// The caller has withdrawn it: it is not tried again.
+    bool isCancelled = false;
   };
 
   /// Where a request can run now: an upstream of this host, or a peer.
@@ -113,6 +119,7 @@
   void On(Submit&& aEvent, Time aNow, Actions& aOut);
   void On(Cancel&& aEvent, Time aNow, Actions& aOut);
   void On(Forwarded&& aEvent, Time aNow, Actions& aOut);
+  void On(ForwardCancelled&& aEvent, Time aNow, Actions& aOut);
   void On(ForwardEnded&& aEvent, Time aNow, Actions& aOut);
   void On(Announced&& aEvent, Time aNow, Actions& aOut);
   void On(AttemptEnded&& aEvent, Time aNow, Actions& aOut);
@@ -150,7 +157,8 @@
                   AttemptEnd aEnd,
                   Time aNow);
   void Settle(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut);
-  bool MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow) const;
+  bool MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow);
+  void CancelRunning(Work& aWork, Actions& aOut);
   static Outcome Truthful(const Work& aWork, Outcome&& aOutcome);
   void HoldUntilLeaseEnd(const Work& aWork, Hold&& aHold);
   void Finish(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut);
@@ -177,9 +185,12 @@
   RunTimes runTimes_;
   DeadlineGate gate_;
   UpstreamHealth health_;
+  RetryBudget retryBudget_;
 
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<DispatchId, Attempt> attempts_;
+  /// The requests that peers have forwarded, by the peers' dispatches.
+  std::map<std::pair<EntryHostId, DispatchId>, WorkId> peerWorks_;
   /// Requests being run, by deadline.
   std::set<std::pair<Time, WorkId>> running_;
   std::multimap<Time, Hold> holds_;
--- a/packages/dispatch/lib/RequestPlane.cpp
+++ b/packages/dispatch/lib/RequestPlane.cpp
@@ -225,9 +225,13 @@
       Truthful(works_.at(record->work),
                MakeNotRun(ErrorKind::Cancelled, "request was cancelled"));
     Finish(record->work, Outcome(outcome), aNow, aOut);
-  } else if (record != nullptr)
+  } else if (record != nullptr) {
     outcome = MakeUnknown(ErrorKind::OutcomeUnknown,
                           "request is running or its end is not kept");
+    const auto work = works_.find(record->work);
+    if (!record->hasEnded && work != works_.end())
+      CancelRunning(work->second, aOut);
+  }
   aOut.push_back(AnswerCancel{
     .call = aEvent.call, .id = aEvent.id, .outcome = std::move(outcome) });
 }
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -68,8 +68,12 @@
 {
   Work& work = works_.at(aWork);
   work.startedAt = aNow;
+  if (!work.wasSent)
+    retryBudget_.NoteFirstSend(work.request.team);
+  work.wasSent = true;
   const Request& request = work.request;
   const DispatchId dispatch(++lastDispatch_);
+  work.dispatch = dispatch;
   running_.emplace(request.deadline, aWork);
   if (const auto* id = std::get_if<UpstreamId>(&aPlace)) {
     const UpstreamAnnouncement* upstream = upstreams_.Find(*id);
@@ -122,7 +126,8 @@
 {
   // A full upstream is not at fault, and one that can't be reached gets no
   // work for a while in any case.
-  if (aEnd == AttemptEnd::SlotsTaken || aEnd == AttemptEnd::NotSent)
+  if (aEnd == AttemptEnd::SlotsTaken || aEnd == AttemptEnd::NotSent ||
+      aEnd == AttemptEnd::Cancelled)
     return;
   const Request& request = aWork.request;
   const bool isChanged = health_.NoteEnd(
@@ -185,6 +190,7 @@
   const WorkId work =
     AddWork(std::move(aEvent.request),
             PeerOrigin{ .peer = aEvent.from, .dispatch = aEvent.dispatch });
+  peerWorks_[{ aEvent.from, aEvent.dispatch }] = work;
   Start(work, Place(*upstream), aNow, aOut);
 }
 
@@ -206,6 +212,10 @@
       return NotRun{ .error = MakeError(ErrorKind::Unreachable,
                                         std::move(aEvent.reason)),
                      .retryAfter = {} };
+    case AttemptEnd::Cancelled:
+      return Unknown{ .error =
+                        MakeError(ErrorKind::Cancelled,
+                                  "request was cancelled while it ran") };
     case AttemptEnd::Lost:
       break;
   }
@@ -250,6 +260,7 @@
     aOut.push_back(ReturnOutcome{ .peer = origin->peer,
                                   .dispatch = origin->dispatch,
                                   .outcome = std::move(outcome) });
+    peerWorks_.erase({ origin->peer, origin->dispatch });
     works_.erase(attempt.work);
   } else {
     Settle(attempt.work, std::move(outcome), aNow, aOut);
@@ -299,8 +310,11 @@
 RequestPlane::Settle(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut)
 {
   Work& work = works_.at(aWork);
-  if (std::holds_alternative<Unknown>(aOutcome)) {
-    work.mayHaveRun = true;
+  const auto* unknown = std::get_if<Unknown>(&aOutcome);
+  const bool hasStopped =
+    unknown == nullptr || unknown->error.kind == ErrorKind::Cancelled;
+  work.mayHaveRun |= unknown != nullptr;
+  if (!hasStopped) {
     HoldUntilLeaseEnd(
       work, Hold{ .team = work.request.team, .upstream = std::nullopt });
   } else {
@@ -314,9 +328,9 @@
 }
 
 bool
-RequestPlane::MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow) const
+RequestPlane::MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow)
 {
-  if (aWork.isAnswered || aWork.request.deadline <= aNow)
+  if (aWork.isAnswered || aWork.isCancelled || aWork.request.deadline <= aNow)
     return false;
   if (std::holds_alternative<Answered>(aOutcome))
     return false;
@@ -326,7 +340,37 @@
   const bool isSafe =
     notRun != nullptr || aWork.request.idempotence == Idempotence::Idempotent;
   ++aWork.attempts;
-  return isSafe && aWork.attempts < options_.maxAttempts;
+  return isSafe && aWork.attempts < options_.maxAttempts &&
+         retryBudget_.TryRetry(aWork.request.team);
+}
+
+/// Passes a withdrawal on to where the request runs.
+void
+RequestPlane::CancelRunning(Work& aWork, Actions& aOut)
+{
+  aWork.isCancelled = true;
+  const auto found = attempts_.find(aWork.dispatch);
+  if (found == attempts_.end())
+    return;
+  const Place& place = found->second.place;
+  if (const auto* peer = std::get_if<EntryHostId>(&place)) {
+    aOut.push_back(CancelForward{ .peer = *peer, .dispatch = aWork.dispatch });
+    return;
+  }
+  const auto& upstream = std::get<UpstreamId>(place);
+  // Without its address the attempt ends by its lease.
+  if (const UpstreamAnnouncement* known = upstreams_.Find(upstream))
+    aOut.push_back(CancelAttempt{ .dispatch = aWork.dispatch,
+                                  .upstream = upstream,
+                                  .endpoint = known->endpoint });
+}
+
+void
+RequestPlane::On(ForwardCancelled&& aEvent, Time /*aNow*/, Actions& aOut)
+{
+  const auto found = peerWorks_.find({ aEvent.from, aEvent.dispatch });
+  if (found != peerWorks_.end())
+    CancelRunning(works_.at(found->second), aOut);
 }
 
 /// Keeps what a lost attempt may still be using until its lease has run out:
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -410,3 +410,159 @@
   Send(Submit{ .call = CallId(99), .request = request });
   REQUIRE(Take<Execute>().size() == 1);
 }
+
+TEST_CASE_METHOD(PlaneFixture, "cancelling a run stops it, and frees its slot")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1", Idempotence::Idempotent);
+  const auto executes = Take<Execute>();
+  Call(2, "r2");
+  Send(Cancel{ .call = CallId(3), .team = TeamId("a"), .id = RequestId("r1") });
+  const auto cancels = Take<CancelAttempt>();
+  REQUIRE(cancels.size() == 1);
+  REQUIRE(cancels[0].dispatch == executes[0].dispatch);
+  REQUIRE(cancels[0].upstream == UpstreamId("w1"));
+  End(executes[0].dispatch, AttemptEnd::Cancelled);
+  const auto answers = [&] {
+    std::vector<Answer> taken;
+    for (const Action& action : out)
+      if (const auto* answer = std::get_if<Answer>(&action))
+        taken.push_back(*answer);
+    return taken;
+  }();
+  REQUIRE(std::get<Unknown>(answers.at(0).outcome).error.kind ==
+          ErrorKind::Cancelled);
+  // The slot and the place in the limit went to the next request, and the
+  // cancelled one is not tried again although it is idempotent.
+  const auto next = Take<Execute>();
+  REQUIRE(next.size() == 1);
+  REQUIRE(next[0].request.id == RequestId("r2"));
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a team can't cancel another's running request")
+{
+  AddUpstream("w1", 1);
+  Call(1, "r1");
+  Send(Cancel{ .call = CallId(3), .team = TeamId("b"), .id = RequestId("r1") });
+  REQUIRE(Take<CancelAttempt>().empty());
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a cancellation follows its request to a peer")
+{
+  Send(PeerUp{ .peer = EntryHostId("e2"),
+               .availabilityZone = AvailabilityZoneId("z2") });
+  Send(PeerLoad{ .peer = EntryHostId("e2"),
+                 .leaving = false,
+                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  Call(1, "r1");
+  const auto forwards = Take<Forward>();
+  Send(Cancel{ .call = CallId(3), .team = TeamId("a"), .id = RequestId("r1") });
+  const auto cancels = Take<CancelForward>();
+  REQUIRE(cancels.size() == 1);
+  REQUIRE(cancels[0].peer == EntryHostId("e2"));
+  REQUIRE(cancels[0].dispatch == forwards.at(0).dispatch);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "a peer cancels what it forwarded, nothing else")
+{
+  AddUpstream("w1", 4);
+  Request request;
+  request.id = RequestId("r1");
+  request.team = TeamId("a");
+  request.pool = PoolId("lines");
+  request.deadline = now + Duration::Seconds(5);
+  Send(Forwarded{
+    .from = EntryHostId("e2"), .dispatch = DispatchId(9), .request = request });
+  const auto executes = Take<Execute>();
+  Send(
+    ForwardCancelled{ .from = EntryHostId("e3"), .dispatch = DispatchId(9) });
+  REQUIRE(Take<CancelAttempt>().empty());
+  Send(
+    ForwardCancelled{ .from = EntryHostId("e2"), .dispatch = DispatchId(9) });
+  REQUIRE(Take<CancelAttempt>().at(0).dispatch == executes.at(0).dispatch);
+  End(executes[0].dispatch, AttemptEnd::Cancelled);
+  const auto returned = Take<ReturnOutcome>();
+  REQUIRE(std::get<Unknown>(returned.at(0).outcome).error.kind ==
+          ErrorKind::Cancelled);
+}
+
+TEST_CASE("thousands of cancellations free all, and only the team's own")
+{
+  FairQueue queue;
+  StaticSplitLedger limits({ .rank = 0, .hosts = 1 });
+  RequestPlane plane(
+    { .self = EntryHostId("e1"), .availabilityZone = AvailabilityZoneId("z1") },
+    queue,
+    limits);
+  Actions out;
+  const Time now(1000);
+  auto view = std::make_shared<state::FleetView>();
+  for (const char* team : { "a", "b" })
+    view->teams[TeamId(team)] = { .share = 1,
+                                  .limit = Slots(100),
+                                  .maxQueued = 10000 };
+  view->pools.insert(PoolId("lines"));
+  plane.Handle(ViewChanged{ .view = view }, now, out);
+  constexpr std::uint64_t kRequests = 4000;
+  for (std::uint64_t each = 0; each < 2 * kRequests; ++each) {
+    Request request;
+    request.id = RequestId(std::to_string(each / 2));
+    request.team = TeamId(each % 2 == 0 ? "a" : "b");
+    request.pool = PoolId("lines");
+    request.deadline = now + Duration::Seconds(100);
+    plane.Handle(Submit{ .call = CallId(each), .request = request }, now, out);
+  }
+  for (std::uint64_t each = 0; each < kRequests; ++each)
+    plane.Handle(Cancel{ .call = CallId(100000 + each),
+                         .team = TeamId("a"),
+                         .id = RequestId(std::to_string(each)) },
+                 now,
+                 out);
+  REQUIRE(plane.WorksInProgress() == kRequests);
+  REQUIRE(queue.Waiting(TeamId("a")) == 0);
+  REQUIRE(queue.Waiting(TeamId("b")) == kRequests);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "retries stay within a part of first sends")
+{
+  int sends = 0;
+  for (std::uint64_t call = 1; call <= 500; ++call) {
+    // Nothing can be reached, and each request would be tried four times.
+    AddUpstream("w" + std::to_string(call), 1);
+    Call(call, "r" + std::to_string(call), Idempotence::Idempotent);
+    for (auto sent = Take<Execute>(); !sent.empty(); sent = Take<Execute>()) {
+      ++sends;
+      now = now + Duration::Seconds(2);
+      AddUpstream("w" + std::to_string(call), 1);
+      End(sent[0].dispatch, AttemptEnd::NotSent);
+      Pass(Duration(1100));
+    }
+    out.clear();
+  }
+  // A tenth of the first sends, and what was saved up at first.
+  REQUIRE(sends >= 500);
+  REQUIRE(sends <= 500 + 50 + 20);
+}
+
+TEST_CASE_METHOD(PlaneFixture, "an upstream that fails all gets little work")
+{
+  AddUpstream("bad", 4);
+  AddUpstream("good", 1);
+  int failed = 0;
+  for (std::uint64_t call = 1; call <= 400; ++call) {
+    Call(call, "r" + std::to_string(call));
+    Call(1000 + call, "s" + std::to_string(call));
+    for (const Execute& execute : Take<Execute>()) {
+      const bool isBad = execute.upstream == UpstreamId("bad");
+      failed += isBad ? 1 : 0;
+      End(execute.dispatch, isBad ? AttemptEnd::Failed : AttemptEnd::Succeeded);
+    }
+    for (const Execute& execute : Take<Execute>())
+      End(execute.dispatch, AttemptEnd::Succeeded);
+    Pass(Duration(10));
+    AddUpstream("bad", 4);
+    AddUpstream("good", 1);
+    out.clear();
+  }
+  REQUIRE(failed < 40);
+}
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -52,6 +52,12 @@
   Request request;
 };
 
+/// A forwarded request that is withdrawn.
+struct CancelRequest
+{
+  DispatchId dispatch;
+};
+
 /// How a forwarded request ended.
 struct ForwardResult
 {
@@ -79,7 +85,8 @@
                                  ForwardResult,
                                  RelayedAnnouncement,
                                  LoadReport,
-                                 dispatch::GrantReport>;
+                                 dispatch::GrantReport,
+                                 CancelRequest>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -175,6 +175,13 @@
                                    aBuilder.CreateVector(grants)));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const CancelRequest& aMessage, Time)
+{
+  return MakeBody(fb::Body::Cancel,
+                  fb::CreateCancel(aBuilder, aMessage.dispatch.Value()));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -324,6 +331,9 @@
       return DecodeLoad(*aEnvelope.body_as_Load());
     case fb::Body::Grants:
       return DecodeGrants(*aEnvelope.body_as_Grants());
+    case fb::Body::Cancel:
+      return CancelRequest{ .dispatch = DispatchId(
+                              aEnvelope.body_as_Cancel()->dispatch()) };
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/unittests/WireTest.cpp
+++ b/packages/wire/unittests/WireTest.cpp
@@ -50,6 +50,7 @@
     RelayedAnnouncement{ .announcement = announcement },
     LoadReport{ .leaving = true,
                 .pools = { { PoolId("lines"), Slots(3), 2 } } },
+    CancelRequest{ .dispatch = DispatchId(7) },
     dispatch::GrantReport{ .sender = dispatch::Incarnation(4),
                            .receiver = dispatch::Incarnation(5),
                            .isSettled = true,
--- a/unittests/standins/StandinUpstream.cpp
+++ b/unittests/standins/StandinUpstream.cpp
@@ -161,6 +161,8 @@
     std::string id;
     std::string team;
     std::string payload;
+    std::string entryHost;
+    std::uint64_t dispatch = 0;
   };
 
   void Respond(http::ExchangeId aExchange, unsigned aStatus, const json& aBody)
@@ -175,6 +177,10 @@
   void Run(http::HttpRequest&& aRequest, Time aNow)
   {
     const json body = json::parse(aRequest.body, nullptr, false);
+    if (aRequest.method == "DELETE" && body.is_object()) {
+      Cancel(aRequest, body.value("entry_host", ""), aNow);
+      return;
+    }
     if (aRequest.target != "/v1/run" || !body.is_object()) {
       Respond(aRequest.exchange, 400, { { "error", "malformed" } });
       return;
@@ -190,7 +196,10 @@
     RunningRequest run{ .exchange = aRequest.exchange,
                         .id = body.value("id", ""),
                         .team = body.value("team", ""),
-                        .payload = body.value("payload", "") };
+                        .payload = body.value("payload", ""),
+                        .entryHost = body.value("entry_host", ""),
+                        .dispatch =
+                          body.value("dispatch", std::uint64_t{ 0 }) };
     record_.Write({ { "event", "start" },
                     { "at_ms", aNow.Millis() },
                     { "upstream", options_.id },
@@ -200,6 +209,29 @@
     running_.emplace(aNow + std::min(lease, TimeOf(run.payload)), run);
   }
 
+  /// Stops the run that "/v1/run/<dispatch>" names.
+  void Cancel(const http::HttpRequest& aRequest,
+              const std::string& aEntryHost,
+              Time aNow)
+  {
+    const auto isMeant = [&](const auto& aRunning) {
+      const RunningRequest& run = aRunning.second;
+      return run.entryHost == aEntryHost &&
+             aRequest.target == "/v1/run/" + std::to_string(run.dispatch);
+    };
+    const auto found = std::find_if(running_.begin(), running_.end(), isMeant);
+    if (found != running_.end()) {
+      record_.Write({ { "event", "cancel" },
+                      { "at_ms", aNow.Millis() },
+                      { "upstream", options_.id },
+                      { "team", found->second.team },
+                      { "id", found->second.id } });
+      Respond(found->second.exchange, 410, { { "error", "cancelled" } });
+      running_.erase(found);
+    }
+    Respond(aRequest.exchange, 200, { { "stopped", true } });
+  }
+
   /// Payloads of the form "ms=N ..." run for N milliseconds.
   Duration TimeOf(const std::string& aPayload) const
   {
