--- a/packages/daemon/lib/filters/DispatchFilter.cpp
+++ b/packages/daemon/lib/filters/DispatchFilter.cpp
@@ -94,6 +94,24 @@
          aNow);
 }
 
+void
+DispatchFilter::Do(dispatch::CancelAttempt&& aAction, Time /*aNow*/)
+{
+  // A request whose cancellation is lost ends by itself or by its lease.
+  if (!outlets_.upstreams.TryPush(api::EncodeCancel(aAction, host_.id)))
+    host_.metrics.Count("greengage_cancellations_dropped_total");
+}
+
+void
+DispatchFilter::Do(dispatch::CancelForward&& aAction, Time /*aNow*/)
+{
+  const bool isSent = outlets_.peers.TryPush(
+    { .to = std::move(aAction.peer),
+      .message = wire::CancelRequest{ .dispatch = aAction.dispatch } });
+  if (!isSent)
+    host_.metrics.Count("greengage_peer_messages_dropped_total");
+}
+
 void
 DispatchFilter::Do(dispatch::Forward&& aAction, Time aNow)
 {
@@ -167,6 +185,16 @@
     host_.metrics.Count("greengage_peer_messages_dropped_total");
 }
 
+void
+DispatchFilter::Do(dispatch::SendGrants&& aAction, Time /*aNow*/)
+{
+  // Reports are cumulative: a later one makes up for a lost one.
+  const bool isSent = outlets_.peers.TryPush(
+    { .to = std::move(aAction.peer), .message = std::move(aAction.report) });
+  if (!isSent)
+    host_.metrics.Count("greengage_peer_messages_dropped_total");
+}
+
 void
 DispatchFilter::Do(dispatch::Drained&& /*aAction*/, Time /*aNow*/) const
 {
--- a/packages/daemon/lib/filters/DispatchFilter.h
+++ b/packages/daemon/lib/filters/DispatchFilter.h
@@ -47,11 +47,14 @@
   void Do(dispatch::Answer&& aAction, Time aNow);
   void Do(dispatch::AnswerCancel&& aAction, Time aNow);
   void Do(dispatch::Execute&& aAction, Time aNow);
+  void Do(dispatch::CancelAttempt&& aAction, Time aNow);
+  void Do(dispatch::CancelForward&& aAction, Time aNow);
   void Do(dispatch::Forward&& aAction, Time aNow);
   void Do(dispatch::ReturnOutcome&& aAction, Time aNow);
   void Do(dispatch::RelayAnnouncement&& aAction, Time aNow);
   void Do(dispatch::AnswerAnnouncement&& aAction, Time aNow);
   void Do(dispatch::PublishLoad&& aAction, Time aNow);
+  void Do(dispatch::SendGrants&& aAction, Time aNow);
   void Do(dispatch::Drained&& aAction, Time aNow) const;
 
   dispatch::RequestPlane& plane_;
--- a/packages/dispatch/include/greengage/dispatch/Messages.h
+++ b/packages/dispatch/include/greengage/dispatch/Messages.h
@@ -8,6 +8,7 @@
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
 #include "greengage/core/Upstream.h"
+#include "greengage/dispatch/Grants.h"
 #include "greengage/state/FleetView.h"
 
 #include <cstdint>
@@ -43,6 +44,13 @@
   Request request;
 };
 
+/// A peer withdraws a request that it forwarded.
+struct ForwardCancelled
+{
+  EntryHostId from;
+  DispatchId dispatch;
+};
+
 /// How a request that was forwarded to \p from ended there.
 struct ForwardEnded
 {
@@ -70,6 +78,8 @@
   Succeeded,
   /// The upstream ran it and says that the work failed.
   Failed,
+  /// The upstream stopped it on request; it may have run in part.
+  Cancelled,
   /// It was sent and no whole answer came.
   Lost,
 };
@@ -114,6 +124,13 @@
   std::vector<PoolLoad> pools;
 };
 
+/// A peer reports on grants.
+struct PeerGrants
+{
+  EntryHostId peer;
+  GrantReport report;
+};
+
 /// A version of the agreed state is in force.
 struct ViewChanged
 {
@@ -128,12 +145,14 @@
 using Event = std::variant<Submit,
                            Cancel,
                            Forwarded,
+                           ForwardCancelled,
                            ForwardEnded,
                            Announced,
                            AttemptEnded,
                            PeerUp,
                            PeerDown,
                            PeerLoad,
+                           PeerGrants,
                            ViewChanged,
                            BeginShutdown>;
 
@@ -162,6 +181,21 @@
   Request request;
 };
 
+/// Ask an upstream to stop a request. Its slot is free when the attempt ends.
+struct CancelAttempt
+{
+  DispatchId dispatch;
+  UpstreamId upstream;
+  Endpoint endpoint;
+};
+
+/// Withdraw a request that was forwarded to a peer.
+struct CancelForward
+{
+  EntryHostId peer;
+  DispatchId dispatch;
+};
+
 /// Ask a peer to run a request on one of its upstreams.
 struct Forward
 {
@@ -200,6 +234,13 @@
   std::vector<PoolLoad> pools;
 };
 
+/// Report on grants to a peer.
+struct SendGrants
+{
+  EntryHostId peer;
+  GrantReport report;
+};
+
 /// After BeginShutdown: nothing is waiting or in progress any more.
 struct Drained
 {};
@@ -208,11 +249,14 @@
 using Action = std::variant<Answer,
                             AnswerCancel,
                             Execute,
+                            CancelAttempt,
+                            CancelForward,
                             Forward,
                             ReturnOutcome,
                             RelayAnnouncement,
                             AnswerAnnouncement,
                             PublishLoad,
+                            SendGrants,
                             Drained>;
 
 using Actions = std::vector<Action>;
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -9,11 +9,15 @@
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
 #include "greengage/core/Units.h"
+#include "greengage/dispatch/DeadlineGate.h"
 #include "greengage/dispatch/LimitLedger.h"
 #include "greengage/dispatch/Messages.h"
 #include "greengage/dispatch/PeerTable.h"
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/dispatch/RequestRecords.h"
+#include "greengage/dispatch/RetryBudget.h"
+#include "greengage/dispatch/RunTimes.h"
+#include "greengage/dispatch/UpstreamHealth.h"
 #include "greengage/dispatch/UpstreamTable.h"
 
 #include <cstdint>
@@ -85,6 +89,14 @@
     bool mayHaveRun = false;
     /// The callers have been told at the deadline.
     bool isAnswered = false;
+    /// How long the attempt in progress is likely to run, and its start.
+    Duration expectedRun;
+    Time startedAt;
+    /// The attempt in progress.
+    DispatchId dispatch;
+    bool wasSent = false;
+    /// The caller has withdrawn it: it is not tried again.
+    bool isCancelled = false;
   };
 
   /// Where a request can run now: an upstream of this host, or a peer.
@@ -107,26 +119,37 @@
   void On(Submit&& aEvent, Time aNow, Actions& aOut);
   void On(Cancel&& aEvent, Time aNow, Actions& aOut);
   void On(Forwarded&& aEvent, Time aNow, Actions& aOut);
+  void On(ForwardCancelled&& aEvent, Time aNow, Actions& aOut);
   void On(ForwardEnded&& aEvent, Time aNow, Actions& aOut);
   void On(Announced&& aEvent, Time aNow, Actions& aOut);
   void On(AttemptEnded&& aEvent, Time aNow, Actions& aOut);
   void On(PeerUp&& aEvent, Time aNow, Actions& aOut);
   void On(PeerDown&& aEvent, Time aNow, Actions& aOut);
   void On(PeerLoad&& aEvent, Time aNow, Actions& aOut);
+  void On(PeerGrants&& aEvent, Time aNow, Actions& aOut);
   void On(ViewChanged&& aEvent, Time aNow, Actions& aOut);
   void On(BeginShutdown&& aEvent, Time aNow, Actions& aOut);
 
   void HandOverUpstreams(Time aNow, Actions& aOut);
   std::optional<NotRun> Refusal(const Request& aRequest, Time aNow) const;
+  std::optional<NotRun> RefusalAtDoor(const Request& aRequest, Time aNow);
   bool AnswerFromRecord(const Submit& aEvent, Actions& aOut);
   void Admit(Submit&& aEvent, Time aNow, Actions& aOut);
   WorkId AddWork(Request&& aRequest, Origin&& aOrigin);
-  void Enqueue(WorkId aWork, const Request& aRequest);
+  QueueEntry EntryOf(WorkId aWork, const Request& aRequest) const;
+  void Enqueue(WorkId aWork, Time aNow);
 
   void Schedule(const PoolId& aPool, Time aNow, Actions& aOut);
   std::optional<Place> TakePlace(const PoolId& aPool, Time aNow);
   void ReturnPlace(const Place& aPlace, const PoolId& aPool);
-  void Start(WorkId aWork, Place&& aPlace, Actions& aOut);
+  void Start(WorkId aWork, Place&& aPlace, Time aNow, Actions& aOut);
+  void LearnRun(WorkId aWork, const Outcome& aOutcome, Time aNow);
+  void JudgeUpstream(const UpstreamId& aUpstream,
+                     const Work& aWork,
+                     AttemptEnd aEnd,
+                     Time aNow);
+  void ApplyHealth(const UpstreamId& aUpstream);
+  void ReleaseLimit(const TeamId& aTeam, Time aNow);
   Attempt TakeAttempt(DispatchId aDispatch);
 
   void SettleSlot(const UpstreamId& aUpstream,
@@ -134,7 +157,8 @@
                   AttemptEnd aEnd,
                   Time aNow);
   void Settle(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut);
-  bool MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow) const;
+  bool MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow);
+  void CancelRunning(Work& aWork, Actions& aOut);
   static Outcome Truthful(const Work& aWork, Outcome&& aOutcome);
   void HoldUntilLeaseEnd(const Work& aWork, Hold&& aHold);
   void Finish(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut);
@@ -147,6 +171,8 @@
   void AnswerOverdue(Time aNow, Actions& aOut);
   void ReleaseHolds(Time aNow);
   void Publish(Time aNow, Actions& aOut);
+  void ExchangeGrants(Time aNow, Actions& aOut);
+  void ScheduleAll(Time aNow, Actions& aOut);
   void ReportDrained(Actions& aOut);
 
   RequestPlaneOptions options_;
@@ -156,9 +182,15 @@
   UpstreamTable upstreams_;
   PeerTable peers_;
   RequestRecords records_;
+  RunTimes runTimes_;
+  DeadlineGate gate_;
+  UpstreamHealth health_;
+  RetryBudget retryBudget_;
 
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<DispatchId, Attempt> attempts_;
+  /// The requests that peers have forwarded, by the peers' dispatches.
+  std::map<std::pair<EntryHostId, DispatchId>, WorkId> peerWorks_;
   /// Requests being run, by deadline.
   std::set<std::pair<Time, WorkId>> running_;
   std::multimap<Time, Hold> holds_;
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -32,14 +32,15 @@
     auto place = TakePlace(aPool, aNow);
     if (!place)
       return;
-    const auto entry = queue_.TakeNext(aPool, mayRun);
+    const auto entry = queue_.TakeNext(aPool, mayRun, aNow);
     if (!entry) {
       ReturnPlace(*place, aPool);
       return;
     }
     [[maybe_unused]] const bool isAcquired = limits_.TryAcquire(entry->team);
     assert(isAcquired && "the queue was asked for a team with room");
-    Start(entry->work, std::move(*place), aOut);
+    gate_.NoteStart(aPool, entry->team, queue_.Waiting(entry->team), aNow);
+    Start(entry->work, std::move(*place), aNow, aOut);
   }
 }
 
@@ -63,10 +64,16 @@
 }
 
 void
-RequestPlane::Start(WorkId aWork, Place&& aPlace, Actions& aOut)
+RequestPlane::Start(WorkId aWork, Place&& aPlace, Time aNow, Actions& aOut)
 {
-  const Request& request = works_.at(aWork).request;
+  Work& work = works_.at(aWork);
+  work.startedAt = aNow;
+  if (!work.wasSent)
+    retryBudget_.NoteFirstSend(work.request.team);
+  work.wasSent = true;
+  const Request& request = work.request;
   const DispatchId dispatch(++lastDispatch_);
+  work.dispatch = dispatch;
   running_.emplace(request.deadline, aWork);
   if (const auto* id = std::get_if<UpstreamId>(&aPlace)) {
     const UpstreamAnnouncement* upstream = upstreams_.Find(*id);
@@ -84,6 +91,65 @@
                     Attempt{ .work = aWork, .place = std::move(aPlace) });
 }
 
+/// Learns from a whole run, and charges the team for what it took.
+void
+RequestPlane::LearnRun(WorkId aWork, const Outcome& aOutcome, Time aNow)
+{
+  const auto* answered = std::get_if<Answered>(&aOutcome);
+  if (answered == nullptr)
+    return;
+  const Work& work = works_.at(aWork);
+  const Duration ran = aNow - work.startedAt;
+  // Work that fails may have stopped early and teaches nothing.
+  if (answered->succeeded)
+    runTimes_.Learn(work.request.team, work.request.kind, ran);
+  if (!std::holds_alternative<LocalOrigin>(work.origin))
+    return;
+  QueueEntry entry = EntryOf(aWork, work.request);
+  entry.runTime = work.expectedRun;
+  queue_.NoteRun(entry, ran, aNow);
+}
+
+void
+RequestPlane::ApplyHealth(const UpstreamId& aUpstream)
+{
+  upstreams_.SetHealth(
+    aUpstream, health_.StateOf(aUpstream), health_.SlownessOf(aUpstream));
+}
+
+/// Compares an upstream's run with those of such work elsewhere.
+void
+RequestPlane::JudgeUpstream(const UpstreamId& aUpstream,
+                            const Work& aWork,
+                            AttemptEnd aEnd,
+                            Time aNow)
+{
+  // A full upstream is not at fault, and one that can't be reached gets no
+  // work for a while in any case.
+  if (aEnd == AttemptEnd::SlotsTaken || aEnd == AttemptEnd::NotSent ||
+      aEnd == AttemptEnd::Cancelled)
+    return;
+  const Request& request = aWork.request;
+  const bool isChanged = health_.NoteEnd(
+    { .upstream = aUpstream,
+      .team = request.team,
+      .kind = request.kind,
+      .hasSucceeded = aEnd == AttemptEnd::Succeeded,
+      .ran = aNow - aWork.startedAt,
+      .expectedRun = runTimes_.Mean(request.team, request.kind) },
+    aNow);
+  if (isChanged)
+    ApplyHealth(aUpstream);
+}
+
+void
+RequestPlane::ReleaseLimit(const TeamId& aTeam, Time aNow)
+{
+  limits_.Release(aTeam);
+  if (limits_.HasRoom(aTeam))
+    queue_.NoteRoom(aTeam, aNow);
+}
+
 /// Removes a known attempt, after which its request is not running any more.
 RequestPlane::Attempt
 RequestPlane::TakeAttempt(DispatchId aDispatch)
@@ -124,7 +190,8 @@
   const WorkId work =
     AddWork(std::move(aEvent.request),
             PeerOrigin{ .peer = aEvent.from, .dispatch = aEvent.dispatch });
-  Start(work, Place(*upstream), aOut);
+  peerWorks_[{ aEvent.from, aEvent.dispatch }] = work;
+  Start(work, Place(*upstream), aNow, aOut);
 }
 
 /// What the end of an attempt means for the request.
@@ -145,6 +212,10 @@
       return NotRun{ .error = MakeError(ErrorKind::Unreachable,
                                         std::move(aEvent.reason)),
                      .retryAfter = {} };
+    case AttemptEnd::Cancelled:
+      return Unknown{ .error =
+                        MakeError(ErrorKind::Cancelled,
+                                  "request was cancelled while it ran") };
     case AttemptEnd::Lost:
       break;
   }
@@ -181,12 +252,15 @@
   const auto& upstream = std::get<UpstreamId>(attempt.place);
   const Work& work = works_.at(attempt.work);
   SettleSlot(upstream, work, aEvent.end, aNow);
+  JudgeUpstream(upstream, work, aEvent.end, aNow);
   const PoolId pool = work.request.pool;
   Outcome outcome = OutcomeOf(std::move(aEvent), upstream);
+  LearnRun(attempt.work, outcome, aNow);
   if (const auto* origin = std::get_if<PeerOrigin>(&work.origin)) {
     aOut.push_back(ReturnOutcome{ .peer = origin->peer,
                                   .dispatch = origin->dispatch,
                                   .outcome = std::move(outcome) });
+    peerWorks_.erase({ origin->peer, origin->dispatch });
     works_.erase(attempt.work);
   } else {
     Settle(attempt.work, std::move(outcome), aNow, aOut);
@@ -206,6 +280,7 @@
     peers_.NoteFull(aEvent.from, pool);
   else
     peers_.ReturnSlot(aEvent.from, pool);
+  LearnRun(attempt.work, aEvent.outcome, aNow);
   Settle(attempt.work, std::move(aEvent.outcome), aNow, aOut);
   Schedule(pool, aNow, aOut);
 }
@@ -235,24 +310,27 @@
 RequestPlane::Settle(WorkId aWork, Outcome&& aOutcome, Time aNow, Actions& aOut)
 {
   Work& work = works_.at(aWork);
-  if (std::holds_alternative<Unknown>(aOutcome)) {
-    work.mayHaveRun = true;
+  const auto* unknown = std::get_if<Unknown>(&aOutcome);
+  const bool hasStopped =
+    unknown == nullptr || unknown->error.kind == ErrorKind::Cancelled;
+  work.mayHaveRun |= unknown != nullptr;
+  if (!hasStopped) {
     HoldUntilLeaseEnd(
       work, Hold{ .team = work.request.team, .upstream = std::nullopt });
   } else {
-    limits_.Release(work.request.team);
+    ReleaseLimit(work.request.team, aNow);
   }
   if (!MayRetry(work, aOutcome, aNow)) {
     Finish(aWork, std::move(aOutcome), aNow, aOut);
     return;
   }
-  Enqueue(aWork, work.request);
+  Enqueue(aWork, aNow);
 }
 
 bool
-RequestPlane::MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow) const
+RequestPlane::MayRetry(Work& aWork, const Outcome& aOutcome, Time aNow)
 {
-  if (aWork.isAnswered || aWork.request.deadline <= aNow)
+  if (aWork.isAnswered || aWork.isCancelled || aWork.request.deadline <= aNow)
     return false;
   if (std::holds_alternative<Answered>(aOutcome))
     return false;
@@ -262,7 +340,37 @@
   const bool isSafe =
     notRun != nullptr || aWork.request.idempotence == Idempotence::Idempotent;
   ++aWork.attempts;
-  return isSafe && aWork.attempts < options_.maxAttempts;
+  return isSafe && aWork.attempts < options_.maxAttempts &&
+         retryBudget_.TryRetry(aWork.request.team);
+}
+
+/// Passes a withdrawal on to where the request runs.
+void
+RequestPlane::CancelRunning(Work& aWork, Actions& aOut)
+{
+  aWork.isCancelled = true;
+  const auto found = attempts_.find(aWork.dispatch);
+  if (found == attempts_.end())
+    return;
+  const Place& place = found->second.place;
+  if (const auto* peer = std::get_if<EntryHostId>(&place)) {
+    aOut.push_back(CancelForward{ .peer = *peer, .dispatch = aWork.dispatch });
+    return;
+  }
+  const auto& upstream = std::get<UpstreamId>(place);
+  // Without its address the attempt ends by its lease.
+  if (const UpstreamAnnouncement* known = upstreams_.Find(upstream))
+    aOut.push_back(CancelAttempt{ .dispatch = aWork.dispatch,
+                                  .upstream = upstream,
+                                  .endpoint = known->endpoint });
+}
+
+void
+RequestPlane::On(ForwardCancelled&& aEvent, Time /*aNow*/, Actions& aOut)
+{
+  const auto found = peerWorks_.find({ aEvent.from, aEvent.dispatch });
+  if (found != peerWorks_.end())
+    CancelRunning(works_.at(found->second), aOut);
 }
 
 /// Keeps what a lost attempt may still be using until its lease has run out:
--- a/packages/state/include/greengage/state/FleetView.h
+++ b/packages/state/include/greengage/state/FleetView.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace greengage::state {
@@ -102,6 +103,8 @@
 {
   Version version;
   std::map<TeamId, TeamPolicy> teams;
+  /// The weights of groups among their siblings, by path with a "/" behind.
+  std::map<std::string, double> groupShares;
   std::map<KeyId, KeyPolicy> keys;
   std::set<PoolId> pools;
   /// What holds for each of the pools.
--- a/packages/state/lib/FleetView.cpp
+++ b/packages/state/lib/FleetView.cpp
@@ -159,6 +159,21 @@
   return true;
 }
 
+/// Reads the weights of the groups above a team.
+static void
+ReadGroups(const SettingsTree& aTree,
+           const std::string& aTeam,
+           FleetView& aView)
+{
+  for (auto slash = aTeam.find('/'); slash != std::string::npos;
+       slash = aTeam.find('/', slash + 1)) {
+    const BranchPath branch =
+      std::string(kTeamsBranch) + "/" + aTeam.substr(0, slash);
+    aView.groupShares[aTeam.substr(0, slash + 1)] =
+      DecimalOn(aTree, branch, "share");
+  }
+}
+
 /// Reads one team, operator or upstream group with its keys.
 static bool
 ReadHolder(const SettingsTree& aTree,
@@ -167,8 +182,10 @@
            FleetView& aView,
            Error& aReason)
 {
-  if (aHolder.role == Role::Team)
+  if (aHolder.role == Role::Team) {
     aView.teams[TeamId(aHolder.name)] = ReadTeam(aTree, aBranch);
+    ReadGroups(aTree, aHolder.name, aView);
+  }
   return ReadKeys(aTree, aBranch, aHolder, aView, aReason);
 }
 
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -10,6 +10,7 @@
 #include "greengage/core/Request.h"
 #include "greengage/core/Units.h"
 #include "greengage/core/Upstream.h"
+#include "greengage/dispatch/Grants.h"
 #include "greengage/dispatch/Messages.h"
 
 #include <cstdint>
@@ -51,6 +52,12 @@
   Request request;
 };
 
+/// A forwarded request that is withdrawn.
+struct CancelRequest
+{
+  DispatchId dispatch;
+};
+
 /// How a forwarded request ended.
 struct ForwardResult
 {
@@ -77,7 +84,9 @@
                                  ForwardRequest,
                                  ForwardResult,
                                  RelayedAnnouncement,
-                                 LoadReport>;
+                                 LoadReport,
+                                 dispatch::GrantReport,
+                                 CancelRequest>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
