Add the ledger that makes a request id run once over all hosts

Cause: records of request ids lived in one entry host, so that a resend that reached another host, or came after the first one was lost, ran again.

Change: packages/once. A claim must be recorded by a majority of the id's three keepers, which are chosen from the configured members, before the id may be dispatched; outcomes are written back. A restarted keeper does not vouch for absence until it has copied its sets from all their other members, and a grant of an earlier incarnation is void once another keeper knows of the later one.

--- a/packages/core/include/greengage/core/Request.h
+++ b/packages/core/include/greengage/core/Request.h
@@ -40,6 +40,8 @@
   std::string kind;
   PriceClass priceClass = PriceClass::Standard;
   Idempotence idempotence = Idempotence::NonIdempotent;
+  /// The caller states that this is the first send of the id, by any way.
+  bool firstSend = false;
   /// By when the answer must be with the caller, on the local boot clock.
   Time deadline;
   std::string payload;
--- /dev/null
+++ b/packages/once/unittests/TestFleetTest.cpp
@@ -0,0 +1,346 @@
+// The network of TestFleet.h.
+
+#include "TestFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::once;
+using namespace greengage::once::test;
+
+static constexpr Duration kDeadline = Duration::Seconds(3);
+static constexpr Duration kTick = Duration(20);
+static constexpr Duration kNever = Duration::Seconds(1000000);
+
+TestFleet::TestFleet(std::uint64_t aSeed,
+                     const std::vector<std::string>& aZones,
+                     Roughness aRoughness)
+  : random_(aSeed)
+  , roughness_(std::move(aRoughness))
+{
+  for (const std::string& zone : aZones)
+    members_.push_back(
+      { .id = EntryHostId("entry-" + std::to_string(members_.size())),
+        .availabilityZone = AvailabilityZoneId(zone) });
+  hosts_.resize(members_.size());
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    hosts_[host].id = members_[host].id;
+    Start(host, true);
+  }
+  UpdateLinks();
+  RunFor(Duration(1200));
+}
+
+void
+TestFleet::At(Time aTime, std::function<void()> aAct)
+{
+  events_.emplace(aTime, std::move(aAct));
+}
+
+std::int64_t
+TestFleet::Below(std::int64_t aEnd)
+{
+  return static_cast<std::int64_t>(random_() %
+                                   static_cast<std::uint64_t>(aEnd));
+}
+
+bool
+TestFleet::Chance(double aPart)
+{
+  return static_cast<double>(Below(1000000)) < aPart * 1000000;
+}
+
+void
+TestFleet::Start(std::size_t aHost, bool aIsFirst)
+{
+  Host& host = hosts_[aHost];
+  host.incarnation = Incarnation(host.incarnation.Value() + 1);
+  host.plane.clear();
+  LedgerOptions options;
+  options.self = host.id;
+  options.incarnation = host.incarnation;
+  options.members = members_;
+  options.keeper.allowsColdStart = aIsFirst;
+  options.keeper.pageRecords = 3;
+  options.keeper.recoveryWindow = kNever;
+  if (!aIsFirst && roughness_.forgetful)
+    options.keeper.recoveryWindow = Duration(0);
+  host.ledger = std::make_unique<OnceLedger>(options, now_);
+  const Incarnation incarnation = host.incarnation;
+  auto tick = std::make_shared<std::function<void()>>();
+  *tick = [this, aHost, incarnation, weak = std::weak_ptr(tick)] {
+    if (hosts_[aHost].incarnation != incarnation)
+      return;
+    Actions actions;
+    hosts_[aHost].ledger->Tick(now_, actions);
+    CarryOut(aHost, std::move(actions));
+    At(now_ + kTick, [strong = weak.lock()] { (*strong)(); });
+  };
+  At(now_, [tick] { (*tick)(); });
+}
+
+void
+TestFleet::Restart(std::size_t aHost)
+{
+  Start(aHost, false);
+  UpdateLinks();
+}
+
+void
+TestFleet::Cut(std::set<std::size_t> aSide)
+{
+  side_ = std::move(aSide);
+  UpdateLinks();
+}
+
+bool
+TestFleet::IsCut(std::size_t aLeft, std::size_t aRight) const
+{
+  return side_.contains(aLeft) != side_.contains(aRight);
+}
+
+void
+TestFleet::UpdateLinks()
+{
+  for (std::size_t host = 0; host < hosts_.size(); ++host)
+    for (std::size_t peer = 0; peer < hosts_.size(); ++peer) {
+      if (peer == host)
+        continue;
+      if (IsCut(host, peer))
+        hosts_[host].ledger->PeerDown(hosts_[peer].id);
+      else
+        hosts_[host].ledger->PeerUp(hosts_[peer].id);
+    }
+}
+
+void
+TestFleet::Plan(std::size_t aIds, int aSends, Duration aSpan)
+{
+  for (std::size_t index = 0; index < aIds; ++index) {
+    const std::string id = "r" + std::to_string(index);
+    const auto idempotence =
+      Chance(0.2) ? Idempotence::Idempotent : Idempotence::NonIdempotent;
+    Time at = now_ + Duration(Below(aSpan.Millis()));
+    const std::int64_t sends = 1 + Below(aSends);
+    for (std::int64_t send = 0; send < sends; ++send) {
+      const bool isFirst = send == 0 && Chance(0.5);
+      At(at, [this, id, idempotence, isFirst] {
+        Send(static_cast<std::size_t>(
+               Below(static_cast<std::int64_t>(hosts_.size()))),
+             id,
+             idempotence,
+             isFirst);
+      });
+      at = at + Duration(1 + Below(Chance(0.5) ? 10 : 1500));
+    }
+  }
+  for (int restart = 0; restart < roughness_.restarts; ++restart)
+    At(now_ + Duration(Below(aSpan.Millis())), [this] {
+      Restart(static_cast<std::size_t>(
+        Below(static_cast<std::int64_t>(hosts_.size()))));
+    });
+  for (int cut = 0; roughness_.hasCuts && cut < 3; ++cut) {
+    At(now_ + Duration(Below(aSpan.Millis())), [this] {
+      std::set<std::size_t> side;
+      for (std::size_t host = 0; host < hosts_.size(); ++host)
+        if (Chance(0.4))
+          side.insert(host);
+      Cut(side);
+    });
+    At(now_ + Duration(Below(aSpan.Millis())), [this] { Cut({}); });
+  }
+}
+
+void
+TestFleet::Send(std::size_t aHost,
+                const std::string& aId,
+                Idempotence aIdempotence,
+                bool aFirstSend)
+{
+  Request request;
+  request.id = RequestId(aId);
+  request.team = TeamId("a");
+  request.pool = PoolId("lines");
+  request.idempotence = aIdempotence;
+  request.firstSend = aFirstSend;
+  request.deadline = now_ + kDeadline;
+  for (Call& call : calls_)
+    if (call.id == aId && call.isFirstSend && !call.outcome)
+      call.isHeard = false;
+  calls_.push_back({ .id = aId,
+                     .idempotence = aIdempotence,
+                     .host = aHost,
+                     .incarnation = hosts_[aHost].incarnation,
+                     .isFirstSend = aFirstSend,
+                     .isHeard = true,
+                     .outcome = std::nullopt,
+                     .repliedAt = {} });
+  Actions actions;
+  hosts_[aHost].ledger->Submit(
+    CallId(calls_.size() - 1), std::move(request), now_, actions);
+  CarryOut(aHost, std::move(actions));
+}
+
+void
+TestFleet::RunFor(Duration aSpan)
+{
+  const Time end = now_ + aSpan;
+  while (!events_.empty() && events_.begin()->first <= end) {
+    const auto next = events_.begin();
+    now_ = next->first;
+    const auto act = std::move(next->second);
+    events_.erase(next);
+    act();
+  }
+  now_ = end;
+}
+
+void
+TestFleet::CarryOut(std::size_t aHost, Actions&& aActions)
+{
+  for (Action& action : aActions) {
+    if (const auto* send = std::get_if<SendBatch>(&action))
+      Deliver(aHost, *send);
+    if (const auto* pass = std::get_if<PassOn>(&action))
+      Plane(aHost, *pass);
+    if (auto* reply = std::get_if<Reply>(&action)) {
+      Call& call = calls_.at(reply->call.Value());
+      call.outcome = std::move(reply->outcome);
+      call.repliedAt = now_;
+    }
+  }
+}
+
+void
+TestFleet::Deliver(std::size_t aFrom, const SendBatch& aSend)
+{
+  ++messages_;
+  std::size_t to = 0;
+  while (hosts_[to].id != aSend.to)
+    ++to;
+  const int copies = Chance(roughness_.duplicate) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    if (Chance(roughness_.drop))
+      continue;
+    const Duration delay(1 + Below(roughness_.longestDelay.Millis()));
+    At(now_ + delay, [this, aFrom, to, batch = aSend.batch]() mutable {
+      if (IsCut(aFrom, to))
+        return;
+      if (roughness_.tamper)
+        roughness_.tamper(batch);
+      Actions actions;
+      hosts_[to].ledger->Receive(hosts_[aFrom].id, batch, now_, actions);
+      CarryOut(to, std::move(actions));
+    });
+  }
+}
+
+/// A stand-in for the request plane: runs what has no local record.
+void
+TestFleet::Plane(std::size_t aHost, const PassOn& aPass)
+{
+  Host& host = hosts_[aHost];
+  const std::string id = aPass.request.id.Value();
+  const auto found = host.plane.find(id);
+  if (found != host.plane.end()) {
+    found->second.calls.push_back(aPass.call);
+    if (found->second.hasEnded)
+      EndRun(aHost, host.incarnation, id);
+    return;
+  }
+  LocalRun run{ .calls = { aPass.call }, .outcome = {} };
+  const bool isRefused = Chance(0.15);
+  if (isRefused) {
+    run.outcome =
+      NotRun{ .error = { ErrorKind::NoCapacity, "refused" }, .retryAfter = {} };
+  } else {
+    const std::string answer =
+      id + "#" + std::to_string(runs_[id].size()) + "@" + host.id.Value();
+    runs_[id].push_back({ .at = now_, .answer = answer });
+    run.outcome = Answered{ .upstream = UpstreamId("w"),
+                            .succeeded = true,
+                            .payload = answer };
+    if (Chance(roughness_.lostAnswers))
+      run.outcome = Unknown{ .error = { ErrorKind::OutcomeUnknown, "lost" } };
+  }
+  host.plane.emplace(id, std::move(run));
+  const Incarnation incarnation = host.incarnation;
+  At(now_ + Duration(Below(Chance(0.8) ? 30 : 600)),
+     [this, aHost, incarnation, id] { EndRun(aHost, incarnation, id); });
+}
+
+void
+TestFleet::EndRun(std::size_t aHost,
+                  Incarnation aIncarnation,
+                  const std::string& aId)
+{
+  Host& host = hosts_[aHost];
+  if (host.incarnation != aIncarnation)
+    return;
+  LocalRun& run = host.plane.at(aId);
+  run.hasEnded = true;
+  const Outcome outcome = run.outcome;
+  const std::vector<CallId> calls = std::exchange(run.calls, {});
+  if (std::holds_alternative<NotRun>(outcome))
+    host.plane.erase(aId);
+  for (const CallId call : calls) {
+    Actions actions;
+    host.ledger->OnOutcome(call, Outcome(outcome), now_, actions);
+    CarryOut(aHost, std::move(actions));
+  }
+}
+
+std::string
+TestFleet::Violation() const
+{
+  for (const Call& call : calls_) {
+    const auto found = runs_.find(call.id);
+    const std::vector<Run> none;
+    const std::vector<Run>& runs = found == runs_.end() ? none : found->second;
+    if (call.idempotence == Idempotence::NonIdempotent && runs.size() > 1)
+      return call.id + " ran twice";
+    if (!call.outcome || !call.isHeard)
+      continue;
+    if (std::holds_alternative<NotRun>(*call.outcome) &&
+        std::any_of(runs.begin(), runs.end(), [&](const Run& aRun) {
+          return aRun.at <= call.repliedAt;
+        }))
+      return call.id + " was run and a caller heard \"not run\"";
+    const auto* answered = std::get_if<Answered>(&*call.outcome);
+    if (answered != nullptr &&
+        std::none_of(runs.begin(), runs.end(), [&](const Run& aRun) {
+          return aRun.answer == answered->payload;
+        }))
+      return call.id + " got the answer of no run of its own";
+  }
+  return {};
+}
+
+OutcomeCounts
+TestFleet::Outcomes(Idempotence aIdempotence) const
+{
+  OutcomeCounts counts;
+  for (const Call& call : calls_) {
+    if (hosts_[call.host].incarnation != call.incarnation ||
+        call.idempotence != aIdempotence)
+      continue;
+    if (!call.outcome)
+      ++counts["none"];
+    else if (std::holds_alternative<Answered>(*call.outcome))
+      ++counts["answered"];
+    else if (std::holds_alternative<NotRun>(*call.outcome))
+      ++counts["not-run"];
+    else
+      ++counts["unknown"];
+  }
+  return counts;
+}
+
+bool
+TestFleet::AllServing() const
+{
+  return std::all_of(hosts_.begin(), hosts_.end(), [](const Host& aHost) {
+    return aHost.ledger->IsServing();
+  });
+}
