Carry claims, outcomes and copies of request ids between entry hosts

Cause: the ledger's messages need an encoding. Change: one table for all items of a batch, so that a batch is one message; outcomes are encoded in one place for results and records. Measured: wire_tests, every item byte for byte and field for field; damaged and cut messages refused as before.

--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -11,6 +11,7 @@
 #include "greengage/core/Units.h"
 #include "greengage/core/Upstream.h"
 #include "greengage/dispatch/Messages.h"
+#include "greengage/once/Messages.h"
 
 #include <cstdint>
 #include <optional>
@@ -77,7 +78,8 @@
                                  ForwardRequest,
                                  ForwardResult,
                                  RelayedAnnouncement,
-                                 LoadReport>;
+                                 LoadReport,
+                                 once::Batch>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -1,5 +1,7 @@
 #include "greengage/wire/PeerMessage.h"
 
+#include "OnceCodec.h"
+#include "OutcomeCodec.h"
 #include "generated/peer_generated.h"
 
 #include <type_traits>
@@ -7,6 +9,7 @@
 
 using namespace greengage;
 using namespace greengage::wire;
+using namespace greengage::wire::detail;
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
@@ -42,30 +45,6 @@
                            aBuilder.CreateString(aRequest.payload));
 }
 
-static flatbuffers::Offset<fb::Outcome>
-EncodeOutcome(Builder& aBuilder, const Outcome& aOutcome)
-{
-  if (const auto* answered = std::get_if<Answered>(&aOutcome))
-    return fb::CreateOutcome(aBuilder,
-                             fb::OutcomeKind::Answered,
-                             aBuilder.CreateString(answered->upstream.Value()),
-                             answered->succeeded,
-                             aBuilder.CreateString(answered->payload));
-  const auto* notRun = std::get_if<NotRun>(&aOutcome);
-  const Error& error =
-    notRun != nullptr ? notRun->error : std::get<Unknown>(aOutcome).error;
-  const auto kind =
-    notRun != nullptr ? fb::OutcomeKind::NotRun : fb::OutcomeKind::Unknown;
-  const auto detail = aBuilder.CreateString(error.detail);
-  fb::OutcomeBuilder builder(aBuilder);
-  builder.add_kind(kind);
-  builder.add_error_kind(static_cast<std::uint8_t>(error.kind));
-  builder.add_error_detail(detail);
-  if (notRun != nullptr)
-    builder.add_retry_after_ms(notRun->retryAfter.Millis());
-  return builder.Finish();
-}
-
 static EncodedBody
 EncodeBody(Builder& aBuilder, const Challenge& aMessage, Time)
 {
@@ -149,6 +128,12 @@
     fb::CreateLoad(aBuilder, aMessage.leaving, aBuilder.CreateVector(pools)));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const once::Batch& aMessage, Time)
+{
+  return MakeBody(fb::Body::OnceBatch, EncodeBatch(aBuilder, aMessage));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -163,12 +148,6 @@
            builder.GetSize() };
 }
 
-static std::string
-Text(const flatbuffers::String* aText)
-{
-  return aText == nullptr ? std::string() : aText->str();
-}
-
 static Request
 DecodeRequest(const fb::Request& aFrom, Time aNow)
 {
@@ -185,25 +164,6 @@
   return request;
 }
 
-static Outcome
-DecodeOutcome(const fb::Outcome& aFrom)
-{
-  if (aFrom.kind() == fb::OutcomeKind::Answered)
-    return Answered{ .upstream = UpstreamId(Text(aFrom.upstream())),
-                     .succeeded = aFrom.succeeded(),
-                     .payload = Text(aFrom.payload()) };
-  // A kind that this version does not know is still an error.
-  const bool isKnown =
-    aFrom.error_kind() <= static_cast<std::uint8_t>(ErrorKind::Internal);
-  Error error{ .kind = isKnown ? static_cast<ErrorKind>(aFrom.error_kind())
-                               : ErrorKind::Internal,
-               .detail = Text(aFrom.error_detail()) };
-  if (aFrom.kind() == fb::OutcomeKind::NotRun)
-    return NotRun{ .error = std::move(error),
-                   .retryAfter = Duration(aFrom.retry_after_ms()) };
-  return Unknown{ .error = std::move(error) };
-}
-
 static UpstreamAnnouncement
 DecodeAnnouncement(const fb::Announcement& aFrom)
 {
@@ -273,6 +233,12 @@
                                     *aEnvelope.body_as_Announcement()) };
     case fb::Body::Load:
       return DecodeLoad(*aEnvelope.body_as_Load());
+    case fb::Body::OnceBatch: {
+      auto batch = DecodeBatch(*aEnvelope.body_as_OnceBatch(), aReason);
+      if (!batch)
+        return std::nullopt;
+      return std::move(*batch);
+    }
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/unittests/WireTest.cpp
+++ b/packages/wire/unittests/WireTest.cpp
@@ -10,6 +10,52 @@
 
 static const Time kNow(5000);
 
+/// One item of each kind, with every field set that the kind has.
+static once::Batch
+FullBatch()
+{
+  const once::RecordKey key{ .team = TeamId("a/b"), .id = RequestId("r1") };
+  const once::ClaimId claim{ .host = EntryHostId("e1"),
+                             .incarnation = once::Incarnation(77),
+                             .number = once::ClaimNumber(5) };
+  const once::KeptRecord record{ .key = key,
+                                 .claim = claim,
+                                 .fingerprint = 99,
+                                 .hasEnded = true,
+                                 .outcome =
+                                   Answered{ .upstream = UpstreamId("w1"),
+                                             .succeeded = true,
+                                             .payload = "p" },
+                                 .keep = Duration(600) };
+  return { .layout = 3,
+           .incarnation = once::Incarnation(78),
+           .items = {
+             once::Claim{ .key = key,
+                          .claim = claim,
+                          .fingerprint = 99,
+                          .remaining = Duration(700) },
+             once::ClaimReply{
+               .key = key,
+               .number = once::ClaimNumber(5),
+               .verdict = once::Verdict::Held,
+               .held = record,
+               .known = { { EntryHostId("e2"), once::Incarnation(4) } } },
+             once::Release{ .key = key, .claim = claim },
+             once::RecordOutcome{ .record = record },
+             once::OutcomeRecorded{ .key = key,
+                                    .number = once::ClaimNumber(5) },
+             once::CheckClaim{ .key = key, .claim = claim },
+             once::ClaimLost{ .key = key, .claim = claim },
+             once::CopyRequest{ .set = once::KeeperSetId(2), .after = key },
+             once::CopyPage{ .set = once::KeeperSetId(2),
+                             .to = once::Incarnation(6),
+                             .after = key,
+                             .isServing = true,
+                             .isColdStart = true,
+                             .isLast = true,
+                             .records = { record } } } };
+}
+
 static std::vector<PeerMessage>
 AllMessages()
 {
@@ -50,6 +96,7 @@
     RelayedAnnouncement{ .announcement = announcement },
     LoadReport{ .leaving = true,
                 .pools = { { PoolId("lines"), Slots(3), 2 } } },
+    FullBatch(),
   };
 }
 
@@ -65,6 +112,31 @@
   }
 }
 
+TEST_CASE("items about request ids keep every field")
+{
+  Error reason;
+  const once::Batch sent = FullBatch();
+  const auto decoded = Decode(Encode(sent, kNow), kNow, reason);
+  REQUIRE(decoded);
+  const auto& batch = std::get<once::Batch>(*decoded);
+  REQUIRE(batch.layout == 3);
+  REQUIRE(batch.incarnation == once::Incarnation(78));
+  REQUIRE(batch.items.size() == sent.items.size());
+  const auto& claim = std::get<once::Claim>(batch.items[0]);
+  REQUIRE(claim.claim == std::get<once::Claim>(sent.items[0]).claim);
+  REQUIRE(claim.remaining == Duration(700));
+  const auto& reply = std::get<once::ClaimReply>(batch.items[1]);
+  REQUIRE(reply.verdict == once::Verdict::Held);
+  REQUIRE(reply.known.at(0).incarnation == once::Incarnation(4));
+  REQUIRE(reply.held->fingerprint == 99);
+  REQUIRE(std::get<Answered>(*reply.held->outcome).payload == "p");
+  const auto& page = std::get<once::CopyPage>(batch.items[8]);
+  REQUIRE((page.isServing && page.isColdStart && page.isLast));
+  REQUIRE(page.to == once::Incarnation(6));
+  REQUIRE(page.after == claim.key);
+  REQUIRE(page.records.at(0).keep == Duration(600));
+}
+
 TEST_CASE("a deadline crosses as the time that remains")
 {
   Error reason;
