Let each request id run once over all entry hosts

Cause: a resend that reached another entry host, or came after the host that took the request was lost, ran a second time.

Change: a once duty between authenticate and dispatch. Submissions, withdrawals and outcomes take the turn through it; DispatchFilter is unchanged. The [members] section names each host's availability zone, since keepers are chosen by it. A caller may state "first_send"; without that a call refused on its way in is "unknown" and no longer "not run", which was untrue for a resend.

--- a/packages/api/include/greengage/api/Calls.h
+++ b/packages/api/include/greengage/api/Calls.h
@@ -79,10 +79,13 @@
   EntryHostId servedBy;
 };
 
-/// A call was refused; nothing has been done.
+/// A call was refused; nothing has been done for it.
 struct ErrorReply
 {
   Error error;
+  /// The caller stated that the request was never sent before. Without that, an
+  /// earlier send may have run, and the refusal proves nothing of it.
+  bool isFirstSend = false;
 };
 
 /// A text made elsewhere, such as the metrics.
@@ -103,6 +106,10 @@
   ReplyBody body;
 };
 
+/// Whether the call submits a request that was never sent before.
+bool
+IsFirstSend(const Call& aCall);
+
 /// The call that an exchange of a port stands for.
 CallId
 CallOf(http::PortRole aPort, http::ExchangeId aExchange);
--- a/packages/api/lib/Calls.cpp
+++ b/packages/api/lib/Calls.cpp
@@ -10,6 +10,13 @@
 static constexpr std::uint64_t kExchangeMask =
   (std::uint64_t{ 1 } << kPortShift) - 1;
 
+bool
+greengage::api::IsFirstSend(const Call& aCall)
+{
+  const auto* submit = std::get_if<SubmitCall>(&aCall.body);
+  return submit != nullptr && submit->request.firstSend;
+}
+
 CallId
 greengage::api::CallOf(http::PortRole aPort, http::ExchangeId aExchange)
 {
--- a/packages/api/lib/Decode.cpp
+++ b/packages/api/lib/Decode.cpp
@@ -45,6 +45,7 @@
   request.idempotence = reader.Boolean("idempotent", false)
                           ? Idempotence::Idempotent
                           : Idempotence::NonIdempotent;
+  request.firstSend = reader.Boolean("first_send", false);
   request.deadline =
     aNow + Duration(reader.Integer("deadline_ms", 1, kMaxDeadline.Millis()));
   request.payload = reader.Text("payload", kMaxPayload);
--- a/packages/api/lib/Encode.cpp
+++ b/packages/api/lib/Encode.cpp
@@ -127,9 +127,8 @@
 Encode(http::HttpResponse& aResponse, ErrorReply&& aReply)
 {
   Json object;
-  // A call that was refused on its way in was never sent anywhere.
   if (aResponse.port == http::PortRole::Callers)
-    object["outcome"] = "not-run";
+    object["outcome"] = aReply.isFirstSend ? "not-run" : "unknown";
   AddError(object, aReply.error);
   aResponse.status = StatusOf(aReply.error.kind);
   if (aResponse.status == 503)
--- a/packages/daemon/include/greengage/daemon/DaemonSettings.h
+++ b/packages/daemon/include/greengage/daemon/DaemonSettings.h
@@ -30,6 +30,19 @@
   Duration readTimeout = Duration::Seconds(10);
 };
 
+/// The records of request ids.
+struct OnceSettings
+{
+  /// How long after a request's end or deadline a resend may come.
+  Duration retention = Duration::Seconds(600);
+  /// How long a restarted host that can't copy its records vouches for none.
+  Duration recoveryWindow = Duration::Seconds(24 * 60 * 60 + 600);
+  /// The operator vouches that the fleet starts for the first time.
+  bool coldStart = false;
+  std::size_t maxRecords = 200000;
+  std::size_t maxAnswerBytes = 64 * 1024 * 1024;
+};
+
 /// Everything that an entry host's settings file says.
 struct DaemonSettings
 {
@@ -42,6 +55,7 @@
   std::string peerSecret;
   /// All entry hosts, this one included, in order of their ids.
   std::vector<peer::PeerAddress> members;
+  OnceSettings once;
   /// The settings tree to begin with.
   std::string fleetFile;
   observe::LogOptions log;
--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -5,7 +5,10 @@
 #include "filters/DecodeFilter.h"
 #include "filters/DispatchFilter.h"
 #include "filters/EncodeFilter.h"
+#include "filters/OnceFilter.h"
 #include "filters/OperateFilter.h"
+#include "sources/OnceInlet.h"
+#include "sources/OnceReturns.h"
 #include "sources/PeerSource.h"
 #include "sources/UpstreamSource.h"
 
@@ -13,6 +16,7 @@
 #include "greengage/dispatch/RequestQueue.h"
 #include "greengage/http/Server.h"
 #include "greengage/observe/Log.h"
+#include "greengage/once/OnceLedger.h"
 #include "greengage/pipe/Duty.h"
 #include "greengage/pipe/IoDuty.h"
 
@@ -63,6 +67,24 @@
   return options;
 }
 
+static once::LedgerOptions
+LedgerOptionsOf(const DaemonSettings& aSettings)
+{
+  once::LedgerOptions options;
+  options.self = aSettings.id;
+  options.incarnation =
+    once::Incarnation(static_cast<std::uint64_t>(WallClock().Now().Millis()));
+  for (const peer::PeerAddress& member : aSettings.members)
+    options.members.push_back(
+      { .id = member.id, .availabilityZone = member.availabilityZone });
+  options.retention = aSettings.once.retention;
+  options.keeper.recoveryWindow = aSettings.once.recoveryWindow;
+  options.keeper.allowsColdStart = aSettings.once.coldStart;
+  options.keeper.store.maxRecords = aSettings.once.maxRecords;
+  options.keeper.store.maxAnswerBytes = aSettings.once.maxAnswerBytes;
+  return options;
+}
+
 namespace greengage::daemon::detail {
 
 /// The duties in the order of the pipeline. Members are destroyed from the
@@ -87,10 +109,15 @@
   // The rings between the filters.
   pipe::Duty<http::HttpRequest> decode_;
   pipe::Duty<AuthenticateMessage> authenticate_;
+  pipe::Duty<OnceMessage> once_;
   pipe::Duty<dispatch::Event> dispatch_;
   pipe::Duty<OperatorCall> operate_;
   pipe::Duty<api::Reply> encode_;
 
+  // Ways into the once duty, past which nothing reaches or leaves dispatch.
+  OnceInlet onceInlet_;
+  OnceReturns onceReturns_;
+
   // Sources and sinks: the sockets.
   pipe::IoDuty callersDuty_{ "callers" };
   pipe::IoDuty upstreamsDuty_{ "upstreams" };
@@ -106,6 +133,7 @@
   peer::Links links_;
 
   // The decisions.
+  once::OnceLedger ledger_;
   dispatch::FairQueue queue_;
   dispatch::StaticSplitLedger limits_;
   dispatch::RequestPlane plane_;
@@ -114,6 +142,7 @@
   EncodeFilter encodeFilter_;
   OperateFilter operateFilter_;
   DispatchFilter dispatchFilter_;
+  OnceFilter onceFilter_;
   AuthenticateFilter authenticateFilter_;
   DecodeFilter decodeFilter_;
 };
@@ -125,9 +154,12 @@
   , host_(settings_.id, settings_.availabilityZone)
   , decode_({ .name = "decode", .capacity = kRingCapacity }, clock_)
   , authenticate_({ .name = "authenticate", .capacity = kRingCapacity }, clock_)
+  , once_({ .name = "once", .capacity = kRingCapacity }, clock_)
   , dispatch_({ .name = "dispatch", .capacity = kRingCapacity }, clock_)
   , operate_({ .name = "operate", .capacity = kRingCapacity }, clock_)
   , encode_({ .name = "encode", .capacity = kRingCapacity }, clock_)
+  , onceInlet_(once_, dispatch_)
+  , onceReturns_(once_, encode_)
   , callers_(callersDuty_,
              ServerOptionsOf(http::PortRole::Callers, settings_.callers),
              decode_)
@@ -139,8 +171,9 @@
                decode_)
   , upstreamSource_(dispatch_)
   , client_(clientDuty_, {}, upstreamSource_)
-  , peerSource_(dispatch_)
+  , peerSource_(onceInlet_, once_)
   , links_(peersDuty_, LinkOptionsOf(settings_), clock_, peerSource_)
+  , ledger_(LedgerOptionsOf(settings_), clock_.Now())
   , limits_(SplitOptionsOf(settings_))
   , plane_(
       { .self = settings_.id, .availabilityZone = settings_.availabilityZone },
@@ -152,11 +185,15 @@
   , operateFilter_(host_, encode_)
   , dispatchFilter_(plane_,
                     host_,
-                    { .replies = encode_,
+                    { .replies = onceReturns_,
                       .upstreams = client_.Calls(),
                       .peers = links_.Outbox(),
                       .onDrained = [this] { drained_.set_value(); } })
-  , authenticateFilter_(dispatch_, operate_, encode_)
+  , onceFilter_(
+      ledger_,
+      host_,
+      { .replies = encode_, .dispatch = dispatch_, .peers = links_.Outbox() })
+  , authenticateFilter_(onceInlet_, operate_, encode_)
   , decodeFilter_(authenticate_, encode_)
 {
 }
@@ -170,6 +207,7 @@
   encode_.Start(encodeFilter_);
   operate_.Start(operateFilter_);
   dispatch_.Start(dispatchFilter_);
+  once_.Start(onceFilter_);
   authenticate_.Start(authenticateFilter_);
   decode_.Start(decodeFilter_);
   if (initialView_) {
@@ -218,6 +256,7 @@
   authenticate_.Stop();
   operate_.Stop();
   dispatch_.Stop();
+  once_.Stop();
   encode_.Stop();
   callers_.Drain().wait_for(kFlushTimeout);
   upstreams_.Drain().wait_for(kFlushTimeout);
--- a/packages/daemon/lib/DaemonSettings.cpp
+++ b/packages/daemon/lib/DaemonSettings.cpp
@@ -17,6 +17,8 @@
 static constexpr std::size_t kMinSecret = 16;
 static constexpr settings::IntegerRange kConnectionRange{ 1, 60000 };
 static constexpr settings::IntegerRange kBodyRange{ 1024, 64 * 1024 * 1024 };
+static constexpr settings::IntegerRange kRecordRange{ 1000, 100000000 };
+static constexpr settings::IntegerRange kAnswerRange{ 0, 1LL << 34 };
 static constexpr std::string_view kMembersSection = "members";
 
 namespace {
@@ -56,13 +58,13 @@
   Endpoint ReadEndpoint(const char* aSection, const char* aKey)
   {
     const IniEntry* entry = Entry(aSection, aKey, true);
-    return entry == nullptr ? Endpoint() : EndpointOf(*entry);
+    return entry == nullptr ? Endpoint() : EndpointOf(*entry, entry->value);
   }
 
-  Endpoint EndpointOf(const IniEntry& aEntry)
+  Endpoint EndpointOf(const IniEntry& aEntry, const std::string& aText)
   {
     Error reason;
-    const auto endpoint = ParseEndpoint(aEntry.value, reason);
+    const auto endpoint = ParseEndpoint(aText, reason);
     if (!endpoint)
       FailAt(aEntry, reason.detail);
     return endpoint.value_or(Endpoint());
@@ -97,6 +99,18 @@
       FailAt(*entry, reason.detail);
   }
 
+  void ReadBoolean(const char* aSection, const char* aKey, bool& aValue)
+  {
+    const IniEntry* entry = Entry(aSection, aKey, false);
+    if (entry == nullptr)
+      return;
+    Error reason;
+    const auto value = settings::ParseBoolean(entry->value, reason);
+    if (!value)
+      FailAt(*entry, reason.detail);
+    aValue = value.value_or(aValue);
+  }
+
   void FailAt(const IniEntry& aEntry, const std::string& aDetail)
   {
     Fail(file_.Where(aEntry) + ": " + aDetail);
@@ -144,6 +158,25 @@
   return port;
 }
 
+/// Reads "127.0.0.1:7000 z1".
+static peer::PeerAddress
+ReadMember(SettingsReader& aReader, const IniEntry& aEntry)
+{
+  if (!IsValidIdentifier(aEntry.key, kMaxName))
+    aReader.FailAt(aEntry, "name of the entry host is not an identifier");
+  const std::size_t space = aEntry.value.find(' ');
+  const std::size_t zone = aEntry.value.find_first_not_of(' ', space);
+  if (zone == std::string::npos ||
+      !IsValidIdentifier(aEntry.value.substr(zone), kMaxName)) {
+    aReader.FailAt(aEntry, "availability zone after the address is missing");
+    return {};
+  }
+  return { .id = EntryHostId(aEntry.key),
+           .endpoint =
+             aReader.EndpointOf(aEntry, aEntry.value.substr(0, space)),
+           .availabilityZone = AvailabilityZoneId(aEntry.value.substr(zone)) };
+}
+
 static void
 ReadMembers(SettingsReader& aReader,
             const IniFile& aFile,
@@ -152,21 +185,35 @@
   for (const IniEntry& entry : aFile.Entries()) {
     if (entry.section != kMembersSection)
       continue;
-    if (!IsValidIdentifier(entry.key, kMaxName))
-      aReader.FailAt(entry, "name of the entry host is not an identifier");
-    aSettings.members.push_back(
-      { .id = EntryHostId(entry.key), .endpoint = aReader.EndpointOf(entry) });
+    aSettings.members.push_back(ReadMember(aReader, entry));
   }
   std::sort(
     aSettings.members.begin(),
     aSettings.members.end(),
     [](const auto& aLeft, const auto& aRight) { return aLeft.id < aRight.id; });
-  const bool isMember = std::any_of(
-    aSettings.members.begin(),
-    aSettings.members.end(),
-    [&](const auto& aMember) { return aMember.id == aSettings.id; });
+  const bool isMember =
+    std::any_of(aSettings.members.begin(),
+                aSettings.members.end(),
+                [&](const auto& aMember) {
+                  return aMember.id == aSettings.id &&
+                         aMember.availabilityZone == aSettings.availabilityZone;
+                });
   if (!isMember)
-    aReader.Fail("[members] does not list \"" + aSettings.id.Value() + "\"");
+    aReader.Fail("[members] does not list \"" + aSettings.id.Value() +
+                 "\" in \"" + aSettings.availabilityZone.Value() + "\"");
+}
+
+static void
+ReadOnce(SettingsReader& aReader, OnceSettings& aOnce)
+{
+  aReader.ReadDuration("once", "retention", aOnce.retention);
+  aReader.ReadDuration("once", "recovery_window", aOnce.recoveryWindow);
+  aReader.ReadBoolean("once", "cold_start", aOnce.coldStart);
+  aReader.ReadInteger("once", "max_records", kRecordRange, aOnce.maxRecords);
+  aReader.ReadInteger(
+    "once", "max_answer_bytes", kAnswerRange, aOnce.maxAnswerBytes);
+  if (aOnce.recoveryWindow < aOnce.retention)
+    aReader.Fail("[once] recovery_window is shorter than retention");
 }
 
 static void
@@ -216,6 +263,7 @@
   result.peerEndpoint = reader.ReadEndpoint("peers", "listen");
   ReadSecret(reader, result);
   ReadMembers(reader, aFile, result);
+  ReadOnce(reader, result.once);
   if (const IniEntry* fleet = reader.Entry("fleet", "settings", true))
     result.fleetFile = fleet->value;
   ReadLog(reader, result);
--- a/packages/daemon/lib/filters/AuthenticateFilter.cpp
+++ b/packages/daemon/lib/filters/AuthenticateFilter.cpp
@@ -25,20 +25,23 @@
   }
   auto& call = std::get<api::Call>(aMessage);
   const CallId id = call.id;
+  const bool isFirstSend = api::IsFirstSend(call);
   Error reason;
   if (std::holds_alternative<api::ProbeCall>(call.body)) {
     if (!operate_.TryPush(
           { .call = std::move(call), .principal = std::nullopt }))
-      Refuse(id, { ErrorKind::Overloaded, "entry host is at its limit" });
+      Refuse(
+        id, { ErrorKind::Overloaded, "entry host is at its limit" }, false);
     return;
   }
   auto principal = Authorize(call, reason);
   if (!principal) {
-    Refuse(id, std::move(reason));
+    Refuse(id, std::move(reason), isFirstSend);
     return;
   }
   if (!Pass(std::move(call), std::move(*principal)))
-    Refuse(id, { ErrorKind::Overloaded, "entry host is at its limit" });
+    Refuse(
+      id, { ErrorKind::Overloaded, "entry host is at its limit" }, isFirstSend);
 }
 
 static Role
@@ -89,8 +92,9 @@
 }
 
 void
-AuthenticateFilter::Refuse(CallId aCall, Error&& aReason)
+AuthenticateFilter::Refuse(CallId aCall, Error&& aReason, bool aIsFirstSend)
 {
-  replies_.Push(
-    { .call = aCall, .body = api::ErrorReply{ .error = std::move(aReason) } });
+  replies_.Push({ .call = aCall,
+                  .body = api::ErrorReply{ .error = std::move(aReason),
+                                           .isFirstSend = aIsFirstSend } });
 }
--- a/packages/daemon/lib/filters/AuthenticateFilter.h
+++ b/packages/daemon/lib/filters/AuthenticateFilter.h
@@ -41,7 +41,7 @@
   std::optional<state::Principal> Authorize(const api::Call& aCall,
                                             Error& aReason) const;
   bool Pass(api::Call&& aCall, state::Principal&& aPrincipal);
-  void Refuse(CallId aCall, Error&& aReason);
+  void Refuse(CallId aCall, Error&& aReason, bool aIsFirstSend);
 
   pipe::Pipe<dispatch::Event>& dispatch_;
   pipe::Pipe<OperatorCall>& operate_;
--- a/packages/daemon/lib/filters/DecodeFilter.cpp
+++ b/packages/daemon/lib/filters/DecodeFilter.cpp
@@ -20,10 +20,12 @@
   const CallId id = api::CallOf(aRequest.port, aRequest.exchange);
   Error reason;
   auto call = api::DecodeCall(std::move(aRequest), aNow, reason);
+  const bool isFirstSend = call && api::IsFirstSend(*call);
   if (call && next_.TryPush(AuthenticateMessage(std::move(*call))))
     return;
   if (call)
     Fail(reason, ErrorKind::Overloaded, "entry host is at its limit");
-  replies_.Push(
-    { .call = id, .body = api::ErrorReply{ .error = std::move(reason) } });
+  replies_.Push({ .call = id,
+                  .body = api::ErrorReply{ .error = std::move(reason),
+                                           .isFirstSend = isFirstSend } });
 }
--- a/packages/daemon/lib/sources/PeerSource.cpp
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -7,8 +7,10 @@
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
-PeerSource::PeerSource(pipe::Pipe<dispatch::Event>& aDispatch)
+PeerSource::PeerSource(pipe::Pipe<dispatch::Event>& aDispatch,
+                       pipe::Pipe<OnceMessage>& aOnce)
   : dispatch_(aDispatch)
+  , once_(aOnce)
 {
 }
 
@@ -70,9 +72,23 @@
     std::move(aEvent));
 }
 
+static std::optional<OnceMessage>
+ToOnce(peer::PeerEvent& aEvent)
+{
+  auto* received = std::get_if<peer::PeerReceived>(&aEvent);
+  if (received == nullptr)
+    return std::nullopt;
+  auto* batch = std::get_if<once::Batch>(&received->message);
+  if (batch == nullptr)
+    return std::nullopt;
+  return OnceReceived{ .from = received->peer, .batch = std::move(*batch) };
+}
+
 bool
 PeerSource::TryPush(peer::PeerEvent&& aEvent)
 {
+  if (auto message = ToOnce(aEvent))
+    return once_.TryPush(std::move(*message));
   auto event = ToEvent(std::move(aEvent));
   return !event || dispatch_.TryPush(std::move(*event));
 }
@@ -80,6 +96,8 @@
 bool
 PeerSource::Push(peer::PeerEvent&& aEvent)
 {
+  if (auto message = ToOnce(aEvent))
+    return once_.Push(std::move(*message));
   auto event = ToEvent(std::move(aEvent));
   return !event || dispatch_.Push(std::move(*event));
 }
--- a/packages/load/lib/Load.cpp
+++ b/packages/load/lib/Load.cpp
@@ -168,6 +168,7 @@
     body["kind"] = "load";
     body["price_class"] = NameOf(options_.priceClass);
     body["idempotent"] = options_.idempotence == Idempotence::Idempotent;
+    body["first_send"] = aSent.sends <= 1;
     body["deadline_ms"] = options_.deadline.Millis();
     body["payload"] = aSent.payload;
     return body.dump();
--- a/packages/peer/include/greengage/peer/Links.h
+++ b/packages/peer/include/greengage/peer/Links.h
@@ -29,6 +29,7 @@
 {
   EntryHostId id;
   Endpoint endpoint;
+  AvailabilityZoneId availabilityZone = {};
 };
 
 /// How an entry host reaches the others.
--- a/unittests/system/Fleet.cpp
+++ b/unittests/system/Fleet.cpp
@@ -119,6 +119,7 @@
   const std::set<std::string> zones(options_.zones.begin(),
                                     options_.zones.end());
   AwaitSlots(static_cast<double>(8 * options_.workersPerZone * zones.size()));
+  AwaitRecords();
 }
 
 Fleet::~Fleet()
@@ -177,9 +178,10 @@
        << "\n[shutdown]\nnotice = " << options_.shutdownNotice
        << "\ntimeout = " << options_.shutdownTimeout << "\n[log]\npath = "
        << (folder_ / ("entry-" + std::to_string(aHost) + ".log")).string()
-       << "\n[members]\n";
+       << "\n[once]\ncold_start = true\n[members]\n";
   for (std::size_t other = 0; other < size(); ++other)
-    file << "entry-" << other << " = " << ToString(ports_[other].peers) << "\n";
+    file << "entry-" << other << " = " << ToString(ports_[other].peers) << " "
+         << options_.zones[other] << "\n";
 }
 
 void
@@ -249,6 +251,15 @@
         [&] { return SumMetric("greengage_free_slots") == aSlots; });
 }
 
+void
+Fleet::AwaitRecords() const
+{
+  Await("records of request ids", [&] {
+    return SumMetric("greengage_once_vouches") ==
+           static_cast<double>(hosts_.size());
+  });
+}
+
 load::LoadOptions
 Fleet::Load(double aRate, Duration aSpan) const
 {
--- a/unittests/system/Fleet.h
+++ b/unittests/system/Fleet.h
@@ -82,6 +82,8 @@
   void AwaitReady(std::size_t aHost, unsigned aStatus = 200) const;
   /// Waits until the hosts report so many free slots in all.
   void AwaitSlots(double aSlots) const;
+  /// Waits until all hosts can vouch for the records of request ids.
+  void AwaitRecords() const;
   double SumMetric(const std::string& aName) const;
 
   /// A load over all hosts for both teams.
--- a/unittests/system/SettingsTest.cpp
+++ b/unittests/system/SettingsTest.cpp
@@ -70,6 +70,9 @@
     { "listen = 127.0.0.1", "listen = localhost", ":5: [callers] listen" },
     { "[log]", "[log", "check.ini:" },
     { "fleet.ini", "missing.ini", "cannot be opened" },
+    { "cold_start = true", "cold_start = maybe", "[once] cold_start" },
+    { "cold_start = true", "recovery_window = 1s", "recovery_window" },
+    { " z1\n", "\n", "availability zone after the address" },
   };
   for (const Case& row : rows) {
     CAPTURE(row.to);
--- a/utils/lib/fleet.sh
+++ b/utils/lib/fleet.sh
@@ -86,6 +86,9 @@
 [fleet]
 settings = $run/fleet.ini
 
+[once]
+cold_start = true
+
 [shutdown]
 notice = ${shutdown_notice:-200ms}
 timeout = 20s
@@ -96,7 +99,7 @@
 [members]
 INI
     for other in "${!fleet_zones[@]}"; do
-      echo "entry-$other = $(port_of 3 "$other")"
+      echo "entry-$other = $(port_of 3 "$other") ${fleet_zones[$other]}"
     done
   } >"$run/entry-$1.ini"
 }
