Test the bounds of kept records and measure their cost

Change: tables for store bounds, copied claims, void grants, cut-off zones and the choice of keepers; OnceBench for claims and look-ups at 10^3 to 10^6 records.

--- /dev/null
+++ b/packages/once/benchmarks/OnceBench.cpp
@@ -0,0 +1,89 @@
+// Microseconds per claim and per look-up, and bytes per record, by the number
+// of records that a keeper holds.
+
+#include "greengage/once/KeeperStore.h"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+#include <cstdint>
+#include <string>
+
+using namespace greengage;
+using namespace greengage::once;
+
+static constexpr std::uint64_t kTeams = 330;
+static constexpr std::uint64_t kMaxRecords = 100000000;
+
+static Claim
+MakeClaim(std::uint64_t aNumber)
+{
+  return { .key = { .team = TeamId("team-" + std::to_string(aNumber % kTeams)),
+                    .id = RequestId("request-" + std::to_string(aNumber)) },
+           .claim = { .host = EntryHostId("entry-1"),
+                      .incarnation = Incarnation(1),
+                      .number = ClaimNumber(aNumber) },
+           .fingerprint = aNumber,
+           .remaining = Duration::Seconds(10) };
+}
+
+static void
+Fill(KeeperStore& aStore, std::uint64_t aRecords)
+{
+  for (std::uint64_t number = 0; number < aRecords; ++number)
+    aStore.Take(MakeClaim(number), Time(static_cast<std::int64_t>(number)));
+}
+
+/// A new claim, its outcome, and its expiry; the store stays as large.
+static void
+BM_ClaimAndEnd(benchmark::State& aState)
+{
+  const auto records = static_cast<std::uint64_t>(aState.range(0));
+  KeeperStore store({ .maxRecords = kMaxRecords });
+  Fill(store, records);
+  std::uint64_t number = records;
+  for (auto _ : aState) {
+    const Claim claim = MakeClaim(number++);
+    benchmark::DoNotOptimize(store.Take(claim, Time(0)));
+    store.End({ .key = claim.key,
+                .claim = claim.claim,
+                .fingerprint = claim.fingerprint,
+                .hasEnded = true,
+                .outcome = Answered{ .upstream = UpstreamId("w"),
+                                     .succeeded = true,
+                                     .payload = "answer" },
+                .keep = Duration(1) },
+              Time(0));
+    store.Expire(Time(1));
+  }
+}
+BENCHMARK(BM_ClaimAndEnd)
+  ->RangeMultiplier(10)
+  ->Range(1000, 1000000)
+  ->Unit(benchmark::kMicrosecond);
+
+/// A claim on an id that has a record.
+static void
+BM_Lookup(benchmark::State& aState)
+{
+  const auto records = static_cast<std::uint64_t>(aState.range(0));
+  const std::size_t before = mallinfo2().uordblks;
+  KeeperStore store({ .maxRecords = kMaxRecords });
+  Fill(store, records);
+  const std::size_t after = mallinfo2().uordblks;
+  std::uint64_t number = 0;
+  constexpr std::uint64_t kStride = 7919;
+  for (auto _ : aState) {
+    number = (number + kStride) % records;
+    Claim claim = MakeClaim(number);
+    claim.claim.number = ClaimNumber(records);
+    benchmark::DoNotOptimize(store.Take(claim, Time(0)));
+  }
+  aState.counters["bytes_per_record"] =
+    static_cast<double>(after - before) / static_cast<double>(records);
+}
+BENCHMARK(BM_Lookup)
+  ->RangeMultiplier(10)
+  ->Range(1000, 1000000)
+  ->Unit(benchmark::kMicrosecond);
--- a/packages/once/unittests/OnceLedgerTest.cpp
+++ b/packages/once/unittests/OnceLedgerTest.cpp
@@ -115,3 +115,189 @@
     REQUIRE(found == 1);
   }
 }
+
+namespace {
+
+/// A keeper's store with short helpers.
+class StoreFixture
+{
+public:
+  explicit StoreFixture(StoreOptions aOptions)
+    : store(aOptions)
+  {
+  }
+
+  static RecordKey KeyOf(const std::string& aTeam, const std::string& aId)
+  {
+    return { .team = TeamId(aTeam), .id = RequestId(aId) };
+  }
+  static ClaimId ClaimOf(std::uint64_t aNumber)
+  {
+    return { .host = EntryHostId("e"),
+             .incarnation = Incarnation(1),
+             .number = ClaimNumber(aNumber) };
+  }
+  Verdict Take(const std::string& aTeam,
+               const std::string& aId,
+               std::uint64_t aNumber = 1)
+  {
+    return store.Take({ .key = KeyOf(aTeam, aId),
+                        .claim = ClaimOf(aNumber),
+                        .fingerprint = 7,
+                        .remaining = Duration(100) },
+                      now);
+  }
+  static KeptRecord Record(const std::string& aTeam,
+                           const std::string& aId,
+                           std::uint64_t aNumber,
+                           const std::string& aAnswer = {})
+  {
+    KeptRecord record{ .key = KeyOf(aTeam, aId),
+                       .claim = ClaimOf(aNumber),
+                       .fingerprint = 7,
+                       .hasEnded = !aAnswer.empty(),
+                       .outcome = std::nullopt,
+                       .keep = Duration::Seconds(60) };
+    if (record.hasEnded)
+      record.outcome = Answered{ .upstream = UpstreamId("w"),
+                                 .succeeded = true,
+                                 .payload = aAnswer };
+    return record;
+  }
+
+  KeeperStore store;
+  Time now = Time(1000);
+};
+
+} // namespace
+
+TEST_CASE("the heaviest team leaves room for others' ids and answers")
+{
+  StoreFixture fixture({ .retention = Duration::Seconds(10),
+                         .maxRecords = 100,
+                         .maxAnswerBytes = 1000 });
+  int taken = 0;
+  while (fixture.Take("heavy", std::to_string(taken)) == Verdict::Granted)
+    ++taken;
+  REQUIRE(taken == 50);
+  for (int id = 0; id < 20; ++id)
+    REQUIRE(fixture.Take("light", std::to_string(id)) == Verdict::Granted);
+
+  const std::string answer(100, 'x');
+  fixture.store.End(StoreFixture::Record("light", "0", 1, answer), fixture.now);
+  for (int id = 0; id < 30; ++id)
+    fixture.store.End(
+      StoreFixture::Record("heavy", std::to_string(id), 1, answer),
+      fixture.now);
+  REQUIRE(fixture.store.AnswerBytes() <= 1000);
+  const auto light =
+    fixture.store.Find(StoreFixture::KeyOf("light", "0"), fixture.now);
+  REQUIRE(light->outcome);
+  const auto dropped =
+    fixture.store.Find(StoreFixture::KeyOf("heavy", "0"), fixture.now);
+  REQUIRE((dropped->hasEnded && !dropped->outcome));
+}
+
+TEST_CASE("records are kept through deadline and retention, and no longer")
+{
+  StoreFixture fixture({ .retention = Duration::Seconds(10) });
+  REQUIRE(fixture.Take("a", "r") == Verdict::Granted);
+  REQUIRE(fixture.Take("a", "r", 2) == Verdict::Held);
+  fixture.store.Expire(fixture.now + Duration(10099));
+  REQUIRE(fixture.store.size() == 1);
+  fixture.store.Expire(fixture.now + Duration(10100));
+  REQUIRE(fixture.store.size() == 0);
+}
+
+TEST_CASE("an id is free only when every copied claim is released")
+{
+  StoreFixture fixture({});
+  const RecordKey key = StoreFixture::KeyOf("a", "r");
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 2), fixture.now);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(1) });
+  REQUIRE(fixture.Take("a", "r", 3) == Verdict::Held);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(2) });
+  REQUIRE(fixture.Take("a", "r", 3) == Verdict::Granted);
+}
+
+TEST_CASE("a copied end replaces a claim, and a claim never an end")
+{
+  StoreFixture fixture({});
+  const RecordKey key = StoreFixture::KeyOf("a", "r");
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1, "x"), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(1) });
+  REQUIRE(fixture.store.Find(key, fixture.now)->hasEnded);
+}
+
+TEST_CASE("a grant is void once another keeper knows its host restarted")
+{
+  const bool isKnown = GENERATE(false, true);
+  Outbox outbox(EntryHostId("c"), Incarnation(1), 0);
+  const KeeperSets sets({ { EntryHostId("a"), AvailabilityZoneId("z") },
+                          { EntryHostId("b"), AvailabilityZoneId("z") },
+                          { EntryHostId("c"), AvailabilityZoneId("z") } });
+  Claimant claimant(
+    { .self = EntryHostId("c"), .incarnation = Incarnation(1) }, sets, outbox);
+  claimant.SetUp(EntryHostId("a"), true);
+  claimant.SetUp(EntryHostId("b"), true);
+  Request request;
+  request.team = TeamId("t");
+  request.id = RequestId("r");
+  request.deadline = Time(5000);
+  Actions actions;
+  claimant.Submit(CallId(1), std::move(request), Time(0), actions);
+  ClaimReply grant{ .key = { TeamId("t"), RequestId("r") },
+                    .number = ClaimNumber(1),
+                    .verdict = Verdict::Granted,
+                    .held = std::nullopt,
+                    .known = {} };
+  claimant.On(EntryHostId("a"), Incarnation(1), grant, Time(1), actions);
+  REQUIRE(actions.empty());
+  grant.known = { { EntryHostId("a"), Incarnation(isKnown ? 2 : 1) } };
+  claimant.On(EntryHostId("b"), Incarnation(1), grant, Time(1), actions);
+  REQUIRE(actions.empty() == isKnown);
+}
+
+TEST_CASE("a zone that is cut off serves ids of its own and no others")
+{
+  TestFleet fleet(BaseSeed(), kThreeZones, {});
+  fleet.Cut({ 3, 4 });
+  fleet.Send(3, "z2:own", Idempotence::NonIdempotent, false);
+  fleet.Send(3, "z1:first", Idempotence::NonIdempotent, true);
+  fleet.Send(3, "z1:again", Idempotence::NonIdempotent, false);
+  fleet.Send(3, "z1:safe", Idempotence::Idempotent, false);
+  fleet.RunFor(Duration::Seconds(5));
+  const auto& calls = fleet.Calls();
+  CHECK_FALSE(std::holds_alternative<Unknown>(*calls[0].outcome));
+  CHECK(std::holds_alternative<NotRun>(*calls[1].outcome));
+  CHECK(std::holds_alternative<Unknown>(*calls[2].outcome));
+  CHECK(fleet.Runs().count("z1:first") + fleet.Runs().count("z1:again") == 0);
+  REQUIRE(fleet.Violation().empty());
+}
+
+TEST_CASE("all members find the same keepers, home zone first")
+{
+  std::vector<Member> members;
+  for (const std::string& zone : kFourZones)
+    members.push_back(
+      { .id = EntryHostId("entry-" + std::to_string(members.size())),
+        .availabilityZone = AvailabilityZoneId(zone) });
+  const KeeperSets sets(members);
+  const KeeperSets reversed({ members.rbegin(), members.rend() });
+  REQUIRE(sets.Layout() == reversed.Layout());
+  for (int index = 0; index < 100; ++index) {
+    const RecordKey key{ .team = TeamId("t"),
+                         .id = RequestId("z2:" + std::to_string(index)) };
+    const auto& hosts = sets.HostsOf(sets.SetOf(key));
+    REQUIRE(hosts == reversed.HostsOf(reversed.SetOf(key)));
+    REQUIRE(hosts.size() == kKeepers);
+    for (std::size_t host = 0; host < 2; ++host)
+      REQUIRE((hosts[host] == EntryHostId("entry-2") ||
+               hosts[host] == EntryHostId("entry-3")));
+  }
+  members.pop_back();
+  REQUIRE(KeeperSets(members).Layout() != sets.Layout());
+}
