--- /dev/null
+++ b/packages/once/unittests/OnceLedgerTest.cpp
@@ -0,0 +1,303 @@
+#include "TestFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace greengage;
+using namespace greengage::once;
+using namespace greengage::once::test;
+
+static const std::vector<std::string> kThreeZones = { "z1", "z1", "z1", "z2",
+                                                      "z2", "z3", "z3" };
+static const std::vector<std::string> kFourZones = { "z1", "z1", "z2", "z2",
+                                                     "z3", "z3", "z4" };
+
+/// The seed of all schedules; GREENGAGE_SEED sets another.
+static std::uint64_t
+BaseSeed()
+{
+  const char* text = std::getenv("GREENGAGE_SEED");
+  return text == nullptr ? 20261204 : std::strtoull(text, nullptr, 10);
+}
+
+/// Cuts, drops, doubles, restarts and lost answers at once.
+static Roughness
+EverythingFails()
+{
+  return { .drop = 0.05,
+           .duplicate = 0.05,
+           .longestDelay = Duration(40),
+           .hasCuts = true,
+           .restarts = 3,
+           .lostAnswers = 0.1,
+           .tamper = {} };
+}
+
+/// Runs one schedule and returns the first broken promise.
+static std::string
+RunSchedule(std::uint64_t aSeed, const Roughness& aRoughness)
+{
+  TestFleet fleet(aSeed, aSeed % 2 == 0 ? kThreeZones : kFourZones, aRoughness);
+  fleet.Plan(12, 5, Duration::Seconds(3));
+  fleet.RunFor(Duration::Seconds(9));
+  std::string violation = fleet.Violation();
+  bool isSilent = false;
+  for (const auto each :
+       { Idempotence::NonIdempotent, Idempotence::Idempotent })
+    isSilent = isSilent || fleet.Outcomes(each).contains("none");
+  if (!violation.empty() || !isSilent)
+    return violation;
+  return "a call had no outcome after its deadline";
+}
+
+TEST_CASE("no schedule runs an id twice or tells an untruth")
+{
+  constexpr std::uint64_t kSchedules = 2000;
+  for (std::uint64_t index = 0; index < kSchedules; ++index) {
+    const std::uint64_t seed = BaseSeed() + index;
+    CAPTURE(seed);
+    const std::string violation = RunSchedule(seed, EverythingFails());
+    CAPTURE(violation);
+    REQUIRE(violation.empty());
+  }
+}
+
+TEST_CASE("without failures every call is answered or not run")
+{
+  for (std::uint64_t index = 0; index < 200; ++index) {
+    const std::uint64_t seed = BaseSeed() + index;
+    CAPTURE(seed);
+    TestFleet fleet(seed, index % 2 == 0 ? kThreeZones : kFourZones, {});
+    REQUIRE(fleet.AllServing());
+    fleet.Plan(20, 5, Duration::Seconds(2));
+    fleet.RunFor(Duration::Seconds(8));
+    REQUIRE(fleet.Violation().empty());
+    const auto outcomes = fleet.Outcomes(Idempotence::NonIdempotent);
+    REQUIRE_FALSE(outcomes.contains("none"));
+    REQUIRE_FALSE(outcomes.contains("unknown"));
+    REQUIRE_FALSE(fleet.Outcomes(Idempotence::Idempotent).contains("none"));
+  }
+}
+
+TEST_CASE("each broken variant is found out")
+{
+  struct Variant
+  {
+    const char* name;
+    bool forgetful;
+    std::function<void(Batch&)> tamper;
+  };
+  const auto grantAll = [](Verdict aVerdict) {
+    return [aVerdict](Batch& aBatch) {
+      for (Item& item : aBatch.items)
+        if (auto* reply = std::get_if<ClaimReply>(&item))
+          if (reply->verdict == aVerdict) {
+            reply->verdict = Verdict::Granted;
+            reply->held.reset();
+          }
+    };
+  };
+  const std::vector<Variant> variants = {
+    { "restarted keeper says absent", true, {} },
+    { "one grant counts for two", false, grantAll(Verdict::Held) },
+    { "recovering keeper grants", false, grantAll(Verdict::Recovering) },
+  };
+  for (const Variant& variant : variants) {
+    Roughness roughness = EverythingFails();
+    roughness.forgetful = variant.forgetful;
+    roughness.tamper = variant.tamper;
+    int found = 0;
+    std::uint64_t index = 0;
+    for (; index < 2000 && found == 0; ++index)
+      found += RunSchedule(BaseSeed() + index, roughness).empty() ? 0 : 1;
+    INFO(variant.name << " after " << index << " schedules");
+    REQUIRE(found == 1);
+  }
+}
+
+namespace {
+
+/// A keeper's store with short helpers.
+class StoreFixture
+{
+public:
+  explicit StoreFixture(StoreOptions aOptions)
+    : store(aOptions)
+  {
+  }
+
+  static RecordKey KeyOf(const std::string& aTeam, const std::string& aId)
+  {
+    return { .team = TeamId(aTeam), .id = RequestId(aId) };
+  }
+  static ClaimId ClaimOf(std::uint64_t aNumber)
+  {
+    return { .host = EntryHostId("e"),
+             .incarnation = Incarnation(1),
+             .number = ClaimNumber(aNumber) };
+  }
+  Verdict Take(const std::string& aTeam,
+               const std::string& aId,
+               std::uint64_t aNumber = 1)
+  {
+    return store.Take({ .key = KeyOf(aTeam, aId),
+                        .claim = ClaimOf(aNumber),
+                        .fingerprint = 7,
+                        .remaining = Duration(100) },
+                      now);
+  }
+  static KeptRecord Record(const std::string& aTeam,
+                           const std::string& aId,
+                           std::uint64_t aNumber,
+                           const std::string& aAnswer = {})
+  {
+    KeptRecord record{ .key = KeyOf(aTeam, aId),
+                       .claim = ClaimOf(aNumber),
+                       .fingerprint = 7,
+                       .hasEnded = !aAnswer.empty(),
+                       .outcome = std::nullopt,
+                       .keep = Duration::Seconds(60) };
+    if (record.hasEnded)
+      record.outcome = Answered{ .upstream = UpstreamId("w"),
+                                 .succeeded = true,
+                                 .payload = aAnswer };
+    return record;
+  }
+
+  KeeperStore store;
+  Time now = Time(1000);
+};
+
+} // namespace
+
+TEST_CASE("the heaviest team leaves room for others' ids and answers")
+{
+  StoreFixture fixture({ .retention = Duration::Seconds(10),
+                         .maxRecords = 100,
+                         .maxAnswerBytes = 1000 });
+  int taken = 0;
+  while (fixture.Take("heavy", std::to_string(taken)) == Verdict::Granted)
+    ++taken;
+  REQUIRE(taken == 50);
+  for (int id = 0; id < 20; ++id)
+    REQUIRE(fixture.Take("light", std::to_string(id)) == Verdict::Granted);
+
+  const std::string answer(100, 'x');
+  fixture.store.End(StoreFixture::Record("light", "0", 1, answer), fixture.now);
+  for (int id = 0; id < 30; ++id)
+    fixture.store.End(
+      StoreFixture::Record("heavy", std::to_string(id), 1, answer),
+      fixture.now);
+  REQUIRE(fixture.store.AnswerBytes() <= 1000);
+  const auto light =
+    fixture.store.Find(StoreFixture::KeyOf("light", "0"), fixture.now);
+  REQUIRE(light->outcome);
+  const auto dropped =
+    fixture.store.Find(StoreFixture::KeyOf("heavy", "0"), fixture.now);
+  REQUIRE((dropped->hasEnded && !dropped->outcome));
+}
+
+TEST_CASE("records are kept through deadline and retention, and no longer")
+{
+  StoreFixture fixture({ .retention = Duration::Seconds(10) });
+  REQUIRE(fixture.Take("a", "r") == Verdict::Granted);
+  REQUIRE(fixture.Take("a", "r", 2) == Verdict::Held);
+  fixture.store.Expire(fixture.now + Duration(10099));
+  REQUIRE(fixture.store.size() == 1);
+  fixture.store.Expire(fixture.now + Duration(10100));
+  REQUIRE(fixture.store.size() == 0);
+}
+
+TEST_CASE("an id is free only when every copied claim is released")
+{
+  StoreFixture fixture({});
+  const RecordKey key = StoreFixture::KeyOf("a", "r");
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 2), fixture.now);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(1) });
+  REQUIRE(fixture.Take("a", "r", 3) == Verdict::Held);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(2) });
+  REQUIRE(fixture.Take("a", "r", 3) == Verdict::Granted);
+}
+
+TEST_CASE("a copied end replaces a claim, and a claim never an end")
+{
+  StoreFixture fixture({});
+  const RecordKey key = StoreFixture::KeyOf("a", "r");
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1, "x"), fixture.now);
+  fixture.store.Merge(StoreFixture::Record("a", "r", 1), fixture.now);
+  fixture.store.Drop({ .key = key, .claim = StoreFixture::ClaimOf(1) });
+  REQUIRE(fixture.store.Find(key, fixture.now)->hasEnded);
+}
+
+TEST_CASE("a grant is void once another keeper knows its host restarted")
+{
+  const bool isKnown = GENERATE(false, true);
+  Outbox outbox(EntryHostId("c"), Incarnation(1), 0);
+  const KeeperSets sets({ { EntryHostId("a"), AvailabilityZoneId("z") },
+                          { EntryHostId("b"), AvailabilityZoneId("z") },
+                          { EntryHostId("c"), AvailabilityZoneId("z") } });
+  Claimant claimant(
+    { .self = EntryHostId("c"), .incarnation = Incarnation(1) }, sets, outbox);
+  claimant.SetUp(EntryHostId("a"), true);
+  claimant.SetUp(EntryHostId("b"), true);
+  Request request;
+  request.team = TeamId("t");
+  request.id = RequestId("r");
+  request.deadline = Time(5000);
+  Actions actions;
+  claimant.Submit(CallId(1), std::move(request), Time(0), actions);
+  ClaimReply grant{ .key = { TeamId("t"), RequestId("r") },
+                    .number = ClaimNumber(1),
+                    .verdict = Verdict::Granted,
+                    .held = std::nullopt,
+                    .known = {} };
+  claimant.On(EntryHostId("a"), Incarnation(1), grant, Time(1), actions);
+  REQUIRE(actions.empty());
+  grant.known = { { EntryHostId("a"), Incarnation(isKnown ? 2 : 1) } };
+  claimant.On(EntryHostId("b"), Incarnation(1), grant, Time(1), actions);
+  REQUIRE(actions.empty() == isKnown);
+}
+
+TEST_CASE("a zone that is cut off serves ids of its own and no others")
+{
+  TestFleet fleet(BaseSeed(), kThreeZones, {});
+  fleet.Cut({ 3, 4 });
+  fleet.Send(3, "z2:own", Idempotence::NonIdempotent, false);
+  fleet.Send(3, "z1:first", Idempotence::NonIdempotent, true);
+  fleet.Send(3, "z1:again", Idempotence::NonIdempotent, false);
+  fleet.Send(3, "z1:safe", Idempotence::Idempotent, false);
+  fleet.RunFor(Duration::Seconds(5));
+  const auto& calls = fleet.Calls();
+  CHECK_FALSE(std::holds_alternative<Unknown>(*calls[0].outcome));
+  CHECK(std::holds_alternative<NotRun>(*calls[1].outcome));
+  CHECK(std::holds_alternative<Unknown>(*calls[2].outcome));
+  CHECK(fleet.Runs().count("z1:first") + fleet.Runs().count("z1:again") == 0);
+  REQUIRE(fleet.Violation().empty());
+}
+
+TEST_CASE("all members find the same keepers, home zone first")
+{
+  std::vector<Member> members;
+  for (const std::string& zone : kFourZones)
+    members.push_back(
+      { .id = EntryHostId("entry-" + std::to_string(members.size())),
+        .availabilityZone = AvailabilityZoneId(zone) });
+  const KeeperSets sets(members);
+  const KeeperSets reversed({ members.rbegin(), members.rend() });
+  REQUIRE(sets.Layout() == reversed.Layout());
+  for (int index = 0; index < 100; ++index) {
+    const RecordKey key{ .team = TeamId("t"),
+                         .id = RequestId("z2:" + std::to_string(index)) };
+    const auto& hosts = sets.HostsOf(sets.SetOf(key));
+    REQUIRE(hosts == reversed.HostsOf(reversed.SetOf(key)));
+    REQUIRE(hosts.size() == kKeepers);
+    for (std::size_t host = 0; host < 2; ++host)
+      REQUIRE((hosts[host] == EntryHostId("entry-2") ||
+               hosts[host] == EntryHostId("entry-3")));
+  }
+  members.pop_back();
+  REQUIRE(KeeperSets(members).Layout() != sets.Layout());
+}
--- a/packages/state/unittests/FleetStateMachineTest.cpp
+++ b/packages/state/unittests/FleetStateMachineTest.cpp
@@ -158,7 +158,8 @@
 
 TEST_CASE("random commands keep to the model, to copies and to snapshots")
 {
-  const std::uint32_t seed = GENERATE(20260104U, 20260105U, 20260106U, 20260107U);
+  const std::uint32_t seed =
+    GENERATE(20260104U, 20260105U, 20260106U, 20260107U);
   CAPTURE(seed);
   CommandSource source(seed);
   const AuditLimits limits{ .maxEntries = 50 };
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -12,6 +12,7 @@
 #include "greengage/core/Upstream.h"
 #include "greengage/dispatch/Grants.h"
 #include "greengage/dispatch/Messages.h"
+#include "greengage/once/Messages.h"
 
 #include <cstdint>
 #include <optional>
@@ -86,7 +87,8 @@
                                  RelayedAnnouncement,
                                  LoadReport,
                                  dispatch::GrantReport,
-                                 CancelRequest>;
+                                 CancelRequest,
+                                 once::Batch>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
