--- a/packages/fleet/include/greengage/fleet/MoveSteps.h
+++ b/packages/fleet/include/greengage/fleet/MoveSteps.h
@@ -10,7 +10,6 @@
 #include "greengage/fleet/PoolRegistry.h"
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace greengage::fleet {
@@ -27,7 +26,8 @@
   /// The drain or reconfiguration has taken too long; report AbortMove.
   Abort,
   /// The host was handed over and does not announce itself: an operator has to
-  /// look at it, and RemoveHost is the remedy if it is lost.
+  /// look at it, and RemoveHost is the remedy if it is lost. Report FinishMove
+  /// if it announces itself after all.
   AskOperator,
 };
 
@@ -56,9 +56,8 @@
           Time aNow,
           const MoveTimeouts& aTimeouts = {});
 
-/// The command that reports \p aStep as done at \p aAt. Nothing for
-/// AskOperator.
-std::optional<RegistryCommand>
+/// The command that reports \p aStep as done at \p aAt.
+RegistryCommand
 ReportOf(const MoveStep& aStep, Time aAt);
 
 } // namespace greengage::fleet
--- a/packages/fleet/include/greengage/fleet/WaveRunner.h
+++ b/packages/fleet/include/greengage/fleet/WaveRunner.h
@@ -26,7 +26,8 @@
   Duration checkTimeout = Duration::Seconds(300);
   /// How long a grant request may stay without an answer.
   Duration grantTimeout = Duration::Seconds(10);
-  /// How long a host that came back is watched.
+  /// How long a host that came back is watched, and how long one that was
+  /// repaired waits for its turn.
   Duration watch = Duration::Seconds(600);
   /// Losses count as correlated if they happen within this time.
   Duration lossWindow = Duration::Seconds(300);
--- /dev/null
+++ b/packages/fleet/lib/BufferPolicy.cpp
@@ -0,0 +1,196 @@
+#include "greengage/fleet/BufferPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <vector>
+
+namespace greengage::fleet {
+
+namespace {
+
+/// Covers a shortfall even if half of the spares are lost with the domain.
+constexpr std::int64_t kMostSparesPerMissing = 2;
+constexpr double kMillisPerHour = 3600.0 * 1000;
+
+/// The loss of one rack or zone.
+struct DomainLoss
+{
+  Placement place;
+  bool isZone = false;
+  /// Hosts missing without any spare.
+  Hosts shortfall;
+  /// The share of the spares that is lost with it.
+  double spareShare = 0;
+  /// Hours a day that the domain is expected to be lost.
+  double hoursPerDay = 0;
+};
+
+/// Members of each pool, in all and in each domain.
+struct MemberCounts
+{
+  std::map<PoolId, Hosts> pools;
+  std::map<Placement, std::map<PoolId, Hosts>> racks;
+  std::map<AvailabilityZoneId, std::map<PoolId, Hosts>> zones;
+};
+
+MemberCounts
+CountMembers(const PoolRegistry& aRegistry)
+{
+  MemberCounts counts;
+  const Hosts one(1);
+  for (const auto& [host, member] : aRegistry.Members()) {
+    counts.pools[member.pool] += one;
+    counts.racks[member.placement][member.pool] += one;
+    counts.zones[member.placement.availabilityZone][member.pool] += one;
+  }
+  return counts;
+}
+
+Hosts
+HostsFor(const PoolDemand& aDemand, Slots aSlotsPerHost)
+{
+  const auto slots = static_cast<double>(aSlotsPerHost.Count());
+  return Hosts(static_cast<std::int64_t>(std::ceil(aDemand.highMean / slots)));
+}
+
+/// Hosts missing in all working pools, once \p aLost and the hosts in
+/// maintenance are down.
+Hosts
+ShortfallOf(const std::map<PoolId, Hosts>& aLost,
+            const MemberCounts& aCounts,
+            const BufferInput& aInput)
+{
+  Hosts missing;
+  for (const auto& [pool, demand] : aInput.demand) {
+    auto members = aCounts.pools.find(pool);
+    auto lost = aLost.find(pool);
+    const Hosts have =
+      members == aCounts.pools.end() ? Hosts(0) : members->second;
+    const Hosts gone = lost == aLost.end() ? Hosts(0) : lost->second;
+    const Hosts need = HostsFor(demand, aInput.slotsPerHost);
+    missing += std::max(Hosts(0), need - (have - gone));
+  }
+  return missing + aInput.maintained;
+}
+
+std::vector<DomainLoss>
+LossesOf(const BufferInput& aInput, const BufferPrices& aPrices)
+{
+  const MemberCounts counts = CountMembers(aInput.registry);
+  const double rackHours = aPrices.rackLossesPerDay *
+                           static_cast<double>(aPrices.rackOutage.Millis()) /
+                           kMillisPerHour;
+  const double zoneHours = aPrices.zoneLossesPerDay *
+                           static_cast<double>(aPrices.zoneOutage.Millis()) /
+                           kMillisPerHour;
+  const auto racks = static_cast<double>(counts.racks.size());
+  const auto zones = static_cast<double>(counts.zones.size());
+  std::vector<DomainLoss> losses;
+  for (const auto& [place, lost] : counts.racks) {
+    losses.push_back({ .place = place,
+                       .isZone = false,
+                       .shortfall = ShortfallOf(lost, counts, aInput),
+                       .spareShare = 1 / racks,
+                       .hoursPerDay = rackHours / racks });
+  }
+  for (const auto& [zone, lost] : counts.zones) {
+    losses.push_back({ .place = { zone, RackId() },
+                       .isZone = true,
+                       .shortfall = ShortfallOf(lost, counts, aInput),
+                       .spareShare = 1 / zones,
+                       .hoursPerDay = zoneHours / zones });
+  }
+  return losses;
+}
+
+/// Hosts that stay missing with \p aSpares spread over the failure domains.
+Hosts
+Missing(const DomainLoss& aLoss, std::int64_t aSpares)
+{
+  const auto lost = static_cast<std::int64_t>(
+    std::ceil(static_cast<double>(aSpares) * aLoss.spareShare));
+  return std::max(Hosts(0), aLoss.shortfall - Hosts(aSpares - lost));
+}
+
+/// The cost per day of the demand that stays unmet with \p aSpares.
+double
+MissingCost(const std::vector<DomainLoss>& aLosses,
+            std::int64_t aSpares,
+            const BufferPrices& aPrices)
+{
+  double cost = 0;
+  for (const DomainLoss& loss : aLosses) {
+    const auto missing = static_cast<double>(Missing(loss, aSpares).Count());
+    cost += loss.hoursPerDay * missing * aPrices.missingHostHour;
+  }
+  return cost;
+}
+
+bool
+Covers(const std::vector<DomainLoss>& aLosses,
+       std::int64_t aSpares,
+       CoveredDomain aCovered)
+{
+  return std::all_of(
+    aLosses.begin(), aLosses.end(), [&](const DomainLoss& aLoss) {
+      const bool isCovered = aCovered == CoveredDomain::Zone ||
+                             (aCovered == CoveredDomain::Rack && !aLoss.isZone);
+      return !isCovered || Missing(aLoss, aSpares) == Hosts(0);
+    });
+}
+
+void
+NameWorst(const std::vector<DomainLoss>& aLosses, BufferSize& aSize)
+{
+  for (const DomainLoss& loss : aLosses) {
+    if (loss.shortfall > aSize.worstShortfall) {
+      aSize.worstShortfall = loss.shortfall;
+      aSize.worst = loss.place;
+      aSize.isZone = loss.isZone;
+    }
+  }
+}
+
+} // namespace
+
+BufferSize
+FixedBuffer::Size(const BufferInput& aInput) const
+{
+  const BufferPrices prices;
+  const std::vector<DomainLoss> losses = LossesOf(aInput, prices);
+  BufferSize size;
+  NameWorst(losses, size);
+  size.spares = spares_;
+  size.holdingCost = prices.hostDay * static_cast<double>(spares_.Count());
+  size.missingCost = MissingCost(losses, spares_.Count(), prices);
+  return size;
+}
+
+BufferSize
+PricedBuffer::Size(const BufferInput& aInput) const
+{
+  const std::vector<DomainLoss> losses = LossesOf(aInput, prices_);
+  BufferSize size;
+  NameWorst(losses, size);
+  double best = -1;
+  const std::int64_t most = kMostSparesPerMissing * size.worstShortfall.Count();
+  for (std::int64_t spares = 0; spares <= most; ++spares) {
+    if (!Covers(losses, spares, prices_.covered)) {
+      continue;
+    }
+    const double holding = prices_.hostDay * static_cast<double>(spares);
+    const double missing = MissingCost(losses, spares, prices_);
+    const double cost =
+      weights_.bufferCost * holding + weights_.closeness * missing;
+    if (best < 0 || cost < best) {
+      best = cost;
+      size.spares = Hosts(spares);
+      size.holdingCost = holding;
+      size.missingCost = missing;
+    }
+  }
+  return size;
+}
+
+} // namespace greengage::fleet
--- a/packages/fleet/lib/MoveSteps.cpp
+++ b/packages/fleet/lib/MoveSteps.cpp
@@ -42,7 +42,7 @@
   return steps;
 }
 
-std::optional<RegistryCommand>
+RegistryCommand
 ReportOf(const MoveStep& aStep, Time aAt)
 {
   switch (aStep.kind) {
@@ -50,14 +50,13 @@
       return FinishDrain{ aStep.host, aStep.basedOn, aAt };
     case StepKind::Reconfigure:
       return HandOver{ aStep.host, aStep.basedOn, aAt };
-    case StepKind::AwaitAnnouncement:
-      return FinishMove{ aStep.host, aStep.basedOn };
     case StepKind::Abort:
       return AbortMove{ aStep.host, aStep.basedOn };
+    case StepKind::AwaitAnnouncement:
     case StepKind::AskOperator:
       break;
   }
-  return std::nullopt;
+  return FinishMove{ aStep.host, aStep.basedOn };
 }
 
 } // namespace greengage::fleet
--- a/packages/fleet/lib/WaveRunner.cpp
+++ b/packages/fleet/lib/WaveRunner.cpp
@@ -153,9 +153,11 @@
 WaveRunner::On(const HostRecovered& aEvent, Time aNow, WaveActions&)
 {
   HostProgress* host = InPhase(aEvent.host, HostPhase::Failed);
-  if (host) {
-    RetryLater(aEvent.host, *host, aNow);
+  if (!host) {
+    return;
   }
+  Enter(*host, HostPhase::Waiting, aNow);
+  host->notBefore = aNow + options_.watch;
 }
 
 void
--- /dev/null
+++ b/packages/fleet/unittests/BufferTest.cpp
@@ -0,0 +1,218 @@
+#include "FakeFleet.h"
+
+#include "greengage/fleet/BufferPolicy.h"
+#include "greengage/fleet/Demand.h"
+#include "greengage/fleet/MovePlanner.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::fleet;
+using namespace greengage::fleet::test;
+
+namespace {
+
+constexpr Slots kSlots(8);
+
+Time
+Hour(int aHours)
+{
+  return Time(0) + Duration::Seconds(3600LL * aHours);
+}
+
+PoolDemand
+DemandOf(double aHosts, double aHigh)
+{
+  const auto slots = static_cast<double>(kSlots.Count());
+  return { .now = aHosts * slots,
+           .mean = aHosts * slots,
+           .highMean = aHigh * slots };
+}
+
+/// Each working pool of ten hosts asks for \p aHosts of them.
+DemandByPool
+EvenDemand(const FleetShape& aShape, double aHosts, double aHigh)
+{
+  DemandByPool demand;
+  for (int pool = 0; pool + 1 < aShape.pools; ++pool) {
+    demand[PoolOf(pool)] = DemandOf(aHosts, aHigh);
+  }
+  return demand;
+}
+
+/// A fleet without losses, and a move plan for it.
+struct MoveFixture
+{
+  std::vector<PlannedMove> Plan(const MovePlanner& aPlanner, Time aNow) const
+  {
+    const BudgetPicture picture(registry, book, aNow);
+    return aPlanner.Plan({ .registry = registry,
+                           .budgets = picture,
+                           .demand = demand,
+                           .sparePool = SparePool(shape),
+                           .spareTarget = Hosts(10),
+                           .slotsPerHost = kSlots,
+                           .now = aNow });
+  }
+  void Ask(int aPool, double aHosts)
+  {
+    demand[PoolOf(aPool)] = DemandOf(aHosts, aHosts);
+  }
+  void Fail(int aPool, int aHosts)
+  {
+    for (const auto& [host, member] : registry.Members()) {
+      if (member.pool == PoolOf(aPool) && aHosts-- > 0) {
+        BudgetRefusal refusal;
+        REQUIRE(book.Apply(NoteFailed{ host }, registry, refusal));
+      }
+    }
+  }
+
+  FleetShape shape = RenovaSul();
+  PoolRegistry registry = BuildRegistry(shape);
+  BudgetBook book;
+  DemandByPool demand = EvenDemand(shape, 7, 9.5);
+};
+
+BufferSize
+SizeFor(const BufferPolicy& aPolicy, const FleetShape& aShape, double aHosts)
+{
+  const PoolRegistry registry = BuildRegistry(aShape);
+  const DemandByPool demand = EvenDemand(aShape, aHosts, aHosts);
+  return aPolicy.Size({ .registry = registry,
+                        .demand = demand,
+                        .sparePool = SparePool(aShape),
+                        .slotsPerHost = kSlots,
+                        .maintained = Hosts(1) });
+}
+
+} // namespace
+
+TEST_CASE("The mean of demand stays even through its turns")
+{
+  DemandSeen seen;
+  const PoolId pool("p");
+  double least = 1e9;
+  double most = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const Time now = Time(0) + Duration::Seconds(10LL * i);
+    seen.Observe(pool, i % 5 == 0 ? 500 : 5, now);
+    if (i > 1000) {
+      least = std::min(least, seen.Pools().at(pool).mean);
+      most = std::max(most, seen.Pools().at(pool).mean);
+    }
+  }
+  CHECK(least > 0.95 * 104);
+  CHECK(most < 1.05 * 104);
+  CHECK(seen.Pools().at(pool).highMean < 1.05 * 104);
+}
+
+TEST_CASE("Spares cover the largest domain and grow with what missing costs")
+{
+  const FleetShape shape = RenovaSul();
+  const auto spares = [&](BufferPrices aPrices, FleetWeights aWeights) {
+    return SizeFor(PricedBuffer(aPrices, aWeights), shape, 9.5).spares;
+  };
+  const Hosts forRack = spares({ .covered = CoveredDomain::Rack }, {});
+  const Hosts forZone = spares({ .covered = CoveredDomain::Zone }, {});
+  CHECK(spares({ .covered = CoveredDomain::None, .missingHostHour = 0 }, {}) ==
+        Hosts(0));
+  CHECK(forRack >= Hosts(kHostsPerRack));
+  CHECK(forZone > forRack);
+  const BufferPrices dear = { .missingHostHour = 60 };
+  CHECK(spares(dear, kTinkerbotsWeights) > spares(dear, kRenovaSulWeights));
+
+  const BufferSize size = SizeFor(PricedBuffer({}, {}), shape, 9.5);
+  CHECK(size.isZone);
+  CHECK(size.worstShortfall > Hosts(10));
+  CHECK(SizeFor(FixedBuffer(Hosts(10)), shape, 9.5).spares == Hosts(10));
+}
+
+TEST_CASE("Spares that cover a domain leave nothing missing when it is lost")
+{
+  const double hosts = GENERATE(5.0, 7.0, 8.5, 9.5, 10.0);
+  FleetShape shape = GENERATE(RenovaSul(), Tinkerbots());
+  CAPTURE(hosts, shape.zones);
+  const PricedBuffer policy({ .covered = CoveredDomain::Zone }, {});
+  const BufferSize size = SizeFor(policy, shape, hosts);
+  shape.workers += static_cast<int>(size.spares.Count()) - shape.spares;
+  shape.spares = static_cast<int>(size.spares.Count());
+  const PoolRegistry registry = BuildRegistry(shape);
+  for (int zone = 0; zone < shape.zones; ++zone) {
+    CAPTURE(zone);
+    std::map<PoolId, int> left;
+    for (const auto& [host, member] : registry.Members()) {
+      const bool isLost = member.placement.availabilityZone ==
+                          AvailabilityZoneId("z" + std::to_string(zone));
+      left[member.pool] += isLost ? 0 : 1;
+    }
+    int missing = 0;
+    for (int pool = 0; pool + 1 < shape.pools; ++pool) {
+      const int need = static_cast<int>(std::ceil(hosts));
+      missing += std::max(0, need - left[PoolOf(pool)]);
+    }
+    CHECK(left[SparePool(shape)] >= missing);
+  }
+}
+
+TEST_CASE("Spares replace lost hosts if that is worth the move")
+{
+  MoveFixture fleet;
+  const DampedMovePlanner planner({ .weights = kRenovaSulWeights });
+  CHECK(fleet.Plan(planner, Hour(3)).empty());
+  fleet.Fail(0, 4);
+  const auto plan = fleet.Plan(planner, Hour(3));
+  REQUIRE(plan.size() == 2);
+  CHECK(plan[0].from == SparePool(fleet.shape));
+  CHECK(plan[0].to == PoolOf(0));
+  CHECK(plan[0].host != plan[1].host);
+  const DampedMovePlanner dear({ .weights = { .moves = 10 } });
+  CHECK(fleet.Plan(dear, Hour(3)).empty());
+}
+
+TEST_CASE("Without spares a pool with hosts over gives one that has stayed")
+{
+  MoveFixture fleet;
+  fleet.shape.spares = 0;
+  fleet.shape.workers = 40;
+  fleet.registry = BuildRegistry(fleet.shape);
+  fleet.demand = EvenDemand(fleet.shape, 8, 9.5);
+  fleet.Ask(0, 11);
+  const DampedMovePlanner planner({ .weights = kTinkerbotsWeights });
+  CHECK(fleet.Plan(planner, Hour(1)).empty());
+  const auto plan = fleet.Plan(planner, Hour(2));
+  REQUIRE(plan.size() == 3);
+  for (const PlannedMove& move : plan) {
+    CHECK(move.to == PoolOf(0));
+    CHECK(move.from != SparePool(fleet.shape));
+  }
+  Budgets budgets;
+  budgets.defaultPool = Hosts(0);
+  BudgetRefusal refusal;
+  REQUIRE(fleet.book.Apply(SetBudgets{ budgets }, fleet.registry, refusal));
+  CHECK(fleet.Plan(planner, Hour(2)).empty());
+}
+
+TEST_CASE("Hosts go back only to fill the spare pool, and follow no turn")
+{
+  MoveFixture fleet;
+  const DampedMovePlanner planner({ .weights = kTinkerbotsWeights });
+  for (int pool = 0; pool < 4; ++pool) {
+    fleet.demand[PoolOf(pool)].now = pool % 2 == 0 ? 500 : 5;
+  }
+  CHECK(fleet.Plan(planner, Hour(3)).empty());
+  CHECK_FALSE(fleet.Plan(ReactiveMovePlanner(), Hour(3)).empty());
+  fleet.Fail(4, 2);
+  CHECK(fleet.Plan(planner, Hour(3)).empty());
+  fleet.Ask(0, 5);
+  const auto plan = fleet.Plan(planner, Hour(3));
+  REQUIRE(plan.size() == 2);
+  CHECK(plan[0].to == SparePool(fleet.shape));
+  CHECK(fleet.Plan(planner, Hour(1)).empty());
+}
--- a/packages/fleet/unittests/FakeFleet.h
+++ b/packages/fleet/unittests/FakeFleet.h
@@ -8,6 +8,8 @@
 
 #include "greengage/fleet/BudgetBook.h"
 #include "greengage/fleet/BudgetPicture.h"
+#include "greengage/fleet/MovePlanner.h"
+#include "greengage/fleet/MoveSteps.h"
 #include "greengage/fleet/PoolRegistry.h"
 #include "greengage/fleet/WavePlanner.h"
 #include "greengage/fleet/WaveRunner.h"
@@ -220,6 +222,44 @@
     Execute(aRunner, actions, aNow);
   }
 
+  /// Begins planned moves.
+  void Begin(const std::vector<PlannedMove>& aPlan,
+             const PoolId& aSparePool,
+             Time aNow)
+  {
+    for (const PlannedMove& move : aPlan) {
+      Error reason;
+      if (!registry.Apply(CommandOf(move, registry, aNow), reason)) {
+        continue;
+      }
+      ++moves;
+      // Nothing is promised of the spare pool.
+      if (move.from != aSparePool) {
+        Audit(move.host);
+      }
+    }
+  }
+
+  /// Drives the moves in progress.
+  void DriveMoves(Time aNow)
+  {
+    for (const MoveStep& step : NextSteps(registry, aNow)) {
+      const auto [due, isNew] = moveDue_.try_emplace(step.host, aNow);
+      if (isNew) {
+        due->second = aNow + StepTime(step.kind);
+      }
+      const bool isHandedOver = step.kind == StepKind::AwaitAnnouncement ||
+                                step.kind == StepKind::AskOperator;
+      const bool isStuck = isHandedOver && lost_.contains(step.host);
+      if (due->second > aNow || isStuck) {
+        continue;
+      }
+      Error reason;
+      registry.Apply(ReportOf(step, aNow), reason);
+      moveDue_.erase(step.host);
+    }
+  }
+
   /// Does what a new runner asks for after a restart.
   void Restart(const WaveRunner& aRunner, Time aNow)
   {
@@ -260,6 +300,7 @@
   Budgets budgets;
   int promisesBroken = 0;
   std::size_t drains = 0;
+  std::size_t moves = 0;
   /// The hosts that each drain was confirmed for, in order.
   std::vector<HostId> drained;
 
@@ -269,6 +310,13 @@
     return aMin + static_cast<std::int64_t>(
                     random_() % static_cast<std::uint64_t>(aMax - aMin + 1));
   }
+  Duration StepTime(StepKind aKind)
+  {
+    constexpr std::int64_t kOtherSteps = 10;
+    const bool isDrain = aKind == StepKind::AwaitDrain;
+    return Duration::Seconds(isDrain ? Between(times_.drainMin, times_.drainMax)
+                                     : kOtherSteps);
+  }
   bool OneIn(unsigned aCount) { return aCount > 0 && random_() % aCount == 0; }
   bool Apply(const BudgetCommand& aCommand)
   {
@@ -415,6 +463,7 @@
   std::multimap<Time, Loss> losses_;
   std::multimap<Time, HostId> repairs_;
   std::multimap<Time, WaveEvent> events_;
+  std::map<HostId, Time> moveDue_;
   std::set<HostId> lost_;
   std::set<HostId> out_;
   std::set<HostId> rebooting_;
--- /dev/null
+++ b/packages/fleet/unittests/FleetBoundsTest.cpp
@@ -0,0 +1,50 @@
+#include "Scenario.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengage;
+using namespace greengage::fleet;
+using namespace greengage::fleet::test;
+
+TEST_CASE("A wave takes at most half the time of one host at a time")
+{
+  const unsigned seed = GENERATE(range(1U, 6U));
+  const FleetShape shape = GENERATE(RenovaSul(), Tinkerbots());
+  CAPTURE(seed, shape.zones);
+  const LossRates rates{ .span = Duration::Seconds(10 * 3600) };
+  const auto run = [&](const WavePlanner& aPlanner) {
+    FakeFleet fleet(
+      shape, DefaultBudgets(shape), MakeLosses(shape, rates, seed), seed);
+    return RunWave(fleet, aPlanner);
+  };
+  const WaveOutcome baseline = run(OneAtATimePlanner());
+  const WaveOutcome ours = run(BottleneckPlanner());
+  REQUIRE(baseline.isOver);
+  REQUIRE(ours.isOver);
+  CHECK(ours.promisesBroken == 0);
+  CHECK(ours.rollOut * 2 <= baseline.rollOut);
+}
+
+TEST_CASE("Days break no budget and are no worse than reactive moves")
+{
+  const bool isRenovaSul = GENERATE(true, false);
+  CAPTURE(isRenovaSul);
+  const FleetShape shape = isRenovaSul ? RenovaSul() : Tinkerbots();
+  const FleetWeights weights =
+    isRenovaSul ? kRenovaSulWeights : kTinkerbotsWeights;
+  Duration baselineRollOut;
+  Duration rollOut;
+  for (const unsigned seed : { 1U, 2U, 3U }) {
+    CAPTURE(seed);
+    const DayOutcome baseline = RunReactiveDay(shape, seed);
+    const DayOutcome ours = RunOurDay(shape, seed, weights);
+    CHECK(ours.isWaveOver);
+    CHECK(ours.promisesBroken == 0);
+    CHECK(ours.moves <= baseline.moves);
+    CHECK(ours.spares <= baseline.spares);
+    CHECK(ours.unmet <= baseline.unmet);
+    baselineRollOut = baselineRollOut + baseline.rollOut;
+    rollOut = rollOut + ours.rollOut;
+  }
+  CHECK(rollOut * 2 <= baselineRollOut);
+}
--- a/packages/fleet/unittests/PoolRegistryTest.cpp
+++ b/packages/fleet/unittests/PoolRegistryTest.cpp
@@ -48,10 +48,8 @@
 {
   const auto steps = NextSteps(aRegistry, aNow);
   REQUIRE(steps.size() == 1);
-  const auto command = ReportOf(steps[0], aNow);
-  REQUIRE(command);
   Error reason;
-  REQUIRE(aRegistry.Apply(*command, reason));
+  REQUIRE(aRegistry.Apply(ReportOf(steps[0], aNow), reason));
 }
 
 } // namespace
@@ -146,6 +144,8 @@
   CHECK(NextSteps(handedOver, late)[0].kind == StepKind::AskOperator);
   CHECK_FALSE(
     handedOver.Apply(AbortMove{ kHost, EpochOf(handedOver) }, reason));
+  DriveOnce(handedOver, late);
+  CHECK_FALSE(handedOver.Find(kHost)->move);
 }
 
 namespace {
--- /dev/null
+++ b/packages/fleet/unittests/Scenario.h
@@ -0,0 +1,245 @@
+/// \file
+/// A day of a fleet for tests and benchmarks: demand in turns, a wave, moves
+/// and losses, with the four measures as the result. The losses and the demand
+/// are the same for each policy of one seed.
+
+#ifndef GREENGAGE_FLEET_UNITTESTS_SCENARIO_H
+#define GREENGAGE_FLEET_UNITTESTS_SCENARIO_H
+
+#include "FakeFleet.h"
+
+#include "greengage/fleet/BufferPolicy.h"
+#include "greengage/fleet/Demand.h"
+#include "greengage/fleet/MovePlanner.h"
+
+#include <cmath>
+#include <numbers>
+
+namespace greengage::fleet::test {
+
+constexpr Slots kSlotsPerHost(8);
+
+/// The policies under test.
+struct Policies
+{
+  const BufferPolicy& buffer;
+  const MovePlanner& moves;
+  const WavePlanner& wave;
+};
+
+/// The four measures, and the promises.
+struct DayOutcome
+{
+  /// Hosts in the buffer.
+  std::int64_t spares = 0;
+  Duration rollOut;
+  std::size_t moves = 0;
+  /// Demand that was not met, as a part of the mean demand.
+  double unmet = 0;
+  int promisesBroken = 0;
+  bool isWaveOver = false;
+};
+
+/// Demand that comes in turns: five times the mean for ten seconds of fifty,
+/// and a twentieth in between. The mean itself follows the hours.
+class TurningDemand
+{
+public:
+  TurningDemand(const FleetShape& aShape, unsigned aSeed)
+    : pools_(aShape.pools - 1)
+    , seed_(aSeed)
+    , meanSlots_(0.7 * kSlotsPerHost.Count() *
+                 (aShape.workers - aShape.spares) / pools_)
+  {
+  }
+  int Pools() const { return pools_; }
+  double Mean(int aPool, Time aNow) const
+  {
+    constexpr double kHours = 12;
+    const double hours = static_cast<double>(aNow.Millis()) / 3600000.0;
+    const double phase = static_cast<double>(aPool) / pools_ + 0.1 * seed_;
+    const double wave =
+      std::sin(2 * std::numbers::pi * (hours / kHours + phase));
+    return meanSlots_ * (1 + 0.3 * wave);
+  }
+  double Now(int aPool, Time aNow) const
+  {
+    constexpr std::int64_t kTurn = 50000;
+    constexpr std::int64_t kBusy = 10000;
+    const std::int64_t offset = 10000LL * aPool + 1000LL * (seed_ % 10);
+    const bool isBusy = (aNow.Millis() + offset) % kTurn < kBusy;
+    return Mean(aPool, aNow) * (isBusy ? 5 : 0.05);
+  }
+
+private:
+  int pools_;
+  unsigned seed_;
+  double meanSlots_;
+};
+
+/// One run of a day.
+class Day
+{
+public:
+  Day(FleetShape aShape, unsigned aSeed, Policies aPolicies)
+    : shape_(aShape)
+    , promised_(Promised(aShape))
+    , policies_(aPolicies)
+    , demand_(aShape, aSeed)
+    , seed_(aSeed)
+  {
+    SizeBuffer();
+  }
+
+  DayOutcome Run()
+  {
+    const Time start(kDay.Millis());
+    const LossRates rates{ .span = kDay, .singles = 4 };
+    std::vector<Loss> losses = MakeLosses(shape_, rates, seed_);
+    for (Loss& loss : losses) {
+      loss.at = loss.at + kDay;
+    }
+    FakeFleet fleet(shape_, promised_, std::move(losses), seed_);
+    const std::map<HostId, Time> never;
+    WaveRunner runner({},
+                      EntryHostId("e1"),
+                      policies_.wave.Plan({ .registry = fleet.registry,
+                                            .budgets = fleet.budgets,
+                                            .lastMaintained = never,
+                                            .period = {},
+                                            .cycle = kCycleGuess,
+                                            .now = start }));
+    const Time limit = start + kDay * 2;
+    Time now = start;
+    while (now < limit && (now < start + kDay || !runner.IsOver())) {
+      now = now + kTickStep;
+      const bool wasOver = runner.IsOver();
+      fleet.Step(runner, now);
+      if (!wasOver) {
+        outcome_.rollOut = now - start;
+      }
+      if (now <= start + kDay) {
+        MoveAndMeasure(fleet, now);
+      }
+      fleet.DriveMoves(now);
+    }
+    outcome_.moves = fleet.moves;
+    outcome_.promisesBroken = fleet.promisesBroken;
+    outcome_.isWaveOver = runner.IsOver();
+    outcome_.unmet = missing_ / asked_;
+    return outcome_;
+  }
+
+private:
+  static constexpr Duration kDay = Duration::Seconds(24 * 3600);
+
+  static Budgets Promised(const FleetShape& aShape)
+  {
+    Budgets budgets = DefaultBudgets(aShape);
+    budgets.pools[SparePool(aShape)] = kUnlimitedHosts;
+    return budgets;
+  }
+
+  /// Sees a day of demand and sets the number of spares.
+  void SizeBuffer()
+  {
+    for (Time now; now <= Time(kDay.Millis()); now = now + kTickStep) {
+      Observe(now);
+    }
+    const PoolRegistry registry = BuildRegistry(shape_);
+    const BufferSize size =
+      policies_.buffer.Size({ .registry = registry,
+                              .demand = seen_.Pools(),
+                              .sparePool = SparePool(shape_),
+                              .slotsPerHost = kSlotsPerHost,
+                              .maintained = Hosts(1) });
+    shape_.workers += static_cast<int>(size.spares.Count()) - shape_.spares;
+    shape_.spares = static_cast<int>(size.spares.Count());
+    outcome_.spares = size.spares.Count();
+  }
+
+  void Observe(Time aNow)
+  {
+    for (int pool = 0; pool < demand_.Pools(); ++pool) {
+      seen_.Observe(PoolOf(pool), demand_.Now(pool, aNow), aNow);
+    }
+  }
+
+  void MoveAndMeasure(FakeFleet& aFleet, Time aNow)
+  {
+    Observe(aNow);
+    const BudgetPicture picture(aFleet.registry, aFleet.book, aNow);
+    aFleet.Begin(policies_.moves.Plan({ .registry = aFleet.registry,
+                                        .budgets = picture,
+                                        .demand = seen_.Pools(),
+                                        .sparePool = SparePool(shape_),
+                                        .spareTarget = Hosts(shape_.spares),
+                                        .slotsPerHost = kSlotsPerHost,
+                                        .now = aNow }),
+                 SparePool(shape_),
+                 aNow);
+    std::map<PoolId, int> serving;
+    for (const auto& [host, member] : aFleet.registry.Members()) {
+      serving[member.pool] += aFleet.IsServing(host) ? 1 : 0;
+    }
+    for (int pool = 0; pool < demand_.Pools(); ++pool) {
+      const double need =
+        demand_.Mean(pool, aNow) / static_cast<double>(kSlotsPerHost.Count());
+      asked_ += need;
+      missing_ += std::max(0.0, need - serving[PoolOf(pool)]);
+    }
+  }
+
+  FleetShape shape_;
+  /// The same for each policy, whatever its buffer.
+  Budgets promised_;
+  Policies policies_;
+  TurningDemand demand_;
+  unsigned seed_;
+  DemandSeen seen_;
+  DayOutcome outcome_;
+  double missing_ = 0;
+  double asked_ = 0;
+};
+
+/// Moves nothing, ever.
+class NoMoves final : public MovePlanner
+{
+public:
+  std::vector<PlannedMove> Plan(const MoveInput&) const override { return {}; }
+};
+
+/// Fixed spares and one host at a time, with \p aMoves.
+inline DayOutcome
+RunBaselineDay(const FleetShape& aShape,
+               unsigned aSeed,
+               const MovePlanner& aMoves)
+{
+  const FixedBuffer buffer(Hosts(aShape.spares));
+  const OneAtATimePlanner wave;
+  return Day(aShape, aSeed, { buffer, aMoves, wave }).Run();
+}
+
+/// Moves that follow the same mean as ours, without a minimum stay or cost.
+inline DayOutcome
+RunReactiveDay(const FleetShape& aShape, unsigned aSeed)
+{
+  const ReactiveMovePlanner moves(&PoolDemand::mean);
+  return RunBaselineDay(aShape, aSeed, moves);
+}
+
+inline DayOutcome
+RunOurDay(const FleetShape& aShape,
+          unsigned aSeed,
+          const FleetWeights& aWeights,
+          CoveredDomain aCovered = CoveredDomain::Rack)
+{
+  const PricedBuffer buffer({ .covered = aCovered }, aWeights);
+  const DampedMovePlanner moves({ .weights = aWeights });
+  const BottleneckPlanner wave;
+  return Day(aShape, aSeed, { buffer, moves, wave }).Run();
+}
+
+} // namespace greengage::fleet::test
+
+#endif // GREENGAGE_FLEET_UNITTESTS_SCENARIO_H
