--- a/packages/fleet/unittests/FakeFleet.h
+++ b/packages/fleet/unittests/FakeFleet.h
@@ -1,11 +1,13 @@
 /// \file
-/// A fleet for tests and benchmarks of decisions: hosts in zones, racks and
-/// pools, a seeded list of losses, and a driver that does what the runner asks
-/// for. It keeps its own count of what is really down, apart from the book's.
+/// A fleet for tests and benchmarks of decisions: a driver that does what the
+/// runner asks for while hosts are lost. It keeps its own count of what is
+/// really down, apart from the book's.
 
 #ifndef GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
 #define GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
 
+#include "FleetShape.h"
+
 #include "greengage/fleet/BudgetBook.h"
 #include "greengage/fleet/BudgetPicture.h"
 #include "greengage/fleet/MovePlanner.h"
@@ -24,135 +26,6 @@
 
 namespace greengage::fleet::test {
 
-/// The size of a fleet. Hosts are dealt to racks of four, racks to zones, and
-/// pools are spread over all racks.
-struct FleetShape
-{
-  int zones = 3;
-  int workers = 50;
-  int pools = 5;
-  /// The last pool is the spare one and has this many hosts.
-  int spares = 10;
-};
-
-constexpr int kHostsPerRack = 4;
-
-inline FleetShape
-RenovaSul()
-{
-  return { .zones = 3, .workers = 50, .pools = 5, .spares = 10 };
-}
-
-inline FleetShape
-Tinkerbots()
-{
-  return { .zones = 4, .workers = 50, .pools = 5, .spares = 10 };
-}
-
-inline PoolId
-PoolOf(int aPool)
-{
-  return PoolId("p" + std::to_string(aPool));
-}
-
-inline PoolId
-SparePool(const FleetShape& aShape)
-{
-  return PoolOf(aShape.pools - 1);
-}
-
-inline HostId
-HostAt(int aIndex)
-{
-  return HostId("h" + std::to_string(aIndex));
-}
-
-inline Placement
-PlaceOf(const FleetShape& aShape, int aHost)
-{
-  const int rack = aHost / kHostsPerRack;
-  return { AvailabilityZoneId("z" + std::to_string(rack % aShape.zones)),
-           RackId("r" + std::to_string(rack)) };
-}
-
-inline PoolRegistry
-BuildRegistry(const FleetShape& aShape)
-{
-  PoolRegistry registry;
-  Error reason;
-  const int stride = std::max(1, aShape.workers / std::max(1, aShape.spares));
-  int spares = 0;
-  for (int i = 0; i < aShape.workers; ++i) {
-    const bool isSpare = i % stride == 0 && spares < aShape.spares;
-    spares += isSpare ? 1 : 0;
-    const PoolId pool =
-      isSpare ? SparePool(aShape) : PoolOf(i % (aShape.pools - 1));
-    registry.Apply(AddHost{ HostAt(i), PlaceOf(aShape, i), pool, Time(0) },
-                   reason);
-  }
-  return registry;
-}
-
-/// Hosts that are lost together.
-struct Loss
-{
-  Time at;
-  std::vector<HostId> hosts;
-  Duration repair;
-};
-
-/// How often what is lost.
-struct LossRates
-{
-  Duration span = Duration::Seconds(48 * 3600);
-  int singles = 8;
-  int racks = 1;
-  int zones = 1;
-};
-
-/// A seeded list of losses: single hosts, whole racks and whole zones.
-inline std::vector<Loss>
-MakeLosses(const FleetShape& aShape, const LossRates& aRates, unsigned aSeed)
-{
-  std::mt19937 random(aSeed);
-  std::vector<Loss> losses;
-  const auto when = [&] {
-    return Time(static_cast<std::int64_t>(
-      random() % static_cast<std::uint64_t>(aRates.span.Millis())));
-  };
-  const auto add = [&](const auto& aIsLost, Duration aRepair) {
-    Loss loss{ .at = when(), .hosts = {}, .repair = aRepair };
-    for (int i = 0; i < aShape.workers; ++i) {
-      if (aIsLost(i)) {
-        loss.hosts.push_back(HostAt(i));
-      }
-    }
-    losses.push_back(std::move(loss));
-  };
-  const auto pick = [&](int aBound) {
-    return static_cast<int>(random() % static_cast<unsigned>(aBound));
-  };
-  for (int n = 0; n < aRates.singles; ++n) {
-    const int host = pick(aShape.workers);
-    add([&](int aHost) { return aHost == host; }, Duration::Seconds(3600));
-  }
-  for (int n = 0; n < aRates.racks; ++n) {
-    const int rack = pick(aShape.workers / kHostsPerRack);
-    add([&](int aHost) { return aHost / kHostsPerRack == rack; },
-        Duration::Seconds(2 * 3600));
-  }
-  for (int n = 0; n < aRates.zones; ++n) {
-    const AvailabilityZoneId zone =
-      PlaceOf(aShape, kHostsPerRack * pick(aShape.zones)).availabilityZone;
-    add(
-      [&](int aHost) {
-        return PlaceOf(aShape, aHost).availabilityZone == zone;
-      },
-      Duration::Seconds(1800));
-  }
-  return losses;
-}
-
 /// What the fake hosts take for their steps, at least and at most.
 struct StepTimes
 {
