Name the audited host in the fake fleet like any other variable

Cause: a local variable ended in an underscore and a constant was a member of each object. Change: both renamed or made static; no behaviour. Result: 27 test cases pass; linter and formatter clean on packages/fleet.

--- a/packages/fleet/unittests/FakeFleet.h
+++ b/packages/fleet/unittests/FakeFleet.h
@@ -308,7 +308,7 @@
   /// Counts what is really down beside the host whose drain begins.
   void Audit(const HostId& aHost)
   {
-    const Membership& drained_ = *registry.Find(aHost);
+    const Membership& subject = *registry.Find(aHost);
     Hosts inPool;
     Hosts inZone;
     Hosts inRack;
@@ -316,21 +316,21 @@
       if (!lost_.contains(host) && !out_.contains(host) && !member.move) {
         continue;
       }
-      inPool += Hosts(member.pool == drained_.pool ? 1 : 0);
+      inPool += Hosts(member.pool == subject.pool ? 1 : 0);
       inZone += Hosts(member.placement.availabilityZone ==
-                          drained_.placement.availabilityZone
+                          subject.placement.availabilityZone
                         ? 1
                         : 0);
-      inRack += Hosts(member.placement == drained_.placement ? 1 : 0);
+      inRack += Hosts(member.placement == subject.placement ? 1 : 0);
     }
     const bool isBroken =
-      inPool > budgets.OfPool(drained_.pool) ||
-      inZone > budgets.OfZone(drained_.placement.availabilityZone) ||
-      inRack > budgets.OfRack(drained_.placement);
+      inPool > budgets.OfPool(subject.pool) ||
+      inZone > budgets.OfZone(subject.placement.availabilityZone) ||
+      inRack > budgets.OfRack(subject.placement);
     promisesBroken += isBroken ? 1 : 0;
   }
 
-  const EntryHostId kSelf{ "e1" };
+  static inline const EntryHostId kSelf{ "e1" };
   std::mt19937 random_;
   StepTimes times_;
   std::multimap<Time, Loss> losses_;
