--- a/packages/fleet/unittests/FakeFleet.h
+++ b/packages/fleet/unittests/FakeFleet.h
@@ -1,13 +1,17 @@
 /// \file
-/// A fleet for tests and benchmarks of decisions: hosts in zones, racks and
-/// pools, a seeded list of losses, and a driver that does what the runner asks
-/// for. It keeps its own count of what is really down, apart from the book's.
+/// A fleet for tests and benchmarks of decisions: a driver that does what the
+/// runner asks for while hosts are lost. It keeps its own count of what is
+/// really down, apart from the book's.
 
 #ifndef GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
 #define GREENGAGE_FLEET_UNITTESTS_FAKEFLEET_H
 
+#include "FleetShape.h"
+
 #include "greengage/fleet/BudgetBook.h"
 #include "greengage/fleet/BudgetPicture.h"
+#include "greengage/fleet/MovePlanner.h"
+#include "greengage/fleet/MoveSteps.h"
 #include "greengage/fleet/PoolRegistry.h"
 #include "greengage/fleet/WavePlanner.h"
 #include "greengage/fleet/WaveRunner.h"
@@ -22,135 +26,6 @@
 
 namespace greengage::fleet::test {
 
-/// The size of a fleet. Hosts are dealt to racks of four, racks to zones, and
-/// pools are spread over all racks.
-struct FleetShape
-{
-  int zones = 3;
-  int workers = 50;
-  int pools = 5;
-  /// The last pool is the spare one and has this many hosts.
-  int spares = 10;
-};
-
-constexpr int kHostsPerRack = 4;
-
-inline FleetShape
-RenovaSul()
-{
-  return { .zones = 3, .workers = 50, .pools = 5, .spares = 10 };
-}
-
-inline FleetShape
-Tinkerbots()
-{
-  return { .zones = 4, .workers = 50, .pools = 5, .spares = 10 };
-}
-
-inline PoolId
-PoolOf(int aPool)
-{
-  return PoolId("p" + std::to_string(aPool));
-}
-
-inline PoolId
-SparePool(const FleetShape& aShape)
-{
-  return PoolOf(aShape.pools - 1);
-}
-
-inline HostId
-HostAt(int aIndex)
-{
-  return HostId("h" + std::to_string(aIndex));
-}
-
-inline Placement
-PlaceOf(const FleetShape& aShape, int aHost)
-{
-  const int rack = aHost / kHostsPerRack;
-  return { AvailabilityZoneId("z" + std::to_string(rack % aShape.zones)),
-           RackId("r" + std::to_string(rack)) };
-}
-
-inline PoolRegistry
-BuildRegistry(const FleetShape& aShape)
-{
-  PoolRegistry registry;
-  Error reason;
-  const int stride = std::max(1, aShape.workers / std::max(1, aShape.spares));
-  int spares = 0;
-  for (int i = 0; i < aShape.workers; ++i) {
-    const bool isSpare = i % stride == 0 && spares < aShape.spares;
-    spares += isSpare ? 1 : 0;
-    const PoolId pool =
-      isSpare ? SparePool(aShape) : PoolOf(i % (aShape.pools - 1));
-    registry.Apply(AddHost{ HostAt(i), PlaceOf(aShape, i), pool, Time(0) },
-                   reason);
-  }
-  return registry;
-}
-
-/// Hosts that are lost together.
-struct Loss
-{
-  Time at;
-  std::vector<HostId> hosts;
-  Duration repair;
-};
-
-/// How often what is lost.
-struct LossRates
-{
-  Duration span = Duration::Seconds(48 * 3600);
-  int singles = 8;
-  int racks = 1;
-  int zones = 1;
-};
-
-/// A seeded list of losses: single hosts, whole racks and whole zones.
-inline std::vector<Loss>
-MakeLosses(const FleetShape& aShape, const LossRates& aRates, unsigned aSeed)
-{
-  std::mt19937 random(aSeed);
-  std::vector<Loss> losses;
-  const auto when = [&] {
-    return Time(static_cast<std::int64_t>(
-      random() % static_cast<std::uint64_t>(aRates.span.Millis())));
-  };
-  const auto add = [&](const auto& aIsLost, Duration aRepair) {
-    Loss loss{ .at = when(), .hosts = {}, .repair = aRepair };
-    for (int i = 0; i < aShape.workers; ++i) {
-      if (aIsLost(i)) {
-        loss.hosts.push_back(HostAt(i));
-      }
-    }
-    losses.push_back(std::move(loss));
-  };
-  const auto pick = [&](int aBound) {
-    return static_cast<int>(random() % static_cast<unsigned>(aBound));
-  };
-  for (int n = 0; n < aRates.singles; ++n) {
-    const int host = pick(aShape.workers);
-    add([&](int aHost) { return aHost == host; }, Duration::Seconds(3600));
-  }
-  for (int n = 0; n < aRates.racks; ++n) {
-    const int rack = pick(aShape.workers / kHostsPerRack);
-    add([&](int aHost) { return aHost / kHostsPerRack == rack; },
-        Duration::Seconds(2 * 3600));
-  }
-  for (int n = 0; n < aRates.zones; ++n) {
-    const AvailabilityZoneId zone =
-      PlaceOf(aShape, kHostsPerRack * pick(aShape.zones)).availabilityZone;
-    add(
-      [&](int aHost) {
-        return PlaceOf(aShape, aHost).availabilityZone == zone;
-      },
-      Duration::Seconds(1800));
-  }
-  return losses;
-}
-
 /// What the fake hosts take for their steps, at least and at most.
 struct StepTimes
 {
@@ -220,6 +95,44 @@
     Execute(aRunner, actions, aNow);
   }
 
+  /// Begins planned moves.
+  void Begin(const std::vector<PlannedMove>& aPlan,
+             const PoolId& aSparePool,
+             Time aNow)
+  {
+    for (const PlannedMove& move : aPlan) {
+      Error reason;
+      if (!registry.Apply(CommandOf(move, registry, aNow), reason)) {
+        continue;
+      }
+      ++moves;
+      // Nothing is promised of the spare pool.
+      if (move.from != aSparePool) {
+        Audit(move.host);
+      }
+    }
+  }
+
+  /// Drives the moves in progress.
+  void DriveMoves(Time aNow)
+  {
+    for (const MoveStep& step : NextSteps(registry, aNow)) {
+      const auto [due, isNew] = moveDue_.try_emplace(step.host, aNow);
+      if (isNew) {
+        due->second = aNow + StepTime(step.kind);
+      }
+      const bool isHandedOver = step.kind == StepKind::AwaitAnnouncement ||
+                                step.kind == StepKind::AskOperator;
+      const bool isStuck = isHandedOver && lost_.contains(step.host);
+      if (due->second > aNow || isStuck) {
+        continue;
+      }
+      Error reason;
+      registry.Apply(ReportOf(step, aNow), reason);
+      moveDue_.erase(step.host);
+    }
+  }
+
   /// Does what a new runner asks for after a restart.
   void Restart(const WaveRunner& aRunner, Time aNow)
   {
@@ -260,6 +173,7 @@
   Budgets budgets;
   int promisesBroken = 0;
   std::size_t drains = 0;
+  std::size_t moves = 0;
   /// The hosts that each drain was confirmed for, in order.
   std::vector<HostId> drained;
 
@@ -269,6 +183,13 @@
     return aMin + static_cast<std::int64_t>(
                     random_() % static_cast<std::uint64_t>(aMax - aMin + 1));
   }
+  Duration StepTime(StepKind aKind)
+  {
+    constexpr std::int64_t kOtherSteps = 10;
+    const bool isDrain = aKind == StepKind::AwaitDrain;
+    return Duration::Seconds(isDrain ? Between(times_.drainMin, times_.drainMax)
+                                     : kOtherSteps);
+  }
   bool OneIn(unsigned aCount) { return aCount > 0 && random_() % aCount == 0; }
   bool Apply(const BudgetCommand& aCommand)
   {
@@ -387,7 +308,7 @@
   /// Counts what is really down beside the host whose drain begins.
   void Audit(const HostId& aHost)
   {
-    const Membership& drained_ = *registry.Find(aHost);
+    const Membership& subject = *registry.Find(aHost);
     Hosts inPool;
     Hosts inZone;
     Hosts inRack;
@@ -395,26 +316,27 @@
       if (!lost_.contains(host) && !out_.contains(host) && !member.move) {
         continue;
       }
-      inPool += Hosts(member.pool == drained_.pool ? 1 : 0);
+      inPool += Hosts(member.pool == subject.pool ? 1 : 0);
       inZone += Hosts(member.placement.availabilityZone ==
-                          drained_.placement.availabilityZone
+                          subject.placement.availabilityZone
                         ? 1
                         : 0);
-      inRack += Hosts(member.placement == drained_.placement ? 1 : 0);
+      inRack += Hosts(member.placement == subject.placement ? 1 : 0);
     }
     const bool isBroken =
-      inPool > budgets.OfPool(drained_.pool) ||
-      inZone > budgets.OfZone(drained_.placement.availabilityZone) ||
-      inRack > budgets.OfRack(drained_.placement);
+      inPool > budgets.OfPool(subject.pool) ||
+      inZone > budgets.OfZone(subject.placement.availabilityZone) ||
+      inRack > budgets.OfRack(subject.placement);
     promisesBroken += isBroken ? 1 : 0;
   }
 
-  const EntryHostId kSelf{ "e1" };
+  static inline const EntryHostId kSelf{ "e1" };
   std::mt19937 random_;
   StepTimes times_;
   std::multimap<Time, Loss> losses_;
   std::multimap<Time, HostId> repairs_;
   std::multimap<Time, WaveEvent> events_;
+  std::map<HostId, Time> moveDue_;
   std::set<HostId> lost_;
   std::set<HostId> out_;
   std::set<HostId> rebooting_;
