Test that cancelling a running request stops it on its upstream

Two real entry hosts and one stand-in: the answer comes when the upstream has stopped the run, and another team's cancellation of the id does nothing.

--- a/unittests/system/ServingTest.cpp
+++ b/unittests/system/ServingTest.cpp
@@ -6,6 +6,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <future>
+#include <thread>
 
 using namespace greengage;
 using namespace greengage::system_tests;
@@ -178,6 +181,35 @@
   REQUIRE(fleet.Runs().at("certify r1") == 1);
 }
 
+TEST_CASE("a running request is stopped on its upstream when it is cancelled")
+{
+  const Fleet fleet({ .zones = { "z1", "z1" }, .workersPerZone = 1 });
+  const std::string body =
+    R"({"id":"long","pool":"lines","deadline_ms":20000,"payload":"ms=15000"})";
+  const std::string plan = fleet.Key("plan");
+  const auto sent = std::chrono::steady_clock::now();
+  auto answer = std::async(std::launch::async,
+                           [&] { return Submit(fleet, 0, plan, body); });
+  while (fleet.Record().empty() &&
+         std::chrono::steady_clock::now() - sent < std::chrono::seconds(5))
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  REQUIRE(fleet.Record().size() == 1);
+  const Endpoint& port = fleet.Ports(0).callers;
+  const std::string target = "/v1/requests/long";
+  // Another team has no such request.
+  Fetch(port, "DELETE", target, fleet.Key("certify"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  REQUIRE(fleet.Record().size() == 1);
+  Fetch(port, "DELETE", target, plan);
+  const HttpAnswer outcome = answer.get();
+  CHECK(std::chrono::steady_clock::now() - sent < std::chrono::seconds(8));
+  CHECK(json::parse(outcome.body)["outcome"] == "unknown");
+  const auto record = fleet.Record();
+  REQUIRE(record.size() == 2);
+  CHECK(record[1]["event"] == "cancel");
+  CHECK(record[1]["id"] == "long");
+}
+
 TEST_CASE("a team never has more running than its limit over all hosts")
 {
   const Fleet fleet({ .defaults = "limit = 5\nqueue.max = 2000\n" });
