Say ready only when the records of request ids are whole again

Cause: the rolling restart of seven hosts left 480 of 900 requests of a team unknown: a host was stopped while the one before it still copied its records, so that two keepers of one set had lost theirs and neither could copy. Change: /readyz waits for the copies, ten seconds at most, so that a cut-off host is ready in the end. A settings row that named the wrong line is corrected. Ruled out: letting a keeper copy from fewer members, which forgets claims.

--- a/packages/api/unittests/ApiTest.cpp
+++ b/packages/api/unittests/ApiTest.cpp
@@ -131,6 +131,29 @@
   REQUIRE_FALSE(call);
 }
 
+TEST_CASE("a refused call is not run only if it was the first send")
+{
+  const bool isFirstSend = GENERATE(false, true);
+  const auto response =
+    EncodeReply({ .call = CallOf(PortRole::Callers, http::ExchangeId(1)),
+                  .body = ErrorReply{ .error = { ErrorKind::Overloaded, "d" },
+                                      .isFirstSend = isFirstSend } });
+  const std::string expected = isFirstSend ? "not-run" : "unknown";
+  REQUIRE(json::parse(response.body)["outcome"] == expected);
+}
+
+TEST_CASE("a first send is read from the request")
+{
+  Error reason;
+  const auto call =
+    Post(PortRole::Callers,
+         "/v1/requests",
+         R"({"id":"r1","pool":"lines","deadline_ms":500,"first_send":true})",
+         reason);
+  REQUIRE(call);
+  REQUIRE(IsFirstSend(*call));
+}
+
 TEST_CASE("outcomes keep their three names")
 {
   struct Case
--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -23,8 +23,11 @@
 
   const EntryHostId id;
   const AvailabilityZoneId availabilityZone;
-  /// What /readyz says.
+  /// The ports are open and no shutdown has begun.
   std::atomic<bool> isReady{ false };
+  /// The records of request ids are whole again, or can't be had soon. Until
+  /// then the next host must not be restarted.
+  std::atomic<bool> hasRecords{ false };
   observe::Metrics metrics;
 };
 
--- a/packages/daemon/lib/filters/OnceFilter.cpp
+++ b/packages/daemon/lib/filters/OnceFilter.cpp
@@ -6,6 +6,8 @@
 using namespace greengage::daemon::detail;
 
 static constexpr Duration kTickInterval = Duration(20);
+/// After how long a host that can't copy its records is ready all the same.
+static constexpr Duration kRecordsTimeout = Duration::Seconds(10);
 
 OnceFilter::OnceFilter(once::OnceLedger& aLedger,
                        HostState& aHost,
@@ -33,6 +35,10 @@
   ledger_.Tick(aNow, actions);
   CarryOut(std::move(actions), aNow);
   nextTick_ = aNow + kTickInterval;
+  if (!startedAt_)
+    startedAt_ = aNow;
+  if (ledger_.IsServing() || *startedAt_ + kRecordsTimeout <= aNow)
+    host_.hasRecords = true;
   host_.metrics.Set("greengage_once_records",
                     static_cast<double>(ledger_.Records()));
   host_.metrics.Set("greengage_once_vouches", ledger_.IsServing() ? 1 : 0);
--- a/packages/daemon/lib/filters/OnceFilter.h
+++ b/packages/daemon/lib/filters/OnceFilter.h
@@ -76,6 +76,7 @@
   HostState& host_;
   OnceOutlets outlets_;
   Time nextTick_;
+  std::optional<Time> startedAt_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/lib/filters/OperateFilter.cpp
+++ b/packages/daemon/lib/filters/OperateFilter.cpp
@@ -35,10 +35,12 @@
     case api::ProbeKind::Health:
       reply.body = "ok\n";
       break;
-    case api::ProbeKind::Ready:
-      reply.status = host_.isReady ? 200 : kUnavailable;
-      reply.body = host_.isReady ? "ready\n" : "not ready\n";
+    case api::ProbeKind::Ready: {
+      const bool isReady = host_.isReady && host_.hasRecords;
+      reply.status = isReady ? 200 : kUnavailable;
+      reply.body = isReady ? "ready\n" : "not ready\n";
       break;
+    }
     case api::ProbeKind::Metrics:
       reply.contentType = "text/plain; version=0.0.4; charset=utf-8";
       reply.body = host_.metrics.Serialize();
--- a/unittests/system/SettingsTest.cpp
+++ b/unittests/system/SettingsTest.cpp
@@ -72,7 +72,9 @@
     { "fleet.ini", "missing.ini", "cannot be opened" },
     { "cold_start = true", "cold_start = maybe", "[once] cold_start" },
     { "cold_start = true", "recovery_window = 1s", "recovery_window" },
-    { " z1\n", "\n", "availability zone after the address" },
+    { "[members]\n",
+      "[members]\nentry-8 = 127.0.0.1:9\n",
+      "availability zone after the address" },
   };
   for (const Case& row : rows) {
     CAPTURE(row.to);
