--- a/packages/once/unittests/OnceLedgerTest.cpp
+++ b/packages/once/unittests/OnceLedgerTest.cpp
@@ -281,6 +281,7 @@
 TEST_CASE("all members find the same keepers, home zone first")
 {
   std::vector<Member> members;
+  members.reserve(kFourZones.size());
   for (const std::string& zone : kFourZones)
     members.push_back(
       { .id = EntryHostId("entry-" + std::to_string(members.size())),
