--- a/packages/once/benchmarks/OnceBench.cpp
+++ b/packages/once/benchmarks/OnceBench.cpp
@@ -37,7 +37,7 @@
 
 /// A new claim, its outcome, and its expiry; the store stays as large.
 static void
-BM_ClaimAndEnd(benchmark::State& aState)
+ClaimAndEnd(benchmark::State& aState)
 {
   const auto records = static_cast<std::uint64_t>(aState.range(0));
   KeeperStore store({ .maxRecords = kMaxRecords });
@@ -58,14 +58,14 @@
     store.Expire(Time(1));
   }
 }
-BENCHMARK(BM_ClaimAndEnd)
+BENCHMARK(ClaimAndEnd)
   ->RangeMultiplier(10)
   ->Range(1000, 1000000)
   ->Unit(benchmark::kMicrosecond);
 
 /// A claim on an id that has a record.
 static void
-BM_Lookup(benchmark::State& aState)
+Lookup(benchmark::State& aState)
 {
   const auto records = static_cast<std::uint64_t>(aState.range(0));
   const std::size_t before = mallinfo2().uordblks;
@@ -83,7 +83,7 @@
   aState.counters["bytes_per_record"] =
     static_cast<double>(after - before) / static_cast<double>(records);
 }
-BENCHMARK(BM_Lookup)
+BENCHMARK(Lookup)
   ->RangeMultiplier(10)
   ->Range(1000, 1000000)
   ->Unit(benchmark::kMicrosecond);
