--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -27,6 +27,9 @@
   std::atomic<bool> isReady{ false };
   /// Whether a version of the agreed state has reached the request path.
   std::atomic<bool> hasState{ false };
+  /// Whether the records of request ids are whole again, or can't be had soon.
+  /// Until then the next host must not be restarted.
+  std::atomic<bool> hasRecords{ false };
   observe::Metrics metrics;
 };
 
--- a/packages/daemon/lib/filters/OperateFilter.h
+++ b/packages/daemon/lib/filters/OperateFilter.h
@@ -27,7 +27,7 @@
 private:
   /// False if the state duty has no room.
   bool Administer(OperatorCall& aCall);
-  bool IsReady() const { return host_.isReady && host_.hasState; }
+  bool IsReady() const { return host_.isReady && host_.hasState && host_.hasRecords; }
   api::TextReply Probe(api::ProbeKind aKind) const;
   api::TextReply Status() const;
 
