--- a/packages/state/benchmarks/StateBench.cpp
+++ b/packages/state/benchmarks/StateBench.cpp
@@ -99,6 +99,21 @@
 }
 BENCHMARK(ApplyChange)->Unit(benchmark::kMicrosecond);
 
+/// As on a running host, where each version is handed to the request path.
+static void
+ApplyAndPublish(benchmark::State& aState)
+{
+  FleetStateMachine machine;
+  Begin(machine, kTeams, kPools);
+  std::uint64_t number = 0;
+  for (auto _ : aState) {
+    ++number;
+    machine.Apply(LogIndex(number + 1), ChangeBytes(number));
+    benchmark::DoNotOptimize(machine.State().View());
+  }
+}
+BENCHMARK(ApplyAndPublish)->Unit(benchmark::kMicrosecond);
+
 static void
 ReplayChanges(benchmark::State& aState)
 {
--- a/packages/state/unittests/FleetStateTest.cpp
+++ b/packages/state/unittests/FleetStateTest.cpp
@@ -347,3 +347,20 @@
                        ImportSettings{ Version(2), TreeOf(text) } };
   REQUIRE(RefusalOf(state.Apply(stale)).winner->version == Version(3));
 }
+
+TEST_CASE("a refused change of a group leaves nothing in later views")
+{
+  FleetState state = BegunState();
+  VersionOf(Set(state,
+                From("night", "n1"),
+                1,
+                { { "pools", "budget.pool", "4" },
+                  { "pools/lines", "budget.zone", "2" } }));
+  // Right for the pool that is read first, wrong for the other one.
+  RefusalOf(
+    Set(state, From("night", "n2"), 2, { { "pools", "budget.pool", "1" } }));
+  VersionOf(
+    Set(state, From("night", "n3"), 2, { { "teams/a", "limit", "1" } }));
+  const PoolPolicy& depot = state.View()->poolPolicies.at(PoolId("depot"));
+  REQUIRE(depot.budget.pool == HostCount(4));
+}
