--- a/unittests/system/AdministrationTest.cpp
+++ b/unittests/system/AdministrationTest.cpp
@@ -160,6 +160,7 @@
   for (int round = 1; round <= kRounds; ++round) {
     CAPTURE(round);
     std::vector<Process> racers;
+    racers.reserve(kOperators);
     for (int racer = 0; racer < kOperators; ++racer)
       racers.push_back(night.Start(
         "settings set / limit=" + std::to_string(10 * round + racer) +
