Run the agreed log in two duties over the peer links

Change: wire encodes the replicas' messages and what they keep; ConsensusFilter drives the replica and the state machine, JournalFilter syncs in a duty of its own and never waits for room in front of the replica. ConsensusStage joins them and hands leadership over on a planned stop. PeerSource passes a host's messages on only if they speak for that host. Linter findings mended.

Ruled out: syncing in the replica's duty (a slow disk would cost heartbeats); blocking pushes both ways (two full rings would stop each other).

Result: daemon_tests runs four hosts over loopback links and real folders through a planned stop, a restart of all, a lost disk and a folder removed while it is open.

--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -1,5 +1,6 @@
 #include "greengage/wire/PeerMessage.h"
 
+#include "LogCodec.h"
 #include "generated/peer_generated.h"
 
 #include <type_traits>
@@ -149,6 +150,13 @@
     fb::CreateLoad(aBuilder, aMessage.leaving, aBuilder.CreateVector(pools)));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const LogMessage& aMessage, Time)
+{
+  return MakeBody(fb::Body::LogMessage,
+                  detail::EncodeLogMessage(aBuilder, aMessage));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -273,6 +281,8 @@
                                     *aEnvelope.body_as_Announcement()) };
     case fb::Body::Load:
       return DecodeLoad(*aEnvelope.body_as_Load());
+    case fb::Body::LogMessage:
+      return detail::DecodeLogMessage(*aEnvelope.body_as_LogMessage(), aReason);
     case fb::Body::NONE:
       break;
   }
