--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -127,6 +127,7 @@
   void On(Propose&& aEvent);
   void On(ChangeMember&& aEvent);
   void On(TransferLeadership&& aEvent);
+  void On(StepDown&& aEvent);
   void On(SnapshotTaken&& aEvent);
   void Flush(Actions& aOut);
   void EmitPersist(Actions& aOut);
@@ -147,6 +148,7 @@
   void On(const MemberId& aFrom, TimeoutNow&& aMessage);
   bool ObserveTerm(const MemberId& aFrom, const Message& aMessage);
   bool HasLeaderLease() const;
+  bool MayStand() const;
   bool MayGrant(const MemberId& aFrom, const RequestVote& aMessage) const;
   void ResetElectionTimer();
   void OnElectionTimeout();
@@ -173,6 +175,7 @@
   void SendAppend(const MemberId& aTo, Progress& aProgress, bool aWithEntries);
   void Heartbeat(const MemberId& aTo, Progress& aProgress);
   void MaybeCommit();
+  void LeaveIfRemoved();
 
   // Snapshots; in ReplicaSnapshot.cpp.
   void On(const MemberId& aFrom, SnapshotChunk&& aMessage);
--- a/packages/daemon/lib/sources/PeerSource.cpp
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -8,12 +8,33 @@
 using namespace greengage::daemon::detail;
 
 PeerSource::PeerSource(pipe::Pipe<dispatch::Event>& aDispatch,
-                       pipe::Pipe<OnceMessage>& aOnce)
+                       pipe::Pipe<OnceMessage>& aOnce,
+                       pipe::Pipe<ConsensusInput>* aConsensus)
   : dispatch_(aDispatch)
   , once_(aOnce)
+  , consensus_(aConsensus)
 {
 }
 
+/// \returns whether the event was a message of the agreed log.
+bool
+PeerSource::TakeLogMessage(peer::PeerEvent& aEvent)
+{
+  auto* received = std::get_if<peer::PeerReceived>(&aEvent);
+  if (received == nullptr)
+    return false;
+  auto* message = std::get_if<wire::LogMessage>(&received->message);
+  if (message == nullptr)
+    return false;
+  // A host speaks only for itself.
+  if (consensus_ != nullptr && message->from.host == received->peer)
+    consensus_->TryPush(consensus::Event(
+      consensus::Receive{ .from = std::move(message->from),
+                          .to = std::move(message->to),
+                          .message = std::move(message->message) }));
+  return true;
+}
+
 static std::optional<dispatch::Event>
 ToEvent(peer::PeerReceived&& aEvent)
 {
@@ -93,6 +114,8 @@
 bool
 PeerSource::TryPush(peer::PeerEvent&& aEvent)
 {
+  if (TakeLogMessage(aEvent))
+    return true;
   if (auto message = ToOnce(aEvent))
     return once_.TryPush(std::move(*message));
   auto event = ToEvent(std::move(aEvent));
@@ -102,6 +125,8 @@
 bool
 PeerSource::Push(peer::PeerEvent&& aEvent)
 {
+  if (TakeLogMessage(aEvent))
+    return true;
   if (auto message = ToOnce(aEvent))
     return once_.Push(std::move(*message));
   auto event = ToEvent(std::move(aEvent));
--- a/packages/daemon/lib/sources/PeerSource.h
+++ b/packages/daemon/lib/sources/PeerSource.h
@@ -1,10 +1,11 @@
 /// \file
 /// The source that turns what happens on peer links into events of the request
-/// plane and of the records of request ids.
+/// plane, of the records of request ids and of the agreed log.
 
 #ifndef GREENGAGE_DAEMON_LIB_SOURCES_PEERSOURCE_H
 #define GREENGAGE_DAEMON_LIB_SOURCES_PEERSOURCE_H
 
+#include "../filters/ConsensusMessages.h"
 #include "../filters/OnceFilter.h"
 
 #include "greengage/dispatch/Messages.h"
@@ -18,14 +19,20 @@
 class PeerSource final : public pipe::Pipe<peer::PeerEvent>
 {
 public:
+  /// \param aConsensus takes the messages of the agreed log, which are dropped
+  /// if there is none or it is full: replicas send again.
   PeerSource(pipe::Pipe<dispatch::Event>& aDispatch,
-             pipe::Pipe<OnceMessage>& aOnce);
+             pipe::Pipe<OnceMessage>& aOnce,
+             pipe::Pipe<ConsensusInput>* aConsensus = nullptr);
   bool TryPush(peer::PeerEvent&& aEvent) override;
   bool Push(peer::PeerEvent&& aEvent) override;
 
 private:
+  bool TakeLogMessage(peer::PeerEvent& aEvent);
+
   pipe::Pipe<dispatch::Event>& dispatch_;
   pipe::Pipe<OnceMessage>& once_;
+  pipe::Pipe<ConsensusInput>* consensus_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -1,5 +1,6 @@
 #include "greengage/wire/PeerMessage.h"
 
+#include "LogCodec.h"
 #include "OnceCodec.h"
 #include "OutcomeCodec.h"
 #include "generated/peer_generated.h"
@@ -167,6 +168,13 @@
   return MakeBody(fb::Body::OnceBatch, EncodeBatch(aBuilder, aMessage));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const LogMessage& aMessage, Time)
+{
+  return MakeBody(fb::Body::LogMessage,
+                  detail::EncodeLogMessage(aBuilder, aMessage));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -300,6 +308,8 @@
         return std::nullopt;
       return std::move(*batch);
     }
+    case fb::Body::LogMessage:
+      return detail::DecodeLogMessage(*aEnvelope.body_as_LogMessage(), aReason);
     case fb::Body::NONE:
       break;
   }
