Let a replica stand until its removal is committed

A leader had removed a voter, whose log was then the longest; it refused the others its vote and did not stand itself, since its latest members left it out.

Change: a replica stands while the members before an uncommitted change name it, doesn't count its own vote then, and leaves once its removal is committed.

Result: a test of one replica shows both; consensus_tests passes.

--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -147,6 +147,7 @@
   void On(const MemberId& aFrom, TimeoutNow&& aMessage);
   bool ObserveTerm(const MemberId& aFrom, const Message& aMessage);
   bool HasLeaderLease() const;
+  bool MayStand() const;
   bool MayGrant(const MemberId& aFrom, const RequestVote& aMessage) const;
   void ResetElectionTimer();
   void OnElectionTimeout();
@@ -173,6 +174,7 @@
   void SendAppend(const MemberId& aTo, Progress& aProgress, bool aWithEntries);
   void Heartbeat(const MemberId& aTo, Progress& aProgress);
   void MaybeCommit();
+  void LeaveIfRemoved();
 
   // Snapshots; in ReplicaSnapshot.cpp.
   void On(const MemberId& aFrom, SnapshotChunk&& aMessage);
--- a/packages/consensus/lib/ReplicaElection.cpp
+++ b/packages/consensus/lib/ReplicaElection.cpp
@@ -59,6 +59,17 @@
          now_ < leaderHeardAt_ + options_.electionTimeout;
 }
 
+bool
+Replica::MayStand() const
+{
+  if (IsVoter())
+    return true;
+  // Its removal may not be committed, and only this replica may be able to.
+  const LogIndex latest = log_.LatestMembersIndex();
+  return latest > commit_ &&
+         log_.MembersAt(Previous(latest)).count(options_.self) != 0;
+}
+
 bool
 Replica::MayGrant(const MemberId& aFrom, const RequestVote& aMessage) const
 {
@@ -132,7 +143,7 @@
 {
   ResetElectionTimer();
   founders_.reset();
-  if (IsVoter()) {
+  if (MayStand()) {
     StartPreVote();
     return;
   }
--- a/packages/consensus/lib/ReplicaReplication.cpp
+++ b/packages/consensus/lib/ReplicaReplication.cpp
@@ -108,7 +108,9 @@
   } else if (progress.IsRefusalFresh(aMessage.prevIndex)) {
     progress.Refuse(log_.LastNotAfter(aMessage.hintIndex, aMessage.hintTerm));
   }
-  Replicate(aFrom, progress);
+  // It may have committed its own removal.
+  if (role_ == Role::Leader)
+    Replicate(aFrom, progress);
 }
 
 void
@@ -194,6 +196,15 @@
   for (auto& [member, progress] : progress_)
     if (progress.CurrentState() == Progress::State::Replicate)
       SendAppend(member, progress, false);
+  LeaveIfRemoved();
+}
+
+void
+Replica::LeaveIfRemoved()
+{
+  const bool isRemoved = !IsVoter() && log_.LatestMembersIndex() <= commit_;
+  if (isRemoved)
+    BecomeFollower(hard_.term, std::nullopt);
 }
 
 } // namespace greengage::consensus
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -160,6 +160,52 @@
   CHECK(replica.Committed() == LogIndex(3));
 }
 
+TEST_CASE("a replica may stand until its removal is committed, then leaves")
+{
+  const MemberId self{ EntryHostId("a"), Incarnation(1) };
+  const MemberId others[] = { { EntryHostId("b"), Incarnation(1) },
+                              { EntryHostId("c"), Incarnation(1) } };
+  DurableState state;
+  state.hardState.term = Term(1);
+  state.entries = { { .term = Term(1),
+                      .kind = EntryKind::NewMembers,
+                      .members = { self, others[0], others[1] } },
+                    { .term = Term(1),
+                      .kind = EntryKind::NewMembers,
+                      .members = { others[0], others[1] } } };
+  Replica replica({ .self = self }, state, Time(0));
+  const Time now(5000);
+  Actions actions;
+  const auto receive = [&](const Message& aMessage) {
+    for (const MemberId& other : others)
+      replica.Handle(Receive{ .from = other, .to = self, .message = aMessage },
+                     now,
+                     actions);
+  };
+  replica.Tick(now, actions);
+  REQUIRE(replica.CurrentRole() == Role::PreCandidate);
+  receive(VoteReply{ .isPreVote = true, .term = Term(2), .granted = true });
+  replica.Handle(Persisted{ .id = PersistId(1) }, now, actions);
+  // Its own vote doesn't count.
+  replica.Handle(
+    Receive{ .from = others[0],
+             .to = self,
+             .message = VoteReply{ .term = Term(2), .granted = true } },
+    now,
+    actions);
+  CHECK(replica.CurrentRole() == Role::Candidate);
+  receive(VoteReply{ .term = Term(2), .granted = true });
+  REQUIRE(replica.CurrentRole() == Role::Leader);
+  AppendReply reply{ .term = Term(2), .accepted = true };
+  reply.verified = LogIndex(3);
+  reply.match = LogIndex(3);
+  receive(reply);
+  CHECK(replica.Committed() == LogIndex(3));
+  CHECK(replica.CurrentRole() == Role::Follower);
+  replica.Tick(Time(60000), actions);
+  CHECK(replica.CurrentRole() == Role::Follower);
+}
+
 TEST_CASE("a leader that hears no majority steps down and says so")
 {
   Network network({ .disks = 3 });
