--- a/packages/daemon/unittests/ConsensusStageTest.cpp
+++ b/packages/daemon/unittests/ConsensusStageTest.cpp
@@ -75,12 +75,13 @@
   pipe::Ring<Message> ring{ 1024 };
 };
 
-/// Drops what the request plane would get.
-class NoDispatch final : public pipe::Pipe<dispatch::Event>
+/// Drops what another duty would get.
+template<typename Message>
+class DropPipe final : public pipe::Pipe<Message>
 {
 public:
-  bool TryPush(dispatch::Event&& /*aEvent*/) override { return true; }
-  bool Push(dispatch::Event&& /*aEvent*/) override { return true; }
+  bool TryPush(Message&& /*aMessage*/) override { return true; }
+  bool Push(Message&& /*aMessage*/) override { return true; }
 };
 
 using Addresses = std::vector<peer::PeerAddress>;
@@ -126,7 +127,7 @@
        const std::set<EntryHostId>& aVoters,
        const std::string& aFolder)
     : state(aHosts[aSelf].id, AvailabilityZoneId("z"))
-    , source_(dispatch_, &slot_)
+    , source_(dispatch_, once_, &slot_)
     , links_(duty_, LinkOptionsOf(aHosts, aSelf), clock_, source_)
     , stage(
         { .self = aHosts[aSelf].id, .voters = aVoters, .dataFolder = aFolder },
@@ -168,7 +169,8 @@
 
 private:
   BootClock clock_;
-  NoDispatch dispatch_;
+  DropPipe<dispatch::Event> dispatch_;
+  DropPipe<OnceMessage> once_;
   StageSlot slot_;
   PeerSource source_;
   pipe::IoDuty duty_{ "peers" };
