Agree on the state through the replicated log on running hosts

Cause: a change lived on the entry host that took it. Now [agreed] voters names the hosts with disks; the state duty proposes to the log, a host that does not lead passes its proposal to the one that does, and watches the log for it. What does not come out is proposed again, under its request id, so that it is applied once; after 8 s its operator is told that the end is not known. Weighed: an answer message from the leader, which adds a second path that can fail on its own.

--- a/packages/daemon/include/greengage/daemon/DaemonSettings.h
+++ b/packages/daemon/include/greengage/daemon/DaemonSettings.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,11 @@
   /// All entry hosts, this one included, in order of their ids.
   std::vector<peer::PeerAddress> members;
   OnceSettings once;
+  /// The hosts with disks that agree on the state; the same on all hosts. If
+  /// there are none, each host keeps a state of its own in memory.
+  std::set<EntryHostId> voters;
+  /// Where this host keeps the agreed log; empty on a host without a disk.
+  std::string dataFolder;
   /// The settings tree to begin with.
   std::string fleetFile;
   observe::LogOptions log;
--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "HostState.h"
 #include "LocalLog.h"
+#include "ReplicatedLog.h"
 #include "filters/AuthenticateFilter.h"
 #include "filters/DecodeFilter.h"
 #include "filters/DispatchFilter.h"
@@ -25,6 +26,7 @@
 #include <chrono>
 #include <cstdint>
 #include <future>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -33,6 +35,9 @@
 
 /// Places in the ring in front of a filter.
 static constexpr std::size_t kRingCapacity = 4096;
+/// How long a host waits for settings that the fleet may have already before it
+/// proposes those of its file.
+static constexpr Duration kBeginPatience = Duration(1500);
 /// How long the last responses may take to leave at shutdown.
 static constexpr std::chrono::seconds kFlushTimeout(5);
 
@@ -93,6 +98,25 @@
 
 namespace greengage::daemon::detail {
 
+/// Takes messages of the agreed log, which is made after the links. Without a
+/// log they are dropped.
+class LogInlet final : public pipe::Pipe<ConsensusInput>
+{
+public:
+  void Lead(pipe::Pipe<ConsensusInput>& aTo) { to_ = &aTo; }
+  bool TryPush(ConsensusInput&& aInput) override
+  {
+    return to_ != nullptr && to_->TryPush(std::move(aInput));
+  }
+  bool Push(ConsensusInput&& aInput) override
+  {
+    return to_ != nullptr && to_->Push(std::move(aInput));
+  }
+
+private:
+  pipe::Pipe<ConsensusInput>* to_ = nullptr;
+};
+
 /// The duties in the order of the pipeline. Members are destroyed from the
 /// last to the first, and everything that a filter refers to stands above it.
 class DaemonImpl
@@ -104,6 +128,7 @@
   bool ShutDown();
 
 private:
+  pipe::Pipe<state::Proposal>& OpenLog();
   void StopDuties();
 
   DaemonSettings settings_;
@@ -137,6 +162,7 @@
   http::Server operators_;
   UpstreamSource upstreamSource_;
   http::Client client_;
+  LogInlet logInlet_;
   PeerSource peerSource_;
   peer::Links links_;
 
@@ -146,8 +172,10 @@
   dispatch::GrantLedger limits_;
   dispatch::RequestPlane plane_;
 
-  // Puts proposals in order; the replicated log takes this place.
-  LocalLog log_;
+  // Puts proposals in order: with the other hosts, or on a fleet without disks
+  // for this host alone.
+  LocalLog localLog_;
+  std::optional<ReplicatedLog> replicatedLog_;
 
   // The filters.
   EncodeFilter encodeFilter_;
@@ -184,7 +212,7 @@
                decode_)
   , upstreamSource_(dispatch_)
   , client_(clientDuty_, {}, upstreamSource_)
-  , peerSource_(onceInlet_, once_)
+  , peerSource_(onceInlet_, once_, &logInlet_)
   , links_(peersDuty_, LinkOptionsOf(settings_), clock_, peerSource_)
   , ledger_(LedgerOptionsOf(settings_), clock_.Now())
   , limits_(GrantOptionsOf(settings_))
@@ -192,16 +220,17 @@
       { .self = settings_.id, .availabilityZone = settings_.availabilityZone },
       queue_,
       limits_)
-  , log_(state_)
+  , localLog_(state_)
   , encodeFilter_({ { http::PortRole::Callers, &callers_.Responses() },
                     { http::PortRole::Upstreams, &upstreams_.Responses() },
                     { http::PortRole::Operators, &operators_.Responses() } })
   , stateFilter_(host_,
                  wallClock_,
-                 { .proposals = log_,
+                 { .proposals = OpenLog(),
                    .authenticate = authenticate_,
                    .dispatch = dispatch_,
-                   .replies = encode_ })
+                   .replies = encode_,
+                   .peers = links_.Outbox() })
   , operateFilter_(host_, state_, encode_)
   , dispatchFilter_(plane_,
                     host_,
@@ -218,9 +247,29 @@
 {
 }
 
+/// Where proposals go.
+pipe::Pipe<state::Proposal>&
+DaemonImpl::OpenLog()
+{
+  if (settings_.voters.empty())
+    return localLog_;
+  replicatedLog_.emplace(
+    ConsensusStageOptions{ .self = settings_.id,
+                           .voters = settings_.voters,
+                           .dataFolder = settings_.dataFolder },
+    clock_,
+    host_,
+    links_.Outbox(),
+    state_);
+  logInlet_.Lead(replicatedLog_->Inlet());
+  return *replicatedLog_;
+}
+
 bool
 DaemonImpl::Start(Error& aReason)
 {
+  if (replicatedLog_ && !replicatedLog_->Open(aReason))
+    return false;
   if (!callers_.Listen(aReason) || !upstreams_.Listen(aReason) ||
       !operators_.Listen(aReason) || !links_.Start(aReason))
     return false;
@@ -231,7 +280,11 @@
   once_.Start(onceFilter_);
   authenticate_.Start(authenticateFilter_);
   decode_.Start(decodeFilter_);
-  state_.Push(BeginFleet{ .tree = std::move(firstSettings_) });
+  if (replicatedLog_)
+    replicatedLog_->Start();
+  state_.Push(
+    BeginFleet{ .tree = std::move(firstSettings_),
+                .patience = replicatedLog_ ? kBeginPatience : Duration(0) });
   peersDuty_.Start();
   clientDuty_.Start();
   upstreamsDuty_.Start();
@@ -273,6 +326,8 @@
   decode_.Stop();
   authenticate_.Stop();
   operate_.Stop();
+  if (replicatedLog_)
+    replicatedLog_->Stop();
   state_.Stop();
   dispatch_.Stop();
   once_.Stop();
--- a/packages/daemon/lib/DaemonSettings.cpp
+++ b/packages/daemon/lib/DaemonSettings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -216,6 +217,34 @@
     aReader.Fail("[once] recovery_window is shorter than retention");
 }
 
+/// Reads "entry-0 entry-3 entry-5".
+static void
+ReadVoters(SettingsReader& aReader, DaemonSettings& aSettings)
+{
+  if (const IniEntry* data = aReader.Entry("host", "data", false))
+    aSettings.dataFolder = data->value;
+  if (const IniEntry* voters = aReader.Entry("agreed", "voters", false)) {
+    std::istringstream names(voters->value);
+    std::string name;
+    while (names >> name) {
+      const EntryHostId id(name);
+      const bool isMember =
+        std::any_of(aSettings.members.begin(),
+                    aSettings.members.end(),
+                    [&](const auto& aMember) { return aMember.id == id; });
+      if (!isMember)
+        aReader.FailAt(*voters, "[members] does not list \"" + name + "\"");
+      aSettings.voters.insert(id);
+    }
+  }
+  const bool isVoter = aSettings.voters.contains(aSettings.id);
+  if (isVoter && aSettings.dataFolder.empty())
+    aReader.Fail("[host] data is missing, and [agreed] voters lists this host");
+  if (!isVoter && !aSettings.dataFolder.empty())
+    aReader.Fail("[host] data is set, and [agreed] voters does not list \"" +
+                 aSettings.id.Value() + "\"");
+}
+
 static void
 ReadSecret(SettingsReader& aReader, DaemonSettings& aSettings)
 {
@@ -263,6 +292,7 @@
   result.peerEndpoint = reader.ReadEndpoint("peers", "listen");
   ReadSecret(reader, result);
   ReadMembers(reader, aFile, result);
+  ReadVoters(reader, result);
   ReadOnce(reader, result.once);
   if (const IniEntry* fleet = reader.Entry("fleet", "settings", true))
     result.fleetFile = fleet->value;
--- a/packages/daemon/lib/filters/StateFilter.cpp
+++ b/packages/daemon/lib/filters/StateFilter.cpp
@@ -4,9 +4,11 @@
 #include "greengage/state/CommandCodec.h"
 #include "greengage/state/SettingCatalogue.h"
 
+#include <algorithm>
 #include <cassert>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 using namespace greengage;
 using namespace greengage::daemon::detail;
@@ -14,6 +16,12 @@
 
 static constexpr std::size_t kSecretBytes = 24;
 static constexpr std::size_t kSaltBytes = 16;
+/// How often the state duty looks after its proposals.
+static constexpr Duration kTickInterval = Duration(100);
+/// After how long a proposal that did not come out of the log is made again.
+static constexpr Duration kProposeInterval = Duration(500);
+/// After how long its operator is told that its end is not known.
+static constexpr Duration kProposeLimit = Duration::Seconds(8);
 /// Who proposes the settings file, for the audit trail.
 static constexpr const char* kFileOperator = "settings-file";
 
@@ -27,11 +35,26 @@
 }
 
 void
-StateFilter::Accept(StateMessage&& aMessage, Time /*aNow*/)
+StateFilter::Accept(StateMessage&& aMessage, Time aNow)
 {
+  now_ = aNow;
   std::visit(
     [this](auto&& aAny) { Handle(std::forward<decltype(aAny)>(aAny)); },
     std::move(aMessage));
+  const bool isWaiting = !pending_.empty() || firstSettings_;
+  if (isWaiting && !nextTick_)
+    nextTick_ = aNow + kTickInterval;
+}
+
+void
+StateFilter::OnTimer(Time aNow)
+{
+  now_ = aNow;
+  BeginIfEmpty();
+  ProposeAgain();
+  nextTick_.reset();
+  if (!pending_.empty() || firstSettings_)
+    nextTick_ = aNow + kTickInterval;
 }
 
 void
@@ -59,11 +82,28 @@
 void
 StateFilter::Handle(BeginFleet&& aBegin)
 {
+  firstSettings_ = std::move(aBegin.tree);
+  beginAt_ = now_ + aBegin.patience;
+  BeginIfEmpty();
+}
+
+/// Proposes the settings to begin with, unless the fleet has settings.
+void
+StateFilter::BeginIfEmpty()
+{
+  if (!firstSettings_ || now_ < beginAt_)
+    return;
+  if (machine_.State().CurrentVersion() != Version(0)) {
+    firstSettings_.reset();
+    return;
+  }
   const state::Origin origin{ .who = state::OperatorId(kFileOperator),
                               .change = state::ChangeId(host_.id.Value()),
                               .remoteAddress = {},
                               .at = wallClock_.Now() };
-  Propose({ origin, state::Bootstrap{ std::move(aBegin.tree) } }, std::nullopt);
+  Propose({ origin, state::Bootstrap{ std::move(*firstSettings_) } },
+          std::nullopt);
+  firstSettings_.reset();
 }
 
 api::ReplyBody
@@ -200,19 +240,66 @@
                      std::optional<Waiter> aWaiter)
 {
   const state::ProposalId id(++lastProposal_);
-  std::optional<CallId> call;
-  if (aWaiter) {
-    call = aWaiter->call;
-    waiters_.emplace(id, std::move(*aWaiter));
+  Pending pending{ .waiter = std::move(aWaiter),
+                   .command = state::EncodeCommand(aCommand),
+                   .proposeAgainAt = now_ + kProposeInterval,
+                   .givenUpAt = now_ + kProposeLimit };
+  state::Proposal proposal{ .id = id, .command = pending.command };
+  pending_.emplace(id, std::move(pending));
+  if (!outlets_.proposals.TryPush(std::move(proposal)))
+    Fail(id, { ErrorKind::Overloaded, "too many changes are on their way" });
+}
+
+/// Proposes what the log has not delivered: it may have been lost on its way to
+/// the leader, or with a leader. A command that gets in twice is applied once.
+void
+StateFilter::ProposeAgain()
+{
+  const bool hasSettings = machine_.State().CurrentVersion() != Version(0);
+  std::vector<state::ProposalId> givenUp;
+  for (auto& [id, pending] : pending_) {
+    // Nobody waits for the first settings: they are proposed until the fleet
+    // has some.
+    const bool isOver =
+      pending.waiter ? pending.givenUpAt <= now_ : hasSettings;
+    if (isOver)
+      givenUp.push_back(id);
+    else if (pending.proposeAgainAt <= now_) {
+      pending.proposeAgainAt = now_ + kProposeInterval;
+      outlets_.proposals.TryPush({ .id = id, .command = pending.command });
+    }
   }
-  if (outlets_.proposals.TryPush(
-        { .id = id, .command = state::EncodeCommand(aCommand) }))
+  for (const state::ProposalId id : givenUp)
+    Fail(
+      id,
+      { ErrorKind::OutcomeUnknown,
+        "no majority of the hosts with disks agreed in time; send the change "
+        "again under the same request id" });
+}
+
+/// Answers whoever waits for a proposal and forgets it.
+void
+StateFilter::Fail(state::ProposalId aId, Error&& aReason)
+{
+  const auto found = pending_.find(aId);
+  if (found == pending_.end())
     return;
-  waiters_.erase(id);
-  if (call)
-    Reply(*call,
-          api::ErrorReply{
-            { ErrorKind::Overloaded, "too many changes are on their way" } });
+  if (found->second.waiter)
+    Reply(found->second.waiter->call, api::ErrorReply{ std::move(aReason) });
+  pending_.erase(found);
+}
+
+/// The proposal that a delivery is the end of. One that another host put into
+/// the log for this one is known by its command.
+std::map<state::ProposalId, StateFilter::Pending>::iterator
+StateFilter::PendingOf(const state::Delivery& aDelivery)
+{
+  if (aDelivery.proposal)
+    return pending_.find(*aDelivery.proposal);
+  return std::find_if(
+    pending_.begin(), pending_.end(), [&](const auto& aPending) {
+      return aPending.second.command == aDelivery.command;
+    });
 }
 
 void
@@ -226,9 +313,12 @@
   // hears of it.
   if (machine_.State().CurrentVersion() != before)
     PublishView();
-  const auto waiter =
-    aDelivery.proposal ? waiters_.find(*aDelivery.proposal) : waiters_.end();
-  if (waiter == waiters_.end())
+  const auto pending = PendingOf(aDelivery);
+  if (pending == pending_.end())
+    return;
+  std::optional<Waiter> waiter = std::move(pending->second.waiter);
+  pending_.erase(pending);
+  if (!waiter)
     return;
   Error reason;
   auto result = state::DecodeResult(bytes, reason);
@@ -237,19 +327,36 @@
     std::holds_alternative<state::Accepted>(result->end) && !result->isResend;
   api::ChangeReply reply{ .result = std::move(*result), .secret = {} };
   if (isNew)
-    reply.secret = std::move(waiter->second.secret);
-  Reply(waiter->second.call, api::AdministrationReply(std::move(reply)));
-  waiters_.erase(waiter);
+    reply.secret = std::move(waiter->secret);
+  Reply(waiter->call, api::AdministrationReply(std::move(reply)));
 }
 
 void
 StateFilter::Handle(state::ProposalFailed&& aFailed)
 {
-  const auto waiter = waiters_.find(aFailed.id);
-  if (waiter == waiters_.end())
+  Fail(aFailed.id, std::move(aFailed.reason));
+}
+
+void
+StateFilter::Handle(StateRestored&& aRestored)
+{
+  Error reason;
+  [[maybe_unused]] const bool isRestored =
+    machine_.Restore(aRestored.snapshot, reason);
+  assert(isRestored && "the log's own copy took this snapshot");
+  PublishView();
+}
+
+void
+StateFilter::Handle(ProposalRedirected&& aRedirected)
+{
+  const auto found = pending_.find(aRedirected.id);
+  if (found == pending_.end())
     return;
-  Reply(waiter->second.call, api::ErrorReply{ std::move(aFailed.reason) });
-  waiters_.erase(waiter);
+  // A lost message is made good by the next proposal.
+  outlets_.peers.TryPush(
+    { .to = std::move(aRedirected.leader),
+      .message = wire::ForwardedProposal{ found->second.command } });
 }
 
 void
--- a/packages/daemon/lib/filters/StateFilter.h
+++ b/packages/daemon/lib/filters/StateFilter.h
@@ -12,7 +12,10 @@
 #include "greengage/api/Administration.h"
 #include "greengage/api/Calls.h"
 #include "greengage/core/Clock.h"
+#include "greengage/core/Ids.h"
+#include "greengage/core/Units.h"
 #include "greengage/dispatch/Messages.h"
+#include "greengage/peer/Links.h"
 #include "greengage/pipe/Filter.h"
 #include "greengage/pipe/Pipe.h"
 #include "greengage/state/FleetStateMachine.h"
@@ -39,12 +42,29 @@
 struct BeginFleet
 {
   state::SettingsTree tree;
+  /// How long to wait for the settings that the fleet may have already.
+  Duration patience;
+};
+
+/// The state was replaced by a snapshot.
+struct StateRestored
+{
+  std::string snapshot;
+};
+
+/// A proposal has to be made by the host that leads the log.
+struct ProposalRedirected
+{
+  state::ProposalId id;
+  EntryHostId leader;
 };
 
 using StateMessage = std::variant<AdministrationRequest,
                                   BeginFleet,
                                   state::Delivery,
-                                  state::ProposalFailed>;
+                                  state::ProposalFailed,
+                                  StateRestored,
+                                  ProposalRedirected>;
 
 /// The pipes behind the filter.
 struct StateOutlets
@@ -54,6 +74,8 @@
   pipe::Pipe<AuthenticateMessage>& authenticate;
   pipe::Pipe<dispatch::Event>& dispatch;
   pipe::Pipe<api::Reply>& replies;
+  /// For proposals that another host has to make.
+  pipe::Pipe<peer::PeerSend>& peers;
 };
 
 /// Drives the state machine and answers operators from it.
@@ -63,6 +85,8 @@
   /// \p aWallClock stamps the changes for the audit trail.
   StateFilter(HostState& aHost, const Clock& aWallClock, StateOutlets aOutlets);
   void Accept(StateMessage&& aMessage, Time aNow) override;
+  std::optional<Time> NextTimer() const override { return nextTick_; }
+  void OnTimer(Time aNow) override;
 
 private:
   /// An operator who waits for the end of a proposal.
@@ -72,10 +96,27 @@
     std::optional<std::string> secret;
   };
 
+  /// A proposal that has not come out of the log yet.
+  struct Pending
+  {
+    std::optional<Waiter> waiter;
+    std::string command;
+    Time proposeAgainAt;
+    Time givenUpAt;
+  };
+
   void Handle(AdministrationRequest&& aRequest);
   void Handle(BeginFleet&& aBegin);
   void Handle(state::Delivery&& aDelivery);
   void Handle(state::ProposalFailed&& aFailed);
+  void Handle(StateRestored&& aRestored);
+  void Handle(ProposalRedirected&& aRedirected);
+
+  void BeginIfEmpty();
+  void ProposeAgain();
+  std::map<state::ProposalId, Pending>::iterator PendingOf(
+    const state::Delivery& aDelivery);
+  void Fail(state::ProposalId aId, Error&& aReason);
 
   api::ReplyBody Answer(const api::ReadSettings& aCall) const;
   api::ReplyBody Answer(const api::ExplainSetting& aCall) const;
@@ -100,8 +141,14 @@
   const Clock& wallClock_;
   StateOutlets outlets_;
   state::FleetStateMachine machine_;
-  std::map<state::ProposalId, Waiter> waiters_;
+  std::map<state::ProposalId, Pending> pending_;
   std::uint64_t lastProposal_ = 0;
+  /// The settings to begin with, until the fleet has any.
+  std::optional<state::SettingsTree> firstSettings_;
+  Time beginAt_;
+  /// When the last message came or the timer fired.
+  Time now_;
+  std::optional<Time> nextTick_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/lib/sources/PeerSource.cpp
+++ b/packages/daemon/lib/sources/PeerSource.cpp
@@ -7,6 +7,9 @@
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
+/// Nobody on this host waits for the end of a peer's proposal.
+static const consensus::ProposalId kForwardedProposal{ 0 };
+
 PeerSource::PeerSource(pipe::Pipe<dispatch::Event>& aDispatch,
                        pipe::Pipe<OnceMessage>& aOnce,
                        pipe::Pipe<ConsensusInput>* aConsensus)
@@ -23,6 +26,14 @@
   auto* received = std::get_if<peer::PeerReceived>(&aEvent);
   if (received == nullptr)
     return false;
+  if (auto* proposal =
+        std::get_if<wire::ForwardedProposal>(&received->message)) {
+    // Its proposer watches the log for it and sends it again if need be.
+    if (consensus_ != nullptr)
+      consensus_->TryPush(consensus::Event(consensus::Propose{
+        .id = kForwardedProposal, .command = std::move(proposal->command) }));
+    return true;
+  }
   auto* message = std::get_if<wire::LogMessage>(&received->message);
   if (message == nullptr)
     return false;
--- a/packages/daemon/unittests/StateFilterTest.cpp
+++ b/packages/daemon/unittests/StateFilterTest.cpp
@@ -58,7 +58,8 @@
       "test",
       reason);
     REQUIRE(file);
-    state.items.push_back(BeginFleet{ state::SettingsTree::FromIni(*file) });
+    state.items.push_back(BeginFleet{
+      .tree = state::SettingsTree::FromIni(*file), .patience = {} });
     Run();
   }
 
@@ -115,6 +116,7 @@
   Collector<OperatorCall> operate;
   Collector<StateMessage> state;
   Collector<api::Reply> replies;
+  Collector<peer::PeerSend> peers;
   std::uint64_t exchange = 0;
   LocalLog log{ state };
   AuthenticateFilter authenticateFilter{ dispatch, operate, replies };
@@ -124,7 +126,8 @@
                            { .proposals = log,
                              .authenticate = authenticate,
                              .dispatch = dispatch,
-                             .replies = replies } };
+                             .replies = replies,
+                             .peers = peers } };
 };
 
 } // namespace
@@ -299,7 +302,8 @@
                      { .proposals = lost,
                        .authenticate = line.authenticate,
                        .dispatch = line.dispatch,
-                       .replies = line.replies });
+                       .replies = line.replies,
+                       .peers = line.peers });
   filter.Accept(AdministrationRequest{ .call = CallId(7),
                                        .who = state::OperatorId("night"),
                                        .remoteAddress = "::1",
@@ -316,3 +320,65 @@
   REQUIRE(std::get<api::ErrorReply>(reply.body).error.kind ==
           ErrorKind::OutcomeUnknown);
 }
+
+TEST_CASE("a proposal goes to the leader, again and again, until it comes out")
+{
+  Pipeline line;
+  Collector<state::Proposal> proposals;
+  StateFilter filter(line.host,
+                     line.wallClock,
+                     { .proposals = proposals,
+                       .authenticate = line.authenticate,
+                       .dispatch = line.dispatch,
+                       .replies = line.replies,
+                       .peers = line.peers });
+  filter.Accept(AdministrationRequest{ .call = CallId(7),
+                                       .who = state::OperatorId("night"),
+                                       .remoteAddress = "::1",
+                                       .body = SetLimit("r1", 1, "9") },
+                Time(0));
+  const auto proposal = proposals.Take();
+  filter.Accept(
+    ProposalRedirected{ .id = proposal.id, .leader = EntryHostId("e2") },
+    Time(10));
+  const auto sent = line.peers.Take();
+  REQUIRE(sent.to == EntryHostId("e2"));
+  REQUIRE(std::get<wire::ForwardedProposal>(sent.message).command ==
+          proposal.command);
+  filter.OnTimer(Time(400));
+  REQUIRE(proposals.items.empty());
+  filter.OnTimer(Time(600));
+  REQUIRE(proposals.Take().command == proposal.command);
+  // Another host put it into the log: no proposal of this host is named.
+  filter.Accept(state::Delivery{ .index = state::LogIndex(1),
+                                 .command = proposal.command,
+                                 .proposal = std::nullopt },
+                Time(700));
+  REQUIRE(line.replies.items.size() == 1);
+  filter.OnTimer(Time(1200));
+  REQUIRE(proposals.items.empty());
+}
+
+TEST_CASE("a proposal that never comes out ends as unknown")
+{
+  Pipeline line;
+  Collector<state::Proposal> proposals;
+  StateFilter filter(line.host,
+                     line.wallClock,
+                     { .proposals = proposals,
+                       .authenticate = line.authenticate,
+                       .dispatch = line.dispatch,
+                       .replies = line.replies,
+                       .peers = line.peers });
+  filter.Accept(AdministrationRequest{ .call = CallId(7),
+                                       .who = state::OperatorId("night"),
+                                       .remoteAddress = "::1",
+                                       .body = SetLimit("r1", 1, "9") },
+                Time(0));
+  filter.OnTimer(Time(7900));
+  REQUIRE(line.replies.items.empty());
+  filter.OnTimer(Time(8000));
+  const auto reply = line.replies.Take();
+  REQUIRE(std::get<api::ErrorReply>(reply.body).error.kind ==
+          ErrorKind::OutcomeUnknown);
+}
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -88,6 +88,12 @@
   consensus::Message message;
 };
 
+/// A command of the agreed state for whoever leads the log.
+struct ForwardedProposal
+{
+  std::string command;
+};
+
 using PeerMessage = std::variant<Challenge,
                                  Hello,
                                  Heartbeat,
@@ -98,7 +104,8 @@
                                  dispatch::GrantReport,
                                  CancelRequest,
                                  once::Batch,
-                                 LogMessage>;
+                                 LogMessage,
+                                 ForwardedProposal>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -175,6 +175,14 @@
                   detail::EncodeLogMessage(aBuilder, aMessage));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const ForwardedProposal& aMessage, Time)
+{
+  return MakeBody(
+    fb::Body::Proposal,
+    fb::CreateProposal(aBuilder, aBuilder.CreateString(aMessage.command)));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -310,6 +318,9 @@
     }
     case fb::Body::LogMessage:
       return detail::DecodeLogMessage(*aEnvelope.body_as_LogMessage(), aReason);
+    case fb::Body::Proposal:
+      return ForwardedProposal{ .command = Text(
+                                  aEnvelope.body_as_Proposal()->command()) };
     case fb::Body::NONE:
       break;
   }
--- a/packages/wire/unittests/WireTest.cpp
+++ b/packages/wire/unittests/WireTest.cpp
@@ -99,6 +99,7 @@
                 .pools = { { PoolId("lines"), Slots(3), 2 } } },
     FullBatch(),
     CancelRequest{ .dispatch = DispatchId(7) },
+    ForwardedProposal{ .command = std::string("c\0d", 3) },
     dispatch::GrantReport{ .sender = dispatch::Incarnation(4),
                            .receiver = dispatch::Incarnation(5),
                            .isSettled = true,
--- a/unittests/system/AdministrationTest.cpp
+++ b/unittests/system/AdministrationTest.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 #include "Http.h"
+#include "Operator.h"
 
 #include <catch2/catch.hpp>
 
@@ -16,65 +17,6 @@
 
 using std::chrono::seconds;
 
-namespace {
-
-/// What a run of the command line said.
-struct CommandResult
-{
-  int code = -1;
-  std::string text;
-};
-
-/// Runs greengagectl as the operator of a fleet.
-class Operator
-{
-public:
-  explicit Operator(const Fleet& aFleet)
-    : fleet_(aFleet)
-    , access_(" --entry-host 127.0.0.1:1 " +
-              ToString(aFleet.Ports(0).operators) + " --key " +
-              aFleet.Key("operator"))
-  {
-  }
-
-  std::string OutputOf(const std::string& aName) const
-  {
-    return (fleet_.Folder() / (aName + ".out")).string();
-  }
-
-  /// Starts a command; the first entry host that it asks is not there.
-  Process Start(const std::string& aArguments, const std::string& aName) const
-  {
-    return Process({ "/bin/sh",
-                     "-c",
-                     std::string(GREENGAGECTL) + " " + aArguments + access_ +
-                       " > " + OutputOf(aName) + " 2>&1" });
-  }
-
-  CommandResult Finish(Process& aProcess, const std::string& aName) const
-  {
-    CommandResult result;
-    result.code = aProcess.Wait(seconds(10)).value_or(-1);
-    std::ifstream file(OutputOf(aName));
-    std::stringstream text;
-    text << file.rdbuf();
-    result.text = text.str();
-    return result;
-  }
-
-  CommandResult Run(const std::string& aArguments) const
-  {
-    Process process = Start(aArguments, "ctl");
-    return Finish(process, "ctl");
-  }
-
-private:
-  const Fleet& fleet_;
-  std::string access_;
-};
-
-} // namespace
-
 /// The status of a request of the team that holds \p aKey.
 static unsigned
 StatusOfRequest(const Fleet& aFleet, const std::string& aKey, const char* aId)
--- a/unittests/system/Fleet.cpp
+++ b/unittests/system/Fleet.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <cstring>
 
+#include <algorithm>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -162,6 +163,19 @@
   return (folder_ / ("entry-" + std::to_string(aHost) + ".ini")).string();
 }
 
+std::filesystem::path
+Fleet::DataFolder(std::size_t aHost) const
+{
+  return folder_ / ("entry-" + std::to_string(aHost) + ".data");
+}
+
+bool
+Fleet::IsVoter(std::size_t aHost) const
+{
+  return std::find(options_.voters.begin(), options_.voters.end(), aHost) !=
+         options_.voters.end();
+}
+
 void
 Fleet::WriteSettings(std::size_t aHost) const
 {
@@ -169,6 +183,8 @@
   std::ofstream file(SettingsPath(aHost));
   file << "[host]\nid = entry-" << aHost
        << "\navailability_zone = " << options_.zones[aHost]
+       << (IsVoter(aHost) ? "\ndata = " + DataFolder(aHost).string() : "")
+       << "\n[agreed]\nvoters = " << VoterNames()
        << "\n[callers]\nlisten = " << ToString(ports.callers)
        << "\n[upstreams]\nlisten = " << ToString(ports.upstreams)
        << "\n[operators]\nlisten = " << ToString(ports.operators)
@@ -184,6 +200,16 @@
          << options_.zones[other] << "\n";
 }
 
+std::string
+Fleet::VoterNames() const
+{
+  std::string names;
+  for (const std::size_t voter : options_.voters)
+    if (voter < size())
+      names += "entry-" + std::to_string(voter) + " ";
+  return names;
+}
+
 void
 Fleet::StartHost(std::size_t aHost)
 {
@@ -229,21 +255,37 @@
   });
 }
 
+/// The sum of a metric over its labels.
+double
+Fleet::Metric(std::size_t aHost, const std::string& aName) const
+{
+  double sum = 0;
+  std::istringstream lines(
+    Fetch(Ports(aHost).operators, "GET", "/metrics").body);
+  std::string line;
+  while (std::getline(lines, line))
+    if (line.starts_with(aName + "{") || line.starts_with(aName + " "))
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+  return sum;
+}
+
 double
 Fleet::SumMetric(const std::string& aName) const
 {
   double sum = 0;
-  for (const auto& [host, process] : hosts_) {
-    std::istringstream lines(
-      Fetch(Ports(host).operators, "GET", "/metrics").body);
-    std::string line;
-    while (std::getline(lines, line))
-      if (line.starts_with(aName + "{") || line.starts_with(aName + " "))
-        sum += std::stod(line.substr(line.rfind(' ') + 1));
-  }
+  for (const auto& [host, process] : hosts_)
+    sum += Metric(host, aName);
   return sum;
 }
 
+void
+Fleet::AwaitMetric(std::size_t aHost,
+                   const std::string& aName,
+                   double aValue) const
+{
+  Await(aName, [&] { return Metric(aHost, aName) == aValue; });
+}
+
 void
 Fleet::AwaitSlots(double aSlots) const
 {
--- a/unittests/system/Fleet.h
+++ b/unittests/system/Fleet.h
@@ -55,6 +55,8 @@
 {
   /// The availability zone of each entry host.
   std::vector<std::string> zones = { "z1", "z1", "z1", "z2", "z2", "z3", "z3" };
+  /// The hosts with disks, as far as the fleet has so many hosts.
+  std::vector<std::size_t> voters = { 0, 3, 5 };
   std::size_t workersPerZone = 2;
   /// Workers that leave stay for five seconds and take any work they get.
   bool workersLinger = false;
@@ -84,6 +86,10 @@
   void AwaitSlots(double aSlots) const;
   /// Waits until all hosts can vouch for the records of request ids.
   void AwaitRecords() const;
+  /// Waits until a metric of one host has a value.
+  void AwaitMetric(std::size_t aHost,
+                   const std::string& aName,
+                   double aValue) const;
   double SumMetric(const std::string& aName) const;
 
   /// A load over all hosts for both teams.
@@ -98,10 +104,14 @@
   std::map<std::string, int> Runs() const;
   const std::filesystem::path& Folder() const { return folder_; }
   std::string SettingsPath(std::size_t aHost) const;
+  std::filesystem::path DataFolder(std::size_t aHost) const;
 
 private:
+  double Metric(std::size_t aHost, const std::string& aName) const;
   std::string NewKey(const std::string& aId);
   void WriteFleetFile();
+  bool IsVoter(std::size_t aHost) const;
+  std::string VoterNames() const;
   void WriteSettings(std::size_t aHost) const;
   void StartWorkers();
 
--- a/utils/lib/fleet.sh
+++ b/utils/lib/fleet.sh
@@ -8,6 +8,8 @@
 
 base_port=${base_port:-18000}
 fleet_zones=(z1 z1 z1 z2 z2 z3 z3)
+# The hosts with disks: one in each availability zone.
+voters="entry-0 entry-3 entry-5"
 peer_secret=demo-secret-of-the-entry-hosts
 pids=()
 
@@ -69,6 +71,10 @@
 [host]
 id = entry-$1
 availability_zone = ${fleet_zones[$1]}
+$(case " $voters " in *" entry-$1 "*) echo "data = $run/entry-$1.data" ;; esac)
+
+[agreed]
+voters = $voters
 
 [callers]
 listen = $(port_of 0 "$1")
