--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -28,9 +28,9 @@
 using Term = StrongId<struct TermTag, std::uint64_t>;
 /// Which data folder of a host is meant. A host that starts with an empty
 /// folder takes a new one, larger than any it had.
-using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+using Incarnation = StrongId<struct ReplicaIncarnationTag, std::uint64_t>;
 /// Whoever waits for the end of a proposal.
-using ProposalId = StrongId<struct ProposalTag, std::uint64_t>;
+using ProposalId = StrongId<struct LogProposalTag, std::uint64_t>;
 /// One write of durable state; they are numbered in their order.
 using PersistId = StrongId<struct PersistTag, std::uint64_t>;
 
--- a/packages/daemon/lib/Daemon.cpp
+++ b/packages/daemon/lib/Daemon.cpp
@@ -305,6 +305,9 @@
   const std::string id = settings_.id.Value();
   observe::Log(observe::LogLevel::Info, "shutdown-notice", { { "host", id } });
   host_.isReady = false;
+  callers_.Retire();
+  upstreams_.Retire();
+  operators_.Retire();
   std::this_thread::sleep_for(
     std::chrono::milliseconds(settings_.shutdownNotice.Millis()));
   dispatch_.Push(dispatch::BeginShutdown{});
--- a/packages/daemon/unittests/StateFilterTest.cpp
+++ b/packages/daemon/unittests/StateFilterTest.cpp
@@ -293,24 +293,39 @@
   REQUIRE(entries[0].changes[0].before == "4");
 }
 
-TEST_CASE("a proposal that failed is told to its operator")
+namespace {
+
+/// A state duty whose proposals go nowhere by themselves, and an operator who
+/// waits for one.
+struct ProposalFixture
 {
+  ProposalFixture()
+  {
+    filter.Accept(AdministrationRequest{ .call = CallId(7),
+                                         .who = state::OperatorId("night"),
+                                         .remoteAddress = "::1",
+                                         .body = SetLimit("r1", 1, "9") },
+                  Time(0));
+  }
+
   Pipeline line;
-  Collector<state::Proposal> lost;
-  StateFilter filter(line.host,
-                     line.wallClock,
-                     { .proposals = lost,
-                       .authenticate = line.authenticate,
-                       .dispatch = line.dispatch,
-                       .replies = line.replies,
-                       .peers = line.peers });
-  filter.Accept(AdministrationRequest{ .call = CallId(7),
-                                       .who = state::OperatorId("night"),
-                                       .remoteAddress = "::1",
-                                       .body = SetLimit("r1", 1, "9") },
-                Time(0));
+  Collector<state::Proposal> proposals;
+  StateFilter filter{ line.host,
+                      line.wallClock,
+                      { .proposals = proposals,
+                        .authenticate = line.authenticate,
+                        .dispatch = line.dispatch,
+                        .replies = line.replies,
+                        .peers = line.peers } };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ProposalFixture,
+                 "a proposal that failed is told to its operator")
+{
   REQUIRE(line.replies.items.empty());
-  const auto proposal = lost.Take();
+  const auto proposal = proposals.Take();
   filter.Accept(
     state::ProposalFailed{ proposal.id,
                            { ErrorKind::OutcomeUnknown, "leader was lost" } },
@@ -321,22 +336,9 @@
           ErrorKind::OutcomeUnknown);
 }
 
-TEST_CASE("a proposal goes to the leader, again and again, until it comes out")
+TEST_CASE_METHOD(ProposalFixture,
+                 "a proposal goes to the leader until it comes out")
 {
-  Pipeline line;
-  Collector<state::Proposal> proposals;
-  StateFilter filter(line.host,
-                     line.wallClock,
-                     { .proposals = proposals,
-                       .authenticate = line.authenticate,
-                       .dispatch = line.dispatch,
-                       .replies = line.replies,
-                       .peers = line.peers });
-  filter.Accept(AdministrationRequest{ .call = CallId(7),
-                                       .who = state::OperatorId("night"),
-                                       .remoteAddress = "::1",
-                                       .body = SetLimit("r1", 1, "9") },
-                Time(0));
   const auto proposal = proposals.Take();
   filter.Accept(
     ProposalRedirected{ .id = proposal.id, .leader = EntryHostId("e2") },
@@ -359,22 +361,9 @@
   REQUIRE(proposals.items.empty());
 }
 
-TEST_CASE("a proposal that never comes out ends as unknown")
+TEST_CASE_METHOD(ProposalFixture,
+                 "a proposal that never comes out ends as unknown")
 {
-  Pipeline line;
-  Collector<state::Proposal> proposals;
-  StateFilter filter(line.host,
-                     line.wallClock,
-                     { .proposals = proposals,
-                       .authenticate = line.authenticate,
-                       .dispatch = line.dispatch,
-                       .replies = line.replies,
-                       .peers = line.peers });
-  filter.Accept(AdministrationRequest{ .call = CallId(7),
-                                       .who = state::OperatorId("night"),
-                                       .remoteAddress = "::1",
-                                       .body = SetLimit("r1", 1, "9") },
-                Time(0));
   filter.OnTimer(Time(7900));
   REQUIRE(line.replies.items.empty());
   filter.OnTimer(Time(8000));
--- a/packages/dispatch/benchmarks/GrantBench.cpp
+++ b/packages/dispatch/benchmarks/GrantBench.cpp
@@ -41,6 +41,7 @@
 GrantTick(benchmark::State& aState)
 {
   std::vector<EntryHostId> members;
+  members.reserve(7);
   for (int host = 0; host < 7; ++host)
     members.emplace_back("e" + std::to_string(host));
   GrantLedger ledger(
--- a/packages/dispatch/include/greengage/dispatch/Grants.h
+++ b/packages/dispatch/include/greengage/dispatch/Grants.h
@@ -17,7 +17,7 @@
 
 /// One run of an entry host's process; a later run has a larger number. Zero
 /// stands for a run that is not known.
-using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+using Incarnation = StrongId<struct GrantIncarnationTag, std::uint64_t>;
 
 /// What the sender knows of one team's limit between itself and the receiver.
 struct TeamGrant
--- a/packages/http/include/greengage/http/Server.h
+++ b/packages/http/include/greengage/http/Server.h
@@ -61,6 +61,10 @@
   /// Where responses go. One whose caller has gone is dropped.
   pipe::Pipe<HttpResponse>& Responses();
 
+  /// From now on each response ends its connection, so that few are left when
+  /// the server drains. Safe from any thread.
+  void Retire();
+
   /// Closes the listening socket and ends each connection after the response
   /// it waits for. The future is ready once all those responses have been
   /// written. Safe from any thread.
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -123,7 +123,8 @@
   }
 
   const ServerOptions& Options() const { return options_; }
-  bool IsClosing() const { return closing_; }
+  bool IsRetiring() const { return retiring_; }
+  void Retire() { retiring_ = true; }
   pipe::Pipe<HttpRequest>& Next() { return next_; }
   pipe::Pipe<HttpResponse>& Responses() { return responses_; }
   asio::io_context& Context() { return context_; }
@@ -153,6 +154,7 @@
   /// Connections that wait for a request.
   std::set<Session*> idle_;
   std::optional<std::promise<void>> drained_;
+  bool retiring_ = false;
   bool closing_ = false;
 };
 
@@ -202,7 +204,7 @@
 
   void Respond(HttpResponse&& aResponse)
   {
-    Write(std::move(aResponse), keepAlive_ && !server_->IsClosing());
+    Write(std::move(aResponse), keepAlive_ && !server_->IsRetiring());
   }
 
 private:
@@ -290,7 +292,7 @@
   void OnWritten(beast::error_code aError, bool aKeepAlive)
   {
     server_->WriteEnded();
-    if (!aError && aKeepAlive && !server_->IsClosing()) {
+    if (!aError && aKeepAlive) {
       Read();
       return;
     }
@@ -361,6 +363,7 @@
 void
 ServerImpl::Drain(std::promise<void>&& aDone)
 {
+  retiring_ = true;
   closing_ = true;
   beast::error_code ignored;
   acceptor_.close(ignored);
@@ -425,6 +428,12 @@
   return impl_->Responses();
 }
 
+void
+Server::Retire()
+{
+  asio::post(impl_->Context(), [impl = impl_] { impl->Retire(); });
+}
+
 std::future<void>
 Server::Drain()
 {
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -245,6 +245,7 @@
 TEST_CASE_METHOD(ServerFixture, "connections beyond the limit are refused")
 {
   std::vector<asio::ip::tcp::socket> idle;
+  idle.reserve(8);
   for (int index = 0; index < 8; ++index)
     idle.push_back(Connect());
   auto refused = Connect();
@@ -271,6 +272,20 @@
   }
 }
 
+TEST_CASE_METHOD(ServerFixture, "a retiring server ends connections politely")
+{
+  const std::string keepAlive = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(keepAlive));
+  const HttpRequest request = requests.Take();
+  server.Retire();
+  // Posted after Retire, so the loop sees them in this order.
+  Answer(request, "last");
+  const std::string response = ReadAll(socket);
+  REQUIRE(response.find("Connection: close") != std::string::npos);
+  REQUIRE(response.find("last") != std::string::npos);
+}
+
 TEST_CASE_METHOD(ServerFixture, "draining writes what is under way")
 {
   auto socket = Connect();
--- a/packages/once/include/greengage/once/Messages.h
+++ b/packages/once/include/greengage/once/Messages.h
@@ -19,7 +19,7 @@
 namespace greengage::once {
 
 /// One run of a host's process; a later run has a greater value.
-using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+using Incarnation = StrongId<struct KeeperIncarnationTag, std::uint64_t>;
 /// Counts the claims of one incarnation.
 using ClaimNumber = StrongId<struct ClaimNumberTag, std::uint64_t>;
 /// The place of a keeper set in the layout that all members compute.
--- a/unittests/system/FailureTest.cpp
+++ b/unittests/system/FailureTest.cpp
@@ -32,7 +32,9 @@
     CHECK(counts.crossed == 0);
     for (const std::string& id : counts.notRunIds) {
       CAPTURE(id);
-      CHECK_FALSE(runs.contains(team + " " + id));
+      std::string key = team;
+      key.append(" ").append(id);
+      CHECK_FALSE(runs.contains(key));
     }
   }
 }
--- a/unittests/system/Fleet.cpp
+++ b/unittests/system/Fleet.cpp
@@ -33,6 +33,7 @@
 Process::Process(const std::vector<std::string>& aArguments)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aArguments.size() + 1);
   for (const std::string& argument : aArguments)
     arguments.push_back(const_cast<char*>(argument.c_str()));
   arguments.push_back(nullptr);
--- a/unittests/system/ShutdownTest.cpp
+++ b/unittests/system/ShutdownTest.cpp
@@ -14,19 +14,28 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_CASE("SIGTERM turns /readyz first, finishes the work, and exits 0")
+/// Sends a request that runs for so many milliseconds, and lets it begin.
+static std::future<HttpAnswer>
+StartRequest(const Fleet& aFleet, int aMillis)
 {
-  Fleet fleet(
-    { .zones = { "z1" }, .workersPerZone = 1, .shutdownNotice = "500ms" });
-  auto answer = std::async(std::launch::async, [&] {
+  auto answer = std::async(std::launch::async, [&aFleet, aMillis] {
     return Fetch(
-      fleet.Ports(0).callers,
+      aFleet.Ports(0).callers,
       "POST",
       "/v1/requests",
-      fleet.Key("plan"),
-      R"({"id":"r1","pool":"lines","deadline_ms":9000,"payload":"ms=1500"})");
+      aFleet.Key("plan"),
+      R"({"id":"r1","pool":"lines","deadline_ms":60000,"payload":"ms=)" +
+        std::to_string(aMillis) + "\"}");
   });
   std::this_thread::sleep_for(milliseconds(200));
+  return answer;
+}
+
+TEST_CASE("SIGTERM turns /readyz first, finishes the work, and exits 0")
+{
+  Fleet fleet(
+    { .zones = { "z1" }, .workersPerZone = 1, .shutdownNotice = "500ms" });
+  auto answer = StartRequest(fleet, 1500);
   fleet.Host(0).Signal(SIGTERM);
   fleet.AwaitReady(0, 503);
   // During the notice the host still takes work that the balancer sends.
@@ -45,15 +54,7 @@
 {
   Fleet fleet(
     { .zones = { "z1" }, .workersPerZone = 1, .shutdownTimeout = "1s" });
-  auto answer = std::async(std::launch::async, [&] {
-    return Fetch(
-      fleet.Ports(0).callers,
-      "POST",
-      "/v1/requests",
-      fleet.Key("plan"),
-      R"({"id":"r1","pool":"lines","deadline_ms":60000,"payload":"ms=9000"})");
-  });
-  std::this_thread::sleep_for(milliseconds(200));
+  auto answer = StartRequest(fleet, 9000);
   fleet.Host(0).Signal(SIGTERM);
   const auto code = fleet.Host(0).Wait(seconds(20));
   CHECK(code == 3);
