Tick the request duties less while they are idle

Cause: an idle entry host used 1.2 % of a core, with 160 wake-ups a second of four duties, of which the once duty also set two gauges at each. Without requests the dispatch and once duties now tick every 100 ms, the consensus duty every 50 ms. After: 4 of 800 clock ticks in 8 s on the leader's host and 3 on a follower's (0.5 and 0.4 %); before, 10 and 8.

--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -7,7 +7,7 @@
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
-static constexpr Duration kTickInterval = Duration(25);
+static constexpr Duration kTickInterval = Duration(50);
 
 ConsensusFilter::ConsensusFilter(consensus::Replica& aReplica,
                                  state::StateMachine& aMachine,
--- a/packages/daemon/lib/filters/DispatchFilter.cpp
+++ b/packages/daemon/lib/filters/DispatchFilter.cpp
@@ -4,6 +4,7 @@
 #include "greengage/observe/Log.h"
 #include "greengage/wire/PeerMessage.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,6 +13,8 @@
 using namespace greengage::daemon::detail;
 
 static constexpr Duration kTickInterval = Duration(25);
+/// How often the plane is told the time while it has no request.
+static constexpr Duration kIdleTickInterval = Duration(100);
 
 DispatchFilter::DispatchFilter(dispatch::RequestPlane& aPlane,
                                HostState& aHost,
@@ -28,6 +31,7 @@
   dispatch::Actions actions;
   plane_.Handle(std::move(aEvent), aNow, actions);
   CarryOut(std::move(actions), aNow);
+  nextTick_ = std::min(nextTick_, aNow + kTickInterval);
 }
 
 void
@@ -36,7 +40,8 @@
   dispatch::Actions actions;
   plane_.Tick(aNow, actions);
   CarryOut(std::move(actions), aNow);
-  nextTick_ = aNow + kTickInterval;
+  const bool isIdle = plane_.WorksInProgress() == 0;
+  nextTick_ = aNow + (isIdle ? kIdleTickInterval : kTickInterval);
 }
 
 void
--- a/packages/daemon/lib/filters/OnceFilter.cpp
+++ b/packages/daemon/lib/filters/OnceFilter.cpp
@@ -1,11 +1,14 @@
 #include "OnceFilter.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
 static constexpr Duration kTickInterval = Duration(20);
+/// How often the ledger is told the time while no message comes.
+static constexpr Duration kIdleTickInterval = Duration(100);
 /// After how long a host that can't copy its records is ready all the same.
 static constexpr Duration kRecordsTimeout = Duration::Seconds(10);
 
@@ -26,6 +29,8 @@
     [&](auto&& aAny) { On(std::forward<decltype(aAny)>(aAny), aNow, actions); },
     std::move(aMessage));
   CarryOut(std::move(actions), aNow);
+  isIdle_ = false;
+  nextTick_ = std::min(nextTick_, aNow + kTickInterval);
 }
 
 void
@@ -34,7 +39,8 @@
   once::Actions actions;
   ledger_.Tick(aNow, actions);
   CarryOut(std::move(actions), aNow);
-  nextTick_ = aNow + kTickInterval;
+  nextTick_ = aNow + (isIdle_ ? kIdleTickInterval : kTickInterval);
+  isIdle_ = true;
   if (!startedAt_)
     startedAt_ = aNow;
   if (ledger_.IsServing() || *startedAt_ + kRecordsTimeout <= aNow)
--- a/packages/daemon/lib/filters/OnceFilter.h
+++ b/packages/daemon/lib/filters/OnceFilter.h
@@ -76,6 +76,8 @@
   HostState& host_;
   OnceOutlets outlets_;
   Time nextTick_;
+  /// No message has come since the last tick.
+  bool isIdle_ = true;
   std::optional<Time> startedAt_;
 };
 
