Say once how a leader takes a reply; name handshakes by their term

From the read-through: two replies of the log began with the same check, four tests set the same peer up, and an accepted connection that has not proved who it is had a private word. No check, bound or expectation is changed. consensus_tests, dispatch_tests and peer_tests pass.

--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -164,6 +164,7 @@
   // Replication; in ReplicaReplication.cpp.
   void On(const MemberId& aFrom, Append&& aMessage);
   void On(const MemberId& aFrom, AppendReply&& aMessage);
+  Progress* HeardFrom(const MemberId& aFrom, Term aTerm, Time aSentAt);
   void FollowLeader(const MemberId& aLeader);
   bool RefuseStale(const MemberId& aFrom, Term aTerm, Time aSentAt);
   /// \returns whether an entry was not there before.
--- a/packages/consensus/lib/ReplicaReplication.cpp
+++ b/packages/consensus/lib/ReplicaReplication.cpp
@@ -90,15 +90,24 @@
                      .sentAt = aSentAt });
 }
 
+/// Notes a reply to this leader. Null if it is not for this leadership.
+Progress*
+Replica::HeardFrom(const MemberId& aFrom, Term aTerm, Time aSentAt)
+{
+  const auto found = progress_.find(aFrom);
+  if (role_ != Role::Leader || aTerm != hard_.term || found == progress_.end())
+    return nullptr;
+  found->second.Hear(now_, aSentAt);
+  return &found->second;
+}
+
 void
 Replica::On(const MemberId& aFrom, AppendReply&& aMessage)
 {
-  const auto found = progress_.find(aFrom);
-  if (role_ != Role::Leader || aMessage.term != hard_.term ||
-      found == progress_.end())
+  Progress* heard = HeardFrom(aFrom, aMessage.term, aMessage.sentAt);
+  if (heard == nullptr)
     return;
-  Progress& progress = found->second;
-  progress.Hear(now_, aMessage.sentAt);
+  Progress& progress = *heard;
   if (aMessage.accepted) {
     const bool hasGrown = progress.Accept(aMessage.verified, aMessage.match);
     if (hasGrown) {
--- a/packages/consensus/lib/ReplicaSnapshot.cpp
+++ b/packages/consensus/lib/ReplicaSnapshot.cpp
@@ -24,12 +24,10 @@
 void
 Replica::On(const MemberId& aFrom, SnapshotReply&& aMessage)
 {
-  const auto found = progress_.find(aFrom);
-  if (role_ != Role::Leader || aMessage.term != hard_.term ||
-      found == progress_.end())
+  Progress* heard = HeardFrom(aFrom, aMessage.term, aMessage.sentAt);
+  if (heard == nullptr)
     return;
-  Progress& progress = found->second;
-  progress.Hear(now_, aMessage.sentAt);
+  Progress& progress = *heard;
   const SnapshotPtr& snapshot = progress.PendingSnapshot();
   const bool isCurrent = snapshot && snapshot->index == aMessage.index &&
                          aMessage.received <= snapshot->data.size();
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -44,6 +44,16 @@
     Send(Announced{ .announcement = announcement, .call = std::nullopt });
   }
 
+  /// Peer "e2" in another availability zone, with one free slot.
+  void AddPeerWithSlot()
+  {
+    Send(PeerUp{ .peer = EntryHostId("e2"),
+                 .availabilityZone = AvailabilityZoneId("z2") });
+    Send(PeerLoad{ .peer = EntryHostId("e2"),
+                   .leaving = false,
+                   .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  }
+
   void Call(std::uint64_t aCall,
             const std::string& aId,
             Idempotence aIdempotence = Idempotence::NonIdempotent,
@@ -220,11 +230,7 @@
 
 TEST_CASE_METHOD(PlaneFixture, "work goes to a peer that has room, and back")
 {
-  Send(PeerUp{ .peer = EntryHostId("e2"),
-               .availabilityZone = AvailabilityZoneId("z2") });
-  Send(PeerLoad{ .peer = EntryHostId("e2"),
-                 .leaving = false,
-                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  AddPeerWithSlot();
   Call(1, "r1");
   Call(2, "r2");
   const auto forwards = Take<Forward>();
@@ -240,11 +246,7 @@
 
 TEST_CASE_METHOD(PlaneFixture, "a peer's slot is free again after its answer")
 {
-  Send(PeerUp{ .peer = EntryHostId("e2"),
-               .availabilityZone = AvailabilityZoneId("z2") });
-  Send(PeerLoad{ .peer = EntryHostId("e2"),
-                 .leaving = false,
-                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  AddPeerWithSlot();
   for (std::uint64_t call = 1; call <= 3; ++call) {
     Call(call, "r" + std::to_string(call));
     const auto forwards = Take<Forward>();
@@ -279,11 +281,7 @@
 
 TEST_CASE_METHOD(PlaneFixture, "losing a peer makes its work unknown")
 {
-  Send(PeerUp{ .peer = EntryHostId("e2"),
-               .availabilityZone = AvailabilityZoneId("z2") });
-  Send(PeerLoad{ .peer = EntryHostId("e2"),
-                 .leaving = false,
-                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  AddPeerWithSlot();
   Call(1, "r1");
   REQUIRE(Take<Forward>().size() == 1);
   Send(PeerDown{ .peer = EntryHostId("e2") });
@@ -449,11 +447,7 @@
 
 TEST_CASE_METHOD(PlaneFixture, "a cancellation follows its request to a peer")
 {
-  Send(PeerUp{ .peer = EntryHostId("e2"),
-               .availabilityZone = AvailabilityZoneId("z2") });
-  Send(PeerLoad{ .peer = EntryHostId("e2"),
-                 .leaving = false,
-                 .pools = { { PoolId("lines"), Slots(1), 0 } } });
+  AddPeerWithSlot();
   Call(1, "r1");
   const auto forwards = Take<Forward>();
   Send(Cancel{ .call = CallId(3), .team = TeamId("a"), .id = RequestId("r1") });
--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -86,7 +86,7 @@
   };
 
   /// An accepted connection that has not proved who it is.
-  struct Stranger
+  struct Handshake
   {
     std::weak_ptr<FrameStream> stream;
     Time until;
@@ -119,7 +119,7 @@
   void Emit(PeerEvent&& aEvent) { events_.Push(std::move(aEvent)); }
   void Tick();
   void TickPeer(const EntryHostId& aId, Peer& aPeer, Time aNow);
-  void DropStrangers(Time aNow);
+  void DropStaleHandshakes(Time aNow);
 
   LinkOptions options_;
   const Clock& clock_;
@@ -129,7 +129,7 @@
   asio::steady_timer timer_;
   pipe::IoPipe<PeerSend> outbox_;
   std::map<EntryHostId, Peer> peers_;
-  std::deque<Stranger> strangers_;
+  std::deque<Handshake> handshakes_;
 };
 
 bool
@@ -178,7 +178,7 @@
   stream->Send(Encode(wire::Challenge{ .nonce = nonce }, clock_.Now()),
                options_.maxBacklogBytes);
   const std::weak_ptr<FrameStream> weak = stream;
-  strangers_.push_back(
+  handshakes_.push_back(
     { .stream = weak, .until = clock_.Now() + options_.silence });
   auto self = shared_from_this();
   stream->Start(
@@ -429,7 +429,7 @@
   const Time now = clock_.Now();
   for (auto& [id, peer] : peers_)
     TickPeer(id, peer, now);
-  DropStrangers(now);
+  DropStaleHandshakes(now);
   timer_.expires_after(ToChrono(options_.heartbeat));
   auto self = shared_from_this();
   timer_.async_wait([self](error_code aError) {
@@ -453,11 +453,11 @@
 }
 
 void
-LinksImpl::DropStrangers(Time aNow)
+LinksImpl::DropStaleHandshakes(Time aNow)
 {
-  while (!strangers_.empty() && strangers_.front().until <= aNow) {
-    const StreamPtr stream = strangers_.front().stream.lock();
-    strangers_.pop_front();
+  while (!handshakes_.empty() && handshakes_.front().until <= aNow) {
+    const StreamPtr stream = handshakes_.front().stream.lock();
+    handshakes_.pop_front();
     bool isKnown = false;
     for (const auto& [id, peer] : peers_)
       isKnown = isKnown || peer.incoming == stream;
