--- /dev/null
+++ b/packages/jobs/lib/CborFields.h
@@ -0,0 +1,52 @@
+/// \file
+/// The CBOR arrays of the values that operations and snapshots share. Reading
+/// throws the library's exceptions, which the codecs turn into errors.
+
+#ifndef GREENGAGE_JOBS_LIB_CBORFIELDS_H
+#define GREENGAGE_JOBS_LIB_CBORFIELDS_H
+
+#include "greengage/jobs/Job.h"
+#include "greengage/jobs/Operation.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengage::jobs::detail {
+
+using Cbor = nlohmann::json;
+
+std::string
+BytesOf(const Cbor& aValue);
+
+Cbor
+ToCbor(const Resources& aResources);
+Resources
+ResourcesFrom(const Cbor& aValue);
+
+Cbor
+ToCbor(const TaskId& aTask);
+TaskId
+TaskFrom(const Cbor& aValue);
+
+Cbor
+ToCbor(const JobDescription& aJob);
+JobDescription
+DescriptionFrom(const Cbor& aValue);
+
+Cbor
+ToCbor(const WorkerRecord& aWorker);
+WorkerRecord
+WorkerFrom(const Cbor& aValue);
+
+Cbor
+ToCbor(const StartWave& aWave);
+StartWave
+WaveFrom(const Cbor& aValue);
+
+} // namespace greengage::jobs::detail
+
+#endif // GREENGAGE_JOBS_LIB_CBORFIELDS_H
--- /dev/null
+++ b/packages/jobs/lib/Ids.cpp
@@ -0,0 +1,70 @@
+#include "greengage/jobs/Ids.h"
+
+#include <array>
+#include <charconv>
+#include <cstddef>
+
+using namespace greengage::jobs;
+
+static constexpr std::size_t kJobIdDigits = 16;
+static constexpr int kHexadecimal = 16;
+
+std::optional<JobId>
+greengage::jobs::ParseJobId(std::string_view aText)
+{
+  if (aText.size() != kJobIdDigits)
+    return std::nullopt;
+  for (const char digit : aText)
+    if ((digit < '0' || digit > '9') && (digit < 'a' || digit > 'f'))
+      return std::nullopt;
+  std::uint64_t value = 0;
+  std::from_chars(
+    aText.data(), aText.data() + aText.size(), value, kHexadecimal);
+  return JobId(value);
+}
+
+std::string
+greengage::jobs::ToString(JobId aJob)
+{
+  static constexpr char kDigits[] = "0123456789abcdef";
+  static constexpr unsigned kBitsPerDigit = 4;
+  std::string text(kJobIdDigits, '0');
+  std::uint64_t rest = aJob.Value();
+  for (std::size_t place = kJobIdDigits; place > 0; --place) {
+    text[place - 1] = kDigits[rest & 0xFU];
+    rest >>= kBitsPerDigit;
+  }
+  return text;
+}
+
+std::string
+greengage::jobs::ToString(const TaskId& aTask)
+{
+  return ToString(aTask.job) + '.' + std::to_string(aTask.occurrence) + '.' +
+         std::to_string(aTask.step) + '.' + std::to_string(aTask.index);
+}
+
+std::optional<TaskId>
+greengage::jobs::ParseTaskId(std::string_view aText)
+{
+  const auto job = ParseJobId(aText.substr(0, kJobIdDigits));
+  if (!job)
+    return std::nullopt;
+  std::array<std::uint32_t, 3> numbers{};
+  const char* at = aText.data() + kJobIdDigits;
+  const char* const end = aText.data() + aText.size();
+  for (std::uint32_t& number : numbers) {
+    if (at == end || *at != '.')
+      return std::nullopt;
+    const auto read = std::from_chars(at + 1, end, number);
+    if (read.ec != std::errc())
+      return std::nullopt;
+    at = read.ptr;
+  }
+  if (at != end)
+    return std::nullopt;
+  return TaskId{ .job = *job,
+                 .occurrence = numbers[0],
+                 .step = numbers[1],
+                 .index = numbers[2] };
+}
--- /dev/null
+++ b/packages/jobs/lib/JobBook.cpp
@@ -0,0 +1,303 @@
+#include "greengage/jobs/JobBook.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::jobs;
+
+JobBook::JobBook(const ConfigurationReader& aReader)
+  : reader_(aReader)
+{
+}
+
+bool
+JobBook::Apply(std::string_view aBytes,
+               JobBookObserver* aObserver,
+               Error& aReason)
+{
+  auto operations = Decode(aBytes, aReason);
+  if (!operations)
+    return false;
+  JobBookObserver silent;
+  JobBookObserver& observer = aObserver != nullptr ? *aObserver : silent;
+  for (Operation& operation : *operations)
+    std::visit([&](auto&& aAny) { On(std::move(aAny), observer); },
+               std::move(operation));
+  return true;
+}
+
+const Job*
+JobBook::Find(JobId aJob) const
+{
+  const auto found = jobs_.find(aJob);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+TaskState*
+JobBook::Task(const TaskId& aTask)
+{
+  const auto job = jobs_.find(aTask.job);
+  if (job == jobs_.end())
+    return nullptr;
+  const auto occurrence = job->second.occurrences.find(aTask.occurrence);
+  if (occurrence == job->second.occurrences.end())
+    return nullptr;
+  auto& steps = occurrence->second.steps;
+  if (aTask.step >= steps.size() ||
+      aTask.index >= steps[aTask.step].tasks.size())
+    return nullptr;
+  return &steps[aTask.step].tasks[aTask.index];
+}
+
+const TaskState*
+JobBook::Find(const TaskId& aTask) const
+{
+  return const_cast<JobBook*>(this)->Task(aTask);
+}
+
+std::optional<WorkerNumber>
+JobBook::NumberOf(const WorkerId& aWorker) const
+{
+  const auto found = workerNumbers_.find(aWorker);
+  if (found == workerNumbers_.end())
+    return std::nullopt;
+  return found->second;
+}
+
+std::uint32_t
+JobBook::MaxAttemptsOf(const Job& aJob) const
+{
+  const Queue* queue =
+    configuration_ ? configuration_->Find(aJob.queue) : nullptr;
+  return queue != nullptr ? queue->maxAttempts : 1;
+}
+
+void
+JobBook::On(PutConfiguration&& aOperation, JobBookObserver& aObserver)
+{
+  Error reason;
+  auto read = reader_.Read(aOperation.text, reason);
+  // Whoever proposed it has read it before; other versions change nothing.
+  if (!read || (configuration_ && read->version <= configuration_->version))
+    return;
+  configuration_ = std::move(read);
+  configurationText_ = std::move(aOperation.text);
+  aObserver.OnConfiguration();
+}
+
+static Occurrence
+MakeOccurrence(const JobDescription& aJob)
+{
+  Occurrence occurrence;
+  for (const Step& step : aJob.steps) {
+    StepState state;
+    state.tasks.resize(step.count);
+    state.waiting = step.count;
+    occurrence.steps.push_back(std::move(state));
+  }
+  return occurrence;
+}
+
+std::uint32_t
+greengage::jobs::OccurrenceCount(const Job& aJob)
+{
+  return std::max<std::uint32_t>(aJob.description.recurrence.count, 1);
+}
+
+bool
+greengage::jobs::IsReady(const Job& aJob,
+                         const Occurrence& aOccurrence,
+                         std::size_t aStep)
+{
+  const auto& after = aJob.description.steps[aStep].after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+    const StepState& state = aOccurrence.steps[aEarlier];
+    return state.done == state.tasks.size();
+  });
+}
+
+void
+JobBook::On(AcceptJob&& aOperation, JobBookObserver& aObserver)
+{
+  const auto [at, isNew] = jobs_.try_emplace(aOperation.id);
+  if (!isNew)
+    return;
+  Job& job = at->second;
+  job.id = aOperation.id;
+  job.queue = std::move(aOperation.queue);
+  job.team = std::move(aOperation.team);
+  job.acceptedAt = aOperation.at;
+  job.description = std::move(aOperation.description);
+  for (std::uint32_t number = 0; number < OccurrenceCount(job); ++number)
+    job.occurrences.emplace(number, MakeOccurrence(job.description));
+  aObserver.OnJobAccepted(job);
+}
+
+void
+JobBook::EndJob(Job& aJob,
+                JobState aState,
+                Time aAt,
+                JobBookObserver& aObserver)
+{
+  aJob.state = aState;
+  aJob.endedAt = aAt;
+  aObserver.OnJobEnded(aJob);
+  if (aJob.assigned > 0)
+    return;
+  aJob.occurrences.clear();
+  aJob.description = {};
+}
+
+void
+JobBook::On(CancelJob&& aOperation, JobBookObserver& aObserver)
+{
+  const auto found = jobs_.find(aOperation.id);
+  if (found != jobs_.end() && found->second.state == JobState::Live)
+    EndJob(found->second, JobState::Cancelled, aOperation.at, aObserver);
+}
+
+void
+JobBook::On(ForgetJob&& aOperation, JobBookObserver& /*aObserver*/)
+{
+  const auto found = jobs_.find(aOperation.id);
+  if (found == jobs_.end())
+    return;
+  const Job& job = found->second;
+  if (job.state != JobState::Live && job.assigned == 0)
+    jobs_.erase(found);
+}
+
+void
+JobBook::On(AssignTask&& aOperation, JobBookObserver& aObserver)
+{
+  TaskState* task = Task(aOperation.task);
+  Job* job = task == nullptr ? nullptr : &jobs_.at(aOperation.task.job);
+  const bool isValid =
+    job != nullptr && job->state == JobState::Live &&
+    task->phase == TaskPhase::Waiting &&
+    aOperation.attempt.Value() == task->attempt.Value() + 1 &&
+    workers_.count(aOperation.worker) != 0;
+  if (!isValid) {
+    aObserver.OnAssignmentVoid(aOperation);
+    return;
+  }
+  task->phase = TaskPhase::Assigned;
+  task->attempt = aOperation.attempt;
+  task->worker = aOperation.worker;
+  ++job->assigned;
+  job->hasBegun = true;
+  --job->occurrences.at(aOperation.task.occurrence)
+      .steps[aOperation.task.step]
+      .waiting;
+  aObserver.OnAssigned(aOperation);
+}
+
+/// Notes the success of a task and, with the last one, of its occurrence.
+void
+JobBook::FinishTask(Job& aJob, const TaskId& aTask)
+{
+  Occurrence& occurrence = aJob.occurrences.at(aTask.occurrence);
+  ++occurrence.steps[aTask.step].done;
+  const bool isWhole = std::all_of(
+    occurrence.steps.begin(), occurrence.steps.end(), [](const StepState& aStep) {
+      return aStep.done == aStep.tasks.size();
+    });
+  if (!isWhole)
+    return;
+  occurrence.isDone = true;
+  ++aJob.occurrencesDone;
+}
+
+void
+JobBook::On(EndTask&& aOperation, JobBookObserver& aObserver)
+{
+  TaskState* task = Task(aOperation.task);
+  if (task == nullptr || task->phase != TaskPhase::Assigned ||
+      task->attempt != aOperation.attempt)
+    return;
+  Job& job = jobs_.at(aOperation.task.job);
+  StepState& step =
+    job.occurrences.at(aOperation.task.occurrence).steps[aOperation.task.step];
+  const bool isPersistent =
+    job.description.steps[aOperation.task.step].isPersistent;
+  const WorkerNumber worker = task->worker;
+  --job.assigned;
+  if (!aOperation.checkpoint.empty())
+    step.checkpoints[aOperation.task.index] = std::move(aOperation.checkpoint);
+  if (aOperation.how == RunEnd::Done && !isPersistent) {
+    task->phase = TaskPhase::Done;
+    step.checkpoints.erase(aOperation.task.index);
+    FinishTask(job, aOperation.task);
+  } else {
+    task->phase = TaskPhase::Waiting;
+    ++step.waiting;
+    if (aOperation.how == RunEnd::Failed)
+      ++task->failures;
+  }
+  const bool hasFailed =
+    !isPersistent && task->failures >= MaxAttemptsOf(job);
+  aObserver.OnRunEnded(aOperation, worker);
+  if (job.state != JobState::Live) {
+    if (job.assigned == 0) {
+      job.occurrences.clear();
+      job.description = {};
+    }
+    return;
+  }
+  if (job.occurrencesDone == OccurrenceCount(job))
+    EndJob(job, JobState::Completed, aOperation.at, aObserver);
+  else if (hasFailed)
+    EndJob(job, JobState::Failed, aOperation.at, aObserver);
+}
+
+void
+JobBook::On(RegisterWorker&& aOperation, JobBookObserver& aObserver)
+{
+  WorkerRecord& worker = aOperation.worker;
+  const auto known = workerNumbers_.find(worker.id);
+  if (known != workerNumbers_.end()) {
+    WorkerRecord& record = workers_.at(known->second);
+    if (record.incarnation > worker.incarnation)
+      return;
+    if (record.incarnation == worker.incarnation) {
+      // A late beat can't take a notice of leaving back.
+      worker.isDraining = worker.isDraining || record.isDraining;
+      record = std::move(worker);
+      aObserver.OnWorker(known->second);
+      return;
+    }
+  }
+  const WorkerNumber number(++lastWorker_);
+  workerNumbers_[worker.id] = number;
+  workers_.emplace(number, std::move(worker));
+  aObserver.OnWorker(number);
+}
+
+void
+JobBook::On(RetireWorker&& aOperation, JobBookObserver& aObserver)
+{
+  const auto found = workers_.find(aOperation.worker);
+  if (found == workers_.end())
+    return;
+  const auto number = workerNumbers_.find(found->second.id);
+  if (number != workerNumbers_.end() && number->second == aOperation.worker)
+    workerNumbers_.erase(number);
+  workers_.erase(found);
+  aObserver.OnWorkerRetired(aOperation.worker);
+}
+
+void
+JobBook::On(StartWave&& aOperation, JobBookObserver& /*aObserver*/)
+{
+  const WaveId id = aOperation.id;
+  waves_.try_emplace(id, Wave{ .plan = std::move(aOperation), .begun = {} });
+}
+
+void
+JobBook::On(BeginUpkeep&& aOperation, JobBookObserver& /*aObserver*/)
+{
+  const auto found = waves_.find(aOperation.wave);
+  if (found != waves_.end())
+    found->second.begun.insert(std::move(aOperation.host));
+}
--- /dev/null
+++ b/packages/jobs/lib/JobBookSnapshot.cpp
@@ -0,0 +1,167 @@
+#include "greengage/jobs/JobBook.h"
+
+#include "CborFields.h"
+
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::jobs;
+using namespace greengage::jobs::detail;
+
+static Cbor
+StepStateToCbor(const StepState& aStep)
+{
+  Cbor tasks = Cbor::array();
+  for (const TaskState& task : aStep.tasks)
+    tasks.push_back(Cbor::array({ task.phase,
+                                  task.failures,
+                                  task.attempt.Value(),
+                                  task.worker.Value() }));
+  Cbor checkpoints = Cbor::array();
+  for (const auto& [index, text] : aStep.checkpoints)
+    checkpoints.push_back(Cbor::array({ index, text }));
+  return Cbor::array({ std::move(tasks), std::move(checkpoints) });
+}
+
+static StepState
+StepStateFrom(const Cbor& aValue)
+{
+  StepState step;
+  for (const Cbor& item : aValue.at(0)) {
+    const TaskState task{ .phase = item.at(0).get<TaskPhase>(),
+                          .failures = item.at(1).get<std::uint32_t>(),
+                          .attempt = Attempt(item.at(2).get<std::uint32_t>()),
+                          .worker =
+                            WorkerNumber(item.at(3).get<std::uint32_t>()) };
+    step.waiting += task.phase == TaskPhase::Waiting ? 1 : 0;
+    step.done += task.phase == TaskPhase::Done ? 1 : 0;
+    step.tasks.push_back(task);
+  }
+  for (const Cbor& item : aValue.at(1))
+    step.checkpoints.emplace(item.at(0).get<std::uint32_t>(),
+                             item.at(1).get<std::string>());
+  return step;
+}
+
+static Cbor
+JobToCbor(const Job& aJob)
+{
+  Cbor occurrences = Cbor::array();
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    Cbor steps = Cbor::array();
+    for (const StepState& step : occurrence.steps)
+      steps.push_back(StepStateToCbor(step));
+    occurrences.push_back(
+      Cbor::array({ number, occurrence.isDone, std::move(steps) }));
+  }
+  return Cbor::array({ aJob.id.Value(),
+                       aJob.queue.Value(),
+                       aJob.team.Value(),
+                       aJob.acceptedAt.Millis(),
+                       aJob.endedAt.Millis(),
+                       aJob.state,
+                       aJob.hasBegun,
+                       aJob.assigned,
+                       aJob.occurrencesDone,
+                       ToCbor(aJob.description),
+                       std::move(occurrences) });
+}
+
+static Job
+JobFrom(const Cbor& aValue)
+{
+  std::size_t at = 0;
+  const auto next = [&]() -> const Cbor& { return aValue.at(at++); };
+  Job job;
+  job.id = JobId(next().get<std::uint64_t>());
+  job.queue = QueueId(next().get<std::string>());
+  job.team = TeamId(next().get<std::string>());
+  job.acceptedAt = Time(next().get<std::int64_t>());
+  job.endedAt = Time(next().get<std::int64_t>());
+  job.state = next().get<JobState>();
+  job.hasBegun = next().get<bool>();
+  job.assigned = next().get<std::uint32_t>();
+  job.occurrencesDone = next().get<std::uint32_t>();
+  job.description = DescriptionFrom(next());
+  for (const Cbor& item : next()) {
+    Occurrence occurrence;
+    occurrence.isDone = item.at(1).get<bool>();
+    for (const Cbor& step : item.at(2))
+      occurrence.steps.push_back(StepStateFrom(step));
+    job.occurrences.emplace(item.at(0).get<std::uint32_t>(),
+                            std::move(occurrence));
+  }
+  return job;
+}
+
+std::string
+JobBook::Snapshot() const
+{
+  Cbor jobs = Cbor::array();
+  for (const auto& [id, job] : jobs_)
+    jobs.push_back(JobToCbor(job));
+  Cbor workers = Cbor::array();
+  for (const auto& [number, worker] : workers_)
+    workers.push_back(Cbor::array({ number.Value(), ToCbor(worker) }));
+  Cbor waves = Cbor::array();
+  for (const auto& [id, wave] : waves_) {
+    Cbor begun = Cbor::array();
+    for (const HostId& host : wave.begun)
+      begun.push_back(host.Value());
+    waves.push_back(Cbor::array({ ToCbor(wave.plan), std::move(begun) }));
+  }
+  return BytesOf(Cbor::array({ configurationText_,
+                               std::move(jobs),
+                               lastWorker_,
+                               std::move(workers),
+                               std::move(waves) }));
+}
+
+bool
+JobBook::Restore(std::string_view aSnapshot, Error& aReason)
+{
+  try {
+    const Cbor value = Cbor::from_cbor(aSnapshot.begin(), aSnapshot.end());
+    JobBook restored(reader_);
+    restored.configurationText_ = value.at(0).get<std::string>();
+    if (!restored.configurationText_.empty()) {
+      restored.configuration_ =
+        reader_.Read(restored.configurationText_, aReason);
+      if (!restored.configuration_)
+        return false;
+    }
+    for (const Cbor& item : value.at(1)) {
+      Job job = JobFrom(item);
+      const JobId id = job.id;
+      restored.jobs_.emplace(id, std::move(job));
+    }
+    restored.lastWorker_ = value.at(2).get<std::uint32_t>();
+    for (const Cbor& item : value.at(3)) {
+      const WorkerNumber number(item.at(0).get<std::uint32_t>());
+      WorkerRecord worker = WorkerFrom(item.at(1));
+      // Of two incarnations the later one holds the name.
+      restored.workerNumbers_[worker.id] = number;
+      restored.workers_.emplace(number, std::move(worker));
+    }
+    for (const Cbor& item : value.at(4)) {
+      Wave wave{ .plan = WaveFrom(item.at(0)), .begun = {} };
+      for (const Cbor& host : item.at(1))
+        wave.begun.insert(HostId(host.get<std::string>()));
+      const WaveId id = wave.plan.id;
+      restored.waves_.emplace(id, std::move(wave));
+    }
+    configuration_ = std::move(restored.configuration_);
+    configurationText_ = std::move(restored.configurationText_);
+    jobs_ = std::move(restored.jobs_);
+    workers_ = std::move(restored.workers_);
+    workerNumbers_ = std::move(restored.workerNumbers_);
+    lastWorker_ = restored.lastWorker_;
+    waves_ = std::move(restored.waves_);
+    return true;
+  } catch (const nlohmann::json::exception& error) {
+    Fail(aReason,
+         ErrorKind::DataCorrupt,
+         std::string("snapshot of the jobs can't be read: ") + error.what());
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -0,0 +1,129 @@
+/// \file
+/// The duty of the agreed job state as pure decisions: calls in, replies out,
+/// and the log entries and worker calls that they and the scheduler lead to.
+
+#ifndef GREENGAGE_SCHEDULE_CONTROLLER_H
+#define GREENGAGE_SCHEDULE_CONTROLLER_H
+
+#include "greengage/core/Error.h"
+#include "greengage/core/Units.h"
+#include "greengage/jobs/JobBook.h"
+#include "greengage/schedule/Calls.h"
+#include "greengage/schedule/Messages.h"
+#include "greengage/schedule/Outbox.h"
+#include "greengage/schedule/Scheduler.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace greengage::schedule {
+
+/// One log entry on its way, unique inside a process.
+using BatchId = StrongId<struct BatchTag, std::uint64_t>;
+
+/// Takes what the controller decides.
+class ControllerSink
+{
+public:
+  virtual ~ControllerSink() = default;
+  /// False if there is no room; the controller tries again.
+  virtual bool Propose(BatchId aBatch, const std::string& aEntry) = 0;
+  virtual void Call(WorkerCall&& aCall) = 0;
+  virtual void Answer(CallerId aCaller, Reply&& aReply) = 0;
+};
+
+/// Serves calls while this host leads, and follows the log while it doesn't.
+class Controller final : private Outbox
+{
+public:
+  /// The references must outlive the controller.
+  Controller(SchedulerOptions aOptions,
+             const jobs::ConfigurationReader& aReader,
+             ControllerSink& aSink);
+
+  /// This host leads, and has applied all entries of earlier terms.
+  void Lead(Fence aFence, Moment aNow);
+  /// This host does not lead: whoever waits for an entry is told that its
+  /// outcome is unknown.
+  void Follow();
+
+  /// \p aLeaseEnd is until when no other host can lead, on the steady clock.
+  void Handle(IncomingCall&& aCall, Time aLeaseEnd, Moment aNow);
+  void On(const WorkerReply& aReply, Moment aNow);
+  /// A committed entry; \p aNow is the time of the call, not of the entry.
+  void Apply(std::string_view aEntry, Moment aNow);
+  /// An entry of this host has been applied.
+  void OnBatchApplied(BatchId aBatch);
+  /// Proved: the entry is not in the log.
+  void OnBatchRefused(BatchId aBatch);
+  /// Leadership was lost while the entry was on its way.
+  void OnBatchUnknown(BatchId aBatch);
+  std::string Snapshot() const { return book_.Snapshot(); }
+  bool Restore(std::string_view aSnapshot, Error& aReason);
+
+  /// When Tick is to be called next, if at all.
+  std::optional<Time> NextTick() const;
+  void Tick(Moment aNow);
+
+  const jobs::JobBook& Book() const { return book_; }
+
+private:
+  /// A reply that waits for the commit of an entry.
+  struct Waiting
+  {
+    CallerId caller;
+    Reply reply;
+  };
+  struct Batch
+  {
+    std::string entry;
+    std::vector<Waiting> waiting;
+  };
+
+  void Propose(jobs::Operation aOperation) override;
+  void Call(WorkerCall aCall) override;
+  void ProposeFor(CallerId aCaller, jobs::Operation aOperation, Reply aReply);
+  void Refuse(CallerId aCaller, ErrorKind aKind, std::string aDetail);
+  void Serve(CallerId aCaller, QueueCall&& aCall);
+  void Serve(CallerId aCaller, WorkerBeat&& aCall);
+  void Serve(CallerId aCaller, WorkerLeave&& aCall);
+  void Serve(CallerId aCaller, ConfigurationPut&& aCall);
+  void Serve(CallerId aCaller, ConfigurationQuery&& aCall);
+  void Serve(CallerId aCaller, WaveStart&& aCall);
+  void Serve(CallerId aCaller, WaveQuery&& aCall);
+  void Serve(CallerId aCaller, InvalidCall&& aCall);
+  void Submit(CallerId aCaller,
+              const jobs::Queue& aQueue,
+              const jobs::Team* aTeam,
+              jobs::JobId aJob,
+              QueueCall&& aCall);
+  void CancelJob(CallerId aCaller, jobs::JobId aJob);
+  void Report(CallerId aCaller, const jobs::Job& aJob);
+  /// Makes log entries of what has been proposed.
+  void Flush(Moment aNow);
+  void CloseBatch();
+  void EndBatch(BatchId aBatch, const Reply& aReply);
+
+  ControllerSink& sink_;
+  jobs::JobBook book_;
+  Scheduler scheduler_;
+  Moment now_;
+  jobs::Operations open_;
+  std::size_t openBytes_ = 0;
+  std::vector<Waiting> openWaiting_;
+  std::deque<Batch> unsent_;
+  std::map<BatchId, std::vector<Waiting>> sent_;
+  std::uint64_t lastBatch_ = 0;
+  Time nextFlush_;
+  Time nextTick_;
+};
+
+} // namespace greengage::schedule
+
+#endif // GREENGAGE_SCHEDULE_CONTROLLER_H
--- /dev/null
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -0,0 +1,188 @@
+/// \file
+/// The leader's decisions about runs: which task goes to which worker, and what
+/// follows from what workers answer, list or leave unanswered. Events and a
+/// time go in, operations and calls come out.
+
+#ifndef GREENGAGE_SCHEDULE_SCHEDULER_H
+#define GREENGAGE_SCHEDULE_SCHEDULER_H
+
+#include "greengage/core/Ids.h"
+#include "greengage/jobs/JobBook.h"
+#include "greengage/schedule/Messages.h"
+#include "greengage/schedule/Outbox.h"
+#include "greengage/schedule/WorkerSession.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace greengage::schedule {
+
+/// Bounds that the deployment sets.
+struct SchedulerOptions
+{
+  /// The longest lease that workers give.
+  Duration maxLease = Duration::Seconds(10);
+  /// How long a run goes on without a renewal; at most \p maxLease.
+  Duration lease = Duration(4500);
+  /// How long the records of jobs that have ended are kept.
+  Duration retention = Duration::Seconds(180);
+};
+
+/// Decides for the fleet while this host leads.
+class Scheduler final : public jobs::JobBookObserver
+{
+public:
+  /// The references must outlive the scheduler.
+  Scheduler(SchedulerOptions aOptions,
+            const jobs::JobBook& aBook,
+            Outbox& aOutbox);
+
+  /// This host leads from now on, with \p aFence as its fencing token. All that
+  /// the book says is assigned may run until the workers' lists say otherwise.
+  void Lead(Fence aFence, Moment aNow);
+  /// This host does not lead.
+  void Follow();
+  bool IsLeading() const { return fence_.has_value(); }
+
+  /// A worker whose beat is in the book was heard.
+  void Hear(const WorkerBeat& aBeat, Time aNow);
+  void On(const WorkerReply& aReply, Moment aNow);
+  /// Reacts to the time; to be called every few tens of milliseconds.
+  void Tick(Moment aNow);
+  /// Assigns what can run. To be called once after a batch of events.
+  void Dispatch(Moment aNow);
+  bool IsDispatchDue() const { return isDirty_; }
+
+  /// Jobs of the queue of which no task was ever assigned.
+  std::uint64_t PendingIn(const jobs::QueueId& aQueue) const;
+
+  // From the book.
+  void OnConfiguration() override;
+  void OnJobAccepted(const jobs::Job& aJob) override;
+  void OnJobEnded(const jobs::Job& aJob) override;
+  void OnAssigned(const jobs::AssignTask& aAssignment) override;
+  void OnAssignmentVoid(const jobs::AssignTask& aAssignment) override;
+  void OnRunEnded(const jobs::EndTask& aEnd,
+                  jobs::WorkerNumber aWorker) override;
+  void OnWorker(jobs::WorkerNumber aWorker) override;
+  void OnWorkerRetired(jobs::WorkerNumber aWorker) override;
+
+  /// The time that the observer calls refer to.
+  void SetNow(Moment aNow) { now_ = aNow; }
+
+private:
+  enum class CallKind : std::uint8_t
+  {
+    Start,
+    Stop,
+    Renew,
+    Throttle,
+  };
+  struct PendingCall
+  {
+    CallKind kind;
+    jobs::WorkerNumber worker;
+    TaskId task;
+    Attempt attempt;
+    Time sentAt;
+    std::uint64_t renewal = 0;
+  };
+
+  // Workers; in SchedulerWorkers.cpp.
+  WorkerSession* SessionOf(jobs::WorkerNumber aWorker);
+  const jobs::WorkerRecord& RecordOf(const WorkerSession& aSession) const;
+  void Send(WorkerSession& aSession,
+            PendingCall aPending,
+            WorkerRequest aRequest,
+            Duration aTimeout);
+  void SendStart(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void SendStop(WorkerSession& aSession,
+                const TaskId& aTask,
+                Attempt aAttempt,
+                Run* aRun);
+  void Renew(WorkerSession& aSession);
+  void TickSession(WorkerSession& aSession);
+  void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void ExpireLease(WorkerSession& aSession);
+  void OnStartReply(WorkerSession& aSession,
+                    const PendingCall& aCall,
+                    const WorkerReply& aReply);
+  void OnStopReply(WorkerSession& aSession,
+                   const PendingCall& aCall,
+                   const WorkerReply& aReply);
+  void OnRenewReply(WorkerSession& aSession,
+                    const PendingCall& aCall,
+                    const WorkerReply& aReply);
+  void TakeEnds(WorkerSession& aSession, const WorkerReply& aReply);
+  void TakeRuns(WorkerSession& aSession, const WorkerReply& aReply);
+  void FindLostRuns(WorkerSession& aSession,
+                    const PendingCall& aCall,
+                    const WorkerReply& aReply);
+  void KeepTargets(WorkerSession& aSession, const WorkerReply& aReply);
+  void EndRun(WorkerSession& aSession,
+              const TaskId& aTask,
+              Run& aRun,
+              jobs::RunEnd aHow,
+              std::string aCheckpoint,
+              const char* aWhy);
+  void GiveUpEarlierLives(jobs::WorkerNumber aWorker);
+  void Adopt(const jobs::Job& aJob);
+
+  // Placement; in SchedulerPlacement.cpp.
+  struct Candidate
+  {
+    const jobs::Job* job;
+    const jobs::Queue* queue;
+    PoolId pool;
+    std::uint32_t priority;
+    Time due;
+  };
+  std::vector<Candidate> Candidates() const;
+  void DispatchJob(const Candidate& aCandidate);
+  void DispatchStep(const Candidate& aCandidate,
+                    std::uint32_t aOccurrence,
+                    std::uint32_t aStep);
+  bool Place(const Candidate& aCandidate, const TaskId& aTask, RackId* aRack);
+  void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
+  WorkerSession* Choose(const Candidate& aCandidate,
+                        const TaskId& aTask,
+                        const RackId* aRack);
+  bool IsWithinQuota(const TeamId& aTeam,
+                     const jobs::Resources& aRequest) const;
+  void Reserve(WorkerSession& aSession,
+               const jobs::Job& aJob,
+               const TaskId& aTask);
+  void ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask);
+  void Release(WorkerSession& aSession, const TaskId& aTask);
+  void TrackPending(const jobs::Job& aJob);
+  void ForgetOldJobs();
+
+  SchedulerOptions options_;
+  const jobs::JobBook& book_;
+  Outbox& outbox_;
+  std::optional<Fence> fence_;
+  Moment now_;
+  std::map<jobs::WorkerNumber, WorkerSession> sessions_;
+  std::unordered_map<WorkerCallId, PendingCall> calls_;
+  std::uint64_t lastCall_ = 0;
+  /// Jobs that have not ended.
+  std::unordered_set<jobs::JobId> live_;
+  std::unordered_set<jobs::JobId> unbegun_;
+  /// Tasks whose assignment is proposed and not committed.
+  std::set<TaskId> proposed_;
+  std::unordered_map<TeamId, jobs::Resources> usage_;
+  /// The last pool of queues that the configuration no longer names.
+  std::map<jobs::QueueId, PoolId> pools_;
+  bool isDirty_ = false;
+  Time nextForget_;
+  Time nextDispatch_;
+};
+
+} // namespace greengage::schedule
+
+#endif // GREENGAGE_SCHEDULE_SCHEDULER_H
--- /dev/null
+++ b/packages/schedule/lib/Controller.cpp
@@ -0,0 +1,441 @@
+#include "greengage/schedule/Controller.h"
+
+#include "greengage/observe/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+/// How long operations are gathered for one log entry. A sync takes about as
+/// long, so more entries would only wait in front of the disk.
+static constexpr Duration kGatherTime = Duration(5);
+/// How often the scheduler looks at its deadlines.
+static constexpr Duration kTickInterval = Duration(50);
+/// Bytes of one log entry; the log takes at most 192 KiB.
+static constexpr std::size_t kMaxEntryBytes = 96 * 1024;
+/// What one operation other than a new job or configuration takes at most.
+static constexpr std::size_t kOperationBytes = 512;
+/// Entries that wait for their commit at once.
+static constexpr std::size_t kMaxSent = 64;
+/// When to ask again after a refusal for want of a leader's lease.
+static constexpr Duration kRetryAfter = Duration(500);
+
+Controller::Controller(SchedulerOptions aOptions,
+                       const jobs::ConfigurationReader& aReader,
+                       ControllerSink& aSink)
+  : sink_(aSink)
+  , book_(aReader)
+  , scheduler_(aOptions, book_, *this)
+{
+}
+
+void
+Controller::Lead(Fence aFence, Moment aNow)
+{
+  Follow();
+  now_ = aNow;
+  scheduler_.Lead(aFence, aNow);
+  nextTick_ = aNow.steady;
+  nextFlush_ = aNow.steady;
+}
+
+void
+Controller::Follow()
+{
+  scheduler_.Follow();
+  // What was never handed to the log is not done; the rest may be.
+  for (Waiting& waiting : openWaiting_)
+    Refuse(waiting.caller, ErrorKind::NoCapacity, "this host leads no more");
+  for (Batch& batch : unsent_)
+    for (Waiting& waiting : batch.waiting)
+      Refuse(waiting.caller, ErrorKind::NoCapacity, "this host leads no more");
+  open_.clear();
+  openBytes_ = 0;
+  openWaiting_.clear();
+  unsent_.clear();
+}
+
+bool
+Controller::Restore(std::string_view aSnapshot, Error& aReason)
+{
+  Follow();
+  return book_.Restore(aSnapshot, aReason);
+}
+
+static std::size_t
+BytesOf(const jobs::Operation& aOperation)
+{
+  if (const auto* put = std::get_if<jobs::PutConfiguration>(&aOperation))
+    return put->text.size();
+  if (const auto* accept = std::get_if<jobs::AcceptJob>(&aOperation))
+    return kOperationBytes + accept->description.payload.size() +
+           accept->description.steps.size() * kOperationBytes;
+  return kOperationBytes;
+}
+
+void
+Controller::Propose(jobs::Operation aOperation)
+{
+  const std::size_t bytes = BytesOf(aOperation);
+  if (openBytes_ > 0 && openBytes_ + bytes > kMaxEntryBytes)
+    CloseBatch();
+  openBytes_ += bytes;
+  open_.push_back(std::move(aOperation));
+}
+
+void
+Controller::Call(WorkerCall aCall)
+{
+  sink_.Call(std::move(aCall));
+}
+
+void
+Controller::ProposeFor(CallerId aCaller,
+                       jobs::Operation aOperation,
+                       Reply aReply)
+{
+  Propose(std::move(aOperation));
+  openWaiting_.push_back({ .caller = aCaller, .reply = std::move(aReply) });
+}
+
+void
+Controller::CloseBatch()
+{
+  if (open_.empty())
+    return;
+  unsent_.push_back(
+    { .entry = jobs::Encode(open_), .waiting = std::move(openWaiting_) });
+  open_.clear();
+  openWaiting_.clear();
+  openBytes_ = 0;
+}
+
+void
+Controller::Flush(Moment aNow)
+{
+  if (scheduler_.IsDispatchDue())
+    scheduler_.Dispatch(aNow);
+  CloseBatch();
+  nextFlush_ = aNow.steady + kGatherTime;
+  while (!unsent_.empty() && sent_.size() < kMaxSent) {
+    const BatchId id(lastBatch_ + 1);
+    Batch& batch = unsent_.front();
+    if (!sink_.Propose(id, batch.entry))
+      return;
+    ++lastBatch_;
+    sent_.emplace(id, std::move(batch.waiting));
+    unsent_.pop_front();
+  }
+}
+
+std::optional<Time>
+Controller::NextTick() const
+{
+  if (!scheduler_.IsLeading())
+    return std::nullopt;
+  const bool hasWork =
+    !open_.empty() || !unsent_.empty() || scheduler_.IsDispatchDue();
+  return hasWork ? std::min(nextFlush_, nextTick_) : nextTick_;
+}
+
+void
+Controller::Tick(Moment aNow)
+{
+  now_ = aNow;
+  if (!scheduler_.IsLeading())
+    return;
+  scheduler_.SetNow(aNow);
+  if (aNow.steady >= nextTick_) {
+    nextTick_ = aNow.steady + kTickInterval;
+    scheduler_.Tick(aNow);
+  }
+  if (aNow.steady >= nextFlush_)
+    Flush(aNow);
+}
+
+void
+Controller::Apply(std::string_view aEntry, Moment aNow)
+{
+  now_ = aNow;
+  scheduler_.SetNow(aNow);
+  Error reason;
+  if (!book_.Apply(aEntry, &scheduler_, reason))
+    observe::Log(observe::LogLevel::Error,
+                 "log-entry-unreadable",
+                 { { "reason", Describe(reason) } });
+}
+
+void
+Controller::EndBatch(BatchId aBatch, const Reply& aReply)
+{
+  const auto found = sent_.find(aBatch);
+  if (found == sent_.end())
+    return;
+  for (Waiting& waiting : found->second)
+    sink_.Answer(waiting.caller, Reply(aReply));
+  sent_.erase(found);
+}
+
+void
+Controller::OnBatchApplied(BatchId aBatch)
+{
+  const auto found = sent_.find(aBatch);
+  if (found == sent_.end())
+    return;
+  for (Waiting& waiting : found->second)
+    sink_.Answer(waiting.caller, std::move(waiting.reply));
+  sent_.erase(found);
+}
+
+void
+Controller::OnBatchRefused(BatchId aBatch)
+{
+  EndBatch(aBatch,
+           Refused{ .reason = { ErrorKind::NoCapacity,
+                                "the log takes no entries from this host" },
+                    .retryAfter = kRetryAfter });
+  // The scheduler's view holds what the log does not: begin anew.
+  scheduler_.Follow();
+  Follow();
+}
+
+void
+Controller::OnBatchUnknown(BatchId aBatch)
+{
+  EndBatch(aBatch, OutcomeUnknown{});
+}
+
+void
+Controller::On(const WorkerReply& aReply, Moment aNow)
+{
+  now_ = aNow;
+  if (scheduler_.IsLeading())
+    scheduler_.On(aReply, aNow);
+}
+
+void
+Controller::Refuse(CallerId aCaller, ErrorKind aKind, std::string aDetail)
+{
+  const bool isTemporary =
+    aKind == ErrorKind::NoCapacity || aKind == ErrorKind::Overloaded;
+  sink_.Answer(aCaller,
+               Refused{ .reason = { aKind, std::move(aDetail) },
+                        .retryAfter =
+                          isTemporary ? kRetryAfter : Duration(0) });
+}
+
+void
+Controller::Handle(IncomingCall&& aCall, Time aLeaseEnd, Moment aNow)
+{
+  now_ = aNow;
+  if (!scheduler_.IsLeading() || aLeaseEnd <= aNow.steady) {
+    Refuse(aCall.caller, ErrorKind::NoCapacity, "no leader has confirmed");
+    return;
+  }
+  scheduler_.SetNow(aNow);
+  const CallerId caller = aCall.caller;
+  std::visit([&](auto&& aAny) { Serve(caller, std::move(aAny)); },
+             std::move(aCall.call));
+}
+
+void
+Controller::Serve(CallerId aCaller, InvalidCall&& aCall)
+{
+  sink_.Answer(aCaller, Refused{ .reason = std::move(aCall.reason) });
+}
+
+void
+Controller::Serve(CallerId aCaller, QueueCall&& aCall)
+{
+  const jobs::Configuration* configuration = book_.CurrentConfiguration();
+  if (configuration == nullptr) {
+    Refuse(aCaller, ErrorKind::NoCapacity, "there is no configuration yet");
+    return;
+  }
+  const jobs::Queue* queue =
+    configuration->Route(aCall.hostName, aCall.path);
+  if (queue == nullptr) {
+    Refuse(aCaller, ErrorKind::NotFound, "no queue has this path");
+    return;
+  }
+  const jobs::Team* team = configuration->Authenticate(aCall.key);
+  if (!queue->isOpen && team == nullptr) {
+    Refuse(aCaller, ErrorKind::Unauthenticated, "no team has this key");
+    return;
+  }
+  const std::string rest = aCall.path.substr(queue->pathPrefix.size());
+  if (rest.empty() && aCall.verb == QueueVerb::Query) {
+    sink_.Answer(aCaller,
+                 QueueDepth{ .pending = scheduler_.PendingIn(queue->id) });
+    return;
+  }
+  const auto id = jobs::ParseJobId(rest);
+  if (!id) {
+    Refuse(aCaller,
+           ErrorKind::Malformed,
+           "job id '" + rest + "' is not 16 hexadecimal digits");
+    return;
+  }
+  if (aCall.verb == QueueVerb::Submit) {
+    Submit(aCaller, *queue, team, *id, std::move(aCall));
+    return;
+  }
+  const jobs::Job* job = book_.Find(*id);
+  if (job == nullptr || job->queue != queue->id) {
+    sink_.Answer(aCaller, NoSuchJob{});
+    return;
+  }
+  if (aCall.verb == QueueVerb::Cancel)
+    CancelJob(aCaller, *id);
+  else
+    Report(aCaller, *job);
+}
+
+void
+Controller::Submit(CallerId aCaller,
+                   const jobs::Queue& aQueue,
+                   const jobs::Team* aTeam,
+                   jobs::JobId aJob,
+                   QueueCall&& aCall)
+{
+  // A job that is on its way to the log twice is accepted once.
+  if (book_.Find(aJob) != nullptr) {
+    sink_.Answer(aCaller, Accepted{});
+    return;
+  }
+  observe::Log(observe::LogLevel::Info,
+               "job-accepting",
+               { { "job", ToString(aJob) },
+                 { "queue", aQueue.id.Value() },
+                 { "team", aTeam == nullptr ? "" : aTeam->id.Value() },
+                 { "configuration",
+                   std::to_string(
+                     book_.CurrentConfiguration()->version.Value()) } });
+  ProposeFor(aCaller,
+             jobs::AcceptJob{ .id = aJob,
+                              .queue = aQueue.id,
+                              .team = aTeam == nullptr ? TeamId() : aTeam->id,
+                              .at = now_.wall,
+                              .description = std::move(*aCall.job) },
+             Accepted{});
+}
+
+void
+Controller::CancelJob(CallerId aCaller, jobs::JobId aJob)
+{
+  observe::Log(observe::LogLevel::Info,
+               "job-cancelling",
+               { { "job", ToString(aJob) } });
+  ProposeFor(
+    aCaller, jobs::CancelJob{ .id = aJob, .at = now_.wall }, Accepted{});
+}
+
+void
+Controller::Report(CallerId aCaller, const jobs::Job& aJob)
+{
+  JobReport report;
+  switch (aJob.state) {
+    case jobs::JobState::Live:
+      report.progress =
+        aJob.hasBegun ? JobProgress::Running : JobProgress::Queued;
+      break;
+    case jobs::JobState::Completed:
+      report.progress = JobProgress::Completed;
+      break;
+    case jobs::JobState::Failed:
+      report.progress = JobProgress::Failed;
+      break;
+    case jobs::JobState::Cancelled:
+      report.progress = JobProgress::Cancelled;
+      break;
+  }
+  sink_.Answer(aCaller, report);
+}
+
+void
+Controller::Serve(CallerId aCaller, WorkerBeat&& aCall)
+{
+  const auto number = book_.NumberOf(aCall.worker.id);
+  if (number) {
+    const jobs::WorkerRecord& known = book_.Workers().at(*number);
+    const bool isOld = aCall.worker.incarnation < known.incarnation;
+    // What a notice of leaving has said stays said.
+    jobs::WorkerRecord said = aCall.worker;
+    said.isDraining = said.isDraining || known.isDraining;
+    if (isOld || said == known) {
+      scheduler_.Hear(aCall, now_.steady);
+      sink_.Answer(aCaller, BeatAccepted{});
+      return;
+    }
+  }
+  observe::Log(observe::LogLevel::Info,
+               "worker-registering",
+               { { "worker", aCall.worker.id.Value() },
+                 { "pool", aCall.worker.pool.Value() },
+                 { "endpoint", ToString(aCall.worker.endpoint) },
+                 { "draining", aCall.worker.isDraining ? "yes" : "no" } });
+  scheduler_.Hear(aCall, now_.steady);
+  ProposeFor(aCaller,
+             jobs::RegisterWorker{ .worker = std::move(aCall.worker) },
+             BeatAccepted{});
+}
+
+void
+Controller::Serve(CallerId aCaller, WorkerLeave&& /*aCall*/)
+{
+  // Its runs are given up once its lease has run out or its host is reborn.
+  sink_.Answer(aCaller, Accepted{});
+}
+
+void
+Controller::Serve(CallerId aCaller, ConfigurationPut&& aCall)
+{
+  const jobs::Configuration* known = book_.CurrentConfiguration();
+  if (known != nullptr && aCall.version <= known->version) {
+    sink_.Answer(aCaller, Accepted{});
+    return;
+  }
+  observe::Log(observe::LogLevel::Info,
+               "configuration-accepting",
+               { { "version", std::to_string(aCall.version.Value()) } });
+  ProposeFor(aCaller,
+             jobs::PutConfiguration{ .text = std::move(aCall.text) },
+             Accepted{});
+}
+
+void
+Controller::Serve(CallerId aCaller, ConfigurationQuery&& /*aCall*/)
+{
+  if (book_.CurrentConfiguration() == nullptr) {
+    Refuse(aCaller, ErrorKind::NoCapacity, "there is no configuration yet");
+    return;
+  }
+  sink_.Answer(aCaller, ConfigurationText{ .text = book_.ConfigurationText() });
+}
+
+void
+Controller::Serve(CallerId aCaller, WaveStart&& aCall)
+{
+  ProposeFor(aCaller,
+             jobs::StartWave{ .id = aCall.id,
+                              .hosts = std::move(aCall.hosts),
+                              .maxAtOnce = aCall.maxAtOnce,
+                              .deadline = now_.wall + aCall.within },
+             Accepted{});
+}
+
+void
+Controller::Serve(CallerId aCaller, WaveQuery&& aCall)
+{
+  const auto found = book_.Waves().find(aCall.id);
+  if (found == book_.Waves().end()) {
+    Refuse(aCaller, ErrorKind::NotFound, "there is no such wave");
+    return;
+  }
+  const jobs::Wave& wave = found->second;
+  sink_.Answer(aCaller,
+               WaveReport{ .isCompleted =
+                             wave.begun.size() >= wave.plan.hosts.size() });
+}
--- /dev/null
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -0,0 +1,271 @@
+#include "greengage/schedule/Scheduler.h"
+
+#include "greengage/observe/Log.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+using jobs::Resources;
+
+/// Filling tasks use processors that others leave idle and reserve none.
+static Resources
+TakenOf(const jobs::Step& aStep)
+{
+  Resources taken = aStep.request;
+  if (aStep.usesIdleProcessors)
+    taken.processors = {};
+  return taken;
+}
+
+std::vector<Scheduler::Candidate>
+Scheduler::Candidates() const
+{
+  std::vector<Candidate> candidates;
+  const jobs::Configuration* configuration = book_.CurrentConfiguration();
+  if (configuration == nullptr)
+    return candidates;
+  for (const jobs::JobId id : live_) {
+    const jobs::Job* job = book_.Find(id);
+    const auto pool =
+      job == nullptr ? pools_.end() : pools_.find(job->queue);
+    if (pool == pools_.end())
+      continue;
+    const jobs::Queue* queue = configuration->Find(job->queue);
+    Candidate candidate{ .job = job,
+                         .queue = queue,
+                         .pool = pool->second,
+                         .priority = 0,
+                         .due = job->acceptedAt };
+    if (queue != nullptr) {
+      const auto chain = jobs::LongestChain(job->description).Millis();
+      candidate.priority = queue->priority;
+      candidate.due =
+        job->acceptedAt + queue->objective +
+        Duration(static_cast<std::int64_t>(
+          queue->stretch * static_cast<double>(chain)));
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return std::tuple(aLeft.priority, aLeft.due, aLeft.job->id) <
+                     std::tuple(aRight.priority, aRight.due, aRight.job->id);
+            });
+  return candidates;
+}
+
+void
+Scheduler::Dispatch(Moment aNow)
+{
+  now_ = aNow;
+  isDirty_ = false;
+  if (!IsLeading())
+    return;
+  for (const Candidate& candidate : Candidates())
+    DispatchJob(candidate);
+}
+
+void
+Scheduler::DispatchJob(const Candidate& aCandidate)
+{
+  const jobs::Job& job = *aCandidate.job;
+  const jobs::Recurrence& recurrence = job.description.recurrence;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.isDone)
+      continue;
+    const Time due = recurrence.first + recurrence.interval * number;
+    if (recurrence.count > 0 && due > now_.wall) {
+      // The next tick that finds it due dispatches it.
+      break;
+    }
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step)
+      if (occurrence.steps[step].waiting > 0 &&
+          jobs::IsReady(job, occurrence, step))
+        DispatchStep(aCandidate, number, step);
+  }
+}
+
+void
+Scheduler::DispatchStep(const Candidate& aCandidate,
+                        std::uint32_t aOccurrence,
+                        std::uint32_t aStep)
+{
+  TaskId task{ .job = aCandidate.job->id,
+               .occurrence = aOccurrence,
+               .step = aStep,
+               .index = 0 };
+  const jobs::Step& step = aCandidate.job->description.steps[aStep];
+  if (step.isGang) {
+    DispatchGang(aCandidate, task);
+    return;
+  }
+  const auto& tasks =
+    aCandidate.job->occurrences.at(aOccurrence).steps[aStep].tasks;
+  for (task.index = 0; task.index < tasks.size(); ++task.index) {
+    if (tasks[task.index].phase != jobs::TaskPhase::Waiting ||
+        proposed_.count(task) != 0)
+      continue;
+    // Equal tasks: where one finds no room, the next finds none either.
+    if (!Place(aCandidate, task, nullptr))
+      return;
+  }
+}
+
+bool
+Scheduler::Place(const Candidate& aCandidate,
+                 const TaskId& aTask,
+                 RackId* aRack)
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  if (!IsWithinQuota(aCandidate.job->team, step.request))
+    return false;
+  WorkerSession* session = Choose(aCandidate, aTask, aRack);
+  if (session == nullptr)
+    return false;
+  Reserve(*session, *aCandidate.job, aTask);
+  ProposeAssignment(*session, aTask);
+  return true;
+}
+
+void
+Scheduler::ProposeAssignment(const WorkerSession& aSession,
+                             const TaskId& aTask)
+{
+  outbox_.Propose(
+    jobs::AssignTask{ .task = aTask,
+                      .attempt = aSession.runs.at(aTask).attempt,
+                      .worker = aSession.number });
+}
+
+/// Places all tasks of a gang or none.
+void
+Scheduler::DispatchGang(const Candidate& aCandidate, const TaskId& aFirst)
+{
+  const auto& tasks = aCandidate.job->occurrences.at(aFirst.occurrence)
+                        .steps[aFirst.step]
+                        .tasks;
+  std::vector<std::pair<TaskId, jobs::WorkerNumber>> placed;
+  TaskId task = aFirst;
+  for (task.index = 0; task.index < tasks.size(); ++task.index) {
+    const bool isFree = tasks[task.index].phase == jobs::TaskPhase::Waiting &&
+                        proposed_.count(task) == 0;
+    const jobs::Step& step = aCandidate.job->description.steps[task.step];
+    WorkerSession* session =
+      isFree && IsWithinQuota(aCandidate.job->team, step.request)
+        ? Choose(aCandidate, task, nullptr)
+        : nullptr;
+    if (session == nullptr) {
+      for (const auto& [member, worker] : placed)
+        Release(sessions_.at(worker), member);
+      return;
+    }
+    Reserve(*session, *aCandidate.job, task);
+    placed.emplace_back(task, session->number);
+  }
+  for (const auto& [member, worker] : placed)
+    ProposeAssignment(sessions_.at(worker), member);
+}
+
+bool
+Scheduler::IsWithinQuota(const TeamId& aTeam,
+                         const Resources& aRequest) const
+{
+  const jobs::Configuration* configuration = book_.CurrentConfiguration();
+  const jobs::Team* team =
+    configuration == nullptr ? nullptr : configuration->Find(aTeam);
+  const auto used = usage_.find(aTeam);
+  if (team == nullptr || used == usage_.end())
+    return true;
+  const auto fits = [](auto aUsed, auto aAsked, auto aLimit) {
+    return aLimit.Count() == 0 || aUsed + aAsked <= aLimit;
+  };
+  return fits(used->second.processors,
+              aRequest.processors,
+              team->quota.processors) &&
+         fits(used->second.memory, aRequest.memory, team->quota.memory) &&
+         fits(used->second.accelerators,
+              aRequest.accelerators,
+              team->quota.accelerators);
+}
+
+WorkerSession*
+Scheduler::Choose(const Candidate& aCandidate,
+                  const TaskId& aTask,
+                  const RackId* aRack)
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  const Resources taken = TakenOf(step);
+  const jobs::TaskState* state = book_.Find(aTask);
+  WorkerSession* best = nullptr;
+  // Larger is better, place by place.
+  std::tuple<bool, bool, bool, std::int64_t> bestRank;
+  for (auto& [number, session] : sessions_) {
+    const jobs::WorkerRecord& record = RecordOf(session);
+    if (record.pool != aCandidate.pool || record.isDraining ||
+        !session.IsUsable(now_.steady) ||
+        !jobs::Fits(taken, session.used, record.capacity))
+      continue;
+    if (!step.requiredLabel.empty() &&
+        std::find(record.labels.begin(),
+                  record.labels.end(),
+                  step.requiredLabel) == record.labels.end())
+      continue;
+    if (step.maxPerWorker > 0 &&
+        session.RunsOfStep(aTask) >= step.maxPerWorker)
+      continue;
+    const bool isNearData = step.preferredRack.Value().empty() ||
+                            step.preferredRack == record.rack;
+    const bool isOnRack = aRack == nullptr || *aRack == record.rack;
+    const bool isFirstTry = state == nullptr ||
+                            state->attempt == Attempt(0) ||
+                            state->worker != number;
+    const bool isUndisturbed =
+      !step.usesIdleProcessors || !session.HasServingRun();
+    const std::tuple rank(
+      isNearData && isOnRack,
+      isFirstTry,
+      isUndisturbed,
+      (record.capacity.processors - session.used.processors).Count());
+    if (best == nullptr || rank > bestRank) {
+      best = &session;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void
+Scheduler::Reserve(WorkerSession& aSession,
+                   const jobs::Job& aJob,
+                   const TaskId& aTask)
+{
+  const jobs::Step& step = aJob.description.steps[aTask.step];
+  const jobs::TaskState* state = book_.Find(aTask);
+  Run& run = aSession.runs[aTask];
+  run.taken = TakenOf(step);
+  run.charged = step.request;
+  run.team = aJob.team;
+  run.usesIdleProcessors = step.usesIdleProcessors;
+  run.targetLatency = step.targetLatency;
+  aSession.used += run.taken;
+  usage_[run.team] += run.charged;
+  if (state->phase != jobs::TaskPhase::Waiting)
+    return;
+  run.attempt = Attempt(state->attempt.Value() + 1);
+  proposed_.insert(aTask);
+}
+
+void
+Scheduler::Release(WorkerSession& aSession, const TaskId& aTask)
+{
+  const auto found = aSession.runs.find(aTask);
+  aSession.used -= found->second.taken;
+  usage_[found->second.team] -= found->second.charged;
+  aSession.runs.erase(found);
+  proposed_.erase(aTask);
+}
