--- a/cmake/GreengagePackage.cmake
+++ b/cmake/GreengagePackage.cmake
@@ -5,8 +5,10 @@
 # Sources come from lib/, public headers from include/, tests from unittests/
 # and benchmarks from benchmarks/. Each public header is also compiled alone.
 
-add_library(greengage_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
-target_link_libraries(greengage_test_main PUBLIC Catch2::Catch2)
+if(GREENGAGE_TESTS)
+  add_library(greengage_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
+  target_link_libraries(greengage_test_main PUBLIC Catch2::Catch2)
+endif()
 
 function(greengage_header_check name)
   file(GLOB_RECURSE headers CONFIGURE_DEPENDS
@@ -43,6 +45,9 @@
   target_include_directories(${name} ${scope}
                              ${CMAKE_CURRENT_SOURCE_DIR}/include)
   target_link_libraries(${name} ${scope} ${ARG_DEPENDS})
+  if(NOT GREENGAGE_TESTS)
+    return()
+  endif()
   greengage_header_check(${name})
 
   file(GLOB tests CONFIGURE_DEPENDS
--- a/packages/api/lib/Decode.cpp
+++ b/packages/api/lib/Decode.cpp
@@ -159,6 +159,8 @@
     case http::PortRole::Upstreams:
       return DecodeForUpstreams(aRequest, aReason);
     case http::PortRole::Operators:
+    case http::PortRole::Control:
+    case http::PortRole::Readiness:
       break;
   }
   return DecodeForOperators(aRequest, aReason);
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -82,6 +82,12 @@
   Role CurrentRole() const { return role_; }
   Term CurrentTerm() const { return hard_.term; }
   LogIndex Committed() const { return commit_; }
+  /// Whether this replica leads and has committed an entry of its term, so that
+  /// it has delivered all that earlier leaders committed.
+  bool IsLeaderReady() const
+  {
+    return role_ == Role::Leader && !successor_ && delivered_ >= termStart_;
+  }
   LogIndex Delivered() const { return delivered_; }
   const std::optional<MemberId>& Leader() const { return leader_; }
   /// Until when no other replica can lead; in the past if this one doesn't
--- /dev/null
+++ b/packages/frontend/include/greengage/frontend/Codecs.h
@@ -0,0 +1,37 @@
+/// \file
+/// The interfaces of a front end: how calls of outsiders and calls to workers
+/// look on the network. A front end translates and decides nothing.
+
+#ifndef GREENGAGE_FRONTEND_CODECS_H
+#define GREENGAGE_FRONTEND_CODECS_H
+
+#include "greengage/http/Client.h"
+#include "greengage/http/Message.h"
+#include "greengage/schedule/Calls.h"
+#include "greengage/schedule/Messages.h"
+
+namespace greengage::frontend {
+
+/// Translates calls of clients, workers and operators.
+class CallCodec
+{
+public:
+  virtual ~CallCodec() = default;
+  /// What can't be read becomes an InvalidCall.
+  virtual schedule::Call Decode(http::HttpRequest&& aRequest) const = 0;
+  /// The response without its port and exchange.
+  virtual http::HttpResponse Encode(schedule::Reply&& aReply) const = 0;
+};
+
+/// Translates calls to workers.
+class WorkerCodec
+{
+public:
+  virtual ~WorkerCodec() = default;
+  virtual http::ClientCall Encode(schedule::WorkerCall&& aCall) const = 0;
+  virtual schedule::WorkerReply Decode(http::ClientResult&& aResult) const = 0;
+};
+
+} // namespace greengage::frontend
+
+#endif // GREENGAGE_FRONTEND_CODECS_H
--- a/packages/http/include/greengage/http/Client.h
+++ b/packages/http/include/greengage/http/Client.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace greengage::http {
 
@@ -30,6 +32,8 @@
   std::string target = "/";
   /// Sent as the Authorization header unless empty.
   std::string authorization;
+  /// Further headers, by name.
+  std::vector<std::pair<std::string, std::string>> headers = {};
   std::string body;
   /// How long the call may take as a whole.
   Duration timeout = Duration::Seconds(30);
@@ -64,6 +68,9 @@
   std::size_t capacity = 4096;
   /// Idle connections kept for each endpoint.
   std::size_t idlePerEndpoint = 16;
+  /// Calls to one endpoint at once; further ones wait for their turn, and the
+  /// wait counts towards their time. 0 for no limit.
+  std::size_t maxPerEndpoint = 0;
   /// How long to wait for a connection.
   Duration connectTimeout = Duration::Seconds(1);
   /// Bytes of a response's body.
--- a/packages/http/include/greengage/http/Message.h
+++ b/packages/http/include/greengage/http/Message.h
@@ -23,6 +23,10 @@
   Callers,
   Upstreams,
   Operators,
+  /// Workers and operators of a deployment that gives both one address.
+  Control,
+  /// A balancer that asks whether the host takes requests.
+  Readiness,
 };
 
 /// A whole request.
@@ -32,6 +36,8 @@
   ExchangeId exchange;
   std::string method;
   std::string target;
+  /// The value of the Host header.
+  std::string hostName;
   /// The value of the Authorization header; empty if there is none.
   std::string authorization;
   /// The peer's IP number, for logs and the audit trail.
--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -3,6 +3,7 @@
 #include "greengage/pipe/Sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -34,6 +35,8 @@
   beast::flat_buffer buffer;
 };
 
+class Exchange;
+
 class ClientImpl : public std::enable_shared_from_this<ClientImpl>
 {
 public:
@@ -52,7 +55,8 @@
   pipe::Pipe<ClientCall>& Calls() { return calls_; }
   const ClientOptions& Options() const { return options_; }
   void Begin(ClientCall&& aCall);
-  void Finish(ClientResult&& aResult) { results_.Push(std::move(aResult)); }
+  /// Ends a call to \p aEndpoint and lets the next one begin.
+  void Finish(const Endpoint& aEndpoint, ClientResult&& aResult);
   std::unique_ptr<Connection> TakeIdle(const Endpoint& aEndpoint);
   void KeepIdle(const Endpoint& aEndpoint,
                 std::unique_ptr<Connection> aConnection);
@@ -64,6 +68,14 @@
   asio::io_context& context_;
   pipe::IoPipe<ClientCall> calls_;
   std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle_;
+  /// Calls in progress and those that wait for their turn, where the number of
+  /// calls is limited.
+  struct Turns
+  {
+    std::size_t inProgress = 0;
+    std::deque<std::shared_ptr<Exchange>> waiting;
+  };
+  std::map<Endpoint, Turns> turns_;
 };
 
 /// Whether the other side has closed an idle connection. Writing to such a
@@ -92,6 +104,10 @@
 
   void Start()
   {
+    if (std::chrono::steady_clock::now() >= until_) {
+      End(CallProgress::NotSent, "deadline passed before the call was sent");
+      return;
+    }
     connection_ = client_->TakeIdle(call_.endpoint);
     if (connection_) {
       Write();
@@ -132,10 +148,6 @@
 
   void Write()
   {
-    if (std::chrono::steady_clock::now() >= until_) {
-      End(CallProgress::NotSent, "deadline passed before the call was sent");
-      return;
-    }
     request_.version(11);
     request_.method_string(call_.method);
     request_.target(call_.target);
@@ -143,6 +155,8 @@
     request_.set(bhttp::field::content_type, "application/json");
     if (!call_.authorization.empty())
       request_.set(bhttp::field::authorization, call_.authorization);
+    for (const auto& [name, value] : call_.headers)
+      request_.set(name, value);
     request_.body() = std::move(call_.body);
     request_.prepare_payload();
     connection_->stream.expires_at(until_);
@@ -180,7 +194,7 @@
     auto response = parser_->release();
     if (response.keep_alive())
       client_->KeepIdle(call_.endpoint, std::move(connection_));
-    client_->Finish({ .id = call_.id,
+    client_->Finish(call_.endpoint, { .id = call_.id,
                       .progress = CallProgress::Responded,
                       .status = response.result_int(),
                       .body = std::move(response.body()),
@@ -189,7 +203,7 @@
 
   void End(CallProgress aProgress, std::string aReason)
   {
-    client_->Finish({ .id = call_.id,
+    client_->Finish(call_.endpoint, { .id = call_.id,
                       .progress = aProgress,
                       .status = 0,
                       .body = {},
@@ -207,7 +221,38 @@
 void
 ClientImpl::Begin(ClientCall&& aCall)
 {
-  std::make_shared<Exchange>(std::move(aCall), shared_from_this())->Start();
+  const Endpoint endpoint = aCall.endpoint;
+  auto exchange =
+    std::make_shared<Exchange>(std::move(aCall), shared_from_this());
+  if (options_.maxPerEndpoint > 0) {
+    Turns& turns = turns_[endpoint];
+    if (turns.inProgress >= options_.maxPerEndpoint) {
+      turns.waiting.push_back(std::move(exchange));
+      return;
+    }
+    ++turns.inProgress;
+  }
+  exchange->Start();
+}
+
+void
+ClientImpl::Finish(const Endpoint& aEndpoint, ClientResult&& aResult)
+{
+  results_.Push(std::move(aResult));
+  const auto found = turns_.find(aEndpoint);
+  if (found == turns_.end())
+    return;
+  Turns& turns = found->second;
+  if (turns.waiting.empty()) {
+    if (--turns.inProgress == 0)
+      turns_.erase(found);
+    return;
+  }
+  // Started from the loop, since a start that fails at once finishes at once.
+  asio::post(context_, [next = std::move(turns.waiting.front())] {
+    next->Start();
+  });
+  turns.waiting.pop_front();
 }
 
 std::unique_ptr<Connection>
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -261,6 +261,7 @@
     request.exchange = server_->Register(shared_from_this());
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
+    request.hostName = std::string(message[bhttp::field::host]);
     request.authorization = std::string(message[bhttp::field::authorization]);
     beast::error_code ignored;
     request.remoteAddress =
--- a/packages/peer/include/greengage/peer/Links.h
+++ b/packages/peer/include/greengage/peer/Links.h
@@ -16,6 +16,7 @@
 #include "greengage/wire/PeerMessage.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,10 @@
   /// Known to all entry hosts and nobody else.
   std::string secret;
   std::vector<PeerAddress> peers;
+  /// Set where hosts are named by their IP numbers and all listen on this port:
+  /// a host that is not among \p peers becomes one when it proves the secret
+  /// or when a message is to go to it.
+  std::optional<std::uint16_t> commonPort = {};
   /// How often a host says that it is there.
   Duration heartbeat = Duration(500);
   /// A peer not heard from for so long is down.
--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -92,6 +92,7 @@
     Time until;
   };
 
+  Peer* FindOrAdd(const EntryHostId& aId);
   void Accept();
   void OnAccepted(tcp::socket aSocket);
   void OnFirstFrame(const StreamPtr& aStream,
@@ -157,6 +158,27 @@
   peers_.clear();
 }
 
+/// The record of \p aId; null if it is not known and can't be a peer.
+LinksImpl::Peer*
+LinksImpl::FindOrAdd(const EntryHostId& aId)
+{
+  const auto found = peers_.find(aId);
+  if (found != peers_.end())
+    return &found->second;
+  if (!options_.commonPort || aId == options_.self)
+    return nullptr;
+  Error reason;
+  const auto endpoint = ParseEndpoint(
+    aId.Value() + ':' + std::to_string(*options_.commonPort), reason);
+  if (!endpoint)
+    return nullptr;
+  Peer& peer = peers_[aId];
+  peer.endpoint = *endpoint;
+  observe::Log(
+    observe::LogLevel::Info, "peer-added", { { "peer", aId.Value() } });
+  return &peer;
+}
+
 void
 LinksImpl::Accept()
 {
@@ -197,13 +219,13 @@
   Error reason;
   const auto message = wire::Decode(aBytes, clock_.Now(), reason);
   const auto* hello = message ? std::get_if<wire::Hello>(&*message) : nullptr;
-  const auto found = hello == nullptr ? peers_.end() : peers_.find(hello->from);
   const bool isGenuine =
-    found != peers_.end() && hello->protocol == wire::kProtocolVersion &&
+    hello != nullptr && hello->protocol == wire::kProtocolVersion &&
     state::ConstantTimeEqual(
       hello->mac,
       MacOfHello(options_.secret, aNonce, hello->from, options_.self));
-  if (!isGenuine) {
+  Peer* const known = isGenuine ? FindOrAdd(hello->from) : nullptr;
+  if (known == nullptr) {
     observe::Log(observe::LogLevel::Warning,
                  "peer-refused",
                  { { "peer", hello == nullptr ? "" : hello->from.Value() } });
@@ -211,7 +233,7 @@
     return;
   }
   const EntryHostId id = hello->from;
-  Peer& peer = found->second;
+  Peer& peer = *known;
   if (peer.incoming)
     peer.incoming->Close();
   peer.incoming = aStream;
@@ -415,8 +437,8 @@
       SendTo(peer, aSend.message);
     return;
   }
-  const auto found = peers_.find(*aSend.to);
-  if (found != peers_.end() && SendTo(found->second, aSend.message))
+  Peer* const peer = FindOrAdd(*aSend.to);
+  if (peer != nullptr && SendTo(*peer, aSend.message))
     return;
   Emit(PeerUndeliverable{ .peer = std::move(*aSend.to),
                           .message = std::move(aSend.message) });
--- a/packages/wire/include/greengage/wire/PeerMessage.h
+++ b/packages/wire/include/greengage/wire/PeerMessage.h
@@ -13,6 +13,7 @@
 #include "greengage/core/Upstream.h"
 #include "greengage/dispatch/Grants.h"
 #include "greengage/dispatch/Messages.h"
+#include "greengage/http/Message.h"
 #include "greengage/once/Messages.h"
 
 #include <cstdint>
@@ -94,6 +95,28 @@
   std::string command;
 };
 
+/// A call of an outsider for the leader, as it came.
+struct RelayedCall
+{
+  /// Chosen by the sender; the reply repeats it.
+  std::uint64_t number = 0;
+  http::HttpRequest request;
+};
+
+/// The reply to a relayed call.
+struct RelayedReply
+{
+  std::uint64_t number = 0;
+  http::HttpResponse response;
+};
+
+/// Who leads the agreed log, as far as the sender knows.
+struct LeaderNotice
+{
+  consensus::Term term;
+  std::optional<EntryHostId> leader;
+};
+
 using PeerMessage = std::variant<Challenge,
                                  Hello,
                                  Heartbeat,
@@ -105,7 +128,10 @@
                                  CancelRequest,
                                  once::Batch,
                                  LogMessage,
-                                 ForwardedProposal>;
+                                 ForwardedProposal,
+                                 RelayedCall,
+                                 RelayedReply,
+                                 LeaderNotice>;
 
 /// Encodes a message. Deadlines are sent as the time that remains at \p aNow.
 std::string
--- a/packages/wire/lib/PeerMessage.cpp
+++ b/packages/wire/lib/PeerMessage.cpp
@@ -3,6 +3,7 @@
 #include "LogCodec.h"
 #include "OnceCodec.h"
 #include "OutcomeCodec.h"
+#include "RelayCodec.h"
 #include "generated/peer_generated.h"
 
 #include <type_traits>
@@ -183,6 +184,26 @@
     fb::CreateProposal(aBuilder, aBuilder.CreateString(aMessage.command)));
 }
 
+static EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedCall& aMessage, Time)
+{
+  return MakeBody(fb::Body::RelayedCall, EncodeRelayedCall(aBuilder, aMessage));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const RelayedReply& aMessage, Time)
+{
+  return MakeBody(fb::Body::RelayedReply,
+                  EncodeRelayedReply(aBuilder, aMessage));
+}
+
+static EncodedBody
+EncodeBody(Builder& aBuilder, const LeaderNotice& aMessage, Time)
+{
+  return MakeBody(fb::Body::LeaderNotice,
+                  EncodeLeaderNotice(aBuilder, aMessage));
+}
+
 std::string
 greengage::wire::Encode(const PeerMessage& aMessage, Time aNow)
 {
@@ -321,6 +342,12 @@
     case fb::Body::Proposal:
       return ForwardedProposal{ .command = Text(
                                   aEnvelope.body_as_Proposal()->command()) };
+    case fb::Body::RelayedCall:
+      return DecodeRelayedCall(*aEnvelope.body_as_RelayedCall());
+    case fb::Body::RelayedReply:
+      return DecodeRelayedReply(*aEnvelope.body_as_RelayedReply());
+    case fb::Body::LeaderNotice:
+      return DecodeLeaderNotice(*aEnvelope.body_as_LeaderNotice());
     case fb::Body::NONE:
       break;
   }
