Serve jobs on the platform: entry and control hosts, deploy files

Entry hosts relay clients' calls to the leader of the agreed log; control hosts hold the agreed state, and their leader schedules.

--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -20,13 +20,15 @@
                                state::StateMachine& aMachine,
                                HostState& aHost,
                                pipe::Pipe<peer::PeerSend>& aPeers,
-                               pipe::Pipe<ProposalEnded>& aProposals)
+                               pipe::Pipe<ProposalEnded>& aProposals,
+                               pipe::Pipe<Leadership>* aLeadership)
   : options_(std::move(aOptions))
   , clock_(aClock)
   , machine_(aMachine)
   , host_(aHost)
   , peers_(aPeers)
   , proposals_(aProposals)
+  , leadership_(aLeadership)
   , duty_({ .name = "consensus", .capacity = kRingCapacity }, aClock)
   , journalDuty_({ .name = "journal", .capacity = kRingCapacity }, aClock)
 {
@@ -106,7 +108,9 @@
     return false;
   consensus::ReplicaOptions options{ .self = { .host = options_.self,
                                                .incarnation = incarnation_ },
-                                     .voters = options_.voters };
+                                     .voters = options_.voters,
+                                     .maxMessageBytes = options_.maxEntryBytes,
+                                     .maxCommandBytes = options_.maxEntryBytes };
   options.seed =
     std::hash<std::string>()(options_.self.Value()) ^ incarnation_.Value();
   replica_.emplace(std::move(options), std::move(state), clock_.Now());
@@ -117,7 +121,8 @@
     host_,
     ConsensusOutlets{ .peers = peers_,
                       .journal = hasDisk ? &journalDuty_ : nullptr,
-                      .proposals = proposals_ });
+                      .proposals = proposals_,
+                      .leadership = leadership_ });
   if (hasDisk)
     journalFilter_.emplace(*journal_, duty_);
   return true;
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -20,6 +20,7 @@
 #include "greengage/storage/FileSystem.h"
 #include "greengage/storage/Journal.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <set>
@@ -34,6 +35,8 @@
   std::set<EntryHostId> voters;
   /// Empty on a host without a disk.
   std::string dataFolder;
+  /// Bytes of one command, and of one message between replicas.
+  std::size_t maxEntryBytes = 192 * 1024;
 };
 
 /// The agreed log as a stage of the pipeline.
@@ -46,7 +49,8 @@
                  state::StateMachine& aMachine,
                  HostState& aHost,
                  pipe::Pipe<peer::PeerSend>& aPeers,
-                 pipe::Pipe<ProposalEnded>& aProposals);
+                 pipe::Pipe<ProposalEnded>& aProposals,
+                 pipe::Pipe<Leadership>* aLeadership = nullptr);
   ConsensusStage(const ConsensusStage&) = delete;
   ConsensusStage& operator=(const ConsensusStage&) = delete;
   ~ConsensusStage();
@@ -70,6 +74,7 @@
   HostState& host_;
   pipe::Pipe<peer::PeerSend>& peers_;
   pipe::Pipe<ProposalEnded>& proposals_;
+  pipe::Pipe<Leadership>* leadership_;
   storage::PosixFileSystem files_;
   consensus::Incarnation incarnation_;
   std::unique_ptr<storage::Journal> journal_;
--- a/packages/daemon/lib/DaemonSettings.cpp
+++ b/packages/daemon/lib/DaemonSettings.cpp
@@ -1,5 +1,7 @@
 #include "greengage/daemon/DaemonSettings.h"
 
+#include "SettingsReader.h"
+
 #include "greengage/core/Utf8.h"
 #include "greengage/settings/Values.h"
 
@@ -11,10 +13,10 @@
 
 using namespace greengage;
 using namespace greengage::daemon;
+using detail::SettingsReader;
 using settings::IniEntry;
 using settings::IniFile;
 
-static constexpr std::size_t kMaxName = 64;
 static constexpr std::size_t kMinSecret = 16;
 static constexpr settings::IntegerRange kConnectionRange{ 1, 60000 };
 static constexpr settings::IntegerRange kBodyRange{ 1024, 64 * 1024 * 1024 };
@@ -22,130 +24,6 @@
 static constexpr settings::IntegerRange kAnswerRange{ 0, 1LL << 34 };
 static constexpr std::string_view kMembersSection = "members";
 
-namespace {
-
-/// Reads keys until one is wrong and remembers which were asked for.
-class SettingsReader
-{
-public:
-  SettingsReader(const IniFile& aFile, Error& aReason)
-    : file_(aFile)
-    , reason_(aReason)
-  {
-  }
-
-  bool HasFailed() const { return failed_; }
-
-  /// The entry, or null; null for a required one is a failure.
-  const IniEntry* Entry(const char* aSection, const char* aKey, bool aRequired)
-  {
-    asked_.emplace(aSection, aKey);
-    const IniEntry* entry = file_.Find(aSection, aKey);
-    if (entry == nullptr && aRequired)
-      Fail("[" + std::string(aSection) + "] " + aKey + " is missing");
-    return failed_ ? nullptr : entry;
-  }
-
-  std::string Identifier(const char* aSection, const char* aKey)
-  {
-    const IniEntry* entry = Entry(aSection, aKey, true);
-    if (entry == nullptr)
-      return {};
-    if (!IsValidIdentifier(entry->value, kMaxName))
-      FailAt(*entry, "\"" + entry->value + "\" is not an identifier");
-    return entry->value;
-  }
-
-  Endpoint ReadEndpoint(const char* aSection, const char* aKey)
-  {
-    const IniEntry* entry = Entry(aSection, aKey, true);
-    return entry == nullptr ? Endpoint() : EndpointOf(*entry, entry->value);
-  }
-
-  Endpoint EndpointOf(const IniEntry& aEntry, const std::string& aText)
-  {
-    Error reason;
-    const auto endpoint = ParseEndpoint(aText, reason);
-    if (!endpoint)
-      FailAt(aEntry, reason.detail);
-    return endpoint.value_or(Endpoint());
-  }
-
-  void ReadDuration(const char* aSection, const char* aKey, Duration& aValue)
-  {
-    const IniEntry* entry = Entry(aSection, aKey, false);
-    if (entry == nullptr)
-      return;
-    Error reason;
-    const auto value = settings::ParseDuration(entry->value, reason);
-    if (!value)
-      FailAt(*entry, reason.detail);
-    aValue = value.value_or(aValue);
-  }
-
-  template<typename Number>
-  void ReadInteger(const char* aSection,
-                   const char* aKey,
-                   settings::IntegerRange aRange,
-                   Number& aValue)
-  {
-    const IniEntry* entry = Entry(aSection, aKey, false);
-    if (entry == nullptr)
-      return;
-    Error reason;
-    const auto value = settings::ParseInteger(entry->value, aRange, reason);
-    if (value)
-      aValue = static_cast<Number>(*value);
-    else
-      FailAt(*entry, reason.detail);
-  }
-
-  void ReadBoolean(const char* aSection, const char* aKey, bool& aValue)
-  {
-    const IniEntry* entry = Entry(aSection, aKey, false);
-    if (entry == nullptr)
-      return;
-    Error reason;
-    const auto value = settings::ParseBoolean(entry->value, reason);
-    if (!value)
-      FailAt(*entry, reason.detail);
-    aValue = value.value_or(aValue);
-  }
-
-  void FailAt(const IniEntry& aEntry, const std::string& aDetail)
-  {
-    Fail(file_.Where(aEntry) + ": " + aDetail);
-  }
-
-  void Fail(const std::string& aDetail)
-  {
-    if (failed_)
-      return;
-    failed_ = true;
-    const bool isLocated = aDetail.starts_with(file_.Name());
-    greengage::Fail(reason_,
-                    ErrorKind::InvalidSetting,
-                    isLocated ? aDetail : file_.Name() + ": " + aDetail);
-  }
-
-  /// Fails on the first key that nobody asked for.
-  void RejectUnknown()
-  {
-    for (const IniEntry& entry : file_.Entries())
-      if (entry.section != kMembersSection &&
-          !asked_.contains({ entry.section, entry.key }))
-        FailAt(entry, "setting is not known");
-  }
-
-private:
-  const IniFile& file_;
-  Error& reason_;
-  std::set<std::pair<std::string, std::string>> asked_;
-  bool failed_ = false;
-};
-
-} // namespace
-
 static PortSettings
 ReadPort(SettingsReader& aReader, const char* aSection)
 {
@@ -163,12 +41,12 @@
 static peer::PeerAddress
 ReadMember(SettingsReader& aReader, const IniEntry& aEntry)
 {
-  if (!IsValidIdentifier(aEntry.key, kMaxName))
+  if (!IsValidIdentifier(aEntry.key, detail::kMaxSettingName))
     aReader.FailAt(aEntry, "name of the entry host is not an identifier");
   const std::size_t space = aEntry.value.find(' ');
   const std::size_t zone = aEntry.value.find_first_not_of(' ', space);
   if (zone == std::string::npos ||
-      !IsValidIdentifier(aEntry.value.substr(zone), kMaxName)) {
+      !IsValidIdentifier(aEntry.value.substr(zone), detail::kMaxSettingName)) {
     aReader.FailAt(aEntry, "availability zone after the address is missing");
     return {};
   }
@@ -299,7 +177,7 @@
   ReadLog(reader, result);
   reader.ReadDuration("shutdown", "notice", result.shutdownNotice);
   reader.ReadDuration("shutdown", "timeout", result.shutdownTimeout);
-  reader.RejectUnknown();
+  reader.RejectUnknown({ std::string(kMembersSection) });
   if (reader.HasFailed())
     return std::nullopt;
   return result;
--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -8,6 +8,7 @@
 #include "greengage/observe/Metrics.h"
 
 #include <atomic>
+#include <cstdint>
 #include <utility>
 
 namespace greengage::daemon::detail {
@@ -30,6 +31,9 @@
   /// Whether the records of request ids are whole again, or can't be had soon.
   /// Until then the next host must not be restarted.
   std::atomic<bool> hasRecords{ false };
+  /// Until when no other host can lead the agreed log, on the boot clock in
+  /// milliseconds; in the past while this host doesn't lead.
+  std::atomic<std::int64_t> leaderUntil{ 0 };
   observe::Metrics metrics;
 };
 
--- a/packages/daemon/lib/filters/AuthenticateFilter.cpp
+++ b/packages/daemon/lib/filters/AuthenticateFilter.cpp
@@ -53,6 +53,8 @@
     case http::PortRole::Upstreams:
       return Role::Upstream;
     case http::PortRole::Operators:
+    case http::PortRole::Control:
+    case http::PortRole::Readiness:
       break;
   }
   return Role::Operator;
--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -81,6 +81,21 @@
   handOver_.reset();
 }
 
+void
+ConsensusFilter::PublishLeadership()
+{
+  host_.leaderUntil.store(replica_.LeaderUntil().Millis());
+  Leadership current{ .term = replica_.CurrentTerm(),
+                      .leader = std::nullopt,
+                      .isReadyHere = replica_.IsLeaderReady() };
+  if (replica_.Leader())
+    current.leader = replica_.Leader()->host;
+  if (outlets_.leadership == nullptr || current == published_)
+    return;
+  published_ = current;
+  outlets_.leadership->Push(std::move(current));
+}
+
 void
 ConsensusFilter::CarryOut(consensus::Actions&& aActions, Time aNow)
 {
@@ -88,6 +103,7 @@
     std::visit([&](auto&& aKind) { Do(std::forward<decltype(aKind)>(aKind)); },
                std::move(action));
   EndHandOver();
+  PublishLeadership();
   if (followUps_.empty())
     return;
   consensus::Event event = std::move(followUps_.front());
--- a/packages/daemon/lib/filters/ConsensusFilter.h
+++ b/packages/daemon/lib/filters/ConsensusFilter.h
@@ -27,6 +27,8 @@
   pipe::Pipe<consensus::Persist>* journal;
   /// Must always take the ends of proposals in the end.
   pipe::Pipe<ProposalEnded>& proposals;
+  /// Told of each change of leadership; may be null.
+  pipe::Pipe<Leadership>* leadership = nullptr;
 };
 
 /// Feeds events to the replica. Messages to peers may be lost: the replica
@@ -57,6 +59,7 @@
   void Do(consensus::LeaderChanged&& aAction);
   /// Keeps the promise of a planned stop once this replica doesn't lead.
   void EndHandOver();
+  void PublishLeadership();
 
   consensus::Replica& replica_;
   state::StateMachine& machine_;
@@ -65,6 +68,7 @@
   /// What the actions being carried out lead to.
   std::deque<consensus::Event> followUps_;
   std::shared_ptr<std::promise<void>> handOver_;
+  Leadership published_;
   bool hasFailed_ = false;
   Time nextTick_;
 };
--- a/packages/daemon/lib/filters/ConsensusMessages.h
+++ b/packages/daemon/lib/filters/ConsensusMessages.h
@@ -9,6 +9,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -34,6 +35,17 @@
   std::string result;
 };
 
+/// Who leads the agreed log, as far as this host knows.
+struct Leadership
+{
+  consensus::Term term;
+  std::optional<EntryHostId> leader;
+  /// This host leads and has applied all entries of earlier terms.
+  bool isReadyHere = false;
+
+  friend bool operator==(const Leadership&, const Leadership&) = default;
+};
+
 /// How a proposal of this host ended.
 struct ProposalEnded
 {
--- /dev/null
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -0,0 +1,311 @@
+#include "GateFilter.h"
+
+#include "greengage/observe/Log.h"
+
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+/// How long a call may wait for its reply. Clients give up after 3 s, and a
+/// dead connection to the leader shows after 2 s.
+static constexpr Duration kReplyTimeout = Duration(2500);
+static constexpr Duration kCheckInterval = Duration(100);
+/// When to ask again where there is no leader; an election takes 1 to 2 s.
+static constexpr Duration kRetryAfter = Duration::Seconds(1);
+
+GateFilter::GateFilter(HostState& aHost, GateOutlets aOutlets)
+  : host_(aHost)
+  , outlets_(std::move(aOutlets))
+{
+}
+
+void
+GateFilter::Accept(GateMessage&& aMessage, Time aNow)
+{
+  std::visit([&](auto&& aAny) { On(std::move(aAny), aNow); },
+             std::move(aMessage));
+}
+
+bool
+GateFilter::LeadsHere() const
+{
+  return isReadyHere_ && outlets_.served != nullptr;
+}
+
+bool
+GateFilter::CanServe() const
+{
+  return LeadsHere() || (leader_ && up_.count(*leader_) != 0);
+}
+
+static http::HttpResponse
+PlainResponse(unsigned aStatus, const char* aText)
+{
+  http::HttpResponse response;
+  response.status = aStatus;
+  response.contentType = "text/plain";
+  response.body = aText;
+  return response;
+}
+
+void
+GateFilter::On(http::HttpRequest&& aRequest, Time aNow)
+{
+  Caller caller{ .peer = std::nullopt,
+                 .number = 0,
+                 .port = aRequest.port,
+                 .exchange = aRequest.exchange,
+                 .relayedTo = std::nullopt,
+                 .giveUpAt = aNow + kReplyTimeout };
+  if (aRequest.port == http::PortRole::Readiness) {
+    const bool isReady = CanServe() && !isStopping_;
+    Respond(caller,
+            PlainResponse(isReady ? 200 : 503, isReady ? "ready" : "not ready"));
+    return;
+  }
+  Dispatch(std::move(caller), std::move(aRequest), aNow);
+}
+
+void
+GateFilter::Dispatch(Caller&& aCaller,
+                     http::HttpRequest&& aRequest,
+                     Time /*aNow*/)
+{
+  const schedule::CallerId id(++lastCaller_);
+  if (LeadsHere()) {
+    const auto at = callers_.emplace(id, std::move(aCaller)).first;
+    if (outlets_.served->TryPush({ .caller = id,
+                                   .request = std::move(aRequest) }))
+      return;
+    Refuse(at->second, "the leader is at its limit");
+    callers_.erase(at);
+    return;
+  }
+  // A call is relayed once, so that it can't go in circles.
+  if (aCaller.peer || !CanServe()) {
+    Refuse(aCaller, "no leader is known or can be reached");
+    return;
+  }
+  aCaller.relayedTo = leader_;
+  const auto at = callers_.emplace(id, std::move(aCaller)).first;
+  wire::RelayedCall call{ .number = id.Value(),
+                          .request = std::move(aRequest) };
+  if (outlets_.peers.TryPush({ .to = leader_, .message = std::move(call) }))
+    return;
+  Refuse(at->second, "this host is at its limit");
+  callers_.erase(at);
+}
+
+/// Answers that the call was not carried out, and when to ask again.
+void
+GateFilter::Refuse(const Caller& aCaller, const char* aWhy)
+{
+  host_.metrics.Count("greengage_calls_refused_total");
+  http::HttpResponse response = PlainResponse(503, aWhy);
+  response.retryAfter = kRetryAfter;
+  Respond(aCaller, std::move(response));
+}
+
+void
+GateFilter::Respond(const Caller& aCaller, http::HttpResponse&& aResponse)
+{
+  if (aCaller.peer) {
+    wire::RelayedReply reply{ .number = aCaller.number,
+                              .response = std::move(aResponse) };
+    if (!outlets_.peers.TryPush(
+          { .to = aCaller.peer, .message = std::move(reply) }))
+      host_.metrics.Count("greengage_peer_messages_dropped_total");
+    return;
+  }
+  aResponse.port = aCaller.port;
+  aResponse.exchange = aCaller.exchange;
+  const auto port = outlets_.ports.find(aCaller.port);
+  if (port != outlets_.ports.end())
+    port->second->Push(std::move(aResponse));
+}
+
+void
+GateFilter::On(CallAnswered&& aAnswer, Time /*aNow*/)
+{
+  const auto found = callers_.find(aAnswer.caller);
+  if (found == callers_.end())
+    return;
+  Respond(found->second, std::move(aAnswer.response));
+  callers_.erase(found);
+}
+
+bool
+GateFilter::Learn(consensus::Term aTerm,
+                  const std::optional<EntryHostId>& aLeader)
+{
+  const bool isNews = aTerm > term_ || (aTerm == term_ && aLeader);
+  if (!isNews || (aTerm == term_ && aLeader == leader_))
+    return false;
+  term_ = aTerm;
+  leader_ = aLeader;
+  observe::Log(observe::LogLevel::Info,
+               "leader-learned",
+               { { "term", std::to_string(aTerm.Value()) },
+                 { "leader", aLeader ? aLeader->Value() : "none" } });
+  // A leader that this host has no connection to becomes a peer.
+  if (leader_ && *leader_ != host_.id && up_.count(*leader_) == 0)
+    outlets_.peers.TryPush(
+      { .to = leader_,
+        .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+  return true;
+}
+
+void
+GateFilter::On(Leadership&& aLeadership, Time /*aNow*/)
+{
+  isReadyHere_ = aLeadership.isReadyHere;
+  if (!Learn(aLeadership.term, aLeadership.leader))
+    return;
+  outlets_.peers.TryPush(
+    { .to = std::nullopt,
+      .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+}
+
+void
+GateFilter::On(BeginStop&& /*aStop*/, Time /*aNow*/)
+{
+  isStopping_ = true;
+}
+
+void
+GateFilter::On(peer::PeerEvent&& aEvent, Time aNow)
+{
+  std::visit([&](auto&& aAny) { OnPeer(std::move(aAny), aNow); },
+             std::move(aEvent));
+}
+
+void
+GateFilter::OnPeer(peer::PeerConnected&& aEvent, Time /*aNow*/)
+{
+  up_.insert(aEvent.peer);
+  if (outlets_.log != nullptr && term_ > consensus::Term(0))
+    outlets_.peers.TryPush(
+      { .to = aEvent.peer,
+        .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+}
+
+void
+GateFilter::OnPeer(peer::PeerDisconnected&& aEvent, Time /*aNow*/)
+{
+  up_.erase(aEvent.peer);
+  GiveUp([&](const Caller& aCaller) { return aCaller.relayedTo == aEvent.peer; },
+         "connection to the leader was lost");
+}
+
+void
+GateFilter::OnPeer(peer::PeerReceived&& aEvent, Time aNow)
+{
+  std::visit(
+    [&](auto&& aAny) { OnMessage(aEvent.peer, std::move(aAny), aNow); },
+    std::move(aEvent.message));
+}
+
+void
+GateFilter::OnPeer(peer::PeerUndeliverable&& aEvent, Time /*aNow*/)
+{
+  const auto* call = std::get_if<wire::RelayedCall>(&aEvent.message);
+  if (call == nullptr)
+    return;
+  const auto found = callers_.find(schedule::CallerId(call->number));
+  if (found == callers_.end())
+    return;
+  Refuse(found->second, "the leader can't be reached");
+  callers_.erase(found);
+}
+
+void
+GateFilter::OnMessage(const EntryHostId& aPeer,
+                      wire::RelayedCall&& aCall,
+                      Time aNow)
+{
+  Dispatch({ .peer = aPeer,
+             .number = aCall.number,
+             .port = aCall.request.port,
+             .exchange = {},
+             .relayedTo = std::nullopt,
+             .giveUpAt = aNow + kReplyTimeout },
+           std::move(aCall.request),
+           aNow);
+}
+
+void
+GateFilter::OnMessage(const EntryHostId& aPeer,
+                      wire::RelayedReply&& aReply,
+                      Time /*aNow*/)
+{
+  const auto found = callers_.find(schedule::CallerId(aReply.number));
+  if (found == callers_.end() || found->second.relayedTo != aPeer)
+    return;
+  Respond(found->second, std::move(aReply.response));
+  callers_.erase(found);
+}
+
+void
+GateFilter::OnMessage(const EntryHostId& /*aPeer*/,
+                      wire::LeaderNotice&& aNotice,
+                      Time /*aNow*/)
+{
+  // A host with the log believes its own replica.
+  if (outlets_.log == nullptr)
+    Learn(aNotice.term, aNotice.leader);
+}
+
+void
+GateFilter::OnMessage(const EntryHostId& aPeer,
+                      wire::LogMessage&& aMessage,
+                      Time /*aNow*/)
+{
+  // A host speaks only for itself.
+  if (outlets_.log == nullptr || aMessage.from.host != aPeer)
+    return;
+  outlets_.log->TryPush(
+    consensus::Event(consensus::Receive{ .from = std::move(aMessage.from),
+                                         .to = std::move(aMessage.to),
+                                         .message =
+                                           std::move(aMessage.message) }));
+}
+
+/// Answers callers whose calls may or may not have been carried out.
+void
+GateFilter::GiveUp(const std::function<bool(const Caller&)>& aMatches,
+                   const char* aWhy)
+{
+  std::size_t count = 0;
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    if (!aMatches(at->second)) {
+      ++at;
+      continue;
+    }
+    ++count;
+    Respond(at->second, PlainResponse(504, aWhy));
+    at = callers_.erase(at);
+  }
+  if (count == 0)
+    return;
+  observe::Log(
+    observe::LogLevel::Warning,
+    "calls-given-up",
+    { { "count", std::to_string(count) }, { "reason", aWhy } });
+}
+
+std::optional<Time>
+GateFilter::NextTimer() const
+{
+  if (callers_.empty())
+    return std::nullopt;
+  return nextCheck_;
+}
+
+void
+GateFilter::OnTimer(Time aNow)
+{
+  nextCheck_ = aNow + kCheckInterval;
+  GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
+         "the leader did not answer in time");
+}
--- /dev/null
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -0,0 +1,103 @@
+/// \file
+/// The filter that finds the leader: calls of outsiders are served here if this
+/// host leads, else relayed to the host that does, else refused at once.
+
+#ifndef GREENGAGE_DAEMON_LIB_FILTERS_GATEFILTER_H
+#define GREENGAGE_DAEMON_LIB_FILTERS_GATEFILTER_H
+
+#include "../HostState.h"
+#include "JobMessages.h"
+
+#include "greengage/pipe/Filter.h"
+#include "greengage/pipe/Pipe.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace greengage::daemon::detail {
+
+/// Where the gate's messages go.
+struct GateOutlets
+{
+  /// The responses of the ports, by their roles.
+  std::map<http::PortRole, pipe::Pipe<http::HttpResponse>*> ports;
+  pipe::Pipe<peer::PeerSend>& peers;
+  /// Calls to serve; null on a host that never leads.
+  pipe::Pipe<RawCall>* served = nullptr;
+  /// The messages of the agreed log; null on a host that has none.
+  pipe::Pipe<ConsensusInput>* log = nullptr;
+};
+
+/// Relays calls and replies. It reads nothing of what they say.
+class GateFilter final : public pipe::Filter<GateMessage>
+{
+public:
+  GateFilter(HostState& aHost, GateOutlets aOutlets);
+  void Accept(GateMessage&& aMessage, Time aNow) override;
+  std::optional<Time> NextTimer() const override;
+  void OnTimer(Time aNow) override;
+
+private:
+  /// Who waits for the reply to a call.
+  struct Caller
+  {
+    /// The peer that relayed the call; none for a call of this host's ports.
+    std::optional<EntryHostId> peer;
+    /// The peer's number of the call.
+    std::uint64_t number = 0;
+    http::PortRole port = http::PortRole::Callers;
+    http::ExchangeId exchange;
+    /// Where the call was relayed to; none for a call served here.
+    std::optional<EntryHostId> relayedTo;
+    Time giveUpAt;
+  };
+
+  void On(http::HttpRequest&& aRequest, Time aNow);
+  void On(peer::PeerEvent&& aEvent, Time aNow);
+  void On(CallAnswered&& aAnswer, Time aNow);
+  void On(Leadership&& aLeadership, Time aNow);
+  void On(BeginStop&& aStop, Time aNow);
+  void OnPeer(peer::PeerConnected&& aEvent, Time aNow);
+  void OnPeer(peer::PeerDisconnected&& aEvent, Time aNow);
+  void OnPeer(peer::PeerReceived&& aEvent, Time aNow);
+  void OnPeer(peer::PeerUndeliverable&& aEvent, Time aNow);
+  void OnMessage(const EntryHostId& aPeer, wire::RelayedCall&& aCall, Time aNow);
+  void OnMessage(const EntryHostId& aPeer,
+                 wire::RelayedReply&& aReply,
+                 Time aNow);
+  void OnMessage(const EntryHostId& aPeer,
+                 wire::LeaderNotice&& aNotice,
+                 Time aNow);
+  void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage, Time aNow);
+  template<typename Message>
+  void OnMessage(const EntryHostId&, Message&&, Time)
+  {
+  }
+  bool Learn(consensus::Term aTerm, const std::optional<EntryHostId>& aLeader);
+  void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
+  void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
+  void Refuse(const Caller& aCaller, const char* aWhy);
+  void GiveUp(const std::function<bool(const Caller&)>& aMatches,
+              const char* aWhy);
+  bool LeadsHere() const;
+  bool CanServe() const;
+
+  HostState& host_;
+  GateOutlets outlets_;
+  consensus::Term term_;
+  std::optional<EntryHostId> leader_;
+  bool isReadyHere_ = false;
+  bool isStopping_ = false;
+  std::set<EntryHostId> up_;
+  std::unordered_map<schedule::CallerId, Caller> callers_;
+  std::uint64_t lastCaller_ = 0;
+  Time nextCheck_;
+};
+
+} // namespace greengage::daemon::detail
+
+#endif // GREENGAGE_DAEMON_LIB_FILTERS_GATEFILTER_H
--- /dev/null
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -0,0 +1,145 @@
+#include "ScheduleFilter.h"
+
+#include "greengage/observe/Log.h"
+
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+ScheduleFilter::ScheduleFilter(schedule::SchedulerOptions aOptions,
+                               const jobs::ConfigurationReader& aReader,
+                               HostState& aHost,
+                               const Clock& aWallClock,
+                               ScheduleOutlets aOutlets)
+  : host_(aHost)
+  , wallClock_(aWallClock)
+  , outlets_(aOutlets)
+  , controller_(aOptions, aReader, *this)
+{
+}
+
+schedule::Moment
+ScheduleFilter::MomentAt(Time aNow) const
+{
+  return { .steady = aNow, .wall = wallClock_.Now() };
+}
+
+void
+ScheduleFilter::Accept(ScheduleMessage&& aMessage, Time aNow)
+{
+  const schedule::Moment now = MomentAt(aNow);
+  std::visit([&](auto&& aAny) { On(std::move(aAny), now); },
+             std::move(aMessage));
+  while (!unsent_.empty()) {
+    schedule::WorkerReply reply;
+    reply.id = unsent_.front();
+    reply.answer = schedule::WorkerAnswer::NotSent;
+    reply.detail = "too many calls wait for workers";
+    unsent_.pop_front();
+    controller_.On(reply, now);
+  }
+}
+
+std::optional<Time>
+ScheduleFilter::NextTimer() const
+{
+  return controller_.NextTick();
+}
+
+void
+ScheduleFilter::OnTimer(Time aNow)
+{
+  controller_.Tick(MomentAt(aNow));
+}
+
+void
+ScheduleFilter::On(schedule::IncomingCall&& aCall, schedule::Moment aNow)
+{
+  controller_.Handle(std::move(aCall), Time(host_.leaderUntil.load()), aNow);
+}
+
+void
+ScheduleFilter::On(schedule::WorkerReply&& aReply, schedule::Moment aNow)
+{
+  controller_.On(aReply, aNow);
+}
+
+void
+ScheduleFilter::On(EntryCommitted&& aEntry, schedule::Moment aNow)
+{
+  controller_.Apply(aEntry.entry, aNow);
+}
+
+void
+ScheduleFilter::On(RestoreState&& aState, schedule::Moment /*aNow*/)
+{
+  Error reason;
+  if (!controller_.Restore(aState.snapshot, reason))
+    observe::Log(observe::LogLevel::Error,
+                 "snapshot-refused",
+                 { { "reason", Describe(reason) } });
+}
+
+void
+ScheduleFilter::On(SnapshotWanted&& aWish, schedule::Moment /*aNow*/)
+{
+  aWish.snapshot->set_value(controller_.Snapshot());
+}
+
+void
+ScheduleFilter::On(Leadership&& aLeadership, schedule::Moment aNow)
+{
+  if (!aLeadership.isReadyHere) {
+    if (leadingTerm_ != consensus::Term(0))
+      observe::Log(observe::LogLevel::Info,
+                   "scheduling-ended",
+                   { { "term", std::to_string(leadingTerm_.Value()) } });
+    leadingTerm_ = consensus::Term(0);
+    controller_.Follow();
+    return;
+  }
+  leadingTerm_ = aLeadership.term;
+  observe::Log(
+    observe::LogLevel::Info,
+    "scheduling-begun",
+    { { "term", std::to_string(leadingTerm_.Value()) },
+      { "jobs", std::to_string(controller_.Book().Jobs().size()) },
+      { "workers", std::to_string(controller_.Book().Workers().size()) } });
+  // A term has one leader, so its number fences every earlier one.
+  controller_.Lead(jobs::Fence(leadingTerm_.Value()), aNow);
+}
+
+void
+ScheduleFilter::On(ProposalEnded&& aEnd, schedule::Moment /*aNow*/)
+{
+  const schedule::BatchId batch(aEnd.id.Value());
+  if (std::holds_alternative<ProposalApplied>(aEnd.end))
+    controller_.OnBatchApplied(batch);
+  else if (std::holds_alternative<consensus::ProposalRefused>(aEnd.end))
+    controller_.OnBatchRefused(batch);
+  else
+    controller_.OnBatchUnknown(batch);
+}
+
+bool
+ScheduleFilter::Propose(schedule::BatchId aBatch, const std::string& aEntry)
+{
+  return outlets_.log.TryPush(consensus::Event(
+    consensus::Propose{ .id = consensus::ProposalId(aBatch.Value()),
+                        .command = aEntry }));
+}
+
+void
+ScheduleFilter::Call(schedule::WorkerCall&& aCall)
+{
+  const schedule::WorkerCallId id = aCall.id;
+  if (!outlets_.workers.TryPush(std::move(aCall)))
+    unsent_.push_back(id);
+}
+
+void
+ScheduleFilter::Answer(schedule::CallerId aCaller, schedule::Reply&& aReply)
+{
+  outlets_.replies.Push({ .caller = aCaller, .reply = std::move(aReply) });
+}
--- /dev/null
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -0,0 +1,78 @@
+/// \file
+/// The filter that holds the agreed state of jobs and, on the leader, decides
+/// about runs.
+
+#ifndef GREENGAGE_DAEMON_LIB_FILTERS_SCHEDULEFILTER_H
+#define GREENGAGE_DAEMON_LIB_FILTERS_SCHEDULEFILTER_H
+
+#include "../HostState.h"
+#include "JobMessages.h"
+
+#include "greengage/core/Clock.h"
+#include "greengage/jobs/Configuration.h"
+#include "greengage/pipe/Filter.h"
+#include "greengage/pipe/Pipe.h"
+#include "greengage/schedule/Controller.h"
+
+#include <deque>
+#include <optional>
+
+namespace greengage::daemon::detail {
+
+/// A reply with whoever waits for it.
+struct CallReply
+{
+  schedule::CallerId caller;
+  schedule::Reply reply;
+};
+
+/// Where the decisions go.
+struct ScheduleOutlets
+{
+  pipe::Pipe<ConsensusInput>& log;
+  pipe::Pipe<schedule::WorkerCall>& workers;
+  /// Must always take replies in the end.
+  pipe::Pipe<CallReply>& replies;
+};
+
+/// Drives the controller.
+class ScheduleFilter final
+  : public pipe::Filter<ScheduleMessage>
+  , private schedule::ControllerSink
+{
+public:
+  ScheduleFilter(schedule::SchedulerOptions aOptions,
+                 const jobs::ConfigurationReader& aReader,
+                 HostState& aHost,
+                 const Clock& aWallClock,
+                 ScheduleOutlets aOutlets);
+  void Accept(ScheduleMessage&& aMessage, Time aNow) override;
+  std::optional<Time> NextTimer() const override;
+  void OnTimer(Time aNow) override;
+
+private:
+  void On(schedule::IncomingCall&& aCall, schedule::Moment aNow);
+  void On(schedule::WorkerReply&& aReply, schedule::Moment aNow);
+  void On(EntryCommitted&& aEntry, schedule::Moment aNow);
+  void On(RestoreState&& aState, schedule::Moment aNow);
+  void On(SnapshotWanted&& aWish, schedule::Moment aNow);
+  void On(Leadership&& aLeadership, schedule::Moment aNow);
+  void On(ProposalEnded&& aEnd, schedule::Moment aNow);
+  schedule::Moment MomentAt(Time aNow) const;
+
+  bool Propose(schedule::BatchId aBatch, const std::string& aEntry) override;
+  void Call(schedule::WorkerCall&& aCall) override;
+  void Answer(schedule::CallerId aCaller, schedule::Reply&& aReply) override;
+
+  HostState& host_;
+  const Clock& wallClock_;
+  ScheduleOutlets outlets_;
+  schedule::Controller controller_;
+  consensus::Term leadingTerm_;
+  /// Calls to workers that found no room.
+  std::deque<schedule::WorkerCallId> unsent_;
+};
+
+} // namespace greengage::daemon::detail
+
+#endif // GREENGAGE_DAEMON_LIB_FILTERS_SCHEDULEFILTER_H
--- a/tools/greengaged/main.cpp
+++ b/tools/greengaged/main.cpp
@@ -3,6 +3,8 @@
 /// 1 a port or file could not be had, 2 the command line or a settings file is
 /// wrong, 3 stopped while work was still in progress.
 
+#include "JobCommand.h"
+
 #include "greengage/core/Error.h"
 #include "greengage/daemon/Daemon.h"
 #include "greengage/daemon/DaemonSettings.h"
@@ -58,8 +60,12 @@
   CLI::App app{ "greengagepick entry-host daemon" };
   std::string path;
   bool checkOnly = false;
-  app.add_option("--config", path, "settings file (INI)")->required();
+  app.add_option("--config", path, "settings file (INI)")
+    ->envname("GREENGAGEPICK_SETTINGS")
+    ->required();
   app.add_flag("--check-config", checkOnly, "check the settings and exit");
+  const CLI::App* jobs =
+    app.add_subcommand("jobs", "serve jobs on the users' platform");
   app.set_version_flag("--version", GREENGAGE_VERSION);
   app.footer("Exit codes: 0 stopped with all work finished, 1 port or file "
              "not available,\n2 wrong command line or settings, 3 stopped "
@@ -71,6 +77,14 @@
   }
 
   Error reason;
+  if (jobs->parsed()) {
+    const auto exit = tools::RunJobs(path, checkOnly, reason);
+    if (exit != tools::JobExit::Stopped)
+      return Report(reason, static_cast<int>(exit));
+    if (checkOnly)
+      std::cout << path << ": settings are valid\n";
+    return 0;
+  }
   auto settings = LoadSettings(path, reason);
   if (!settings)
     return Report(reason, kExitUsage);
