Carry out waves of upkeep and let hosts follow the demand

A planner on the leader drains hosts, orders upkeep within the wave's bound and moves hosts between pools and the spare pool.

--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -43,6 +43,10 @@
   std::optional<Endpoint> control;
 
   schedule::SchedulerOptions scheduler;
+  /// Who provides the fleet's hosts; without it hosts stay as they are.
+  std::optional<Endpoint> hostProvider;
+  /// How long the orders of two leaders for hosts must be apart.
+  Duration hostOrderGap = Duration::Seconds(3);
   /// How long a stopping host serves on for those who have not noticed.
   Duration shutdownNotice = Duration(2500);
   observe::LogOptions log;
@@ -57,6 +61,7 @@
 {
   const frontend::CallCodec& calls;
   const frontend::WorkerCodec& workers;
+  const frontend::HostCodec& hosts;
   const jobs::ConfigurationReader& configurations;
 };
 
--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -28,6 +28,9 @@
 static constexpr std::size_t kRingCapacity = 1024;
 /// Calls to one worker at once: one that waits for its lists, and starts.
 static constexpr std::size_t kConnectionsPerWorker = 4;
+/// Calls to the provider of hosts that may wait, and at once.
+static constexpr std::size_t kHostRingCapacity = 128;
+static constexpr std::size_t kProviderConnections = 4;
 /// Bytes of a client's request: the configured limit is 256 KiB.
 static constexpr std::uint64_t kMaxClientBody = 256 * 1024;
 /// Bytes of an operator's request: some thousand queues.
@@ -108,9 +111,12 @@
     pipe::Duty<RawCall> decode;
     pipe::Duty<ScheduleMessage> schedule;
     pipe::IoDuty clientDuty{ "workers" };
-    WorkerSource workerSource;
-    http::Client client;
-    WorkerSink workerSink;
+    AnswerSource<frontend::WorkerCodec> workerSource;
+    AnswerSource<frontend::HostCodec> hostSource;
+    http::Client workers;
+    http::Client hosts;
+    CallSink<schedule::WorkerCall, frontend::WorkerCodec> workerSink;
+    CallSink<schedule::HostCall, frontend::HostCodec> hostSink;
     ReplySink replySink;
     RemoteMachine machine;
     LeadershipSink leadershipSink;
@@ -147,12 +153,19 @@
   : decode({ .name = "decode", .capacity = kRingCapacity }, aClock)
   , schedule({ .name = "schedule", .capacity = kRingCapacity }, aClock)
   , workerSource(aFrontEnd.workers, schedule)
-  , client(clientDuty,
-           { .capacity = kRingCapacity,
-             .idlePerEndpoint = kConnectionsPerWorker,
-             .maxPerEndpoint = kConnectionsPerWorker },
-           workerSource)
-  , workerSink(aFrontEnd.workers, client.Calls())
+  , hostSource(aFrontEnd.hosts, schedule)
+  , workers(clientDuty,
+            { .capacity = kRingCapacity,
+              .idlePerEndpoint = kConnectionsPerWorker,
+              .maxPerEndpoint = kConnectionsPerWorker },
+            workerSource)
+  , hosts(clientDuty,
+          { .capacity = kHostRingCapacity,
+            .idlePerEndpoint = kProviderConnections,
+            .maxPerEndpoint = kProviderConnections },
+          hostSource)
+  , workerSink(aFrontEnd.workers, workers.Calls())
+  , hostSink(aFrontEnd.hosts, hosts.Calls())
   , replySink(aFrontEnd.calls, aGate)
   , machine(schedule)
   , leadershipSink(schedule, aGate)
@@ -168,11 +181,15 @@
         proposalEnds,
         &leadershipSink)
   , scheduleFilter(aSettings.scheduler,
+                   { .isEnabled = aSettings.hostProvider.has_value(),
+                     .self = aSettings.id,
+                     .settle = aSettings.hostOrderGap },
                    aFrontEnd.configurations,
                    aHost,
                    aWallClock,
                    { .log = log.Inlet(),
                      .workers = workerSink,
+                     .hosts = hostSink,
                      .replies = replySink })
   , decodeFilter(aFrontEnd.calls, schedule)
 {
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -64,6 +64,8 @@
   reader.ReadDuration("scheduling", "lease", settings.scheduler.lease);
   reader.ReadDuration(
     "scheduling", "job_retention", settings.scheduler.retention);
+  settings.hostProvider = OptionalEndpoint(reader, "hosts", "provider");
+  reader.ReadDuration("hosts", "order_gap", settings.hostOrderGap);
   reader.ReadDuration("shutdown", "notice", settings.shutdownNotice);
   reader.RejectUnknown();
   if (settings.scheduler.lease > settings.scheduler.maxLease)
--- a/packages/daemon/lib/filters/JobMessages.h
+++ b/packages/daemon/lib/filters/JobMessages.h
@@ -9,6 +9,7 @@
 #include "greengage/http/Message.h"
 #include "greengage/peer/Links.h"
 #include "greengage/schedule/Calls.h"
+#include "greengage/schedule/HostCalls.h"
 #include "greengage/schedule/Messages.h"
 
 #include <future>
@@ -64,6 +65,7 @@
 /// Anything that reaches the duty that schedules.
 using ScheduleMessage = std::variant<schedule::IncomingCall,
                                      schedule::WorkerReply,
+                                     schedule::HostReply,
                                      EntryCommitted,
                                      RestoreState,
                                      SnapshotWanted,
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -8,6 +8,7 @@
 using namespace greengage::daemon::detail;
 
 ScheduleFilter::ScheduleFilter(schedule::SchedulerOptions aOptions,
+                               schedule::HostPlannerOptions aHostOptions,
                                const jobs::ConfigurationReader& aReader,
                                HostState& aHost,
                                const Clock& aWallClock,
@@ -15,7 +16,7 @@
   : host_(aHost)
   , wallClock_(aWallClock)
   , outlets_(aOutlets)
-  , controller_(aOptions, aReader, *this)
+  , controller_(aOptions, std::move(aHostOptions), aReader, *this)
 {
 }
 
@@ -31,13 +32,26 @@
   const schedule::Moment now = MomentAt(aNow);
   std::visit([&](auto&& aAny) { On(std::move(aAny), now); },
              std::move(aMessage));
+  ReportUnsent(now);
+}
+
+void
+ScheduleFilter::ReportUnsent(schedule::Moment aNow)
+{
   while (!unsent_.empty()) {
     schedule::WorkerReply reply;
     reply.id = unsent_.front();
     reply.answer = schedule::WorkerAnswer::NotSent;
     reply.detail = "too many calls wait for workers";
     unsent_.pop_front();
-    controller_.On(reply, now);
+    controller_.On(reply, aNow);
+  }
+  while (!unsentHostCalls_.empty()) {
+    schedule::HostReply reply;
+    reply.id = unsentHostCalls_.front();
+    reply.detail = "too many calls wait for the provider";
+    unsentHostCalls_.pop_front();
+    controller_.On(reply, aNow);
   }
 }
 
@@ -50,7 +64,9 @@
 void
 ScheduleFilter::OnTimer(Time aNow)
 {
-  controller_.Tick(MomentAt(aNow));
+  const schedule::Moment now = MomentAt(aNow);
+  controller_.Tick(Time(host_.leaderUntil.load()), now);
+  ReportUnsent(now);
 }
 
 void
@@ -65,6 +81,12 @@
   controller_.On(aReply, aNow);
 }
 
+void
+ScheduleFilter::On(schedule::HostReply&& aReply, schedule::Moment aNow)
+{
+  controller_.On(aReply, aNow);
+}
+
 void
 ScheduleFilter::On(EntryCommitted&& aEntry, schedule::Moment aNow)
 {
@@ -138,6 +160,14 @@
     unsent_.push_back(id);
 }
 
+void
+ScheduleFilter::Call(schedule::HostCall&& aCall)
+{
+  const schedule::HostCallId id = aCall.id;
+  if (!outlets_.hosts.TryPush(std::move(aCall)))
+    unsentHostCalls_.push_back(id);
+}
+
 void
 ScheduleFilter::Answer(schedule::CallerId aCaller, schedule::Reply&& aReply)
 {
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -31,6 +31,7 @@
 {
   pipe::Pipe<ConsensusInput>& log;
   pipe::Pipe<schedule::WorkerCall>& workers;
+  pipe::Pipe<schedule::HostCall>& hosts;
   /// Must always take replies in the end.
   pipe::Pipe<CallReply>& replies;
 };
@@ -42,6 +43,7 @@
 {
 public:
   ScheduleFilter(schedule::SchedulerOptions aOptions,
+                 schedule::HostPlannerOptions aHostOptions,
                  const jobs::ConfigurationReader& aReader,
                  HostState& aHost,
                  const Clock& aWallClock,
@@ -53,15 +55,19 @@
 private:
   void On(schedule::IncomingCall&& aCall, schedule::Moment aNow);
   void On(schedule::WorkerReply&& aReply, schedule::Moment aNow);
+  void On(schedule::HostReply&& aReply, schedule::Moment aNow);
   void On(EntryCommitted&& aEntry, schedule::Moment aNow);
   void On(RestoreState&& aState, schedule::Moment aNow);
   void On(SnapshotWanted&& aWish, schedule::Moment aNow);
   void On(Leadership&& aLeadership, schedule::Moment aNow);
   void On(ProposalEnded&& aEnd, schedule::Moment aNow);
+  /// Reports calls that found no room as not sent.
+  void ReportUnsent(schedule::Moment aNow);
   schedule::Moment MomentAt(Time aNow) const;
 
   bool Propose(schedule::BatchId aBatch, const std::string& aEntry) override;
   void Call(schedule::WorkerCall&& aCall) override;
+  void Call(schedule::HostCall&& aCall) override;
   void Answer(schedule::CallerId aCaller, schedule::Reply&& aReply) override;
 
   HostState& host_;
@@ -71,6 +77,7 @@
   consensus::Term leadingTerm_;
   /// Calls to workers that found no room.
   std::deque<schedule::WorkerCallId> unsent_;
+  std::deque<schedule::HostCallId> unsentHostCalls_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/lib/sources/JobPipes.h
+++ b/packages/daemon/lib/sources/JobPipes.h
@@ -79,35 +79,34 @@
   const frontend::CallCodec& codec_;
 };
 
-/// Encodes calls to workers on their way to the HTTP client.
-class WorkerSink final
-  : public ConvertingPipe<schedule::WorkerCall, http::ClientCall>
+/// Encodes calls on their way to the HTTP client.
+template<typename Call, typename Codec>
+class CallSink final : public ConvertingPipe<Call, http::ClientCall>
 {
 public:
-  WorkerSink(const frontend::WorkerCodec& aCodec,
-             pipe::Pipe<http::ClientCall>& aClient)
-    : ConvertingPipe(aClient)
+  CallSink(const Codec& aCodec, pipe::Pipe<http::ClientCall>& aClient)
+    : ConvertingPipe<Call, http::ClientCall>(aClient)
     , codec_(aCodec)
   {
   }
 
 protected:
-  http::ClientCall Convert(schedule::WorkerCall&& aCall) override
+  http::ClientCall Convert(Call&& aCall) override
   {
     return codec_.Encode(std::move(aCall));
   }
 
 private:
-  const frontend::WorkerCodec& codec_;
+  const Codec& codec_;
 };
 
-/// Decodes what workers answer.
-class WorkerSource final
+/// Decodes the answers to calls.
+template<typename Codec>
+class AnswerSource final
   : public ConvertingPipe<http::ClientResult, ScheduleMessage>
 {
 public:
-  WorkerSource(const frontend::WorkerCodec& aCodec,
-               pipe::Pipe<ScheduleMessage>& aSchedule)
+  AnswerSource(const Codec& aCodec, pipe::Pipe<ScheduleMessage>& aSchedule)
     : ConvertingPipe(aSchedule)
     , codec_(aCodec)
   {
@@ -120,7 +119,7 @@
   }
 
 private:
-  const frontend::WorkerCodec& codec_;
+  const Codec& codec_;
 };
 
 /// Tells the gate and the scheduling duty who leads. The scheduling duty comes
--- a/packages/frontend/include/greengage/frontend/Codecs.h
+++ b/packages/frontend/include/greengage/frontend/Codecs.h
@@ -8,6 +8,7 @@
 #include "greengage/http/Client.h"
 #include "greengage/http/Message.h"
 #include "greengage/schedule/Calls.h"
+#include "greengage/schedule/HostCalls.h"
 #include "greengage/schedule/Messages.h"
 
 namespace greengage::frontend {
@@ -32,6 +33,15 @@
   virtual schedule::WorkerReply Decode(http::ClientResult&& aResult) const = 0;
 };
 
+/// Translates calls to whoever provides the fleet's hosts.
+class HostCodec
+{
+public:
+  virtual ~HostCodec() = default;
+  virtual http::ClientCall Encode(schedule::HostCall&& aCall) const = 0;
+  virtual schedule::HostReply Decode(http::ClientResult&& aResult) const = 0;
+};
+
 } // namespace greengage::frontend
 
 #endif // GREENGAGE_FRONTEND_CODECS_H
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -9,6 +9,8 @@
 #include "greengage/core/Units.h"
 #include "greengage/jobs/JobBook.h"
 #include "greengage/schedule/Calls.h"
+#include "greengage/schedule/HostCalls.h"
+#include "greengage/schedule/HostPlanner.h"
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/Scheduler.h"
@@ -35,15 +37,19 @@
   /// False if there is no room; the controller tries again.
   virtual bool Propose(BatchId aBatch, const std::string& aEntry) = 0;
   virtual void Call(WorkerCall&& aCall) = 0;
+  virtual void Call(HostCall&& aCall) = 0;
   virtual void Answer(CallerId aCaller, Reply&& aReply) = 0;
 };
 
 /// Serves calls while this host leads, and follows the log while it doesn't.
-class Controller final : private Outbox
+class Controller final
+  : private Outbox
+  , private HostOutbox
 {
 public:
   /// The references must outlive the controller.
   Controller(SchedulerOptions aOptions,
+             HostPlannerOptions aHostOptions,
              const jobs::ConfigurationReader& aReader,
              ControllerSink& aSink);
 
@@ -56,6 +62,7 @@
   /// \p aLeaseEnd is until when no other host can lead, on the steady clock.
   void Handle(IncomingCall&& aCall, Time aLeaseEnd, Moment aNow);
   void On(const WorkerReply& aReply, Moment aNow);
+  void On(const HostReply& aReply, Moment aNow);
   /// A committed entry; \p aNow is the time of the call, not of the entry.
   void Apply(std::string_view aEntry, Moment aNow);
   /// An entry of this host has been applied.
@@ -69,7 +76,8 @@
 
   /// When Tick is to be called next, if at all.
   std::optional<Time> NextTick() const;
-  void Tick(Moment aNow);
+  /// \p aLeaseEnd is as for Handle.
+  void Tick(Time aLeaseEnd, Moment aNow);
 
   const jobs::JobBook& Book() const { return book_; }
 
@@ -88,6 +96,7 @@
 
   void Propose(jobs::Operation aOperation) override;
   void Call(WorkerCall aCall) override;
+  void Call(HostCall aCall) override;
   void ProposeFor(CallerId aCaller, jobs::Operation aOperation, Reply aReply);
   void Refuse(CallerId aCaller, ErrorKind aKind, std::string aDetail);
   void Serve(CallerId aCaller, QueueCall&& aCall);
@@ -113,6 +122,7 @@
   ControllerSink& sink_;
   jobs::JobBook book_;
   Scheduler scheduler_;
+  HostPlanner hosts_;
   Moment now_;
   jobs::Operations open_;
   std::size_t openBytes_ = 0;
@@ -122,6 +132,7 @@
   std::uint64_t lastBatch_ = 0;
   Time nextFlush_;
   Time nextTick_;
+  Time nextPlan_;
 };
 
 } // namespace greengage::schedule
--- /dev/null
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -0,0 +1,142 @@
+/// \file
+/// The leader's decisions about hosts: waves of upkeep, and which pool each host
+/// is in as demand moves between the pools. Events and a time go in, calls to
+/// the provider come out.
+
+#ifndef GREENGAGE_SCHEDULE_HOSTPLANNER_H
+#define GREENGAGE_SCHEDULE_HOSTPLANNER_H
+
+#include "greengage/core/Ids.h"
+#include "greengage/core/Units.h"
+#include "greengage/jobs/JobBook.h"
+#include "greengage/schedule/HostCalls.h"
+#include "greengage/schedule/Messages.h"
+#include "greengage/schedule/Outbox.h"
+#include "greengage/schedule/Scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace greengage::schedule {
+
+/// Bounds that the deployment sets.
+struct HostPlannerOptions
+{
+  /// Whether there is a provider to call.
+  bool isEnabled = false;
+  EntryHostId self;
+  /// How long two holders of the orders must be apart.
+  Duration settle = Duration::Seconds(3);
+};
+
+/// Takes the planner's calls.
+class HostOutbox
+{
+public:
+  virtual ~HostOutbox() = default;
+  virtual void Call(HostCall aCall) = 0;
+};
+
+/// Decides about hosts while this host leads.
+class HostPlanner
+{
+public:
+  /// The references must outlive the planner.
+  HostPlanner(HostPlannerOptions aOptions,
+              const jobs::JobBook& aBook,
+              Scheduler& aScheduler,
+              Outbox& aOutbox,
+              HostOutbox& aHosts);
+
+  void Lead(Fence aFence, Moment aNow);
+  void Follow();
+  void On(const HostReply& aReply, Moment aNow);
+  /// \p aLeaseEnd is until when no other host can lead.
+  void Tick(Time aLeaseEnd, Moment aNow);
+
+private:
+  enum class Purpose : std::uint8_t
+  {
+    None,
+    Upkeep,
+    Move,
+  };
+  struct Host
+  {
+    PoolId pool;
+    jobs::Resources capacity;
+    /// Its latest worker, if one is registered.
+    std::optional<jobs::WorkerNumber> worker;
+    /// An order was carried out, and its worker is expected until then.
+    Time awayUntil;
+    /// What the host drains for, or is ordered to do.
+    Purpose purpose = Purpose::None;
+    jobs::WaveId wave;
+    PoolId target;
+    bool isOrderInFlight = false;
+    Time nextOrder;
+    /// When the latest order was given, on the wall clock.
+    Time orderedAt;
+    /// The provider has said that it is not up.
+    bool isDown = false;
+    /// Since when its pool could have done without it.
+    std::optional<Time> idleSince;
+  };
+  struct PendingCall
+  {
+    HostId host;
+    bool isList = false;
+  };
+  /// What a pool has and needs, in thousandths of a core.
+  struct PoolBalance
+  {
+    std::int64_t has = 0;
+    std::int64_t needs = 0;
+    std::uint32_t hosts = 0;
+  };
+
+  void Send(HostRequest aRequest, PendingCall aPending);
+  void TakeList(const HostReply& aReply);
+  void TakeOrderReply(const HostId& aId, Host& aHost, const HostReply& aReply);
+  void SeeWorkers();
+  void PlanWaves();
+  std::vector<HostId> HostsLeft(const jobs::Wave& aWave);
+  void PlanMoves();
+  std::map<PoolId, PoolBalance> Balance() const;
+  void FillPool(const PoolId& aPool, std::map<PoolId, PoolBalance>& aBalance);
+  void EmptyPools(std::map<PoolId, PoolBalance>& aBalance);
+  void Begin(const HostId& aId, Host& aHost, Purpose aPurpose);
+  void Abandon(Host& aHost);
+  void Advance(const HostId& aId, Host& aHost);
+  void Order(const HostId& aId, Host& aHost);
+  bool IsSpare(const PoolId& aPool) const;
+  bool IsAway(const Host& aHost) const;
+  std::uint32_t RunsOn(const Host& aHost) const;
+  bool HasPersistentRun(const Host& aHost) const;
+
+  HostPlannerOptions options_;
+  const jobs::JobBook& book_;
+  Scheduler& scheduler_;
+  Outbox& outbox_;
+  HostOutbox& provider_;
+  std::optional<Fence> fence_;
+  Moment now_;
+  Time mayOrderFrom_;
+  Time nextList_;
+  bool isListInFlight_ = false;
+  bool hasList_ = false;
+  std::map<HostId, Host> hosts_;
+  /// Hosts named by pages of the list that is being read.
+  std::set<HostId> listed_;
+  std::unordered_map<HostCallId, PendingCall> calls_;
+  std::uint64_t lastCall_ = 0;
+};
+
+} // namespace greengage::schedule
+
+#endif // GREENGAGE_SCHEDULE_HOSTPLANNER_H
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -58,6 +58,17 @@
   void Dispatch(Moment aNow);
   bool IsDispatchDue() const { return isDirty_; }
 
+  /// The session of a worker, or null.
+  const WorkerSession* Find(jobs::WorkerNumber aWorker) const;
+  /// Gives the worker no new work, or gives it work again.
+  void Cordon(jobs::WorkerNumber aWorker, bool aIsCordoned);
+  /// Moves runs off a worker that do not end by themselves, as far as the
+  /// availability of their steps allows.
+  void Evacuate(jobs::WorkerNumber aWorker);
+  /// The processors, in thousandths of a core, that the tasks of each pool's
+  /// queues take or will shortly ask for.
+  std::map<PoolId, std::int64_t> Demand() const;
+
   /// Jobs of the queue of which no task was ever assigned.
   std::uint64_t PendingIn(const jobs::QueueId& aQueue) const;
 
@@ -133,6 +144,9 @@
   void GiveUpEarlierLives(jobs::WorkerNumber aWorker);
   void Adopt(const jobs::Job& aJob);
 
+  bool IsAtWork(const WorkerSession& aSession, const TaskId& aTask) const;
+  bool MayStop(const TaskId& aTask) const;
+
   // Placement; in SchedulerPlacement.cpp.
   struct Candidate
   {
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -40,6 +40,10 @@
   jobs::Resources charged;
   TeamId team;
   bool usesIdleProcessors = false;
+  bool isPersistent = false;
+  /// The share of its speed that the worker's lists gave last, 0 to 100; it
+  /// grows to 100 while a persistent task starts up.
+  std::uint32_t listedPercent = 0;
   /// 0 for a run that serves nobody.
   Duration targetLatency;
   /// To be stopped: its job has ended.
@@ -91,6 +95,9 @@
   /// The number that the worker was told last.
   EndNumber toldSeen;
 
+  /// The host is to be emptied: no new work.
+  bool isCordoned = false;
+
   /// Failed runs since the last success, and until when it gets no work.
   std::uint32_t failedRuns = 0;
   Time suspendedUntil;
@@ -106,6 +113,7 @@
   /// Runs of one step of one occurrence.
   std::uint32_t RunsOfStep(const TaskId& aTask) const;
   bool HasServingRun() const;
+  bool HasPersistentRun() const;
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -13,6 +13,8 @@
 static constexpr Duration kGatherTime = Duration(5);
 /// How often the scheduler looks at its deadlines.
 static constexpr Duration kTickInterval = Duration(50);
+/// How often hosts are looked at. A move takes 1.5 s, so a tenth of it.
+static constexpr Duration kPlanInterval = Duration(150);
 /// Bytes of one log entry; the log takes at most 192 KiB.
 static constexpr std::size_t kMaxEntryBytes = 96 * 1024;
 /// What one operation other than a new job or configuration takes at most.
@@ -23,11 +25,13 @@
 static constexpr Duration kRetryAfter = Duration(500);
 
 Controller::Controller(SchedulerOptions aOptions,
+                       HostPlannerOptions aHostOptions,
                        const jobs::ConfigurationReader& aReader,
                        ControllerSink& aSink)
   : sink_(aSink)
   , book_(aReader)
   , scheduler_(aOptions, book_, *this)
+  , hosts_(std::move(aHostOptions), book_, scheduler_, *this, *this)
 {
 }
 
@@ -37,6 +41,7 @@
   Follow();
   now_ = aNow;
   scheduler_.Lead(aFence, aNow);
+  hosts_.Lead(aFence, aNow);
   nextTick_ = aNow.steady;
   nextFlush_ = aNow.steady;
 }
@@ -45,6 +50,7 @@
 Controller::Follow()
 {
   scheduler_.Follow();
+  hosts_.Follow();
   // What was never handed to the log is not done; the rest may be.
   for (Waiting& waiting : openWaiting_)
     Refuse(waiting.caller, ErrorKind::NoCapacity, "this host leads no more");
@@ -141,7 +147,7 @@
 }
 
 void
-Controller::Tick(Moment aNow)
+Controller::Tick(Time aLeaseEnd, Moment aNow)
 {
   now_ = aNow;
   if (!scheduler_.IsLeading())
@@ -151,6 +157,10 @@
     nextTick_ = aNow.steady + kTickInterval;
     scheduler_.Tick(aNow);
   }
+  if (aNow.steady >= nextPlan_) {
+    nextPlan_ = aNow.steady + kPlanInterval;
+    hosts_.Tick(aLeaseEnd, aNow);
+  }
   if (aNow.steady >= nextFlush_)
     Flush(aNow);
 }
@@ -215,6 +225,20 @@
     scheduler_.On(aReply, aNow);
 }
 
+void
+Controller::Call(HostCall aCall)
+{
+  sink_.Call(std::move(aCall));
+}
+
+void
+Controller::On(const HostReply& aReply, Moment aNow)
+{
+  now_ = aNow;
+  if (scheduler_.IsLeading())
+    hosts_.On(aReply, aNow);
+}
+
 void
 Controller::Refuse(CallerId aCaller, ErrorKind aKind, std::string aDetail)
 {
@@ -305,11 +329,18 @@
     sink_.Answer(aCaller, Accepted{});
     return;
   }
+  std::uint32_t tasks = 0;
+  for (const jobs::Step& step : aCall.job->steps)
+    tasks += step.count;
+  const jobs::Step& first = aCall.job->steps.front();
   observe::Log(observe::LogLevel::Info,
                "job-accepting",
                { { "job", ToString(aJob) },
                  { "queue", aQueue.id.Value() },
                  { "team", aTeam == nullptr ? "" : aTeam->id.Value() },
+                 { "steps", std::to_string(aCall.job->steps.size()) },
+                 { "tasks", std::to_string(tasks) },
+                 { "persistent", first.isPersistent ? "yes" : "no" },
                  { "configuration",
                    std::to_string(
                      book_.CurrentConfiguration()->version.Value()) } });
@@ -373,6 +404,10 @@
   observe::Log(observe::LogLevel::Info,
                "worker-registering",
                { { "worker", aCall.worker.id.Value() },
+                 { "host", aCall.worker.host.Value() },
+                 { "incarnation",
+                   std::to_string(aCall.worker.incarnation.Value()) },
+                 { "rack", aCall.worker.rack.Value() },
                  { "pool", aCall.worker.pool.Value() },
                  { "endpoint", ToString(aCall.worker.endpoint) },
                  { "draining", aCall.worker.isDraining ? "yes" : "no" } });
--- /dev/null
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -0,0 +1,324 @@
+#include "greengage/schedule/HostPlanner.h"
+
+#include "greengage/observe/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+/// How often the provider's list is read while nothing is unclear.
+static constexpr Duration kListInterval = Duration::Seconds(4);
+/// When an order or a list that was refused or not answered is tried again.
+static constexpr Duration kRetryInterval = Duration(500);
+/// How long a host that was moved or maintained may take until its worker is
+/// heard: the provider takes 1.5 s or 2 s, a worker's start about one more.
+static constexpr Duration kReturnTime = Duration(5000);
+
+HostPlanner::HostPlanner(HostPlannerOptions aOptions,
+                         const jobs::JobBook& aBook,
+                         Scheduler& aScheduler,
+                         Outbox& aOutbox,
+                         HostOutbox& aHosts)
+  : options_(std::move(aOptions))
+  , book_(aBook)
+  , scheduler_(aScheduler)
+  , outbox_(aOutbox)
+  , provider_(aHosts)
+{
+}
+
+void
+HostPlanner::Lead(Fence aFence, Moment aNow)
+{
+  Follow();
+  fence_ = aFence;
+  now_ = aNow;
+  // The former leader may have given orders until now.
+  mayOrderFrom_ = aNow.steady + options_.settle;
+  nextList_ = aNow.steady;
+}
+
+void
+HostPlanner::Follow()
+{
+  fence_.reset();
+  hosts_.clear();
+  listed_.clear();
+  calls_.clear();
+  isListInFlight_ = false;
+  hasList_ = false;
+}
+
+void
+HostPlanner::Send(HostRequest aRequest, PendingCall aPending)
+{
+  const HostCallId id(++lastCall_);
+  calls_.emplace(id, std::move(aPending));
+  provider_.Call({ .id = id,
+                   .request = std::move(aRequest),
+                   .holder = options_.self,
+                   .fence = *fence_ });
+}
+
+bool
+HostPlanner::IsSpare(const PoolId& aPool) const
+{
+  const jobs::Configuration* configuration = book_.CurrentConfiguration();
+  const jobs::Pool* pool =
+    configuration == nullptr ? nullptr : configuration->Find(aPool);
+  return pool != nullptr && pool->isSpare;
+}
+
+bool
+HostPlanner::IsAway(const Host& aHost) const
+{
+  return aHost.awayUntil > now_.steady;
+}
+
+std::uint32_t
+HostPlanner::RunsOn(const Host& aHost) const
+{
+  const WorkerSession* session =
+    aHost.worker ? scheduler_.Find(*aHost.worker) : nullptr;
+  return session == nullptr
+           ? 0
+           : static_cast<std::uint32_t>(session->runs.size());
+}
+
+bool
+HostPlanner::HasPersistentRun(const Host& aHost) const
+{
+  const WorkerSession* session =
+    aHost.worker ? scheduler_.Find(*aHost.worker) : nullptr;
+  return session != nullptr &&
+         std::any_of(session->runs.begin(),
+                     session->runs.end(),
+                     [](const auto& aItem) { return aItem.second.isPersistent; });
+}
+
+void
+HostPlanner::On(const HostReply& aReply, Moment aNow)
+{
+  now_ = aNow;
+  const auto found = calls_.find(aReply.id);
+  if (found == calls_.end())
+    return;
+  const PendingCall call = std::move(found->second);
+  calls_.erase(found);
+  if (call.isList) {
+    TakeList(aReply);
+    return;
+  }
+  const auto host = hosts_.find(call.host);
+  if (host != hosts_.end())
+    TakeOrderReply(call.host, host->second, aReply);
+}
+
+void
+HostPlanner::TakeList(const HostReply& aReply)
+{
+  isListInFlight_ = false;
+  if (aReply.answer != HostAnswer::Done) {
+    listed_.clear();
+    nextList_ = now_.steady + kRetryInterval;
+    observe::Log(observe::LogLevel::Warning,
+                 "host-list-missing",
+                 { { "reason", aReply.detail } });
+    return;
+  }
+  for (const ListedHost& listed : aReply.hosts) {
+    listed_.insert(listed.host);
+    Host& host = hosts_[listed.host];
+    host.capacity = listed.capacity;
+    host.isDown = listed.state != HostState::Up;
+    // A worker's own word is newer than the list.
+    if (!host.worker && !IsAway(host))
+      host.pool = listed.pool;
+  }
+  if (!aReply.nextPage.empty()) {
+    isListInFlight_ = true;
+    Send(ListHosts{ .page = aReply.nextPage }, { .host = {}, .isList = true });
+    return;
+  }
+  for (auto at = hosts_.begin(); at != hosts_.end();)
+    at = listed_.count(at->first) == 0 ? hosts_.erase(at) : std::next(at);
+  listed_.clear();
+  hasList_ = true;
+  nextList_ = now_.steady + kListInterval;
+}
+
+static const char*
+NameOf(HostAnswer aAnswer)
+{
+  switch (aAnswer) {
+    case HostAnswer::None:
+      return "no answer";
+    case HostAnswer::Done:
+      return "done";
+    case HostAnswer::Busy:
+      return "host is busy";
+    case HostAnswer::Fenced:
+      return "fenced";
+    case HostAnswer::NotInWave:
+      return "host is not of the wave";
+    case HostAnswer::Invalid:
+      return "no such host or pool";
+    case HostAnswer::Overloaded:
+      return "provider is overloaded";
+  }
+  return "";
+}
+
+void
+HostPlanner::TakeOrderReply(const HostId& aId,
+                            Host& aHost,
+                            const HostReply& aReply)
+{
+  aHost.isOrderInFlight = false;
+  aHost.nextOrder = now_.steady + kRetryInterval;
+  const bool isUpkeep = aHost.purpose == Purpose::Upkeep;
+  observe::Log(observe::LogLevel::Info,
+               "host-ordered",
+               { { "host", aId.Value() },
+                 { "order", isUpkeep ? "upkeep" : "move" },
+                 { "pool", aHost.target.Value() },
+                 { "outcome", NameOf(aReply.answer) } });
+  switch (aReply.answer) {
+    case HostAnswer::Done:
+      if (isUpkeep)
+        outbox_.Propose(
+          jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
+      else
+        aHost.pool = aHost.target;
+      aHost.purpose = Purpose::None;
+      aHost.worker.reset();
+      aHost.awayUntil = now_.steady + kReturnTime;
+      aHost.idleSince.reset();
+      break;
+    case HostAnswer::NotInWave:
+    case HostAnswer::Invalid:
+      // The host can't have its upkeep any more.
+      if (isUpkeep)
+        outbox_.Propose(
+          jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
+      Abandon(aHost);
+      break;
+    case HostAnswer::Busy:
+      if (!isUpkeep)
+        Abandon(aHost);
+      nextList_ = std::min(nextList_, now_.steady + kRetryInterval);
+      break;
+    case HostAnswer::None:
+    case HostAnswer::Fenced:
+    case HostAnswer::Overloaded:
+      break;
+  }
+}
+
+/// Takes over what workers say of their hosts.
+void
+HostPlanner::SeeWorkers()
+{
+  for (auto& [id, host] : hosts_)
+    if (host.worker && book_.Workers().count(*host.worker) == 0)
+      host.worker.reset();
+  for (const auto& [number, record] : book_.Workers()) {
+    const auto found = hosts_.find(record.host);
+    const WorkerSession* session = scheduler_.Find(number);
+    if (found == hosts_.end() || session == nullptr || session->isGone)
+      continue;
+    Host& host = found->second;
+    if (host.worker == number)
+      continue;
+    const auto known =
+      host.worker ? book_.Workers().find(*host.worker) : book_.Workers().end();
+    if (known != book_.Workers().end() &&
+        known->second.incarnation >= record.incarnation)
+      continue;
+    // The life that ended with the order may still be registered.
+    if (IsAway(host) &&
+        record.incarnation.Value() < host.orderedAt.Millis())
+      continue;
+    host.worker = number;
+    host.pool = record.pool;
+    host.isDown = false;
+    host.awayUntil = now_.steady;
+  }
+}
+
+void
+HostPlanner::Tick(Time aLeaseEnd, Moment aNow)
+{
+  now_ = aNow;
+  if (!options_.isEnabled || !fence_ || aLeaseEnd <= aNow.steady ||
+      book_.CurrentConfiguration() == nullptr)
+    return;
+  if (!isListInFlight_ && nextList_ <= aNow.steady) {
+    isListInFlight_ = true;
+    Send(ListHosts{}, { .host = {}, .isList = true });
+  }
+  if (!hasList_)
+    return;
+  SeeWorkers();
+  if (mayOrderFrom_ > aNow.steady)
+    return;
+  PlanWaves();
+  PlanMoves();
+  for (auto& [id, host] : hosts_)
+    Advance(id, host);
+}
+
+void
+HostPlanner::Begin(const HostId& aId, Host& aHost, Purpose aPurpose)
+{
+  aHost.purpose = aPurpose;
+  aHost.nextOrder = now_.steady;
+  if (aHost.worker)
+    scheduler_.Cordon(*aHost.worker, true);
+  observe::Log(observe::LogLevel::Info,
+               "host-draining",
+               { { "host", aId.Value() },
+                 { "for", aPurpose == Purpose::Upkeep ? "upkeep" : "move" },
+                 { "from", aHost.pool.Value() },
+                 { "to", aHost.target.Value() },
+                 { "runs", std::to_string(RunsOn(aHost)) } });
+}
+
+void
+HostPlanner::Abandon(Host& aHost)
+{
+  aHost.purpose = Purpose::None;
+  aHost.idleSince.reset();
+  if (aHost.worker)
+    scheduler_.Cordon(*aHost.worker, false);
+}
+
+/// Takes a host on with what it drains for.
+void
+HostPlanner::Advance(const HostId& aId, Host& aHost)
+{
+  if (aHost.purpose == Purpose::None || aHost.isOrderInFlight ||
+      aHost.nextOrder > now_.steady)
+    return;
+  if (aHost.worker) {
+    scheduler_.Cordon(*aHost.worker, true);
+    if (RunsOn(aHost) > 0) {
+      scheduler_.Evacuate(*aHost.worker);
+      return;
+    }
+  }
+  Order(aId, aHost);
+}
+
+void
+HostPlanner::Order(const HostId& aId, Host& aHost)
+{
+  aHost.isOrderInFlight = true;
+  aHost.orderedAt = now_.wall;
+  HostRequest request = MoveHost{ .host = aId, .pool = aHost.target };
+  if (aHost.purpose == Purpose::Upkeep)
+    request = MaintainHost{ .host = aId, .wave = aHost.wave };
+  Send(std::move(request), { .host = aId, .isList = false });
+}
--- /dev/null
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -0,0 +1,220 @@
+#include "greengage/schedule/HostPlanner.h"
+
+#include "greengage/observe/Log.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+/// What the upkeep of one host takes with its drain: runs of up to 2 s and 2 s
+/// of upkeep.
+static constexpr Duration kUpkeepTime = Duration(4500);
+/// The part of the time left that a wave may take before it takes hosts from
+/// busy pools too.
+static constexpr std::int64_t kWavePatiencePercent = 60;
+static constexpr std::int64_t kPercent = 100;
+/// How long a pool could have done without a host before the host goes. A move
+/// costs about as much as a second in a pool, and the way back takes 1.5 s.
+static constexpr Duration kIdleTime = Duration(1500);
+/// Processors beyond the demand that a pool keeps.
+static constexpr std::int64_t kHeadroomPercent = 15;
+/// Hosts that a pool keeps at least, so that the loss of one leaves another.
+static constexpr std::uint32_t kMinHosts = 2;
+
+/// The hosts of the wave whose upkeep has not begun, as far as they exist.
+std::vector<HostId>
+HostPlanner::HostsLeft(const jobs::Wave& aWave)
+{
+  std::vector<HostId> left;
+  for (const HostId& host : aWave.plan.hosts)
+    if (aWave.begun.count(host) == 0 && hosts_.count(host) != 0)
+      left.push_back(host);
+  return left;
+}
+
+void
+HostPlanner::PlanWaves()
+{
+  const std::map<PoolId, PoolBalance> balance = Balance();
+  for (const auto& [id, wave] : book_.Waves()) {
+    std::vector<HostId> left = HostsLeft(wave);
+    std::uint32_t taken = 0;
+    for (const HostId& host : wave.plan.hosts) {
+      const auto found = hosts_.find(host);
+      if (found == hosts_.end())
+        continue;
+      const bool isDownForIt = wave.begun.count(host) != 0 &&
+                               IsAway(found->second);
+      const bool isDraining = found->second.purpose == Purpose::Upkeep;
+      taken += isDownForIt || isDraining ? 1 : 0;
+    }
+    const std::int64_t rounds =
+      (static_cast<std::int64_t>(left.size()) + wave.plan.maxAtOnce - 1) /
+      std::max<std::int64_t>(wave.plan.maxAtOnce, 1);
+    const Duration timeLeft = wave.plan.deadline - now_.wall;
+    const bool isUrgent = kUpkeepTime.Millis() * rounds * kPercent >=
+                          timeLeft.Millis() * kWavePatiencePercent;
+    // Idle hosts first, and those of pools that have the most over.
+    const auto rankOf = [&](const HostId& aId) {
+      const Host& host = hosts_.at(aId);
+      const auto pool = balance.find(host.pool);
+      const std::int64_t over =
+        pool == balance.end() ? 0 : pool->second.has - pool->second.needs;
+      return std::tuple(
+        !IsSpare(host.pool), HasPersistentRun(host), -over, RunsOn(host), aId);
+    };
+    std::sort(left.begin(), left.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rankOf(aLeft) < rankOf(aRight);
+    });
+    for (const HostId& host : left) {
+      if (taken >= wave.plan.maxAtOnce)
+        break;
+      Host& record = hosts_.at(host);
+      if (record.purpose != Purpose::None || IsAway(record) || record.isDown)
+        continue;
+      const auto pool = balance.find(record.pool);
+      const bool isNeeded =
+        pool != balance.end() && !IsSpare(record.pool) &&
+        pool->second.has - record.capacity.processors.Count() <
+          pool->second.needs;
+      if (isNeeded && !isUrgent)
+        continue;
+      record.wave = id;
+      record.target = record.pool;
+      Begin(host, record, Purpose::Upkeep);
+      ++taken;
+    }
+  }
+}
+
+std::map<PoolId, HostPlanner::PoolBalance>
+HostPlanner::Balance() const
+{
+  std::map<PoolId, PoolBalance> balance;
+  for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
+    if (!pool.isSpare)
+      balance[pool.id];
+  for (const auto& [id, host] : hosts_) {
+    // A host counts for the pool that it is in or on its way to.
+    const PoolId& pool =
+      host.purpose == Purpose::Move ? host.target : host.pool;
+    const auto found = balance.find(pool);
+    if (found == balance.end() || (host.isDown && !IsAway(host)))
+      continue;
+    found->second.has += host.capacity.processors.Count();
+    ++found->second.hosts;
+  }
+  for (const auto& [pool, demand] : scheduler_.Demand()) {
+    const auto found = balance.find(pool);
+    if (found != balance.end())
+      found->second.needs =
+        demand * (kPercent + kHeadroomPercent) / kPercent;
+  }
+  return balance;
+}
+
+void
+HostPlanner::PlanMoves()
+{
+  std::map<PoolId, PoolBalance> balance = Balance();
+  std::vector<PoolId> lacking;
+  for (const auto& [pool, state] : balance)
+    if (state.has < state.needs || state.hosts < kMinHosts)
+      lacking.push_back(pool);
+  std::sort(lacking.begin(), lacking.end(), [&](const auto& aLeft, const auto& aRight) {
+    return balance.at(aLeft).needs - balance.at(aLeft).has >
+           balance.at(aRight).needs - balance.at(aRight).has;
+  });
+  for (const PoolId& pool : lacking)
+    FillPool(pool, balance);
+  EmptyPools(balance);
+}
+
+/// Takes hosts for a pool: those that were about to leave it, then spare ones,
+/// then idle ones of pools that have some over.
+void
+HostPlanner::FillPool(const PoolId& aPool,
+                      std::map<PoolId, PoolBalance>& aBalance)
+{
+  PoolBalance& wanted = aBalance.at(aPool);
+  const auto isMet = [&] {
+    return wanted.has >= wanted.needs && wanted.hosts >= kMinHosts;
+  };
+  const auto count = [&](const Host& aHost) {
+    wanted.has += aHost.capacity.processors.Count();
+    ++wanted.hosts;
+  };
+  for (auto& [id, host] : hosts_) {
+    if (isMet())
+      return;
+    if (host.purpose != Purpose::Move || host.isOrderInFlight ||
+        host.pool != aPool)
+      continue;
+    Abandon(host);
+    count(host);
+  }
+  for (auto& [id, host] : hosts_) {
+    if (isMet())
+      return;
+    if (host.purpose != Purpose::None || IsAway(host) || host.isDown ||
+        !IsSpare(host.pool))
+      continue;
+    host.target = aPool;
+    Begin(id, host, Purpose::Move);
+    count(host);
+  }
+  for (auto& [id, host] : hosts_) {
+    if (isMet())
+      return;
+    const auto from = aBalance.find(host.pool);
+    if (from == aBalance.end() || host.pool == aPool ||
+        host.purpose != Purpose::None || IsAway(host) || !host.worker ||
+        HasPersistentRun(host))
+      continue;
+    PoolBalance& source = from->second;
+    const std::int64_t size = host.capacity.processors.Count();
+    if (source.has - size < source.needs || source.hosts <= kMinHosts)
+      continue;
+    source.has -= size;
+    --source.hosts;
+    host.target = aPool;
+    Begin(id, host, Purpose::Move);
+    count(host);
+  }
+}
+
+/// Sends hosts that their pools could do without for a while to the spare pool.
+void
+HostPlanner::EmptyPools(std::map<PoolId, PoolBalance>& aBalance)
+{
+  PoolId spare;
+  for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
+    if (pool.isSpare)
+      spare = pool.id;
+  if (spare.Value().empty())
+    return;
+  for (auto& [id, host] : hosts_) {
+    const auto from = aBalance.find(host.pool);
+    const std::int64_t size = host.capacity.processors.Count();
+    const bool isOver = from != aBalance.end() &&
+                        host.purpose == Purpose::None && !IsAway(host) &&
+                        host.worker && !HasPersistentRun(host) &&
+                        from->second.has - size >= from->second.needs &&
+                        from->second.hosts > kMinHosts;
+    if (!isOver) {
+      host.idleSince.reset();
+      continue;
+    }
+    from->second.has -= size;
+    --from->second.hosts;
+    if (!host.idleSince)
+      host.idleSince = now_.steady;
+    if (*host.idleSince + kIdleTime > now_.steady)
+      continue;
+    host.target = spare;
+    Begin(id, host, Purpose::Move);
+  }
+}
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -203,7 +203,7 @@
   const jobs::TaskState* state = book_.Find(aTask);
   WorkerSession* best = nullptr;
   // Larger is better, place by place.
-  std::tuple<bool, bool, bool, std::int64_t> bestRank;
+  std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
     if (record.pool != aCandidate.pool || record.isDraining ||
@@ -224,12 +224,16 @@
     const bool isFirstTry = state == nullptr ||
                             state->attempt == Attempt(0) ||
                             state->worker != number;
+    // Persistent tasks keep together, so that other hosts can leave the pool.
+    const bool isBesideAlike =
+      step.isPersistent == session.HasPersistentRun();
     const bool isUndisturbed =
       !step.usesIdleProcessors || !session.HasServingRun();
     const std::tuple rank(
       isNearData && isOnRack,
       isFirstTry,
       isUndisturbed,
+      step.isPersistent ? isBesideAlike : false,
       (record.capacity.processors - session.used.processors).Count());
     if (best == nullptr || rank > bestRank) {
       best = &session;
@@ -239,6 +243,29 @@
   return best;
 }
 
+std::map<PoolId, std::int64_t>
+Scheduler::Demand() const
+{
+  std::map<PoolId, std::int64_t> demand;
+  for (const Candidate& candidate : Candidates()) {
+    const jobs::Job& job = *candidate.job;
+    std::int64_t& sum = demand[candidate.pool];
+    for (const auto& [number, occurrence] : job.occurrences)
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const jobs::StepState& state = occurrence.steps[step];
+        const auto each =
+          TakenOf(job.description.steps[step]).processors.Count();
+        const auto left =
+          static_cast<std::int64_t>(state.tasks.size() - state.done);
+        // Later steps come when earlier ones have made room, half of them
+        // beside tasks of other jobs.
+        sum += jobs::IsReady(job, occurrence, step) ? each * left
+                                                    : each * left / 2;
+      }
+  }
+  return demand;
+}
+
 void
 Scheduler::Reserve(WorkerSession& aSession,
                    const jobs::Job& aJob,
@@ -251,6 +278,7 @@
   run.charged = step.request;
   run.team = aJob.team;
   run.usesIdleProcessors = step.usesIdleProcessors;
+  run.isPersistent = step.isPersistent;
   run.targetLatency = step.targetLatency;
   aSession.used += run.taken;
   usage_[run.team] += run.charged;
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -547,6 +547,7 @@
       continue;
     }
     Run& run = found->second;
+    run.listedPercent = listed.percent;
     if (run.stage != RunStage::Starting)
       continue;
     run.stage = RunStage::Running;
@@ -629,6 +630,75 @@
   }
 }
 
+const WorkerSession*
+Scheduler::Find(jobs::WorkerNumber aWorker) const
+{
+  const auto found = sessions_.find(aWorker);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+void
+Scheduler::Cordon(jobs::WorkerNumber aWorker, bool aIsCordoned)
+{
+  WorkerSession* session = SessionOf(aWorker);
+  if (session == nullptr || session->isCordoned == aIsCordoned)
+    return;
+  session->isCordoned = aIsCordoned;
+  isDirty_ = true;
+}
+
+bool
+Scheduler::IsAtWork(const WorkerSession& aSession, const TaskId& aTask) const
+{
+  const auto found = aSession.runs.find(aTask);
+  if (found == aSession.runs.end() || aSession.failedCalls > 0)
+    return false;
+  const Run& run = found->second;
+  return run.stage == RunStage::Running && !run.isStopWanted &&
+         run.listedPercent >= kPercent;
+}
+
+/// Whether a task's step bears that one more of its tasks is away.
+bool
+Scheduler::MayStop(const TaskId& aTask) const
+{
+  const jobs::Job* job = book_.Find(aTask.job);
+  if (job == nullptr || job->state != jobs::JobState::Live)
+    return true;
+  const jobs::Step& step = job->description.steps[aTask.step];
+  std::uint32_t away = 0;
+  TaskId other = aTask;
+  for (other.index = 0; other.index < step.count; ++other.index) {
+    if (other.index == aTask.index)
+      continue;
+    const jobs::TaskState* state = book_.Find(other);
+    const WorkerSession* session =
+      state->phase == jobs::TaskPhase::Assigned ? Find(state->worker) : nullptr;
+    away += session != nullptr && IsAtWork(*session, other) ? 0 : 1;
+  }
+  return away < step.maxUnavailable;
+}
+
+void
+Scheduler::Evacuate(jobs::WorkerNumber aWorker)
+{
+  WorkerSession* session = SessionOf(aWorker);
+  if (session == nullptr)
+    return;
+  for (auto& [task, run] : session->runs) {
+    if (!run.isPersistent || run.stage != RunStage::Running ||
+        run.isStopWanted || !MayStop(task))
+      continue;
+    observe::Log(observe::LogLevel::Info,
+                 "run-evacuated",
+                 { { "task", ToString(task) },
+                   { "worker", RecordOf(*session).id.Value() } });
+    run.isStopWanted = true;
+    run.nextCall = now_.steady;
+    TickRun(*session, task, run);
+  }
+}
+
 void
 Scheduler::Tick(Moment aNow)
 {
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -40,7 +40,7 @@
 WorkerSession::IsUsable(Time aNow) const
 {
   const Time heard = std::max(lastBeat, lastAnswer);
-  return isRead && !isGone && failedCalls == 0 && clockOffset &&
+  return isRead && !isGone && !isCordoned && failedCalls == 0 && clockOffset &&
          heard + kUsableSilence > aNow && suspendedUntil <= aNow;
 }
 
@@ -68,3 +68,11 @@
     return aItem.second.targetLatency > Duration(0);
   });
 }
+
+bool
+WorkerSession::HasPersistentRun() const
+{
+  return std::any_of(runs.begin(), runs.end(), [](const auto& aItem) {
+    return aItem.second.isPersistent;
+  });
+}
--- a/tools/greengaged/JobCommand.cpp
+++ b/tools/greengaged/JobCommand.cpp
@@ -71,9 +71,14 @@
   const platform::PlatformCallCodec calls;
   const platform::PlatformWorkerCodec workers;
   const platform::PlatformConfigurationReader configurations;
+  const platform::PlatformHostCodec hosts(
+    settings->hostProvider.value_or(Endpoint()));
   daemon::JobDaemon daemon(
     std::move(*settings),
-    { .calls = calls, .workers = workers, .configurations = configurations });
+    { .calls = calls,
+      .workers = workers,
+      .hosts = hosts,
+      .configurations = configurations });
   if (!daemon.Start(aReason))
     return JobExit::Unavailable;
   Serve(daemon, signals, aPath);
