--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -203,6 +203,13 @@
 
   void End(CallProgress aProgress, std::string aReason)
   {
+    if (aProgress == CallProgress::SentNoResponse) {
+      // A call that was given up must not arrive later, when a partition heals.
+      beast::error_code ignored;
+      connection_->stream.socket().set_option(
+        asio::socket_base::linger(true, 0), ignored);
+    }
+    connection_.reset();
     client_->Finish(call_.endpoint, { .id = call_.id,
                       .progress = aProgress,
                       .status = 0,
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -13,6 +13,7 @@
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/Scheduler.h"
+#include "greengage/schedule/TurnForecast.h"
 
 #include <cstdint>
 #include <map>
@@ -107,6 +108,7 @@
   void PlanWaves();
   std::vector<HostId> HostsLeft(const jobs::Wave& aWave);
   void PlanMoves();
+  void WatchDemand();
   std::map<PoolId, PoolBalance> Balance() const;
   void FillPool(const PoolId& aPool, std::map<PoolId, PoolBalance>& aBalance);
   void EmptyPools(std::map<PoolId, PoolBalance>& aBalance);
@@ -131,8 +133,11 @@
   bool isListInFlight_ = false;
   bool hasList_ = false;
   std::map<HostId, Host> hosts_;
+  TurnForecast forecast_;
   /// Hosts named by pages of the list that is being read.
   std::set<HostId> listed_;
+  /// Of each working pool, as the scheduler sees it now.
+  std::map<PoolId, std::int64_t> demand_;
   std::unordered_map<HostCallId, PendingCall> calls_;
   std::uint64_t lastCall_ = 0;
 };
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -144,14 +144,15 @@
   void GiveUpEarlierLives(jobs::WorkerNumber aWorker);
   void Adopt(const jobs::Job& aJob);
 
+  void DropStaleHolds();
   bool IsAtWork(const WorkerSession& aSession, const TaskId& aTask) const;
   bool MayStop(const TaskId& aTask) const;
+  bool HasRoomElsewhere(const WorkerSession& aSession, const TaskId& aTask);
 
   // Placement; in SchedulerPlacement.cpp.
   struct Candidate
   {
     const jobs::Job* job;
-    const jobs::Queue* queue;
     PoolId pool;
     std::uint32_t priority;
     Time due;
@@ -161,11 +162,19 @@
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
                     std::uint32_t aStep);
-  bool Place(const Candidate& aCandidate, const TaskId& aTask, RackId* aRack);
+  bool Place(const Candidate& aCandidate, const TaskId& aTask, bool aMayHold);
+  Candidate CandidateOf(const jobs::Job& aJob, const PoolId& aPool) const;
+  bool MakeHold(const Candidate& aCandidate,
+                const TaskId& aTask,
+                jobs::WorkerNumber aExcept);
+  void DropHold(const TaskId& aTask);
+  bool IsHoldMet(const TaskId& aTask);
+  static bool Suits(const WorkerSession& aSession,
+                    const jobs::WorkerRecord& aRecord,
+                    const Candidate& aCandidate,
+                    const TaskId& aTask);
   void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
-  WorkerSession* Choose(const Candidate& aCandidate,
-                        const TaskId& aTask,
-                        const RackId* aRack);
+  WorkerSession* Choose(const Candidate& aCandidate, const TaskId& aTask);
   bool IsWithinQuota(const TeamId& aTeam,
                      const jobs::Resources& aRequest) const;
   void Reserve(WorkerSession& aSession,
@@ -192,6 +201,17 @@
   std::unordered_map<TeamId, jobs::Resources> usage_;
   /// The last pool of queues that the configuration no longer names.
   std::map<jobs::QueueId, PoolId> pools_;
+  /// Room that is kept for a task on a worker until it is there in full; it
+  /// counts as used. Without it small tasks would take each bit that gets free.
+  struct Hold
+  {
+    jobs::WorkerNumber worker;
+    jobs::Resources taken;
+    Time until;
+  };
+  std::map<TaskId, Hold> holds_;
+  /// Pools of which the first task without room has a hold.
+  std::set<PoolId> heldPools_;
   bool isDirty_ = false;
   Time nextForget_;
   Time nextDispatch_;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -47,6 +47,8 @@
   hosts_.clear();
   listed_.clear();
   calls_.clear();
+  demand_.clear();
+  forecast_ = TurnForecast();
   isListInFlight_ = false;
   hasList_ = false;
 }
@@ -262,6 +264,7 @@
   if (!hasList_)
     return;
   SeeWorkers();
+  WatchDemand();
   if (mayOrderFrom_ > aNow.steady)
     return;
   PlanWaves();
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -21,6 +21,11 @@
 static constexpr Duration kIdleTime = Duration(1500);
 /// Processors beyond the demand that a pool keeps.
 static constexpr std::int64_t kHeadroomPercent = 15;
+/// How far ahead of an expected turn hosts are taken: the drain, the move and
+/// the worker's start.
+static constexpr Duration kLookAhead = Duration(3000);
+/// The part of the last turn's peak that is there when the next one begins.
+static constexpr std::int64_t kExpectedPercent = 70;
 /// Hosts that a pool keeps at least, so that the loss of one leaves another.
 static constexpr std::uint32_t kMinHosts = 2;
 
@@ -107,15 +112,26 @@
     found->second.has += host.capacity.processors.Count();
     ++found->second.hosts;
   }
-  for (const auto& [pool, demand] : scheduler_.Demand()) {
-    const auto found = balance.find(pool);
-    if (found != balance.end())
-      found->second.needs =
-        demand * (kPercent + kHeadroomPercent) / kPercent;
+  for (auto& [pool, state] : balance) {
+    const auto demand = demand_.find(pool);
+    const std::int64_t asked = demand == demand_.end() ? 0 : demand->second;
+    const std::int64_t expected =
+      forecast_.Expected(pool, kLookAhead, now_.steady).value_or(0);
+    state.needs = std::max(asked * (kPercent + kHeadroomPercent) / kPercent,
+                           expected * kExpectedPercent / kPercent);
   }
   return balance;
 }
 
+void
+HostPlanner::WatchDemand()
+{
+  demand_ = scheduler_.Demand();
+  for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
+    if (!pool.isSpare)
+      forecast_.Observe(pool.id, demand_[pool.id], now_.steady);
+}
+
 void
 HostPlanner::PlanMoves()
 {
@@ -202,6 +218,7 @@
     const bool isOver = from != aBalance.end() &&
                         host.purpose == Purpose::None && !IsAway(host) &&
                         host.worker && !HasPersistentRun(host) &&
+                        forecast_.HasHadTurn(host.pool) &&
                         from->second.has - size >= from->second.needs &&
                         from->second.hosts > kMinHosts;
     if (!isOver) {
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -91,6 +91,7 @@
   unbegun_.clear();
   proposed_.clear();
   usage_.clear();
+  holds_.clear();
   isDirty_ = false;
 }
 
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -11,6 +11,10 @@
 
 using jobs::Resources;
 
+/// How long room is kept for a task. Tasks run for 3.3 s at most, so that it is
+/// there by then.
+static constexpr Duration kHoldTime = Duration(4000);
+
 /// Filling tasks use processors that others leave idle and reserve none.
 static Resources
 TakenOf(const jobs::Step& aStep)
@@ -21,34 +25,35 @@
   return taken;
 }
 
+Scheduler::Candidate
+Scheduler::CandidateOf(const jobs::Job& aJob, const PoolId& aPool) const
+{
+  const jobs::Queue* queue = book_.CurrentConfiguration()->Find(aJob.queue);
+  Candidate candidate{ .job = &aJob,
+                       .pool = aPool,
+                       .priority = 0,
+                       .due = aJob.acceptedAt };
+  if (queue == nullptr)
+    return candidate;
+  const auto chain = jobs::LongestChain(aJob.description).Millis();
+  candidate.priority = queue->priority;
+  candidate.due = aJob.acceptedAt + queue->objective +
+                  Duration(static_cast<std::int64_t>(
+                    queue->stretch * static_cast<double>(chain)));
+  return candidate;
+}
+
 std::vector<Scheduler::Candidate>
 Scheduler::Candidates() const
 {
   std::vector<Candidate> candidates;
-  const jobs::Configuration* configuration = book_.CurrentConfiguration();
-  if (configuration == nullptr)
+  if (book_.CurrentConfiguration() == nullptr)
     return candidates;
   for (const jobs::JobId id : live_) {
     const jobs::Job* job = book_.Find(id);
-    const auto pool =
-      job == nullptr ? pools_.end() : pools_.find(job->queue);
-    if (pool == pools_.end())
-      continue;
-    const jobs::Queue* queue = configuration->Find(job->queue);
-    Candidate candidate{ .job = job,
-                         .queue = queue,
-                         .pool = pool->second,
-                         .priority = 0,
-                         .due = job->acceptedAt };
-    if (queue != nullptr) {
-      const auto chain = jobs::LongestChain(job->description).Millis();
-      candidate.priority = queue->priority;
-      candidate.due =
-        job->acceptedAt + queue->objective +
-        Duration(static_cast<std::int64_t>(
-          queue->stretch * static_cast<double>(chain)));
-    }
-    candidates.push_back(std::move(candidate));
+    const auto pool = job == nullptr ? pools_.end() : pools_.find(job->queue);
+    if (pool != pools_.end())
+      candidates.push_back(CandidateOf(*job, pool->second));
   }
   std::sort(candidates.begin(),
             candidates.end(),
@@ -66,6 +71,8 @@
   isDirty_ = false;
   if (!IsLeading())
     return;
+  DropStaleHolds();
+  heldPools_.clear();
   for (const Candidate& candidate : Candidates())
     DispatchJob(candidate);
 }
@@ -110,28 +117,118 @@
     if (tasks[task.index].phase != jobs::TaskPhase::Waiting ||
         proposed_.count(task) != 0)
       continue;
-    // Equal tasks: where one finds no room, the next finds none either.
-    if (!Place(aCandidate, task, nullptr))
+    // Equal tasks: where one finds no room, the next finds none either. Room is
+    // kept for persistent ones, which are owed at any time, and for the first
+    // task in the order of its pool.
+    const bool mayHold =
+      step.isPersistent || heldPools_.insert(aCandidate.pool).second;
+    if (!Place(aCandidate, task, mayHold) && !step.isPersistent)
       return;
+    if (!step.isPersistent && holds_.count(task) == 0)
+      heldPools_.erase(aCandidate.pool);
   }
 }
 
 bool
 Scheduler::Place(const Candidate& aCandidate,
                  const TaskId& aTask,
-                 RackId* aRack)
+                 bool aMayHold)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   if (!IsWithinQuota(aCandidate.job->team, step.request))
     return false;
-  WorkerSession* session = Choose(aCandidate, aTask, aRack);
-  if (session == nullptr)
+  WorkerSession* session = nullptr;
+  if (holds_.count(aTask) != 0) {
+    if (!IsHoldMet(aTask))
+      return false;
+    session = SessionOf(holds_.at(aTask).worker);
+    DropHold(aTask);
+  } else {
+    session = Choose(aCandidate, aTask);
+  }
+  if (session == nullptr) {
+    if (aMayHold)
+      MakeHold(aCandidate, aTask, jobs::WorkerNumber(0));
     return false;
+  }
   Reserve(*session, *aCandidate.job, aTask);
   ProposeAssignment(*session, aTask);
   return true;
 }
 
+/// Whether the room that is held for a task is all there.
+bool
+Scheduler::IsHoldMet(const TaskId& aTask)
+{
+  const Hold& hold = holds_.at(aTask);
+  const WorkerSession* session = SessionOf(hold.worker);
+  return session != nullptr && session->IsUsable(now_.steady) &&
+         jobs::Fits({}, session->used, RecordOf(*session).capacity);
+}
+
+/// Keeps room for a task on the worker that will have it first.
+bool
+Scheduler::MakeHold(const Candidate& aCandidate,
+                    const TaskId& aTask,
+                    jobs::WorkerNumber aExcept)
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  const Resources taken = TakenOf(step);
+  WorkerSession* best = nullptr;
+  std::int64_t bestFree = 0;
+  for (auto& [number, session] : sessions_) {
+    const jobs::WorkerRecord& record = RecordOf(session);
+    const bool isHeld =
+      std::any_of(holds_.begin(), holds_.end(), [&](const auto& aItem) {
+        return aItem.second.worker == session.number;
+      });
+    if (number == aExcept || isHeld || !session.IsUsable(now_.steady) ||
+        !Suits(session, record, aCandidate, aTask) ||
+        !jobs::Fits(taken, {}, record.capacity))
+      continue;
+    const std::int64_t free =
+      (record.capacity.processors - session.used.processors).Count();
+    if (best == nullptr || free > bestFree) {
+      best = &session;
+      bestFree = free;
+    }
+  }
+  if (best == nullptr)
+    return false;
+  best->used += taken;
+  holds_[aTask] = { .worker = best->number,
+                    .taken = taken,
+                    .until = now_.steady + kHoldTime };
+  return true;
+}
+
+void
+Scheduler::DropHold(const TaskId& aTask)
+{
+  const auto found = holds_.find(aTask);
+  if (found == holds_.end())
+    return;
+  if (WorkerSession* session = SessionOf(found->second.worker))
+    session->used -= found->second.taken;
+  holds_.erase(found);
+}
+
+void
+Scheduler::DropStaleHolds()
+{
+  std::vector<TaskId> stale;
+  for (const auto& [task, hold] : holds_) {
+    const jobs::Job* job = book_.Find(task.job);
+    const WorkerSession* session = SessionOf(hold.worker);
+    if (hold.until <= now_.steady || job == nullptr ||
+        job->state != jobs::JobState::Live || session == nullptr ||
+        !session->IsUsable(now_.steady))
+      stale.push_back(task);
+  }
+  for (const TaskId& task : stale)
+    DropHold(task);
+}
+
 void
 Scheduler::ProposeAssignment(const WorkerSession& aSession,
                              const TaskId& aTask)
@@ -157,7 +254,7 @@
     const jobs::Step& step = aCandidate.job->description.steps[task.step];
     WorkerSession* session =
       isFree && IsWithinQuota(aCandidate.job->team, step.request)
-        ? Choose(aCandidate, task, nullptr)
+        ? Choose(aCandidate, task)
         : nullptr;
     if (session == nullptr) {
       for (const auto& [member, worker] : placed)
@@ -193,10 +290,27 @@
               team->quota.accelerators);
 }
 
+/// Whether a worker may run a task, its room aside.
+bool
+Scheduler::Suits(const WorkerSession& aSession,
+                 const jobs::WorkerRecord& aRecord,
+                 const Candidate& aCandidate,
+                 const TaskId& aTask)
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  if (aRecord.pool != aCandidate.pool || aRecord.isDraining)
+    return false;
+  const bool hasLabel =
+    step.requiredLabel.empty() ||
+    std::find(aRecord.labels.begin(),
+              aRecord.labels.end(),
+              step.requiredLabel) != aRecord.labels.end();
+  return hasLabel && (step.maxPerWorker == 0 ||
+                      aSession.RunsOfStep(aTask) < step.maxPerWorker);
+}
+
 WorkerSession*
-Scheduler::Choose(const Candidate& aCandidate,
-                  const TaskId& aTask,
-                  const RackId* aRack)
+Scheduler::Choose(const Candidate& aCandidate, const TaskId& aTask)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const Resources taken = TakenOf(step);
@@ -206,21 +320,12 @@
   std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
-    if (record.pool != aCandidate.pool || record.isDraining ||
-        !session.IsUsable(now_.steady) ||
-        !jobs::Fits(taken, session.used, record.capacity))
-      continue;
-    if (!step.requiredLabel.empty() &&
-        std::find(record.labels.begin(),
-                  record.labels.end(),
-                  step.requiredLabel) == record.labels.end())
-      continue;
-    if (step.maxPerWorker > 0 &&
-        session.RunsOfStep(aTask) >= step.maxPerWorker)
+    if (!session.IsUsable(now_.steady) ||
+        !jobs::Fits(taken, session.used, record.capacity) ||
+        !Suits(session, record, aCandidate, aTask))
       continue;
     const bool isNearData = step.preferredRack.Value().empty() ||
                             step.preferredRack == record.rack;
-    const bool isOnRack = aRack == nullptr || *aRack == record.rack;
     const bool isFirstTry = state == nullptr ||
                             state->attempt == Attempt(0) ||
                             state->worker != number;
@@ -230,7 +335,7 @@
     const bool isUndisturbed =
       !step.usesIdleProcessors || !session.HasServingRun();
     const std::tuple rank(
-      isNearData && isOnRack,
+      isNearData,
       isFirstTry,
       isUndisturbed,
       step.isPersistent ? isBesideAlike : false,
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -679,6 +679,20 @@
   return away < step.maxUnavailable;
 }
 
+/// Keeps room for a run on another worker; true once it is there.
+bool
+Scheduler::HasRoomElsewhere(const WorkerSession& aSession, const TaskId& aTask)
+{
+  const jobs::Job* job = book_.Find(aTask.job);
+  const auto pool = job == nullptr ? pools_.end() : pools_.find(job->queue);
+  if (pool == pools_.end() || book_.CurrentConfiguration() == nullptr)
+    return true;
+  if (holds_.count(aTask) == 0 &&
+      !MakeHold(CandidateOf(*job, pool->second), aTask, aSession.number))
+    return false;
+  return IsHoldMet(aTask);
+}
+
 void
 Scheduler::Evacuate(jobs::WorkerNumber aWorker)
 {
@@ -687,7 +701,7 @@
     return;
   for (auto& [task, run] : session->runs) {
     if (!run.isPersistent || run.stage != RunStage::Running ||
-        run.isStopWanted || !MayStop(task))
+        run.isStopWanted || !MayStop(task) || !HasRoomElsewhere(*session, task))
       continue;
     observe::Log(observe::LogLevel::Info,
                  "run-evacuated",
--- /dev/null
+++ b/packages/schedule/lib/TurnForecast.cpp
@@ -0,0 +1,112 @@
+#include "greengage/schedule/TurnForecast.h"
+
+#include <algorithm>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+/// A turn begins above this part of the highest demand seen, and ends below
+/// that one; the users' demand is five times its mean in a turn and a twentieth
+/// of it between turns.
+static constexpr std::int64_t kBeginPercent = 40;
+static constexpr std::int64_t kEndPercent = 15;
+static constexpr std::int64_t kPercent = 100;
+/// Smaller demand makes no turn: some hosts of the users' sites.
+static constexpr std::int64_t kLeastPeak = 40000;
+/// Turns that must have begun before their pace is believed.
+static constexpr std::size_t kMinStarts = 3;
+/// Starts that are kept: two rounds of 26 pools.
+static constexpr std::size_t kMaxStarts = 52;
+/// How far single gaps may be from their median.
+static constexpr std::int64_t kGapTolerancePercent = 60;
+/// How long after its expected start a turn is still waited for, in gaps.
+static constexpr std::int64_t kPatiencePercent = 50;
+
+void
+TurnForecast::Observe(const PoolId& aPool, std::int64_t aDemand, Time aNow)
+{
+  Pool& pool = pools_[aPool];
+  pool.highest = std::max(pool.highest, aDemand);
+  if (pool.isInTurn) {
+    pool.peak = std::max(pool.peak, aDemand);
+    if (aDemand * kPercent < pool.highest * kEndPercent) {
+      pool.isInTurn = false;
+      ++pool.turns;
+    }
+    return;
+  }
+  if (aDemand < kLeastPeak || aDemand * kPercent < pool.highest * kBeginPercent)
+    return;
+  pool.isInTurn = true;
+  pool.peak = aDemand;
+  pool.lastStart = aNow;
+  starts_.push_back({ .pool = aPool, .at = aNow });
+  if (starts_.size() > kMaxStarts)
+    starts_.erase(starts_.begin());
+}
+
+bool
+TurnForecast::HasHadTurn(const PoolId& aPool) const
+{
+  const auto found = pools_.find(aPool);
+  return found != pools_.end() && found->second.turns > 0;
+}
+
+/// The usual time between the starts of two pools' turns.
+std::optional<Duration>
+TurnForecast::Gap() const
+{
+  if (starts_.size() < kMinStarts)
+    return std::nullopt;
+  std::vector<std::int64_t> gaps;
+  for (std::size_t place = 1; place < starts_.size(); ++place)
+    gaps.push_back((starts_[place].at - starts_[place - 1].at).Millis());
+  std::sort(gaps.begin(), gaps.end());
+  const std::int64_t median = gaps[gaps.size() / 2];
+  const auto regular =
+    std::count_if(gaps.begin(), gaps.end(), [&](std::int64_t aGap) {
+      return std::abs(aGap - median) * kPercent <=
+             median * kGapTolerancePercent;
+    });
+  if (static_cast<std::size_t>(regular) * 2 < gaps.size())
+    return std::nullopt;
+  return Duration(median);
+}
+
+std::optional<Time>
+TurnForecast::NextStart(const PoolId& aPool) const
+{
+  const auto found = pools_.find(aPool);
+  const auto gap = Gap();
+  if (found == pools_.end() || !gap || starts_.empty())
+    return std::nullopt;
+  const auto rounds = static_cast<std::int64_t>(pools_.size());
+  if (found->second.lastStart)
+    return *found->second.lastStart + *gap * rounds;
+  // Of all pools only this one has had no turn: it comes next.
+  const auto without =
+    std::count_if(pools_.begin(), pools_.end(), [](const auto& aItem) {
+      return !aItem.second.lastStart;
+    });
+  if (without != 1)
+    return std::nullopt;
+  return starts_.back().at + *gap;
+}
+
+std::optional<std::int64_t>
+TurnForecast::Expected(const PoolId& aPool, Duration aAhead, Time aNow) const
+{
+  const auto found = pools_.find(aPool);
+  const auto start = NextStart(aPool);
+  if (!start || found->second.isInTurn || *start > aNow + aAhead)
+    return std::nullopt;
+  const Duration patience(Gap()->Millis() * kPatiencePercent / kPercent);
+  if (*start + patience < aNow)
+    return std::nullopt;
+  if (found->second.peak > 0)
+    return found->second.peak;
+  std::int64_t others = 0;
+  for (const auto& [id, pool] : pools_)
+    others = std::max(others, pool.peak);
+  return others;
+}
