Put late jobs behind those that can be in time; follow the demand's growth

Cause: in an overload the earliest deadline first made all jobs late; the demand of a turn was met two seconds late. Run times are learned per queue, since clients' estimates are off by up to 90 percent.

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -16,6 +16,7 @@
 #include "greengage/schedule/TurnForecast.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -110,6 +111,7 @@
   void PlanMoves();
   void WatchDemand();
   std::map<PoolId, PoolBalance> Balance() const;
+  void LogBalance(const std::map<PoolId, PoolBalance>& aBalance);
   void FillPool(const PoolId& aPool, std::map<PoolId, PoolBalance>& aBalance);
   void EmptyPools(std::map<PoolId, PoolBalance>& aBalance);
   void Begin(const HostId& aId, Host& aHost, Purpose aPurpose);
@@ -130,6 +132,7 @@
   Moment now_;
   Time mayOrderFrom_;
   Time nextList_;
+  Time nextBalanceLog_;
   bool isListInFlight_ = false;
   bool hasList_ = false;
   std::map<HostId, Host> hosts_;
@@ -138,6 +141,14 @@
   std::set<HostId> listed_;
   /// Of each working pool, as the scheduler sees it now.
   std::map<PoolId, std::int64_t> demand_;
+  struct Sample
+  {
+    Time at;
+    std::map<PoolId, std::int64_t> demand;
+  };
+  std::deque<Sample> recent_;
+  /// By how much the demand of each pool has grown lately.
+  std::map<PoolId, std::int64_t> growth_;
   std::unordered_map<HostCallId, PendingCall> calls_;
   std::uint64_t lastCall_ = 0;
 };
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -155,7 +155,11 @@
     const jobs::Job* job;
     PoolId pool;
     std::uint32_t priority;
-    Time due;
+    /// When the job has to go on at the latest to meet its objective, on the
+    /// wall clock.
+    Time latestStart;
+    /// It can't meet its objective any more.
+    bool isLate = false;
   };
   std::vector<Candidate> Candidates() const;
   void DispatchJob(const Candidate& aCandidate);
@@ -163,6 +167,9 @@
                     std::uint32_t aOccurrence,
                     std::uint32_t aStep);
   bool Place(const Candidate& aCandidate, const TaskId& aTask, bool aMayHold);
+  Duration RunTimeOf(const jobs::Job& aJob, const jobs::Step& aStep) const;
+  Duration ChainOf(const jobs::Job& aJob, bool aIsLeftOnly) const;
+  void LearnRunTime(const jobs::Job& aJob, const Run& aRun);
   Candidate CandidateOf(const jobs::Job& aJob, const PoolId& aPool) const;
   bool MakeHold(const Candidate& aCandidate,
                 const TaskId& aTask,
@@ -199,6 +206,8 @@
   /// Tasks whose assignment is proposed and not committed.
   std::set<TaskId> proposed_;
   std::unordered_map<TeamId, jobs::Resources> usage_;
+  /// Mean run times of the tasks of each queue, in milliseconds.
+  std::map<jobs::QueueId, double> runTimes_;
   /// The last pool of queues that the configuration no longer names.
   std::map<jobs::QueueId, PoolId> pools_;
   /// Room that is kept for a task on a worker until it is there in full; it
--- a/packages/schedule/include/greengage/schedule/TurnForecast.h
+++ b/packages/schedule/include/greengage/schedule/TurnForecast.h
@@ -38,6 +38,7 @@
     bool isInTurn = false;
     std::uint32_t turns = 0;
     std::optional<Time> lastStart;
+    std::optional<Time> lastEnd;
     /// The highest demand of the current or last turn.
     std::int64_t peak = 0;
   };
@@ -48,6 +49,7 @@
   };
 
   std::optional<Duration> Gap() const;
+  std::int64_t PoolsLeft() const;
   std::optional<Time> NextStart(const PoolId& aPool) const;
 
   std::map<PoolId, Pool> pools_;
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -41,6 +41,8 @@
   TeamId team;
   bool usesIdleProcessors = false;
   bool isPersistent = false;
+  /// When the worker confirmed the run.
+  Time confirmedAt;
   /// The share of its speed that the worker's lists gave last, 0 to 100; it
   /// grows to 100 while a persistent task starts up.
   std::uint32_t listedPercent = 0;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -48,6 +48,8 @@
   listed_.clear();
   calls_.clear();
   demand_.clear();
+  recent_.clear();
+  growth_.clear();
   forecast_ = TurnForecast();
   isListInFlight_ = false;
   hasList_ = false;
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -24,8 +24,13 @@
 /// How far ahead of an expected turn hosts are taken: the drain, the move and
 /// the worker's start.
 static constexpr Duration kLookAhead = Duration(3000);
+/// Demand is taken to grow in the next such span as it did in the last; a host
+/// takes longer to come.
+static constexpr Duration kGrowthSpan = Duration(1200);
 /// The part of the last turn's peak that is there when the next one begins.
 static constexpr std::int64_t kExpectedPercent = 70;
+/// How often the log tells what pools have and need.
+static constexpr Duration kBalanceLogInterval = Duration::Seconds(1);
 /// Hosts that a pool keeps at least, so that the loss of one leaves another.
 static constexpr std::uint32_t kMinHosts = 2;
 
@@ -117,8 +122,12 @@
     const std::int64_t asked = demand == demand_.end() ? 0 : demand->second;
     const std::int64_t expected =
       forecast_.Expected(pool, kLookAhead, now_.steady).value_or(0);
-    state.needs = std::max(asked * (kPercent + kHeadroomPercent) / kPercent,
-                           expected * kExpectedPercent / kPercent);
+    const auto slope = growth_.find(pool);
+    const std::int64_t growth =
+      slope == growth_.end() ? 0 : std::max<std::int64_t>(slope->second, 0);
+    state.needs =
+      std::max(asked * (kPercent + kHeadroomPercent) / kPercent + growth,
+               expected * kExpectedPercent / kPercent);
   }
   return balance;
 }
@@ -127,15 +136,41 @@
 HostPlanner::WatchDemand()
 {
   demand_ = scheduler_.Demand();
+  recent_.push_back({ .at = now_.steady, .demand = demand_ });
+  while (recent_.front().at + kGrowthSpan < now_.steady)
+    recent_.pop_front();
+  growth_.clear();
+  for (auto& [pool, demand] : demand_) {
+    const auto before = recent_.front().demand.find(pool);
+    if (before != recent_.front().demand.end())
+      growth_[pool] = demand - before->second;
+  }
   for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
     if (!pool.isSpare)
       forecast_.Observe(pool.id, demand_[pool.id], now_.steady);
 }
 
+void
+HostPlanner::LogBalance(const std::map<PoolId, PoolBalance>& aBalance)
+{
+  if (nextBalanceLog_ > now_.steady)
+    return;
+  nextBalanceLog_ = now_.steady + kBalanceLogInterval;
+  for (const auto& [pool, state] : aBalance)
+    observe::Log(observe::LogLevel::Info,
+                 "pool-balance",
+                 { { "pool", pool.Value() },
+                   { "hosts", std::to_string(state.hosts) },
+                   { "millicores", std::to_string(state.has) },
+                   { "needed", std::to_string(state.needs) },
+                   { "asked", std::to_string(demand_[pool]) } });
+}
+
 void
 HostPlanner::PlanMoves()
 {
   std::map<PoolId, PoolBalance> balance = Balance();
+  LogBalance(balance);
   std::vector<PoolId> lacking;
   for (const auto& [pool, state] : balance)
     if (state.has < state.needs || state.hosts < kMinHosts)
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -367,6 +367,7 @@
   switch (aReply.answer) {
     case WorkerAnswer::Done:
       run.stage = RunStage::Running;
+      run.confirmedAt = now_.steady;
       run.listedFrom = aSession.renewals + 1;
       if (!aSession.isRenewalInFlight)
         aSession.nextRenewal = now_.steady;
@@ -519,8 +520,11 @@
                      { "failed_runs",
                        std::to_string(aSession.failedRuns) } });
     }
-    if (end.how == ListedEndKind::Done)
+    if (end.how == ListedEndKind::Done) {
       aSession.failedRuns = 0;
+      if (const jobs::Job* job = book_.Find(end.task.job))
+        LearnRunTime(*job, run);
+    }
     EndRun(aSession,
            end.task,
            run,
--- a/packages/schedule/lib/TurnForecast.cpp
+++ b/packages/schedule/lib/TurnForecast.cpp
@@ -12,9 +12,11 @@
 static constexpr std::int64_t kEndPercent = 15;
 static constexpr std::int64_t kPercent = 100;
 /// Smaller demand makes no turn: some hosts of the users' sites.
-static constexpr std::int64_t kLeastPeak = 40000;
+static constexpr std::int64_t kLeastPeak = 80000;
 /// Turns that must have begun before their pace is believed.
-static constexpr std::size_t kMinStarts = 3;
+static constexpr std::size_t kMinStarts = 2;
+/// A turn that ends and begins again within this time goes on.
+static constexpr Duration kSameTurn = Duration(4000);
 /// Starts that are kept: two rounds of 26 pools.
 static constexpr std::size_t kMaxStarts = 52;
 /// How far single gaps may be from their median.
@@ -31,6 +33,7 @@
     pool.peak = std::max(pool.peak, aDemand);
     if (aDemand * kPercent < pool.highest * kEndPercent) {
       pool.isInTurn = false;
+      pool.lastEnd = aNow;
       ++pool.turns;
     }
     return;
@@ -38,6 +41,8 @@
   if (aDemand < kLeastPeak || aDemand * kPercent < pool.highest * kBeginPercent)
     return;
   pool.isInTurn = true;
+  if (pool.lastEnd && *pool.lastEnd + kSameTurn > aNow)
+    return;
   pool.peak = aDemand;
   pool.lastStart = aNow;
   starts_.push_back({ .pool = aPool, .at = aNow });
@@ -81,18 +86,23 @@
   if (found == pools_.end() || !gap || starts_.empty())
     return std::nullopt;
   const auto rounds = static_cast<std::int64_t>(pools_.size());
-  if (found->second.lastStart)
+  if (PoolsLeft() == 0)
     return *found->second.lastStart + *gap * rounds;
-  // Of all pools only this one has had no turn: it comes next.
-  const auto without =
-    std::count_if(pools_.begin(), pools_.end(), [](const auto& aItem) {
-      return !aItem.second.lastStart;
-    });
-  if (without != 1)
+  // The round goes on with one of those that have had no turn.
+  if (found->second.lastStart)
     return std::nullopt;
   return starts_.back().at + *gap;
 }
 
+/// Pools that have had no turn yet.
+std::int64_t
+TurnForecast::PoolsLeft() const
+{
+  return std::count_if(pools_.begin(), pools_.end(), [](const auto& aItem) {
+    return !aItem.second.lastStart;
+  });
+}
+
 std::optional<std::int64_t>
 TurnForecast::Expected(const PoolId& aPool, Duration aAhead, Time aNow) const
 {
@@ -108,5 +118,5 @@
   std::int64_t others = 0;
   for (const auto& [id, pool] : pools_)
     others = std::max(others, pool.peak);
-  return others;
+  return others / std::max<std::int64_t>(PoolsLeft(), 1);
 }
