--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -18,7 +18,7 @@
 static constexpr std::int64_t kPercent = 100;
 /// How long a pool could have done without a host before the host goes. A move
 /// costs about as much as a second in a pool, and the way back takes 1.5 s.
-static constexpr Duration kIdleTime = Duration(1500);
+static constexpr Duration kIdleTime = Duration(700);
 /// Processors beyond the demand that a pool keeps.
 static constexpr std::int64_t kHeadroomPercent = 15;
 /// How far ahead of an expected turn hosts are taken: the drain, the move and
@@ -28,7 +28,7 @@
 /// takes longer to come.
 static constexpr Duration kGrowthSpan = Duration(1200);
 /// The part of the last turn's peak that is there when the next one begins.
-static constexpr std::int64_t kExpectedPercent = 70;
+static constexpr std::int64_t kExpectedPercent = 50;
 /// How often the log tells what pools have and need.
 static constexpr Duration kBalanceLogInterval = Duration::Seconds(1);
 /// Hosts that a pool keeps at least, so that the loss of one leaves another.
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -410,7 +410,7 @@
       isFirstTry,
       isUndisturbed,
       step.isPersistent ? isBesideAlike : false,
-      (record.capacity.processors - session.used.processors).Count());
+      (session.used.processors - record.capacity.processors).Count());
     if (best == nullptr || rank > bestRank) {
       best = &session;
       bestRank = rank;
--- a/packages/schedule/lib/TurnForecast.cpp
+++ b/packages/schedule/lib/TurnForecast.cpp
@@ -22,7 +22,7 @@
 /// How far single gaps may be from their median.
 static constexpr std::int64_t kGapTolerancePercent = 60;
 /// How long after its expected start a turn is still waited for, in gaps.
-static constexpr std::int64_t kPatiencePercent = 50;
+static constexpr std::int64_t kPatiencePercent = 25;
 
 void
 TurnForecast::Observe(const PoolId& aPool, std::int64_t aDemand, Time aNow)
