--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -142,7 +142,11 @@
       return;
     }
     beast::error_code ignored;
-    connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+    tcp::socket& socket = connection_->stream.socket();
+    socket.set_option(tcp::no_delay(true), ignored);
+    // Closing resets the connection: a call that was given up must not arrive
+    // later, when a partition heals. A timeout closes without asking again.
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
     Write();
   }
 
@@ -203,12 +207,6 @@
 
   void End(CallProgress aProgress, std::string aReason)
   {
-    if (aProgress == CallProgress::SentNoResponse) {
-      // A call that was given up must not arrive later, when a partition heals.
-      beast::error_code ignored;
-      connection_->stream.socket().set_option(
-        asio::socket_base::linger(true, 0), ignored);
-    }
     connection_.reset();
     client_->Finish(call_.endpoint, { .id = call_.id,
                       .progress = aProgress,
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -109,6 +109,8 @@
   void PlanWaves();
   std::vector<HostId> HostsLeft(const jobs::Wave& aWave);
   void PlanMoves();
+  std::int64_t ProcessorsFor(const PoolId& aPool,
+                             const PoolDemand& aDemand) const;
   void WatchDemand();
   std::map<PoolId, PoolBalance> Balance() const;
   void LogBalance(const std::map<PoolId, PoolBalance>& aBalance);
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -33,6 +33,17 @@
   Duration retention = Duration::Seconds(180);
 };
 
+/// What the tasks of a pool's queues ask for.
+struct PoolDemand
+{
+  /// In thousandths of a core.
+  std::int64_t processors = 0;
+  /// In mebibytes.
+  std::int64_t memory = 0;
+  /// Steps with persistent tasks that do not run.
+  std::uint32_t persistentWaiting = 0;
+};
+
 /// Decides for the fleet while this host leads.
 class Scheduler final : public jobs::JobBookObserver
 {
@@ -65,9 +76,10 @@
   /// Moves runs off a worker that do not end by themselves, as far as the
   /// availability of their steps allows.
   void Evacuate(jobs::WorkerNumber aWorker);
-  /// The processors, in thousandths of a core, that the tasks of each pool's
-  /// queues take or will shortly ask for.
-  std::map<PoolId, std::int64_t> Demand() const;
+  /// Whether room on the worker is kept for a task that is not there yet.
+  bool IsHeld(jobs::WorkerNumber aWorker) const;
+  /// What the tasks of each pool's queues take or will shortly ask for.
+  std::map<PoolId, PoolDemand> Demand() const;
 
   /// Jobs of the queue of which no task was ever assigned.
   std::uint64_t PendingIn(const jobs::QueueId& aQueue) const;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -96,10 +96,8 @@
 {
   const WorkerSession* session =
     aHost.worker ? scheduler_.Find(*aHost.worker) : nullptr;
-  return session != nullptr &&
-         std::any_of(session->runs.begin(),
-                     session->runs.end(),
-                     [](const auto& aItem) { return aItem.second.isPersistent; });
+  return session != nullptr && (session->HasPersistentRun() ||
+                                scheduler_.IsHeld(*aHost.worker));
 }
 
 void
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -83,7 +83,8 @@
       if (taken >= wave.plan.maxAtOnce)
         break;
       Host& record = hosts_.at(host);
-      if (record.purpose != Purpose::None || IsAway(record) || record.isDown)
+      if (record.purpose != Purpose::None || IsAway(record) || record.isDown ||
+          (record.worker && scheduler_.IsHeld(*record.worker)))
         continue;
       const auto pool = balance.find(record.pool);
       const bool isNeeded =
@@ -132,10 +133,32 @@
   return balance;
 }
 
+/// What \p aDemand comes to in processors of the pool's hosts: memory may run
+/// out first, and a persistent task that finds no room needs another host.
+std::int64_t
+HostPlanner::ProcessorsFor(const PoolId& aPool, const PoolDemand& aDemand) const
+{
+  const auto sample =
+    std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& aItem) {
+      return aItem.second.pool == aPool &&
+             aItem.second.capacity.memory.Count() > 0;
+    });
+  if (sample == hosts_.end())
+    return aDemand.processors;
+  const jobs::Resources& host = sample->second.capacity;
+  const std::int64_t byMemory = aDemand.memory * host.processors.Count() /
+                                host.memory.Count();
+  const std::int64_t extra =
+    aDemand.persistentWaiting > 0 ? host.processors.Count() : 0;
+  return std::max(aDemand.processors, byMemory) + extra;
+}
+
 void
 HostPlanner::WatchDemand()
 {
-  demand_ = scheduler_.Demand();
+  demand_.clear();
+  for (const auto& [pool, demand] : scheduler_.Demand())
+    demand_[pool] = ProcessorsFor(pool, demand);
   recent_.push_back({ .at = now_.steady, .demand = demand_ });
   while (recent_.front().at + kGrowthSpan < now_.steady)
     recent_.pop_front();
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -209,14 +209,20 @@
   if (!IsWithinQuota(aCandidate.job->team, step.request))
     return false;
   WorkerSession* session = nullptr;
-  if (holds_.count(aTask) != 0) {
-    if (!IsHoldMet(aTask))
+  if (const auto hold = holds_.find(aTask); hold != holds_.end()) {
+    session = SessionOf(hold->second.worker);
+    // Other tasks of the step may have come to the worker since.
+    const bool suits =
+      session != nullptr &&
+      Suits(*session, RecordOf(*session), aCandidate, aTask);
+    if (suits && !IsHoldMet(aTask))
       return false;
-    session = SessionOf(holds_.at(aTask).worker);
     DropHold(aTask);
-  } else {
-    session = Choose(aCandidate, aTask);
+    if (!suits)
+      session = nullptr;
   }
+  if (session == nullptr)
+    session = Choose(aCandidate, aTask);
   if (session == nullptr) {
     if (aMayHold)
       MakeHold(aCandidate, aTask, jobs::WorkerNumber(0));
@@ -249,11 +255,7 @@
   std::int64_t bestFree = 0;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
-    const bool isHeld =
-      std::any_of(holds_.begin(), holds_.end(), [&](const auto& aItem) {
-        return aItem.second.worker == session.number;
-      });
-    if (number == aExcept || isHeld || !session.IsUsable(now_.steady) ||
+    if (number == aExcept || IsHeld(number) || !session.IsUsable(now_.steady) ||
         !Suits(session, record, aCandidate, aTask) ||
         !jobs::Fits(taken, {}, record.capacity))
       continue;
@@ -419,24 +421,34 @@
   return best;
 }
 
-std::map<PoolId, std::int64_t>
+bool
+Scheduler::IsHeld(jobs::WorkerNumber aWorker) const
+{
+  return std::any_of(holds_.begin(), holds_.end(), [&](const auto& aItem) {
+    return aItem.second.worker == aWorker;
+  });
+}
+
+std::map<PoolId, PoolDemand>
 Scheduler::Demand() const
 {
-  std::map<PoolId, std::int64_t> demand;
+  std::map<PoolId, PoolDemand> demand;
   for (const Candidate& candidate : Candidates()) {
     const jobs::Job& job = *candidate.job;
-    std::int64_t& sum = demand[candidate.pool];
+    PoolDemand& sum = demand[candidate.pool];
     for (const auto& [number, occurrence] : job.occurrences)
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         const jobs::StepState& state = occurrence.steps[step];
-        const auto each =
-          TakenOf(job.description.steps[step]).processors.Count();
+        const Resources each = TakenOf(job.description.steps[step]);
+        if (job.description.steps[step].isPersistent && state.waiting > 0)
+          ++sum.persistentWaiting;
         const auto left =
           static_cast<std::int64_t>(state.tasks.size() - state.done);
         const std::int64_t divisor =
           (jobs::IsReady(job, occurrence, step) ? 1 : kLaterStepDivisor) *
           (candidate.isLate ? kLateDivisor : 1);
-        sum += each * left / divisor;
+        sum.processors += each.processors.Count() * left / divisor;
+        sum.memory += each.memory.Count() * left / divisor;
       }
   }
   return demand;
