--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -352,3 +352,40 @@
   const ClientResult result = results.Take();
   REQUIRE(result.progress != CallProgress::Responded);
 }
+
+TEST_CASE_METHOD(ClientFixture, "a call that is given up resets its connection")
+{
+  // Bytes that a partition holds up are lost with a reset, so that the call
+  // can't arrive after it was given up.
+  asio::ip::tcp::acceptor acceptor(
+    context, { asio::ip::make_address("127.0.0.1"), 0 });
+  Call(acceptor.local_endpoint().port(), Duration(200));
+  asio::ip::tcp::socket socket = acceptor.accept();
+  REQUIRE(results.Take().progress == CallProgress::SentNoResponse);
+  std::string text;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(text), error);
+  CHECK(error == asio::error::connection_reset);
+}
+
+TEST_CASE_METHOD(ServerFixture, "calls to one endpoint take turns")
+{
+  RingPipe<ClientResult> results{ 16 };
+  pipe::IoDuty clientDuty{ "client" };
+  Client client{ clientDuty, { .maxPerEndpoint = 2 }, results };
+  clientDuty.Start();
+  for (const std::uint64_t id : { 1U, 2U, 3U }) {
+    ClientCall call;
+    call.id = ClientCallId(id);
+    call.endpoint = { "127.0.0.1", port };
+    call.body = std::to_string(id);
+    client.Calls().Push(std::move(call));
+  }
+  const HttpRequest first = requests.Take();
+  const HttpRequest second = requests.Take();
+  CHECK(first.body != "3");
+  CHECK(second.body != "3");
+  Answer(first, "done");
+  CHECK(requests.Take().body == "3");
+  clientDuty.Stop();
+}
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -83,15 +83,15 @@
 /// What a worker says of itself that lasts as long as it lives.
 struct WorkerRecord
 {
-  WorkerId id;
-  Incarnation incarnation;
-  HostId host;
-  Endpoint endpoint;
-  PoolId pool;
-  AvailabilityZoneId availabilityZone;
-  RackId rack;
-  std::vector<std::string> labels;
-  Resources capacity;
+  WorkerId id = {};
+  Incarnation incarnation = {};
+  HostId host = {};
+  Endpoint endpoint = {};
+  PoolId pool = {};
+  AvailabilityZoneId availabilityZone = {};
+  RackId rack = {};
+  std::vector<std::string> labels = {};
+  Resources capacity = {};
   /// It is leaving and takes no new work.
   bool isDraining = false;
 
