--- /dev/null
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -0,0 +1,214 @@
+#include "ModelFleet.h"
+
+#include "greengage/schedule/TurnForecast.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+namespace {
+
+/// Six hosts in the pool and four spare ones, with the time that two leaders'
+/// orders must be apart behind them.
+struct Fixture : ModelFleet
+{
+  Fixture()
+    : ModelFleet(1, true)
+  {
+    Run(Duration(200));
+    for (const char* id : { "w1", "w2", "w3", "w4", "w5", "w6" })
+      AddWorker(id);
+    for (const char* name : { "s1", "s2", "s3", "s4" })
+      AddSpareHost(name);
+    Run(Duration(3500));
+  }
+  std::size_t Orders() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      hostCalls.begin(), hostCalls.end(), [](const HostCall& aCall) {
+        return !std::holds_alternative<ListHosts>(aCall.request);
+      }));
+  }
+  bool IsWaveCompleted()
+  {
+    Ask(WaveQuery{ .id = jobs::WaveId(1) });
+    const auto* report = std::get_if<WaveReport>(LastReply());
+    return report != nullptr && report->isCompleted;
+  }
+  void StartWaveOf(std::vector<jobs::HostId> aHosts, std::uint32_t aAtOnce)
+  {
+    Ask(WaveStart{ .id = jobs::WaveId(1),
+                   .hosts = std::move(aHosts),
+                   .maxAtOnce = aAtOnce,
+                   .within = Duration::Seconds(20) });
+    Run(Duration(50));
+  }
+  void CheckAll()
+  {
+    for (const std::string& what : broken)
+      FAIL_CHECK(what);
+  }
+};
+
+jobs::Step
+Tasks(std::uint32_t aCount)
+{
+  return { .count = aCount,
+           .request = { MilliCores(1000), Mebibytes(256), {} },
+           .estimate = Duration(800) };
+}
+
+std::vector<jobs::HostId>
+AllHosts()
+{
+  std::vector<jobs::HostId> hosts;
+  for (const char* name : { "host-w1", "host-w2", "host-w3", "host-w4", "s1" })
+    hosts.emplace_back(name);
+  return hosts;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "a wave is carried out in time and within its bound")
+{
+  StartWaveOf(AllHosts(), 2);
+  CHECK_FALSE(IsWaveCompleted());
+  CHECK(RunUntil([&] { return IsWaveCompleted(); }, Duration::Seconds(18)));
+  CHECK(mostMaintained <= 2);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a wave lets running tasks end first")
+{
+  const jobs::JobId job = Submit({ Tasks(20) }, { .runTime = Duration(1500) });
+  Run(Duration(200));
+  StartWaveOf(AllHosts(), 3);
+  CHECK(RunUntil([&] { return IsWaveCompleted(); }, Duration::Seconds(18)));
+  CHECK(StateOf(job) == JobProgress::Completed);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a wave goes on under a new leader")
+{
+  StartWaveOf(AllHosts(), 1);
+  Run(Duration(3000));
+  ChangeLeader();
+  CHECK(RunUntil([&] { return IsWaveCompleted(); }, Duration::Seconds(25)));
+  CHECK(mostMaintained <= 1);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a new leader gives no orders for a while")
+{
+  StartWaveOf(AllHosts(), 1);
+  ChangeLeader();
+  const std::size_t before = Orders();
+  Run(Duration(2900));
+  CHECK(Orders() == before);
+  Run(Duration(3000));
+  CHECK(Orders() > before);
+}
+
+TEST_CASE_METHOD(Fixture, "persistent tasks move before their host is ordered")
+{
+  jobs::Step service = Tasks(4);
+  service.isPersistent = true;
+  service.maxPerWorker = 1;
+  service.maxUnavailable = 1;
+  const jobs::JobId job = Submit({ service });
+  Run(Duration(2500));
+  REQUIRE(RunsInAll() == 4);
+  StartWaveOf(AllHosts(), 3);
+  std::size_t fewest = 4;
+  CHECK(RunUntil(
+    [&] {
+      fewest = std::min(fewest, RunsInAll());
+      return IsWaveCompleted();
+    },
+    Duration::Seconds(20)));
+  CHECK(fewest >= 3);
+  CHECK(HasRun(job));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "persistent tasks that may not be away stay")
+{
+  jobs::Step service = Tasks(1);
+  service.isPersistent = true;
+  service.maxUnavailable = 0;
+  const jobs::JobId job = Submit({ service });
+  Run(Duration(2500));
+  StartWaveOf(AllHosts(), 3);
+  Run(Duration::Seconds(15));
+  CHECK(HasRun(job));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "spare hosts come when the demand exceeds the pool")
+{
+  REQUIRE(HostsInLines() == 6);
+  for (int round = 0; round < 20; ++round) {
+    Submit({ Tasks(10) }, { .runTime = Duration(1000) });
+    Run(Duration(100));
+  }
+  CHECK(HostsInLines() > 6);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "hosts go back once a turn of demand has ended")
+{
+  for (int round = 0; round < 60; ++round) {
+    Submit({ Tasks(12) }, { .runTime = Duration(1000) });
+    Run(Duration(100));
+  }
+  CHECK(HostsInLines() == 10);
+  Run(Duration::Seconds(30));
+  CHECK(HostsInLines() == 2);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a silent provider leaves the hosts where they are")
+{
+  isProviderSilent = true;
+  for (int round = 0; round < 20; ++round) {
+    Submit({ Tasks(10) }, { .runTime = Duration(500) });
+    Run(Duration(100));
+  }
+  CHECK(HostsInLines() == 6);
+  CheckAll();
+}
+
+TEST_CASE("turns of demand are learned")
+{
+  const PoolId a("a");
+  const PoolId b("b");
+  const PoolId c("c");
+  TurnForecast forecast;
+  // Each pool in turn asks for 200 cores for 4 s, every 4 s another one.
+  const auto demandOf = [](int aPlace, std::int64_t aMillis) {
+    const std::int64_t inRound = aMillis % 12000;
+    return inRound / 4000 == aPlace ? 200000 : 4000;
+  };
+  const auto play = [&](std::int64_t aFrom, std::int64_t aTo) {
+    for (std::int64_t at = aFrom; at < aTo; at += 100) {
+      forecast.Observe(a, demandOf(0, at), Time(at));
+      forecast.Observe(b, demandOf(1, at), Time(at));
+      forecast.Observe(c, demandOf(2, at), Time(at));
+    }
+  };
+  play(0, 3000);
+  CHECK_FALSE(forecast.Expected(b, Duration(3000), Time(3000)));
+  play(3000, 7000);
+  CHECK(forecast.HasHadTurn(a));
+  CHECK_FALSE(forecast.HasHadTurn(c));
+  // The last one without a turn comes next.
+  CHECK(forecast.Expected(c, Duration(2000), Time(7000)) == 200000);
+  CHECK_FALSE(forecast.Expected(a, Duration(2000), Time(7000)));
+  play(7000, 11000);
+  CHECK(forecast.Expected(a, Duration(2000), Time(11000)) == 200000);
+  CHECK_FALSE(forecast.Expected(b, Duration(2000), Time(11000)));
+}
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -12,6 +12,9 @@
 static constexpr Duration kCommitTime(10);
 static constexpr Duration kNetworkTime(1);
 static constexpr Duration kBeatInterval(1500);
+static constexpr Duration kMoveTime(1500);
+static constexpr Duration kUpkeepTime(2000);
+static constexpr Duration kOrderGap(3000);
 static constexpr Duration kMaxLease = Duration::Seconds(10);
 /// When the latest of the late calls is carried out.
 static constexpr Duration kLatestCall(12000);
@@ -39,8 +42,9 @@
   return read;
 }
 
-ModelFleet::ModelFleet(std::uint64_t aSeed)
+ModelFleet::ModelFleet(std::uint64_t aSeed, bool aHasProvider)
   : random(aSeed)
+  , hasProvider_(aHasProvider)
 {
   observe::ConfigureLog({ .path = {}, .level = observe::LogLevel::Error });
   StartLeader();
@@ -69,7 +73,12 @@
   ++leader_;
   ControllerSink& sink = *this;
   controller_ = std::make_unique<Controller>(
-    SchedulerOptions{}, HostPlannerOptions{}, reader, sink);
+    SchedulerOptions{},
+    HostPlannerOptions{ .isEnabled = hasProvider_,
+                        .self = EntryHostId("leader"),
+                        .settle = kOrderGap },
+    reader,
+    sink);
   for (const std::string& entry : log_)
     controller_->Apply(entry, Now());
   controller_->Lead(Fence(leader_), Now());
@@ -133,7 +142,100 @@
 void
 ModelFleet::Call(HostCall&& aCall)
 {
-  hostCalls.push_back(std::move(aCall));
+  hostCalls.push_back(aCall);
+  if (isProviderSilent)
+    return;
+  HostReply reply;
+  if (std::holds_alternative<ListHosts>(aCall.request))
+    reply = ListAllHosts();
+  if (const auto* move = std::get_if<MoveHost>(&aCall.request))
+    reply.answer = Reassign(move->host, move->pool, false);
+  if (const auto* upkeep = std::get_if<MaintainHost>(&aCall.request)) {
+    ModelHost& host = hosts_.at(upkeep->host.Value());
+    reply.answer = host.waves.count(upkeep->wave) != 0
+                     ? HostAnswer::Done
+                     : Reassign(upkeep->host, host.pool, true);
+    if (reply.answer == HostAnswer::Done)
+      host.waves.insert(upkeep->wave);
+  }
+  reply.id = aCall.id;
+  At(kNetworkTime, [this, reply, leader = leader_] {
+    if (leader == leader_)
+      controller_->On(reply, Now());
+  });
+}
+
+HostReply
+ModelFleet::ListAllHosts() const
+{
+  HostReply reply;
+  reply.answer = HostAnswer::Done;
+  for (const auto& [name, host] : hosts_)
+    reply.hosts.push_back({ .host = HostId(name),
+                            .pool = host.pool,
+                            .state = host.awayUntil <= now_ ? HostState::Up
+                                     : host.isMaintained
+                                       ? HostState::Maintained
+                                       : HostState::Moving,
+                            .capacity = kRoom });
+  return reply;
+}
+
+/// Ends the host's worker; a new one joins \p aPool a while later.
+HostAnswer
+ModelFleet::Reassign(const HostId& aHost, const PoolId& aPool, bool aIsUpkeep)
+{
+  ModelHost& host = hosts_.at(aHost.Value());
+  if (host.awayUntil > now_)
+    return HostAnswer::Busy;
+  if (!host.worker.empty()) {
+    const ModelWorker& worker = workers_.at(host.worker);
+    for (const auto& [task, run] : worker.runs)
+      if (StepOf(task)->isPersistent)
+        Break(aHost.Value() + " is ordered away with " + ToString(task));
+    CrashWorker(host.worker, std::nullopt);
+    host.worker.clear();
+  }
+  host.pool = aPool;
+  host.isMaintained = aIsUpkeep;
+  const Duration away = aIsUpkeep ? kUpkeepTime : kMoveTime;
+  host.awayUntil = now_ + away;
+  const auto maintained = static_cast<std::size_t>(
+    std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& aItem) {
+      return aItem.second.isMaintained && aItem.second.awayUntil > now_;
+    }));
+  mostMaintained = std::max(mostMaintained, maintained);
+  if (aPool != PoolId("lines"))
+    return HostAnswer::Done;
+  At(away, [this, name = aHost.Value()] {
+    ModelHost& back = hosts_.at(name);
+    back.worker = name + "-" + std::to_string(++lastHostWorker_);
+    AddWorker(back.worker);
+    workers_.at(back.worker).record.host = HostId(name);
+    Beat(workers_.at(back.worker));
+  });
+  return HostAnswer::Done;
+}
+
+void
+ModelFleet::AddSpareHost(const std::string& aName)
+{
+  hosts_[aName].pool = PoolId("spare");
+}
+
+std::string
+ModelFleet::PoolOf(const std::string& aHost) const
+{
+  return hosts_.at(aHost).pool.Value();
+}
+
+std::size_t
+ModelFleet::HostsInLines() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(hosts_.begin(), hosts_.end(), [](const auto& aItem) {
+      return aItem.second.pool == PoolId("lines");
+    }));
 }
 
 void
@@ -217,6 +319,12 @@
                     .rack = RackId("r1"),
                     .capacity = aCapacity };
   worker.clockOffset = Duration(0) - Duration(born);
+  if (aId.find('-') == std::string::npos)
+    hosts_["host-" + aId] = { .pool = PoolId("lines"),
+                              .worker = aId,
+                              .awayUntil = {},
+                              .isMaintained = false,
+                              .waves = {} };
   Beat(worker);
 }
 
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -52,7 +52,8 @@
 class ModelFleet : private ControllerSink
 {
 public:
-  explicit ModelFleet(std::uint64_t aSeed = 1);
+  /// \param aHasProvider whether hosts can be moved and maintained.
+  explicit ModelFleet(std::uint64_t aSeed = 1, bool aHasProvider = false);
   ~ModelFleet() override;
 
   /// Lets \p aSpan pass.
@@ -62,6 +63,12 @@
 
   /// Adds a worker to the pool "lines" and has it beat.
   void AddWorker(const std::string& aId, jobs::Resources aCapacity = kRoom);
+  /// Adds a host to the spare pool; no worker runs on it.
+  void AddSpareHost(const std::string& aName);
+  /// The pool of a host, as its provider knows it.
+  std::string PoolOf(const std::string& aHost) const;
+  /// Hosts that are in the pool "lines" or on their way to it.
+  std::size_t HostsInLines() const;
   /// The worker is gone without a word; it comes back as a new life under the
   /// same id if \p aBackAfter is given.
   void CrashWorker(const std::string& aId, std::optional<Duration> aBackAfter);
@@ -91,6 +98,10 @@
   std::vector<std::string> broken;
   /// Calls that the provider of hosts got.
   std::vector<HostCall> hostCalls;
+  /// The most hosts of a wave that were down for it at once.
+  std::size_t mostMaintained = 0;
+  /// Whether the provider leaves calls unanswered.
+  bool isProviderSilent = false;
   std::mt19937_64 random;
 
   static constexpr jobs::Resources kRoom{ MilliCores(4000),
@@ -138,6 +149,16 @@
     std::set<TaskId> succeeded;
   };
 
+  /// A host as its provider knows it.
+  struct ModelHost
+  {
+    PoolId pool;
+    std::string worker;
+    Time awayUntil;
+    bool isMaintained = false;
+    std::set<jobs::WaveId> waves;
+  };
+
   // ControllerSink.
   bool Propose(BatchId aBatch, const std::string& aEntry) override;
   void Call(WorkerCall&& aCall) override;
@@ -161,6 +182,8 @@
   void TickWorkers();
   void CheckStart(const ModelWorker& aWorker, const StartRun& aStart);
   void CheckAlways();
+  HostReply ListAllHosts() const;
+  HostAnswer Reassign(const HostId& aHost, const PoolId& aPool, bool aIsUpkeep);
   void Break(std::string aWhat);
   const jobs::Step* StepOf(const TaskId& aTask) const;
 
@@ -172,6 +195,9 @@
   std::uint64_t lastCaller_ = 0;
   std::uint64_t lastJob_ = 0;
   std::map<std::string, ModelWorker> workers_;
+  bool hasProvider_;
+  std::map<std::string, ModelHost> hosts_;
+  std::uint64_t lastHostWorker_ = 0;
   std::map<jobs::JobId, JobModel> jobs_;
   std::optional<Reply> lastReply_;
   std::map<CallerId, jobs::JobId> cancels_;
