--- a/packages/api/lib/Decode.cpp
+++ b/packages/api/lib/Decode.cpp
@@ -161,6 +161,7 @@
     case http::PortRole::Operators:
     case http::PortRole::Control:
     case http::PortRole::Readiness:
+    case http::PortRole::Metrics:
       break;
   }
   return DecodeForOperators(aRequest, aReason);
--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -41,6 +41,7 @@
   std::optional<Endpoint> callers;
   std::optional<Endpoint> readiness;
   std::optional<Endpoint> control;
+  std::optional<Endpoint> metrics;
 
   schedule::SchedulerOptions scheduler;
   /// Who provides the fleet's hosts; without it hosts stay as they are.
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -106,11 +106,12 @@
     return false;
   if (state.snapshot && !machine_.Restore(state.snapshot->data, aReason))
     return false;
-  consensus::ReplicaOptions options{ .self = { .host = options_.self,
-                                               .incarnation = incarnation_ },
-                                     .voters = options_.voters,
-                                     .maxMessageBytes = options_.maxEntryBytes,
-                                     .maxCommandBytes = options_.maxEntryBytes };
+  consensus::ReplicaOptions options{
+    .self = { .host = options_.self, .incarnation = incarnation_ },
+    .voters = options_.voters,
+    .maxMessageBytes = options_.maxEntryBytes,
+    .maxCommandBytes = options_.maxEntryBytes
+  };
   options.seed =
     std::hash<std::string>()(options_.self.Value()) ^ incarnation_.Value();
   replica_.emplace(std::move(options), std::move(state), clock_.Now());
--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -54,10 +54,9 @@
   options.capacity = kRingCapacity;
   for (const EntryHostId& seed : aSettings.seeds)
     if (seed != aSettings.id)
-      options.peers.push_back(
-        { .id = seed,
-          .endpoint = { .address = seed.Value(),
-                        .port = aSettings.peerPort } });
+      options.peers.push_back({ .id = seed,
+                                .endpoint = { .address = seed.Value(),
+                                              .port = aSettings.peerPort } });
   return options;
 }
 
@@ -235,6 +234,7 @@
   open(http::PortRole::Callers, settings_.callers, kMaxClientBody);
   open(http::PortRole::Readiness, settings_.readiness, kMaxClientBody);
   open(http::PortRole::Control, settings_.control, kMaxControlBody);
+  open(http::PortRole::Metrics, settings_.metrics, kMaxClientBody);
   return responses;
 }
 
@@ -257,13 +257,12 @@
   }
   peersDuty_.Start();
   portsDuty_.Start();
-  observe::Log(
-    observe::LogLevel::Info,
-    "started",
-    { { "host", settings_.id.Value() },
-      { "availability_zone", settings_.availabilityZone.Value() },
-      { "control", control_ ? "yes" : "no" },
-      { "seeds", std::to_string(settings_.seeds.size()) } });
+  observe::Log(observe::LogLevel::Info,
+               "started",
+               { { "host", settings_.id.Value() },
+                 { "availability_zone", settings_.availabilityZone.Value() },
+                 { "control", control_ ? "yes" : "no" },
+                 { "seeds", std::to_string(settings_.seeds.size()) } });
   return true;
 }
 
@@ -307,16 +306,15 @@
   if (control_)
     control_->clientDuty.Stop();
   peersDuty_.Stop();
-  observe::Log(observe::LogLevel::Info,
-               "stopped",
-               { { "host", settings_.id.Value() } });
+  observe::Log(
+    observe::LogLevel::Info, "stopped", { { "host", settings_.id.Value() } });
 }
 
 } // namespace greengage::daemon::detail
 
 JobDaemon::JobDaemon(JobSettings aSettings, FrontEnd aFrontEnd)
-  : impl_(std::make_unique<detail::JobDaemonImpl>(std::move(aSettings),
-                                                  aFrontEnd))
+  : impl_(
+      std::make_unique<detail::JobDaemonImpl>(std::move(aSettings), aFrontEnd))
 {
 }
 
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -13,7 +13,9 @@
 static constexpr settings::IntegerRange kPortRange{ 1, 65535 };
 
 static std::optional<Endpoint>
-OptionalEndpoint(SettingsReader& aReader, const char* aSection, const char* aKey)
+OptionalEndpoint(SettingsReader& aReader,
+                 const char* aSection,
+                 const char* aKey)
 {
   const settings::IniEntry* entry = aReader.Entry(aSection, aKey, false);
   if (entry == nullptr || entry->value.empty())
@@ -59,8 +61,8 @@
   settings.callers = OptionalEndpoint(reader, "ports", "callers");
   settings.readiness = OptionalEndpoint(reader, "ports", "readiness");
   settings.control = OptionalEndpoint(reader, "ports", "control");
-  reader.ReadDuration(
-    "scheduling", "max_lease", settings.scheduler.maxLease);
+  settings.metrics = OptionalEndpoint(reader, "ports", "metrics");
+  reader.ReadDuration("scheduling", "max_lease", settings.scheduler.maxLease);
   reader.ReadDuration("scheduling", "lease", settings.scheduler.lease);
   reader.ReadDuration(
     "scheduling", "job_retention", settings.scheduler.retention);
--- a/packages/daemon/lib/SettingsReader.h
+++ b/packages/daemon/lib/SettingsReader.h
@@ -35,7 +35,9 @@
   bool HasFailed() const { return failed_; }
 
   /// The entry, or null; null for a required one is a failure.
-  const settings::IniEntry* Entry(const char* aSection, const char* aKey, bool aRequired)
+  const settings::IniEntry* Entry(const char* aSection,
+                                  const char* aKey,
+                                  bool aRequired)
   {
     asked_.emplace(aSection, aKey);
     const settings::IniEntry* entry = file_.Find(aSection, aKey);
@@ -60,7 +62,8 @@
     return entry == nullptr ? Endpoint() : EndpointOf(*entry, entry->value);
   }
 
-  Endpoint EndpointOf(const settings::IniEntry& aEntry, const std::string& aText)
+  Endpoint EndpointOf(const settings::IniEntry& aEntry,
+                      const std::string& aText)
   {
     Error reason;
     const auto endpoint = ParseEndpoint(aText, reason);
--- a/packages/daemon/lib/filters/AuthenticateFilter.cpp
+++ b/packages/daemon/lib/filters/AuthenticateFilter.cpp
@@ -55,6 +55,7 @@
     case http::PortRole::Operators:
     case http::PortRole::Control:
     case http::PortRole::Readiness:
+    case http::PortRole::Metrics:
       break;
   }
   return Role::Operator;
--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -23,6 +23,7 @@
 void
 GateFilter::Accept(GateMessage&& aMessage, Time aNow)
 {
+  now_ = aNow;
   std::visit([&](auto&& aAny) { On(std::move(aAny), aNow); },
              std::move(aMessage));
 }
@@ -57,11 +58,25 @@
                  .port = aRequest.port,
                  .exchange = aRequest.exchange,
                  .relayedTo = std::nullopt,
+                 .beganAt = aNow,
                  .giveUpAt = aNow + kReplyTimeout };
   if (aRequest.port == http::PortRole::Readiness) {
     const bool isReady = CanServe() && !isStopping_;
-    Respond(caller,
-            PlainResponse(isReady ? 200 : 503, isReady ? "ready" : "not ready"));
+    Respond(
+      caller,
+      PlainResponse(isReady ? 200 : 503, isReady ? "ready" : "not ready"));
+    return;
+  }
+  if (aRequest.port == http::PortRole::Metrics) {
+    const observe::LogCounts lines = observe::LogDuty::Counts();
+    host_.metrics.Set("greengage_log_lines",
+                      static_cast<double>(lines.written));
+    host_.metrics.Set("greengage_log_lines_dropped",
+                      static_cast<double>(lines.dropped));
+    host_.metrics.Set("greengage_ready", CanServe() && !isStopping_ ? 1 : 0);
+    http::HttpResponse response = PlainResponse(200, "");
+    response.body = host_.metrics.Serialize();
+    Respond(caller, std::move(response));
     return;
   }
   Dispatch(std::move(caller), std::move(aRequest), aNow);
@@ -75,8 +90,8 @@
   const schedule::CallerId id(++lastCaller_);
   if (LeadsHere()) {
     const auto at = callers_.emplace(id, std::move(aCaller)).first;
-    if (outlets_.served->TryPush({ .caller = id,
-                                   .request = std::move(aRequest) }))
+    if (outlets_.served->TryPush(
+          { .caller = id, .request = std::move(aRequest) }))
       return;
     Refuse(at->second, "the leader is at its limit");
     callers_.erase(at);
@@ -118,6 +133,14 @@
       host_.metrics.Count("greengage_peer_messages_dropped_total");
     return;
   }
+  if (aCaller.port == http::PortRole::Callers ||
+      aCaller.port == http::PortRole::Control) {
+    host_.metrics.Count("greengage_calls_total",
+                        { { "status", std::to_string(aResponse.status) } });
+    host_.metrics.Observe(
+      "greengage_call_ms",
+      static_cast<double>((now_ - aCaller.beganAt).Millis()));
+  }
   aResponse.port = aCaller.port;
   aResponse.exchange = aCaller.exchange;
   const auto port = outlets_.ports.find(aCaller.port);
@@ -194,8 +217,9 @@
 GateFilter::OnPeer(peer::PeerDisconnected&& aEvent, Time /*aNow*/)
 {
   up_.erase(aEvent.peer);
-  GiveUp([&](const Caller& aCaller) { return aCaller.relayedTo == aEvent.peer; },
-         "connection to the leader was lost");
+  GiveUp(
+    [&](const Caller& aCaller) { return aCaller.relayedTo == aEvent.peer; },
+    "connection to the leader was lost");
 }
 
 void
@@ -229,6 +253,7 @@
              .port = aCall.request.port,
              .exchange = {},
              .relayedTo = std::nullopt,
+             .beganAt = aNow,
              .giveUpAt = aNow + kReplyTimeout },
            std::move(aCall.request),
            aNow);
@@ -264,11 +289,10 @@
   // A host speaks only for itself.
   if (outlets_.log == nullptr || aMessage.from.host != aPeer)
     return;
-  outlets_.log->TryPush(
-    consensus::Event(consensus::Receive{ .from = std::move(aMessage.from),
-                                         .to = std::move(aMessage.to),
-                                         .message =
-                                           std::move(aMessage.message) }));
+  outlets_.log->TryPush(consensus::Event(
+    consensus::Receive{ .from = std::move(aMessage.from),
+                        .to = std::move(aMessage.to),
+                        .message = std::move(aMessage.message) }));
 }
 
 /// Answers callers whose calls may or may not have been carried out.
@@ -288,10 +312,9 @@
   }
   if (count == 0)
     return;
-  observe::Log(
-    observe::LogLevel::Warning,
-    "calls-given-up",
-    { { "count", std::to_string(count) }, { "reason", aWhy } });
+  observe::Log(observe::LogLevel::Warning,
+               "calls-given-up",
+               { { "count", std::to_string(count) }, { "reason", aWhy } });
 }
 
 std::optional<Time>
@@ -305,6 +328,7 @@
 void
 GateFilter::OnTimer(Time aNow)
 {
+  now_ = aNow;
   nextCheck_ = aNow + kCheckInterval;
   GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
          "the leader did not answer in time");
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -53,6 +53,7 @@
     http::ExchangeId exchange;
     /// Where the call was relayed to; none for a call served here.
     std::optional<EntryHostId> relayedTo;
+    Time beganAt;
     Time giveUpAt;
   };
 
@@ -65,14 +66,18 @@
   void OnPeer(peer::PeerDisconnected&& aEvent, Time aNow);
   void OnPeer(peer::PeerReceived&& aEvent, Time aNow);
   void OnPeer(peer::PeerUndeliverable&& aEvent, Time aNow);
-  void OnMessage(const EntryHostId& aPeer, wire::RelayedCall&& aCall, Time aNow);
+  void OnMessage(const EntryHostId& aPeer,
+                 wire::RelayedCall&& aCall,
+                 Time aNow);
   void OnMessage(const EntryHostId& aPeer,
                  wire::RelayedReply&& aReply,
                  Time aNow);
   void OnMessage(const EntryHostId& aPeer,
                  wire::LeaderNotice&& aNotice,
                  Time aNow);
-  void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage, Time aNow);
+  void OnMessage(const EntryHostId& aPeer,
+                 wire::LogMessage&& aMessage,
+                 Time aNow);
   template<typename Message>
   void OnMessage(const EntryHostId&, Message&&, Time)
   {
@@ -95,6 +100,7 @@
   std::set<EntryHostId> up_;
   std::unordered_map<schedule::CallerId, Caller> callers_;
   std::uint64_t lastCaller_ = 0;
+  Time now_;
   Time nextCheck_;
 };
 
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -29,6 +29,7 @@
 void
 ScheduleFilter::Accept(ScheduleMessage&& aMessage, Time aNow)
 {
+  now_ = aNow;
   const schedule::Moment now = MomentAt(aNow);
   std::visit([&](auto&& aAny) { On(std::move(aAny), now); },
              std::move(aMessage));
@@ -64,6 +65,7 @@
 void
 ScheduleFilter::OnTimer(Time aNow)
 {
+  now_ = aNow;
   const schedule::Moment now = MomentAt(aNow);
   controller_.Tick(Time(host_.leaderUntil.load()), now);
   ReportUnsent(now);
@@ -78,6 +80,8 @@
 void
 ScheduleFilter::On(schedule::WorkerReply&& aReply, schedule::Moment aNow)
 {
+  if (aReply.answer == schedule::WorkerAnswer::None)
+    host_.metrics.Count("greengage_worker_calls_unanswered_total");
   controller_.On(aReply, aNow);
 }
 
@@ -136,6 +140,11 @@
 ScheduleFilter::On(ProposalEnded&& aEnd, schedule::Moment /*aNow*/)
 {
   const schedule::BatchId batch(aEnd.id.Value());
+  if (const auto found = proposedAt_.find(batch); found != proposedAt_.end()) {
+    host_.metrics.Observe("greengage_commit_ms",
+                          static_cast<double>((now_ - found->second).Millis()));
+    proposedAt_.erase(found);
+  }
   if (std::holds_alternative<ProposalApplied>(aEnd.end))
     controller_.OnBatchApplied(batch);
   else if (std::holds_alternative<consensus::ProposalRefused>(aEnd.end))
@@ -147,14 +156,24 @@
 bool
 ScheduleFilter::Propose(schedule::BatchId aBatch, const std::string& aEntry)
 {
-  return outlets_.log.TryPush(consensus::Event(
-    consensus::Propose{ .id = consensus::ProposalId(aBatch.Value()),
-                        .command = aEntry }));
+  if (!outlets_.log.TryPush(consensus::Event(consensus::Propose{
+        .id = consensus::ProposalId(aBatch.Value()), .command = aEntry })))
+    return false;
+  proposedAt_[aBatch] = now_;
+  host_.metrics.Count("greengage_log_entries_total");
+  host_.metrics.Count(
+    "greengage_log_bytes_total", {}, static_cast<double>(aEntry.size()));
+  return true;
 }
 
 void
 ScheduleFilter::Call(schedule::WorkerCall&& aCall)
 {
+  static constexpr const char* kKinds[] = {
+    "start", "stop", "renew", "throttle"
+  };
+  host_.metrics.Count("greengage_worker_calls_total",
+                      { { "kind", kKinds[aCall.request.index()] } });
   const schedule::WorkerCallId id = aCall.id;
   if (!outlets_.workers.TryPush(std::move(aCall)))
     unsent_.push_back(id);
@@ -171,5 +190,9 @@
 void
 ScheduleFilter::Answer(schedule::CallerId aCaller, schedule::Reply&& aReply)
 {
+  if (const auto* refused = std::get_if<schedule::Refused>(&aReply))
+    host_.metrics.Count(
+      "greengage_refusals_total",
+      { { "reason", std::string(CodeOf(refused->reason.kind)) } });
   outlets_.replies.Push({ .caller = aCaller, .reply = std::move(aReply) });
 }
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -15,6 +15,7 @@
 #include "greengage/schedule/Controller.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace greengage::daemon::detail {
@@ -75,6 +76,9 @@
   ScheduleOutlets outlets_;
   schedule::Controller controller_;
   consensus::Term leadingTerm_;
+  Time now_;
+  /// When entries that are not committed yet were proposed.
+  std::map<schedule::BatchId, Time> proposedAt_;
   /// Calls to workers that found no room.
   std::deque<schedule::WorkerCallId> unsent_;
   std::deque<schedule::HostCallId> unsentHostCalls_;
--- /dev/null
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -0,0 +1,292 @@
+#include "../lib/filters/GateFilter.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <string>
+#include <variant>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+namespace {
+
+template<typename Message>
+class ListPipe final : public pipe::Pipe<Message>
+{
+public:
+  bool TryPush(Message&& aMessage) override
+  {
+    if (isFull)
+      return false;
+    messages.push_back(std::move(aMessage));
+    return true;
+  }
+  bool Push(Message&& aMessage) override
+  {
+    messages.push_back(std::move(aMessage));
+    return true;
+  }
+  std::deque<Message> messages;
+  bool isFull = false;
+};
+
+const EntryHostId kSelf("10.0.0.1");
+const EntryHostId kLeader("10.0.0.2");
+const EntryHostId kOther("10.0.0.3");
+
+/// The gate of an entry host or, with a log, of a control host.
+struct Fixture
+{
+  explicit Fixture(bool aHasLog = false)
+    : gate(host,
+           { .ports = { { http::PortRole::Callers, &responses },
+                        { http::PortRole::Readiness, &responses } },
+             .peers = peers,
+             .served = aHasLog ? &served : nullptr,
+             .log = aHasLog ? &log : nullptr })
+  {
+  }
+
+  void Do(GateMessage aMessage) { gate.Accept(std::move(aMessage), now); }
+  void Request(http::PortRole aPort = http::PortRole::Callers)
+  {
+    http::HttpRequest request;
+    request.port = aPort;
+    request.exchange = http::ExchangeId(++lastExchange);
+    request.method = "POST";
+    request.target = "/q/1";
+    request.body = "job";
+    Do(std::move(request));
+  }
+  void Connect(const EntryHostId& aPeer)
+  {
+    Do(peer::PeerEvent(
+      peer::PeerConnected{ .peer = aPeer, .availabilityZone = {} }));
+  }
+  void Disconnect(const EntryHostId& aPeer)
+  {
+    Do(peer::PeerEvent(peer::PeerDisconnected{ .peer = aPeer }));
+  }
+  void Receive(const EntryHostId& aFrom, wire::PeerMessage aMessage)
+  {
+    Do(peer::PeerEvent(
+      peer::PeerReceived{ .peer = aFrom, .message = std::move(aMessage) }));
+  }
+  void Notice(std::uint64_t aTerm, std::optional<EntryHostId> aLeader)
+  {
+    Receive(kOther,
+            wire::LeaderNotice{ .term = consensus::Term(aTerm),
+                                .leader = std::move(aLeader) });
+  }
+  /// The status of the next response; 0 if there is none.
+  unsigned NextStatus()
+  {
+    if (responses.messages.empty())
+      return 0;
+    const unsigned status = responses.messages.front().status;
+    responses.messages.pop_front();
+    return status;
+  }
+  /// The call that was relayed last.
+  const wire::RelayedCall* LastRelayed() const
+  {
+    if (peers.messages.empty())
+      return nullptr;
+    return std::get_if<wire::RelayedCall>(&peers.messages.back().message);
+  }
+
+  HostState host{ kSelf, AvailabilityZoneId("z") };
+  Time now{ 1000 };
+  std::uint64_t lastExchange = 0;
+  ListPipe<http::HttpResponse> responses;
+  ListPipe<peer::PeerSend> peers;
+  ListPipe<RawCall> served;
+  ListPipe<ConsensusInput> log;
+  GateFilter gate;
+};
+
+struct ControlFixture : Fixture
+{
+  ControlFixture()
+    : Fixture(true)
+  {
+  }
+  void Lead()
+  {
+    Do(Leadership{
+      .term = consensus::Term(3), .leader = kSelf, .isReadyHere = true });
+  }
+};
+
+wire::RelayedReply
+ReplyTo(std::uint64_t aNumber)
+{
+  wire::RelayedReply reply{ .number = aNumber, .response = {} };
+  reply.response.status = 200;
+  return reply;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "without a leader a call is refused at once")
+{
+  Request();
+  CHECK(NextStatus() == 503);
+  // A leader that can't be reached is none.
+  Notice(2, kLeader);
+  Request();
+  REQUIRE(responses.messages.size() == 1);
+  CHECK(responses.messages.front().retryAfter.has_value());
+  CHECK(NextStatus() == 503);
+  CHECK(LastRelayed() == nullptr);
+}
+
+TEST_CASE_METHOD(Fixture, "a call goes to the leader and its reply comes back")
+{
+  Connect(kLeader);
+  Notice(2, kLeader);
+  Request();
+  REQUIRE(LastRelayed() != nullptr);
+  CHECK(peers.messages.back().to == kLeader);
+  CHECK(LastRelayed()->request.body == "job");
+  const std::uint64_t number = LastRelayed()->number;
+  // Only the leader that was asked can answer.
+  Receive(kOther, ReplyTo(number));
+  CHECK(NextStatus() == 0);
+  Receive(kLeader, ReplyTo(number));
+  REQUIRE(responses.messages.size() == 1);
+  CHECK(responses.messages.front().exchange == http::ExchangeId(1));
+  CHECK(NextStatus() == 200);
+  Receive(kLeader, ReplyTo(number));
+  CHECK(NextStatus() == 0);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a call that may have been carried out is not refused")
+{
+  Connect(kLeader);
+  Notice(2, kLeader);
+  Request();
+  Disconnect(kLeader);
+  CHECK(NextStatus() == 504);
+  // The same if the leader does not answer.
+  Connect(kLeader);
+  Request();
+  CHECK(gate.NextTimer().has_value());
+  now = now + Duration(2500);
+  gate.OnTimer(now);
+  CHECK(NextStatus() == 504);
+  CHECK_FALSE(gate.NextTimer().has_value());
+}
+
+TEST_CASE_METHOD(Fixture, "a call that never left is refused")
+{
+  Connect(kLeader);
+  Notice(2, kLeader);
+  Request();
+  wire::RelayedCall call = *LastRelayed();
+  Do(peer::PeerEvent(
+    peer::PeerUndeliverable{ .peer = kLeader, .message = std::move(call) }));
+  CHECK(NextStatus() == 503);
+  peers.isFull = true;
+  Request();
+  CHECK(NextStatus() == 503);
+}
+
+TEST_CASE_METHOD(Fixture, "news of an older term change nothing")
+{
+  Connect(kLeader);
+  Connect(kOther);
+  Notice(4, kLeader);
+  Notice(3, kOther);
+  Notice(4, std::nullopt);
+  Request();
+  CHECK(peers.messages.back().to == kLeader);
+  Notice(5, std::nullopt);
+  Request();
+  CHECK(NextStatus() == 503);
+}
+
+TEST_CASE_METHOD(Fixture, "readiness follows the way to the leader")
+{
+  const auto readiness = [&] {
+    Request(http::PortRole::Readiness);
+    return NextStatus();
+  };
+  CHECK(readiness() == 503);
+  Notice(2, kLeader);
+  CHECK(readiness() == 503);
+  Connect(kLeader);
+  CHECK(readiness() == 200);
+  Disconnect(kLeader);
+  CHECK(readiness() == 503);
+  Connect(kLeader);
+  Do(BeginStop{});
+  CHECK(readiness() == 503);
+  // A host that stops serves on.
+  Request();
+  CHECK(LastRelayed() != nullptr);
+}
+
+TEST_CASE_METHOD(Fixture, "a leader that is no peer yet becomes one")
+{
+  Notice(2, kLeader);
+  REQUIRE(peers.messages.size() == 1);
+  CHECK(peers.messages.front().to == kLeader);
+}
+
+TEST_CASE_METHOD(ControlFixture,
+                 "the leader serves calls of its own and others")
+{
+  Lead();
+  Request();
+  REQUIRE(served.messages.size() == 1);
+  Receive(kOther, wire::RelayedCall{ .number = 7, .request = {} });
+  REQUIRE(served.messages.size() == 2);
+  http::HttpResponse response;
+  response.status = 200;
+  Do(CallAnswered{ .caller = served.messages[0].caller, .response = response });
+  CHECK(NextStatus() == 200);
+  Do(CallAnswered{ .caller = served.messages[1].caller, .response = response });
+  const auto& sent = peers.messages.back();
+  CHECK(sent.to == kOther);
+  REQUIRE(std::holds_alternative<wire::RelayedReply>(sent.message));
+  CHECK(std::get<wire::RelayedReply>(sent.message).number == 7);
+}
+
+TEST_CASE_METHOD(ControlFixture, "a call is relayed only once")
+{
+  Connect(kLeader);
+  Do(Leadership{ .term = consensus::Term(3), .leader = kLeader });
+  Receive(kOther, wire::RelayedCall{ .number = 7, .request = {} });
+  const auto& sent = peers.messages.back();
+  CHECK(sent.to == kOther);
+  REQUIRE(std::holds_alternative<wire::RelayedReply>(sent.message));
+  CHECK(std::get<wire::RelayedReply>(sent.message).response.status == 503);
+}
+
+TEST_CASE_METHOD(ControlFixture, "a full leader refuses, and tells who leads")
+{
+  Connect(kOther);
+  Lead();
+  REQUIRE(!peers.messages.empty());
+  CHECK(std::get<wire::LeaderNotice>(peers.messages.back().message).leader ==
+        kSelf);
+  served.isFull = true;
+  Request();
+  CHECK(NextStatus() == 503);
+}
+
+TEST_CASE_METHOD(ControlFixture, "a host speaks only for its own replica")
+{
+  const auto message = [](const EntryHostId& aFrom) {
+    return wire::LogMessage{ .from = { aFrom, consensus::Incarnation(1) },
+                             .to = { kSelf, consensus::Incarnation(1) },
+                             .message = consensus::Join{} };
+  };
+  Receive(kOther, message(kLeader));
+  CHECK(log.messages.empty());
+  Receive(kOther, message(kOther));
+  CHECK(log.messages.size() == 1);
+}
--- a/packages/http/include/greengage/http/Message.h
+++ b/packages/http/include/greengage/http/Message.h
@@ -27,6 +27,8 @@
   Control,
   /// A balancer that asks whether the host takes requests.
   Readiness,
+  /// Whoever collects the host's metrics.
+  Metrics,
 };
 
 /// A whole request.
--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -198,7 +198,8 @@
     auto response = parser_->release();
     if (response.keep_alive())
       client_->KeepIdle(call_.endpoint, std::move(connection_));
-    client_->Finish(call_.endpoint, { .id = call_.id,
+    client_->Finish(call_.endpoint,
+                    { .id = call_.id,
                       .progress = CallProgress::Responded,
                       .status = response.result_int(),
                       .body = std::move(response.body()),
@@ -208,7 +209,8 @@
   void End(CallProgress aProgress, std::string aReason)
   {
     connection_.reset();
-    client_->Finish(call_.endpoint, { .id = call_.id,
+    client_->Finish(call_.endpoint,
+                    { .id = call_.id,
                       .progress = aProgress,
                       .status = 0,
                       .body = {},
@@ -254,9 +256,8 @@
     return;
   }
   // Started from the loop, since a start that fails at once finishes at once.
-  asio::post(context_, [next = std::move(turns.waiting.front())] {
-    next->Start();
-  });
+  asio::post(context_,
+             [next = std::move(turns.waiting.front())] { next->Start(); });
   turns.waiting.pop_front();
 }
 
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -357,8 +357,8 @@
 {
   // Bytes that a partition holds up are lost with a reset, so that the call
   // can't arrive after it was given up.
-  asio::ip::tcp::acceptor acceptor(
-    context, { asio::ip::make_address("127.0.0.1"), 0 });
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
   Call(acceptor.local_endpoint().port(), Duration(200));
   asio::ip::tcp::socket socket = acceptor.accept();
   REQUIRE(results.Take().progress == CallProgress::SentNoResponse);
--- a/packages/jobs/include/greengage/jobs/Job.h
+++ b/packages/jobs/include/greengage/jobs/Job.h
@@ -28,9 +28,7 @@
 
 /// Whether \p aRequest fits into what \p aRoom has beside \p aUsed.
 bool
-Fits(const Resources& aRequest,
-     const Resources& aUsed,
-     const Resources& aRoom);
+Fits(const Resources& aRequest, const Resources& aUsed, const Resources& aRoom);
 
 /// Equal tasks of a job.
 struct Step
--- a/packages/jobs/lib/CborFields.cpp
+++ b/packages/jobs/lib/CborFields.cpp
@@ -96,12 +96,12 @@
   Cbor steps = Cbor::array();
   for (const Step& step : aJob.steps)
     steps.push_back(StepToCbor(step));
-  return Cbor::array({ Cbor::binary({ aJob.payload.begin(),
-                                      aJob.payload.end() }),
-                       std::move(steps),
-                       aJob.recurrence.count,
-                       aJob.recurrence.first.Millis(),
-                       aJob.recurrence.interval.Millis() });
+  return Cbor::array(
+    { Cbor::binary({ aJob.payload.begin(), aJob.payload.end() }),
+      std::move(steps),
+      aJob.recurrence.count,
+      aJob.recurrence.first.Millis(),
+      aJob.recurrence.interval.Millis() });
 }
 
 JobDescription
--- a/packages/jobs/lib/JobBook.cpp
+++ b/packages/jobs/lib/JobBook.cpp
@@ -200,9 +200,9 @@
   Occurrence& occurrence = aJob.occurrences.at(aTask.occurrence);
   ++occurrence.steps[aTask.step].done;
   const bool isWhole = std::all_of(
-    occurrence.steps.begin(), occurrence.steps.end(), [](const StepState& aStep) {
-      return aStep.done == aStep.tasks.size();
-    });
+    occurrence.steps.begin(),
+    occurrence.steps.end(),
+    [](const StepState& aStep) { return aStep.done == aStep.tasks.size(); });
   if (!isWhole)
     return;
   occurrence.isDone = true;
@@ -235,8 +235,7 @@
     if (aOperation.how == RunEnd::Failed)
       ++task->failures;
   }
-  const bool hasFailed =
-    !isPersistent && task->failures >= MaxAttemptsOf(job);
+  const bool hasFailed = !isPersistent && task->failures >= MaxAttemptsOf(job);
   aObserver.OnRunEnded(aOperation, worker);
   if (job.state != JobState::Live) {
     if (job.assigned == 0) {
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -152,8 +152,7 @@
       return ForgetJob{ .id = JobId(number(1)) };
     case OperationCode::AssignTask:
       return AssignTask{ .task = TaskFrom(aValue.at(1)),
-                         .attempt =
-                           Attempt(aValue.at(2).get<std::uint32_t>()),
+                         .attempt = Attempt(aValue.at(2).get<std::uint32_t>()),
                          .worker =
                            WorkerNumber(aValue.at(3).get<std::uint32_t>()) };
     case OperationCode::EndTask:
@@ -170,8 +169,7 @@
     case OperationCode::StartWave:
       return WaveFrom(aValue.at(1));
     case OperationCode::BeginUpkeep:
-      return BeginUpkeep{ .wave = WaveId(number(1)),
-                          .host = HostId(text(2)) };
+      return BeginUpkeep{ .wave = WaveId(number(1)), .host = HostId(text(2)) };
   }
   return std::nullopt;
 }
--- a/packages/jobs/unittests/JobBookTest.cpp
+++ b/packages/jobs/unittests/JobBookTest.cpp
@@ -24,13 +24,12 @@
     Configuration read;
     read.version = ConfigurationVersion(std::stoull(text));
     read.pools.push_back({ .id = PoolId("lines") });
-    read.queues.push_back(
-      { .id = QueueId("plan"),
-        .hostName = "a",
-        .pathPrefix = "/p/",
-        .pool = PoolId("lines"),
-        .maxAttempts =
-          static_cast<std::uint32_t>(std::stoul(text.substr(space))) });
+    read.queues.push_back({ .id = QueueId("plan"),
+                            .hostName = "a",
+                            .pathPrefix = "/p/",
+                            .pool = PoolId("lines"),
+                            .maxAttempts = static_cast<std::uint32_t>(
+                              std::stoul(text.substr(space))) });
     return read;
   }
 };
--- a/packages/observe/include/greengage/observe/Log.h
+++ b/packages/observe/include/greengage/observe/Log.h
@@ -39,6 +39,29 @@
 void
 ConfigureLog(const LogOptions& aOptions);
 
+/// Counts of lines since the start.
+struct LogCounts
+{
+  std::uint64_t written = 0;
+  /// Lines that found no room or came too fast.
+  std::uint64_t dropped = 0;
+};
+
+/// Hands lines to a thread of their own, which writes them. A caller never
+/// waits: a line that finds no room is dropped and counted, and the count is
+/// logged once there is room. Until the object ends.
+class LogDuty
+{
+public:
+  LogDuty();
+  LogDuty(const LogDuty&) = delete;
+  LogDuty& operator=(const LogDuty&) = delete;
+  /// Writes what is left.
+  ~LogDuty();
+
+  static LogCounts Counts();
+};
+
 /// Writes the line "time level event key=value ...". Values with spaces,
 /// quotes or control characters are quoted and escaped.
 void
--- a/packages/observe/lib/Log.cpp
+++ b/packages/observe/lib/Log.cpp
@@ -1,8 +1,15 @@
 #include "greengage/observe/Log.h"
 
+#include "greengage/pipe/Ring.h"
+#include "greengage/pipe/ThreadName.h"
+
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -10,6 +17,31 @@
 
 static LogLevel gLowestLevel = LogLevel::Info;
 
+namespace {
+
+/// A line on its way to the thread that writes.
+struct QueuedLine
+{
+  LogLevel level = LogLevel::Info;
+  std::string text;
+};
+
+/// Lines that may wait; a power of two. Some seconds' worth at 400 tasks a
+/// second, about 0.5 MB when full.
+constexpr std::size_t kQueuedLines = 2048;
+
+struct LogQueue
+{
+  greengage::pipe::Ring<QueuedLine> lines{ kQueuedLines };
+  std::thread writer;
+};
+
+} // namespace
+
+static std::unique_ptr<LogQueue> gQueue;
+static std::atomic<std::uint64_t> gWritten{ 0 };
+static std::atomic<std::uint64_t> gDropped{ 0 };
+
 static bool
 IsPlain(char aCharacter)
 {
@@ -74,26 +106,76 @@
   el::Loggers::reconfigureLogger("default", configurations);
 }
 
-void
-greengage::observe::Log(LogLevel aLevel,
-                        std::string_view aEvent,
-                        std::initializer_list<LogField> aFields)
+static void
+Write(LogLevel aLevel, const std::string& aLine)
 {
-  if (aLevel < gLowestLevel)
-    return;
-  const std::string line = FormatLogLine(aEvent, aFields);
+  ++gWritten;
   switch (aLevel) {
     case LogLevel::Debug:
-      LOG(DEBUG) << line;
+      LOG(DEBUG) << aLine;
       break;
     case LogLevel::Info:
-      LOG(INFO) << line;
+      LOG(INFO) << aLine;
       break;
     case LogLevel::Warning:
-      LOG(WARNING) << line;
+      LOG(WARNING) << aLine;
       break;
     case LogLevel::Error:
-      LOG(ERROR) << line;
+      LOG(ERROR) << aLine;
       break;
   }
 }
+
+/// Writes lines until the queue is closed and empty.
+static void
+WriteQueued(LogQueue& aQueue)
+{
+  std::uint64_t reported = 0;
+  QueuedLine line;
+  greengage::pipe::NameThisThread("log");
+  while (aQueue.lines.Pop(line) == greengage::pipe::PopStatus::Taken) {
+    Write(line.level, line.text);
+    const std::uint64_t dropped = gDropped.load();
+    if (dropped == reported)
+      continue;
+    Write(LogLevel::Warning,
+          FormatLogLine("log-lines-dropped",
+                        { { "count", std::to_string(dropped - reported) } }));
+    reported = dropped;
+  }
+}
+
+LogDuty::LogDuty()
+{
+  gQueue = std::make_unique<LogQueue>();
+  gQueue->writer = std::thread([] { WriteQueued(*gQueue); });
+}
+
+LogDuty::~LogDuty()
+{
+  gQueue->lines.Close();
+  gQueue->writer.join();
+  gQueue.reset();
+}
+
+LogCounts
+LogDuty::Counts()
+{
+  return { .written = gWritten.load(), .dropped = gDropped.load() };
+}
+
+void
+greengage::observe::Log(LogLevel aLevel,
+                        std::string_view aEvent,
+                        std::initializer_list<LogField> aFields)
+{
+  if (aLevel < gLowestLevel)
+    return;
+  std::string line = FormatLogLine(aEvent, aFields);
+  if (!gQueue) {
+    Write(aLevel, line);
+    return;
+  }
+  if (!gQueue->lines.TryPush({ aLevel, std::move(line) }))
+    ++gDropped;
+}
--- a/packages/observe/unittests/ObserveTest.cpp
+++ b/packages/observe/unittests/ObserveTest.cpp
@@ -25,3 +25,22 @@
   REQUIRE(text.find("free_slots 7") != std::string::npos);
   REQUIRE(text.find("wait_ms_bucket{le=\"5\"} 1") != std::string::npos);
 }
+
+TEST_CASE("a caller of the log never waits for its writer")
+{
+  // Far more lines than the queue holds, as fast as they can be made.
+  constexpr int kLines = 50000;
+  const LogCounts before = LogDuty::Counts();
+  ConfigureLog({ .path = "/dev/null", .level = LogLevel::Info });
+  {
+    const LogDuty duty;
+    for (int line = 0; line < kLines; ++line)
+      Log(LogLevel::Info, "line", { { "number", std::to_string(line) } });
+  }
+  const LogCounts after = LogDuty::Counts();
+  const auto written = after.written - before.written;
+  const auto dropped = after.dropped - before.dropped;
+  // Each line was written or counted; reports of dropped ones come on top.
+  CHECK(written + dropped >= kLines);
+  CHECK(written > 2000);
+}
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -202,3 +202,68 @@
     std::get<wire::ForwardRequest>(received->message).request;
   REQUIRE(request.deadline < host.clock.Now());
 }
+
+namespace {
+
+/// A host that is named by its address and listens where all others do.
+struct AddressedHost
+{
+  AddressedHost(const std::string& aAddress,
+                std::uint16_t aPort,
+                const std::string& aSecret = "secret")
+    : links(duty,
+            { .self = EntryHostId(aAddress),
+              .availabilityZone = AvailabilityZoneId("z"),
+              .endpoint = { .address = aAddress, .port = aPort },
+              .secret = aSecret,
+              .peers = {},
+              .commonPort = aPort,
+              .heartbeat = Duration(50),
+              .silence = Duration(400),
+              .redial = Duration(50) },
+            clock,
+            events)
+  {
+    Error reason;
+    REQUIRE(links.Start(reason));
+    duty.Start();
+  }
+  ~AddressedHost() { duty.Stop(); }
+
+  BootClock clock;
+  EventRing events;
+  pipe::IoDuty duty{ "links" };
+  Links links;
+};
+
+} // namespace
+
+TEST_CASE("hosts named by their addresses meet without a list")
+{
+  const std::uint16_t port = support::FreePort();
+  AddressedHost first("127.0.0.1", port);
+  AddressedHost second("127.0.0.2", port);
+  // The first message finds no connection and makes the other a peer.
+  first.links.Outbox().Push(
+    { .to = EntryHostId("127.0.0.2"), .message = wire::LoadReport{} });
+  REQUIRE(first.events.Await<PeerUndeliverable>());
+  const auto up = first.events.Await<PeerConnected>();
+  REQUIRE(up);
+  CHECK(up->peer == EntryHostId("127.0.0.2"));
+  const auto back = second.events.Await<PeerConnected>();
+  REQUIRE(back);
+  CHECK(back->peer == EntryHostId("127.0.0.1"));
+}
+
+TEST_CASE("a host without the secret does not become a peer")
+{
+  const std::uint16_t port = support::FreePort();
+  AddressedHost first("127.0.0.1", port);
+  AddressedHost second("127.0.0.2", port, "another secret");
+  second.links.Outbox().Push(
+    { .to = EntryHostId("127.0.0.1"), .message = wire::LoadReport{} });
+  REQUIRE(second.events.Await<PeerUndeliverable>());
+  first.links.Outbox().Push(
+    { .to = EntryHostId("name"), .message = wire::LoadReport{} });
+  CHECK(first.events.Await<PeerUndeliverable>());
+}
--- a/packages/pipe/include/greengage/pipe/StopSignals.h
+++ b/packages/pipe/include/greengage/pipe/StopSignals.h
@@ -1,5 +1,6 @@
 /// \file
-/// The signals that end a program or have it read its settings again, taken by one thread that waits for them.
+/// The signals that end a program or have it read its settings again, taken by
+/// one thread that waits for them.
 
 #ifndef GREENGAGE_PIPE_STOPSIGNALS_H
 #define GREENGAGE_PIPE_STOPSIGNALS_H
@@ -21,8 +22,8 @@
   Reload,
 };
 
-/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all that it starts
-/// later, and ignores SIGPIPE. Make one before the first thread.
+/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all that it
+/// starts later, and ignores SIGPIPE. Make one before the first thread.
 class StopSignals
 {
 public:
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -1,7 +1,7 @@
 /// \file
-/// The leader's decisions about hosts: waves of upkeep, and which pool each host
-/// is in as demand moves between the pools. Events and a time go in, calls to
-/// the provider come out.
+/// The leader's decisions about hosts: waves of upkeep, and which pool each
+/// host is in as demand moves between the pools. Events and a time go in, calls
+/// to the provider come out.
 
 #ifndef GREENGAGE_SCHEDULE_HOSTPLANNER_H
 #define GREENGAGE_SCHEDULE_HOSTPLANNER_H
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -65,7 +65,6 @@
   std::uint32_t percent = 100;
 };
 
-
 /// Starts of one attempt that got no answer. Each may be carried out seconds
 /// later, also by a later incarnation at the same address.
 struct UnansweredStarts
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -244,10 +244,10 @@
 {
   const bool isTemporary =
     aKind == ErrorKind::NoCapacity || aKind == ErrorKind::Overloaded;
-  sink_.Answer(aCaller,
-               Refused{ .reason = { aKind, std::move(aDetail) },
-                        .retryAfter =
-                          isTemporary ? kRetryAfter : Duration(0) });
+  sink_.Answer(
+    aCaller,
+    Refused{ .reason = { aKind, std::move(aDetail) },
+             .retryAfter = isTemporary ? kRetryAfter : Duration(0) });
 }
 
 void
@@ -278,8 +278,7 @@
     Refuse(aCaller, ErrorKind::NoCapacity, "there is no configuration yet");
     return;
   }
-  const jobs::Queue* queue =
-    configuration->Route(aCall.hostName, aCall.path);
+  const jobs::Queue* queue = configuration->Route(aCall.hostName, aCall.path);
   if (queue == nullptr) {
     Refuse(aCaller, ErrorKind::NotFound, "no queue has this path");
     return;
@@ -333,17 +332,17 @@
   for (const jobs::Step& step : aCall.job->steps)
     tasks += step.count;
   const jobs::Step& first = aCall.job->steps.front();
-  observe::Log(observe::LogLevel::Info,
-               "job-accepting",
-               { { "job", ToString(aJob) },
-                 { "queue", aQueue.id.Value() },
-                 { "team", aTeam == nullptr ? "" : aTeam->id.Value() },
-                 { "steps", std::to_string(aCall.job->steps.size()) },
-                 { "tasks", std::to_string(tasks) },
-                 { "persistent", first.isPersistent ? "yes" : "no" },
-                 { "configuration",
-                   std::to_string(
-                     book_.CurrentConfiguration()->version.Value()) } });
+  observe::Log(
+    observe::LogLevel::Info,
+    "job-accepting",
+    { { "job", ToString(aJob) },
+      { "queue", aQueue.id.Value() },
+      { "team", aTeam == nullptr ? "" : aTeam->id.Value() },
+      { "steps", std::to_string(aCall.job->steps.size()) },
+      { "tasks", std::to_string(tasks) },
+      { "persistent", first.isPersistent ? "yes" : "no" },
+      { "configuration",
+        std::to_string(book_.CurrentConfiguration()->version.Value()) } });
   ProposeFor(aCaller,
              jobs::AcceptJob{ .id = aJob,
                               .queue = aQueue.id,
@@ -356,9 +355,8 @@
 void
 Controller::CancelJob(CallerId aCaller, jobs::JobId aJob)
 {
-  observe::Log(observe::LogLevel::Info,
-               "job-cancelling",
-               { { "job", ToString(aJob) } });
+  observe::Log(
+    observe::LogLevel::Info, "job-cancelling", { { "job", ToString(aJob) } });
   ProposeFor(
     aCaller, jobs::CancelJob{ .id = aJob, .at = now_.wall }, Accepted{});
 }
@@ -401,16 +399,16 @@
       return;
     }
   }
-  observe::Log(observe::LogLevel::Info,
-               "worker-registering",
-               { { "worker", aCall.worker.id.Value() },
-                 { "host", aCall.worker.host.Value() },
-                 { "incarnation",
-                   std::to_string(aCall.worker.incarnation.Value()) },
-                 { "rack", aCall.worker.rack.Value() },
-                 { "pool", aCall.worker.pool.Value() },
-                 { "endpoint", ToString(aCall.worker.endpoint) },
-                 { "draining", aCall.worker.isDraining ? "yes" : "no" } });
+  observe::Log(
+    observe::LogLevel::Info,
+    "worker-registering",
+    { { "worker", aCall.worker.id.Value() },
+      { "host", aCall.worker.host.Value() },
+      { "incarnation", std::to_string(aCall.worker.incarnation.Value()) },
+      { "rack", aCall.worker.rack.Value() },
+      { "pool", aCall.worker.pool.Value() },
+      { "endpoint", ToString(aCall.worker.endpoint) },
+      { "draining", aCall.worker.isDraining ? "yes" : "no" } });
   scheduler_.Hear(aCall, now_.steady);
   ProposeFor(aCaller,
              jobs::RegisterWorker{ .worker = std::move(aCall.worker) },
@@ -470,7 +468,7 @@
     return;
   }
   const jobs::Wave& wave = found->second;
-  sink_.Answer(aCaller,
-               WaveReport{ .isCompleted =
-                             wave.begun.size() >= wave.plan.hosts.size() });
+  sink_.Answer(
+    aCaller,
+    WaveReport{ .isCompleted = wave.begun.size() >= wave.plan.hosts.size() });
 }
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -86,9 +86,8 @@
 {
   const WorkerSession* session =
     aHost.worker ? scheduler_.Find(*aHost.worker) : nullptr;
-  return session == nullptr
-           ? 0
-           : static_cast<std::uint32_t>(session->runs.size());
+  return session == nullptr ? 0
+                            : static_cast<std::uint32_t>(session->runs.size());
 }
 
 bool
@@ -96,8 +95,8 @@
 {
   const WorkerSession* session =
     aHost.worker ? scheduler_.Find(*aHost.worker) : nullptr;
-  return session != nullptr && (session->HasPersistentRun() ||
-                                scheduler_.IsHeld(*aHost.worker));
+  return session != nullptr &&
+         (session->HasPersistentRun() || scheduler_.IsHeld(*aHost.worker));
 }
 
 void
@@ -190,8 +189,7 @@
   switch (aReply.answer) {
     case HostAnswer::Done:
       if (isUpkeep)
-        outbox_.Propose(
-          jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
+        outbox_.Propose(jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
       else
         aHost.pool = aHost.target;
       aHost.purpose = Purpose::None;
@@ -203,8 +201,7 @@
     case HostAnswer::Invalid:
       // The host can't have its upkeep any more.
       if (isUpkeep)
-        outbox_.Propose(
-          jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
+        outbox_.Propose(jobs::BeginUpkeep{ .wave = aHost.wave, .host = aId });
       Abandon(aHost);
       break;
     case HostAnswer::Busy:
@@ -240,8 +237,7 @@
         known->second.incarnation >= record.incarnation)
       continue;
     // The life that ended with the order may still be registered.
-    if (IsAway(host) &&
-        record.incarnation.Value() < host.orderedAt.Millis())
+    if (IsAway(host) && record.incarnation.Value() < host.orderedAt.Millis())
       continue;
     host.worker = number;
     host.pool = record.pool;
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -56,8 +56,8 @@
       const auto found = hosts_.find(host);
       if (found == hosts_.end())
         continue;
-      const bool isDownForIt = wave.begun.count(host) != 0 &&
-                               IsAway(found->second);
+      const bool isDownForIt =
+        wave.begun.count(host) != 0 && IsAway(found->second);
       const bool isDraining = found->second.purpose == Purpose::Upkeep;
       taken += isDownForIt || isDraining ? 1 : 0;
     }
@@ -76,9 +76,10 @@
       return std::tuple(
         !IsSpare(host.pool), HasPersistentRun(host), -over, RunsOn(host), aId);
     };
-    std::sort(left.begin(), left.end(), [&](const auto& aLeft, const auto& aRight) {
-      return rankOf(aLeft) < rankOf(aRight);
-    });
+    std::sort(
+      left.begin(), left.end(), [&](const auto& aLeft, const auto& aRight) {
+        return rankOf(aLeft) < rankOf(aRight);
+      });
     for (const HostId& host : left) {
       if (taken >= wave.plan.maxAtOnce)
         break;
@@ -146,8 +147,8 @@
   if (sample == hosts_.end())
     return aDemand.processors;
   const jobs::Resources& host = sample->second.capacity;
-  const std::int64_t byMemory = aDemand.memory * host.processors.Count() /
-                                host.memory.Count();
+  const std::int64_t byMemory =
+    aDemand.memory * host.processors.Count() / host.memory.Count();
   const std::int64_t extra =
     aDemand.persistentWaiting > 0 ? host.processors.Count() : 0;
   return std::max(aDemand.processors, byMemory) + extra;
@@ -198,10 +199,11 @@
   for (const auto& [pool, state] : balance)
     if (state.has < state.needs || state.hosts < kMinHosts)
       lacking.push_back(pool);
-  std::sort(lacking.begin(), lacking.end(), [&](const auto& aLeft, const auto& aRight) {
-    return balance.at(aLeft).needs - balance.at(aLeft).has >
-           balance.at(aRight).needs - balance.at(aRight).has;
-  });
+  std::sort(
+    lacking.begin(), lacking.end(), [&](const auto& aLeft, const auto& aRight) {
+      return balance.at(aLeft).needs - balance.at(aLeft).has >
+             balance.at(aRight).needs - balance.at(aRight).has;
+    });
   for (const PoolId& pool : lacking)
     FillPool(pool, balance);
   EmptyPools(balance);
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -62,10 +62,9 @@
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != jobs::TaskPhase::Assigned)
           continue;
-        const TaskId task{ .job = aJob.id,
-                           .occurrence = number,
-                           .step = step,
-                           .index = index };
+        const TaskId task{
+          .job = aJob.id, .occurrence = number, .step = step, .index = index
+        };
         WorkerSession* session = SessionOf(tasks[index].worker);
         if (session == nullptr)
           continue;
@@ -110,8 +109,7 @@
 void
 Scheduler::TrackPending(const jobs::Job& aJob)
 {
-  const bool isPending =
-    aJob.state == jobs::JobState::Live && !aJob.hasBegun;
+  const bool isPending = aJob.state == jobs::JobState::Live && !aJob.hasBegun;
   if (isPending)
     unbegun_.insert(aJob.id);
   else
@@ -194,8 +192,7 @@
   if (session == nullptr)
     return;
   const auto found = session->runs.find(aAssignment.task);
-  if (found != session->runs.end() &&
-      found->second.stage == RunStage::Proposed)
+  if (found != session->runs.end() && found->second.stage == RunStage::Proposed)
     Release(*session, aAssignment.task);
   isDirty_ = true;
 }
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -37,15 +37,14 @@
 Scheduler::CandidateOf(const jobs::Job& aJob, const PoolId& aPool) const
 {
   const jobs::Queue* queue = book_.CurrentConfiguration()->Find(aJob.queue);
-  Candidate candidate{ .job = &aJob,
-                       .pool = aPool,
-                       .priority = 0,
-                       .latestStart = aJob.acceptedAt };
+  Candidate candidate{
+    .job = &aJob, .pool = aPool, .priority = 0, .latestStart = aJob.acceptedAt
+  };
   // Persistent tasks have no objective; they are owed at any time.
-  const bool isPersistent = std::any_of(
-    aJob.description.steps.begin(),
-    aJob.description.steps.end(),
-    [](const jobs::Step& aStep) { return aStep.isPersistent; });
+  const bool isPersistent =
+    std::any_of(aJob.description.steps.begin(),
+                aJob.description.steps.end(),
+                [](const jobs::Step& aStep) { return aStep.isPersistent; });
   if (queue == nullptr || isPersistent)
     return candidate;
   const auto chain = static_cast<double>(ChainOf(aJob, false).Millis());
@@ -126,11 +125,10 @@
               return std::tuple(aLeft.isLate,
                                 aLeft.priority,
                                 aLeft.latestStart,
-                                aLeft.job->id) <
-                     std::tuple(aRight.isLate,
-                                aRight.priority,
-                                aRight.latestStart,
-                                aRight.job->id);
+                                aLeft.job->id) < std::tuple(aRight.isLate,
+                                                            aRight.priority,
+                                                            aRight.latestStart,
+                                                            aRight.job->id);
             });
   return candidates;
 }
@@ -212,9 +210,8 @@
   if (const auto hold = holds_.find(aTask); hold != holds_.end()) {
     session = SessionOf(hold->second.worker);
     // Other tasks of the step may have come to the worker since.
-    const bool suits =
-      session != nullptr &&
-      Suits(*session, RecordOf(*session), aCandidate, aTask);
+    const bool suits = session != nullptr &&
+                       Suits(*session, RecordOf(*session), aCandidate, aTask);
     if (suits && !IsHoldMet(aTask))
       return false;
     DropHold(aTask);
@@ -303,22 +300,19 @@
 }
 
 void
-Scheduler::ProposeAssignment(const WorkerSession& aSession,
-                             const TaskId& aTask)
+Scheduler::ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask)
 {
-  outbox_.Propose(
-    jobs::AssignTask{ .task = aTask,
-                      .attempt = aSession.runs.at(aTask).attempt,
-                      .worker = aSession.number });
+  outbox_.Propose(jobs::AssignTask{ .task = aTask,
+                                    .attempt = aSession.runs.at(aTask).attempt,
+                                    .worker = aSession.number });
 }
 
 /// Places all tasks of a gang or none.
 void
 Scheduler::DispatchGang(const Candidate& aCandidate, const TaskId& aFirst)
 {
-  const auto& tasks = aCandidate.job->occurrences.at(aFirst.occurrence)
-                        .steps[aFirst.step]
-                        .tasks;
+  const auto& tasks =
+    aCandidate.job->occurrences.at(aFirst.occurrence).steps[aFirst.step].tasks;
   std::vector<std::pair<TaskId, jobs::WorkerNumber>> placed;
   TaskId task = aFirst;
   for (task.index = 0; task.index < tasks.size(); ++task.index) {
@@ -342,8 +336,7 @@
 }
 
 bool
-Scheduler::IsWithinQuota(const TeamId& aTeam,
-                         const Resources& aRequest) const
+Scheduler::IsWithinQuota(const TeamId& aTeam, const Resources& aRequest) const
 {
   const jobs::Configuration* configuration = book_.CurrentConfiguration();
   const jobs::Team* team =
@@ -373,11 +366,10 @@
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   if (aRecord.pool != aCandidate.pool || aRecord.isDraining)
     return false;
-  const bool hasLabel =
-    step.requiredLabel.empty() ||
-    std::find(aRecord.labels.begin(),
-              aRecord.labels.end(),
-              step.requiredLabel) != aRecord.labels.end();
+  const bool hasLabel = step.requiredLabel.empty() ||
+                        std::find(aRecord.labels.begin(),
+                                  aRecord.labels.end(),
+                                  step.requiredLabel) != aRecord.labels.end();
   return hasLabel && (step.maxPerWorker == 0 ||
                       aSession.RunsOfStep(aTask) < step.maxPerWorker);
 }
@@ -397,14 +389,12 @@
         !jobs::Fits(taken, session.used, record.capacity) ||
         !Suits(session, record, aCandidate, aTask))
       continue;
-    const bool isNearData = step.preferredRack.Value().empty() ||
-                            step.preferredRack == record.rack;
-    const bool isFirstTry = state == nullptr ||
-                            state->attempt == Attempt(0) ||
+    const bool isNearData =
+      step.preferredRack.Value().empty() || step.preferredRack == record.rack;
+    const bool isFirstTry = state == nullptr || state->attempt == Attempt(0) ||
                             state->worker != number;
     // Persistent tasks keep together, so that other hosts can leave the pool.
-    const bool isBesideAlike =
-      step.isPersistent == session.HasPersistentRun();
+    const bool isBesideAlike = step.isPersistent == session.HasPersistentRun();
     const bool isUndisturbed =
       !step.usesIdleProcessors || !session.HasServingRun();
     const std::tuple rank(
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -109,8 +109,7 @@
       const bool isUnresolved = isSameAddress && session.IsUnresolved(task);
       if (run.stage != RunStage::Proposed && run.stage != RunStage::Ending &&
           !isUnresolved)
-        EndRun(
-          session, task, run, jobs::RunEnd::Lost, {}, "worker restarted");
+        EndRun(session, task, run, jobs::RunEnd::Lost, {}, "worker restarted");
     }
   }
 }
@@ -173,8 +172,8 @@
     aRun.validUntil = *clock + kStartValidity;
     aRun.isStartSent = true;
     // The start gives the lease that the first lists renew.
-    aSession.leaseEnd = std::max(
-      aSession.leaseEnd, now_.steady + kStartValidity + kLeaseSlack);
+    aSession.leaseEnd =
+      std::max(aSession.leaseEnd, now_.steady + kStartValidity + kLeaseSlack);
   }
   aRun.isCallInFlight = true;
   UnansweredStarts& unanswered = aSession.unanswered[aTask];
@@ -185,8 +184,8 @@
     job->occurrences.at(aTask.occurrence).steps[aTask.step].checkpoints;
   const bool isGang = job->description.steps[aTask.step].isGang;
   // Any member's checkpoint is valid for a gang, and all need the same.
-  const auto saved = isGang ? checkpoints.begin()
-                            : checkpoints.find(aTask.index);
+  const auto saved =
+    isGang ? checkpoints.begin() : checkpoints.find(aTask.index);
   Send(aSession,
        { .kind = CallKind::Start,
          .worker = {},
@@ -198,8 +197,8 @@
                  .payload = job->description.payload,
                  .until = aRun.validUntil,
                  .fence = FenceOf(aSession),
-                 .checkpoint = saved == checkpoints.end() ? std::string()
-                                                          : saved->second },
+                 .checkpoint =
+                   saved == checkpoints.end() ? std::string() : saved->second },
        kCallTimeout);
 }
 
@@ -213,14 +212,15 @@
     aRun->isCallInFlight = true;
     aRun->nextCall = now_.steady + kRetryInterval;
   }
-  Send(aSession,
-       { .kind = CallKind::Stop,
-         .worker = {},
-         .task = aTask,
-         .attempt = aAttempt,
-         .sentAt = {} },
-       StopRun{ .task = aTask, .attempt = aAttempt, .fence = FenceOf(aSession) },
-       kCallTimeout);
+  Send(
+    aSession,
+    { .kind = CallKind::Stop,
+      .worker = {},
+      .task = aTask,
+      .attempt = aAttempt,
+      .sentAt = {} },
+    StopRun{ .task = aTask, .attempt = aAttempt, .fence = FenceOf(aSession) },
+    kCallTimeout);
 }
 
 void
@@ -231,8 +231,7 @@
   const bool isRenewed = clock && aSession.failedCalls == 0;
   const bool hasRuns = !aSession.runs.empty();
   Duration wait;
-  if (isRenewed && aSession.isRead && hasRuns &&
-      aSession.pendingEnds.empty()) {
+  if (isRenewed && aSession.isRead && hasRuns && aSession.pendingEnds.empty()) {
     const bool isWatched = std::any_of(
       aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
         return aItem.second.usesIdleProcessors;
@@ -364,8 +363,8 @@
     reply.id = aReply.id;
     reply.detail = "another life of the worker answered";
   }
-  const bool hasAnswered = reply.answer != WorkerAnswer::NotSent &&
-                           reply.answer != WorkerAnswer::None;
+  const bool hasAnswered =
+    reply.answer != WorkerAnswer::NotSent && reply.answer != WorkerAnswer::None;
   if (hasAnswered) {
     session->lastAnswer = aNow.steady;
     if (reply.clock)
@@ -504,9 +503,8 @@
     aSession.isRead = true;
   if (wasFailing)
     isDirty_ = true;
-  aSession.nextRenewal = aSession.pendingEnds.empty()
-                           ? now_.steady
-                           : now_.steady + kCommitPatience;
+  aSession.nextRenewal =
+    aSession.pendingEnds.empty() ? now_.steady : now_.steady + kCommitPatience;
   TickSession(aSession);
 }
 
@@ -546,8 +544,7 @@
   for (const ListedEnd& end : aReply.ended) {
     aSession.listedUpTo = std::max(aSession.listedUpTo, end.number);
     const auto found = aSession.runs.find(end.task);
-    if (found == aSession.runs.end() ||
-        found->second.attempt != end.attempt ||
+    if (found == aSession.runs.end() || found->second.attempt != end.attempt ||
         found->second.stage == RunStage::Proposed)
       continue;
     Run& run = found->second;
@@ -561,8 +558,7 @@
       observe::Log(observe::LogLevel::Warning,
                    "worker-suspended",
                    { { "worker", RecordOf(aSession).id.Value() },
-                     { "failed_runs",
-                       std::to_string(aSession.failedRuns) } });
+                     { "failed_runs", std::to_string(aSession.failedRuns) } });
     }
     if (end.how == ListedEndKind::Done) {
       aSession.failedRuns = 0;
@@ -585,8 +581,8 @@
   bool hasStrays = false;
   for (const ListedRun& listed : aReply.running) {
     const auto found = aSession.runs.find(listed.task);
-    const bool isKnown = found != aSession.runs.end() &&
-                         found->second.attempt == listed.attempt;
+    const bool isKnown =
+      found != aSession.runs.end() && found->second.attempt == listed.attempt;
     if (!isKnown) {
       observe::Log(observe::LogLevel::Warning,
                    "stray-run-stopped",
@@ -619,13 +615,12 @@
     if (!earlier.isGone || RecordOf(earlier).id != record.id)
       continue;
     for (auto& [task, run] : earlier.runs) {
-      const bool isListed = std::any_of(
-        aReply.running.begin(), aReply.running.end(), [&](const auto& aRun) {
-          return aRun.task == task;
-        });
+      const bool isListed =
+        std::any_of(aReply.running.begin(),
+                    aReply.running.end(),
+                    [&](const auto& aRun) { return aRun.task == task; });
       if (!isListed && run.stage != RunStage::Proposed)
-        EndRun(
-          earlier, task, run, jobs::RunEnd::Lost, {}, "worker restarted");
+        EndRun(earlier, task, run, jobs::RunEnd::Lost, {}, "worker restarted");
     }
   }
 }
@@ -647,11 +642,10 @@
       continue;
     if (listed.count(task) != 0)
       continue;
-    const bool isConfirmed =
-      run.listedFrom && *run.listedFrom <= aCall.renewal;
-    const bool isTooLate = run.stage == RunStage::Starting &&
-                           run.isStartSent && !run.isCallInFlight &&
-                           aReply.clock && *aReply.clock > run.validUntil &&
+    const bool isConfirmed = run.listedFrom && *run.listedFrom <= aCall.renewal;
+    const bool isTooLate = run.stage == RunStage::Starting && run.isStartSent &&
+                           !run.isCallInFlight && aReply.clock &&
+                           *aReply.clock > run.validUntil &&
                            run.validUntil > Time(0);
     if (isConfirmed || isTooLate)
       EndRun(aSession,
@@ -673,9 +667,9 @@
     if (found == aSession.runs.end() ||
         found->second.targetLatency <= Duration(0))
       continue;
-    worstPercent = std::max(
-      worstPercent,
-      listed.load * kPercent / found->second.targetLatency.Millis());
+    worstPercent =
+      std::max(worstPercent,
+               listed.load * kPercent / found->second.targetLatency.Millis());
   }
   for (auto& [task, run] : aSession.runs) {
     if (!run.usesIdleProcessors || run.stage != RunStage::Running)
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -65,12 +65,12 @@
 {
   const jobs::JobId job = Submit({ Tasks(1) });
   Run(Duration(50));
-  Ask(QueueCall{ .verb = QueueVerb::Submit,
-                 .hostName = "h",
-                 .path = "/p/" + ToString(job),
-                 .key = "key",
-                 .job = jobs::JobDescription{ .payload = "x",
-                                              .steps = { Tasks(1) } } });
+  Ask(QueueCall{
+    .verb = QueueVerb::Submit,
+    .hostName = "h",
+    .path = "/p/" + ToString(job),
+    .key = "key",
+    .job = jobs::JobDescription{ .payload = "x", .steps = { Tasks(1) } } });
   REQUIRE(LastReply() != nullptr);
   CHECK(std::holds_alternative<Accepted>(*LastReply()));
   CHECK(Ends(job, JobProgress::Completed, Duration(3000)));
@@ -79,15 +79,16 @@
 
 TEST_CASE_METHOD(Fixture, "calls get their documented refusals")
 {
-  const auto refusal = [&](std::string aHost, std::string aPath, std::string aKey) {
-    Ask(QueueCall{ .verb = QueueVerb::Query,
-                   .hostName = std::move(aHost),
-                   .path = std::move(aPath),
-                   .key = std::move(aKey),
-                   .job = std::nullopt });
-    const auto* refused = std::get_if<Refused>(LastReply());
-    return refused == nullptr ? ErrorKind::None : refused->reason.kind;
-  };
+  const auto refusal =
+    [&](std::string aHost, std::string aPath, std::string aKey) {
+      Ask(QueueCall{ .verb = QueueVerb::Query,
+                     .hostName = std::move(aHost),
+                     .path = std::move(aPath),
+                     .key = std::move(aKey),
+                     .job = std::nullopt });
+      const auto* refused = std::get_if<Refused>(LastReply());
+      return refused == nullptr ? ErrorKind::None : refused->reason.kind;
+    };
   CHECK(refusal("h", "/other/", "key") == ErrorKind::NotFound);
   CHECK(refusal("other", "/p/", "key") == ErrorKind::NotFound);
   CHECK(refusal("h", "/p/", "wrong") == ErrorKind::Unauthenticated);
@@ -137,7 +138,8 @@
   CheckAll();
 }
 
-TEST_CASE_METHOD(Fixture, "a worker that is cut off keeps its tasks for its lease")
+TEST_CASE_METHOD(Fixture,
+                 "a worker that is cut off keeps its tasks for its lease")
 {
   const jobs::JobId job = Submit({ Tasks(12) }, { .runTime = Duration(3000) });
   Run(Duration(300));
@@ -190,7 +192,8 @@
   CheckAll();
 }
 
-TEST_CASE_METHOD(Fixture, "the limit of a step on one worker holds with held room")
+TEST_CASE_METHOD(Fixture,
+                 "the limit of a step on one worker holds with held room")
 {
   jobs::Step pair = Tasks(3, 1500);
   pair.isPersistent = true;
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -38,7 +38,9 @@
                     .stretch = 1.6,
                     .objective = Duration(600),
                     .timeout = Duration(3000) } };
-  read.teams = { { .id = TeamId("caxias"), .keys = { "key" }, .quota = quota } };
+  read.teams = {
+    { .id = TeamId("caxias"), .keys = { "key" }, .quota = quota }
+  };
   return read;
 }
 
@@ -174,9 +176,8 @@
     reply.hosts.push_back({ .host = HostId(name),
                             .pool = host.pool,
                             .state = host.awayUntil <= now_ ? HostState::Up
-                                     : host.isMaintained
-                                       ? HostState::Maintained
-                                       : HostState::Moving,
+                                     : host.isMaintained ? HostState::Maintained
+                                                         : HostState::Moving,
                             .capacity = kRoom });
   return reply;
 }
@@ -307,9 +308,10 @@
   ModelWorker& worker = workers_[aId];
   const std::int64_t born = now_.Millis();
   // A new life listens where the old one did.
-  const std::uint16_t port = worker.record.endpoint.port != 0
-                               ? worker.record.endpoint.port
-                               : static_cast<std::uint16_t>(8000 + workers_.size());
+  const std::uint16_t port =
+    worker.record.endpoint.port != 0
+      ? worker.record.endpoint.port
+      : static_cast<std::uint16_t>(8000 + workers_.size());
   worker = {};
   worker.record = { .id = jobs::WorkerId(aId),
                     .incarnation = jobs::Incarnation(born),
@@ -428,9 +430,8 @@
   if (!aAnswers)
     return;
   if (reply) {
-    At(kNetworkTime, [this, reply = std::move(*reply), aLeader] {
-      Return(reply, aLeader);
-    });
+    At(kNetworkTime,
+       [this, reply = std::move(*reply), aLeader] { Return(reply, aLeader); });
     return;
   }
   const auto& renew = std::get<RenewLease>(aCall.request);
@@ -550,8 +551,7 @@
   Attempt& highest = aWorker.highest[aStop.task];
   highest = std::max(highest, aStop.attempt);
   const auto running = aWorker.runs.find(aStop.task);
-  if (running != aWorker.runs.end() &&
-      running->second.attempt <= aStop.attempt)
+  if (running != aWorker.runs.end() && running->second.attempt <= aStop.attempt)
     EndRun(aWorker, aStop.task, ListedEndKind::Stopped);
 }
 
@@ -623,9 +623,9 @@
 void
 ModelFleet::CheckStart(const ModelWorker& aWorker, const StartRun& aStart)
 {
-  const std::string name =
-    ToString(aStart.task) + " attempt " +
-    std::to_string(aStart.attempt.Value()) + " on " + aWorker.record.id.Value();
+  const std::string name = ToString(aStart.task) + " attempt " +
+                           std::to_string(aStart.attempt.Value()) + " on " +
+                           aWorker.record.id.Value();
   const JobModel& job = jobs_.at(aStart.task.job);
   for (const auto& [id, other] : workers_)
     if (other.isUp && other.runs.count(aStart.task) != 0)
@@ -674,8 +674,7 @@
         taken.processors = {};
       used += taken;
       const JobModel& job = jobs_.at(task.job);
-      const Time since =
-        std::max(job.cancelledAt.value_or(now_), calmSince_);
+      const Time since = std::max(job.cancelledAt.value_or(now_), calmSince_);
       if (since + kCancelBound < now_)
         Break(ToString(task) + " runs on after its job was cancelled");
     }
@@ -708,13 +707,11 @@
 bool
 ModelFleet::HasRun(jobs::JobId aJob) const
 {
-  return std::any_of(
-    workers_.begin(), workers_.end(), [&](const auto& aItem) {
-      return aItem.second.isUp &&
-             std::any_of(aItem.second.runs.begin(),
-                         aItem.second.runs.end(),
-                         [&](const auto& aRun) {
-                           return aRun.first.job == aJob;
-                         });
-    });
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& aItem) {
+    return aItem.second.isUp && std::any_of(aItem.second.runs.begin(),
+                                            aItem.second.runs.end(),
+                                            [&](const auto& aRun) {
+                                              return aRun.first.job == aJob;
+                                            });
+  });
 }
--- a/tools/greengaged/JobCommand.cpp
+++ b/tools/greengaged/JobCommand.cpp
@@ -68,17 +68,17 @@
     return JobExit::Stopped;
   const pipe::StopSignals signals;
   observe::ConfigureLog(settings->log);
+  const observe::LogDuty log;
   const platform::PlatformCallCodec calls;
   const platform::PlatformWorkerCodec workers;
   const platform::PlatformConfigurationReader configurations;
   const platform::PlatformHostCodec hosts(
     settings->hostProvider.value_or(Endpoint()));
-  daemon::JobDaemon daemon(
-    std::move(*settings),
-    { .calls = calls,
-      .workers = workers,
-      .hosts = hosts,
-      .configurations = configurations });
+  daemon::JobDaemon daemon(std::move(*settings),
+                           { .calls = calls,
+                             .workers = workers,
+                             .hosts = hosts,
+                             .configurations = configurations });
   if (!daemon.Start(aReason))
     return JobExit::Unavailable;
   Serve(daemon, signals, aPath);
