--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -24,7 +24,7 @@
 GateFilter::Accept(GateMessage&& aMessage, Time aNow)
 {
   now_ = aNow;
-  std::visit([&](auto&& aAny) { On(std::move(aAny), aNow); },
+  std::visit([&](auto&& aAny) { On(std::forward<decltype(aAny)>(aAny), aNow); },
              std::move(aMessage));
 }
 
@@ -199,8 +199,9 @@
 void
 GateFilter::On(peer::PeerEvent&& aEvent, Time aNow)
 {
-  std::visit([&](auto&& aAny) { OnPeer(std::move(aAny), aNow); },
-             std::move(aEvent));
+  std::visit(
+    [&](auto&& aAny) { OnPeer(std::forward<decltype(aAny)>(aAny), aNow); },
+    std::move(aEvent));
 }
 
 void
@@ -226,7 +227,9 @@
 GateFilter::OnPeer(peer::PeerReceived&& aEvent, Time aNow)
 {
   std::visit(
-    [&](auto&& aAny) { OnMessage(aEvent.peer, std::move(aAny), aNow); },
+    [&](auto&& aAny) {
+      OnMessage(aEvent.peer, std::forward<decltype(aAny)>(aAny), aNow);
+    },
     std::move(aEvent.message));
 }
 
@@ -284,7 +287,7 @@
 void
 GateFilter::OnMessage(const EntryHostId& aPeer,
                       wire::LogMessage&& aMessage,
-                      Time /*aNow*/)
+                      Time /*aNow*/) const
 {
   // A host speaks only for itself.
   if (outlets_.log == nullptr || aMessage.from.host != aPeer)
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -77,7 +77,7 @@
                  Time aNow);
   void OnMessage(const EntryHostId& aPeer,
                  wire::LogMessage&& aMessage,
-                 Time aNow);
+                 Time aNow) const;
   template<typename Message>
   void OnMessage(const EntryHostId&, Message&&, Time)
   {
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -31,7 +31,7 @@
 {
   now_ = aNow;
   const schedule::Moment now = MomentAt(aNow);
-  std::visit([&](auto&& aAny) { On(std::move(aAny), now); },
+  std::visit([&](auto&& aAny) { On(std::forward<decltype(aAny)>(aAny), now); },
              std::move(aMessage));
   ReportUnsent(now);
 }
--- a/packages/jobs/lib/JobBook.cpp
+++ b/packages/jobs/lib/JobBook.cpp
@@ -22,8 +22,9 @@
   JobBookObserver silent;
   JobBookObserver& observer = aObserver != nullptr ? *aObserver : silent;
   for (Operation& operation : *operations)
-    std::visit([&](auto&& aAny) { On(std::move(aAny), observer); },
-               std::move(operation));
+    std::visit(
+      [&](auto&& aAny) { On(std::forward<decltype(aAny)>(aAny), observer); },
+      std::move(operation));
   return true;
 }
 
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -137,7 +137,7 @@
                     const WorkerReply& aReply);
   void OnStopReply(WorkerSession& aSession,
                    const PendingCall& aCall,
-                   const WorkerReply& aReply);
+                   const WorkerReply& aReply) const;
   void OnRenewReply(WorkerSession& aSession,
                     const PendingCall& aCall,
                     const WorkerReply& aReply);
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -260,8 +260,9 @@
   }
   scheduler_.SetNow(aNow);
   const CallerId caller = aCall.caller;
-  std::visit([&](auto&& aAny) { Serve(caller, std::move(aAny)); },
-             std::move(aCall.call));
+  std::visit(
+    [&](auto&& aAny) { Serve(caller, std::forward<decltype(aAny)>(aAny)); },
+    std::move(aCall.call));
 }
 
 void
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -262,7 +262,7 @@
          .attempt = {},
          .sentAt = {},
          .renewal = aSession.renewals },
-       std::move(request),
+       request,
        wait + kCallTimeout);
 }
 
@@ -451,7 +451,7 @@
 void
 Scheduler::OnStopReply(WorkerSession& aSession,
                        const PendingCall& aCall,
-                       const WorkerReply& aReply)
+                       const WorkerReply& aReply) const
 {
   const bool isStopped = aReply.answer == WorkerAnswer::Done ||
                          aReply.answer == WorkerAnswer::OtherWorker ||
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -231,6 +231,7 @@
 {
   // Far more than the workers' twelve cores can have done in time.
   std::vector<jobs::JobId> early;
+  early.reserve(40);
   for (int count = 0; count < 40; ++count)
     early.push_back(Submit({ Tasks(6) }));
   Run(Duration(6000));
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -193,7 +193,9 @@
     const ModelWorker& worker = workers_.at(host.worker);
     for (const auto& [task, run] : worker.runs)
       if (StepOf(task)->isPersistent)
-        Break(aHost.Value() + " is ordered away with " + ToString(task));
+        Break(std::string(aHost.Value())
+                .append(" is ordered away with ")
+                .append(ToString(task)));
     CrashWorker(host.worker, std::nullopt);
     host.worker.clear();
   }
@@ -356,7 +358,7 @@
        [this, call, leader = worker.waitingLeader] {
          WorkerReply reply;
          reply.id = call;
-         Return(std::move(reply), leader);
+         Return(reply, leader);
        });
   }
   worker.waiting.reset();
@@ -383,7 +385,7 @@
     At(aAfter, [this, call, leader] {
       WorkerReply reply;
       reply.id = call->id;
-      Return(std::move(reply), leader);
+      Return(reply, leader);
     });
   };
   if (chance(faults.late)) {
@@ -400,7 +402,7 @@
 }
 
 void
-ModelFleet::Return(WorkerReply aReply, std::uint64_t aLeader)
+ModelFleet::Return(const WorkerReply& aReply, std::uint64_t aLeader)
 {
   if (aLeader == leader_)
     controller_->On(aReply, Now());
@@ -421,7 +423,7 @@
     At(aCall.timeout, [this, id = aCall.id, aLeader] {
       WorkerReply reply;
       reply.id = id;
-      Return(std::move(reply), aLeader);
+      Return(reply, aLeader);
     });
     return;
   }
@@ -605,7 +607,7 @@
         reply = WorkerReply();
         reply.id = call;
       }
-      Return(std::move(reply), worker.waitingLeader);
+      Return(reply, worker.waitingLeader);
     }
     if (worker.nextBeat <= now_)
       Beat(worker);
@@ -629,7 +631,7 @@
   const JobModel& job = jobs_.at(aStart.task.job);
   for (const auto& [id, other] : workers_)
     if (other.isUp && other.runs.count(aStart.task) != 0)
-      Break(name + " runs already on " + id);
+      Break(std::string(name).append(" runs already on ").append(id));
   if (job.notedDone.count(aStart.task) != 0)
     Break(name + " has succeeded before");
   const auto failures = job.notedFailures.find(aStart.task);
@@ -642,7 +644,8 @@
     task.step = earlier;
     for (task.index = 0; task.index < job.steps[earlier].count; ++task.index)
       if (job.succeeded.count(task) == 0)
-        Break(name + " begins before " + ToString(task) + " has succeeded");
+        Break(
+          std::string(name).append(" begins before ").append(ToString(task)));
   }
   const jobs::Step& step = *StepOf(aStart.task);
   if (step.maxPerWorker > 0) {
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -177,7 +177,7 @@
   void Renew(ModelWorker& aWorker, const RenewLease& aRenew);
   void List(const ModelWorker& aWorker, WorkerReply& aReply) const;
   void EndRun(ModelWorker& aWorker, const TaskId& aTask, ListedEndKind aHow);
-  void Return(WorkerReply aReply, std::uint64_t aLeader);
+  void Return(const WorkerReply& aReply, std::uint64_t aLeader);
   void NoteFault(Duration aSpan);
   void TickWorkers();
   void CheckStart(const ModelWorker& aWorker, const StartRun& aStart);
