--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -226,11 +226,15 @@
 void
 GateFilter::OnPeer(peer::PeerReceived&& aEvent, Time aNow)
 {
-  std::visit(
-    [&](auto&& aAny) {
-      OnMessage(aEvent.peer, std::forward<decltype(aAny)>(aAny), aNow);
-    },
-    std::move(aEvent.message));
+  wire::PeerMessage& message = aEvent.message;
+  if (auto* log = std::get_if<wire::LogMessage>(&message))
+    OnMessage(aEvent.peer, std::move(*log));
+  else if (auto* call = std::get_if<wire::RelayedCall>(&message))
+    OnMessage(aEvent.peer, std::move(*call), aNow);
+  else if (auto* reply = std::get_if<wire::RelayedReply>(&message))
+    OnMessage(aEvent.peer, std::move(*reply));
+  else if (const auto* notice = std::get_if<wire::LeaderNotice>(&message))
+    OnMessage(*notice);
 }
 
 void
@@ -263,9 +267,7 @@
 }
 
 void
-GateFilter::OnMessage(const EntryHostId& aPeer,
-                      wire::RelayedReply&& aReply,
-                      Time /*aNow*/)
+GateFilter::OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply)
 {
   const auto found = callers_.find(schedule::CallerId(aReply.number));
   if (found == callers_.end() || found->second.relayedTo != aPeer)
@@ -275,9 +277,7 @@
 }
 
 void
-GateFilter::OnMessage(const EntryHostId& /*aPeer*/,
-                      wire::LeaderNotice&& aNotice,
-                      Time /*aNow*/)
+GateFilter::OnMessage(const wire::LeaderNotice& aNotice)
 {
   // A host with the log believes its own replica.
   if (outlets_.log == nullptr)
@@ -286,8 +286,7 @@
 
 void
 GateFilter::OnMessage(const EntryHostId& aPeer,
-                      wire::LogMessage&& aMessage,
-                      Time /*aNow*/) const
+                      wire::LogMessage&& aMessage) const
 {
   // A host speaks only for itself.
   if (outlets_.log == nullptr || aMessage.from.host != aPeer)
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -69,19 +69,9 @@
   void OnMessage(const EntryHostId& aPeer,
                  wire::RelayedCall&& aCall,
                  Time aNow);
-  void OnMessage(const EntryHostId& aPeer,
-                 wire::RelayedReply&& aReply,
-                 Time aNow);
-  void OnMessage(const EntryHostId& aPeer,
-                 wire::LeaderNotice&& aNotice,
-                 Time aNow);
-  void OnMessage(const EntryHostId& aPeer,
-                 wire::LogMessage&& aMessage,
-                 Time aNow) const;
-  template<typename Message>
-  void OnMessage(const EntryHostId&, Message&&, Time)
-  {
-  }
+  void OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply);
+  void OnMessage(const wire::LeaderNotice& aNotice);
+  void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage) const;
   bool Learn(consensus::Term aTerm, const std::optional<EntryHostId>& aLeader);
   void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
   void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -604,6 +604,14 @@
   return hasStrays;
 }
 
+static bool
+ListsRun(const WorkerReply& aReply, const TaskId& aTask)
+{
+  return std::any_of(aReply.running.begin(),
+                     aReply.running.end(),
+                     [&](const ListedRun& aRun) { return aRun.task == aTask; });
+}
+
 /// The worker has answered under a fencing token that is higher than those of
 /// its earlier lives: what was sent to them is refused from now on.
 void
@@ -615,11 +623,7 @@
     if (!earlier.isGone || RecordOf(earlier).id != record.id)
       continue;
     for (auto& [task, run] : earlier.runs) {
-      const bool isListed =
-        std::any_of(aReply.running.begin(),
-                    aReply.running.end(),
-                    [&](const auto& aRun) { return aRun.task == task; });
-      if (!isListed && run.stage != RunStage::Proposed)
+      if (!ListsRun(aReply, task) && run.stage != RunStage::Proposed)
         EndRun(earlier, task, run, jobs::RunEnd::Lost, {}, "worker restarted");
     }
   }
