--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -261,8 +261,9 @@
 
 TEST_CASE("rules hold over random faults")
 {
-  const auto [first, last] = SeedsToPlay();
-  const auto seed = GENERATE_COPY(range<std::uint64_t>(first, last + 1));
+  const auto seeds = SeedsToPlay();
+  const auto seed =
+    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
   INFO("seed " << seed);
   ModelFleet fleet(seed);
   fleet.Run(Duration(200));
