--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -173,7 +173,6 @@
   for (int count = 0; count < 60; ++count)
     Submit({ Tasks(2, 900) }, { .runTime = Duration(1100) });
   Run(Duration(500));
-  const std::string host = RunsOn("w1") > 0 && HasRun(service) ? "w1" : "w2";
   for (const char* id : { "w1", "w2", "w3" })
     CrashWorker(id, Duration(100));
   Run(Duration(600));
