Place tasks of queues with a placement policy by advice

A queue may let only some workers run a step, which an adviser knows. PlacementAdvice keeps what it said and asks one call at a time, for the first step in order that has no permitted room and ahead for next steps. Starts carry the permit; a new life of a worker needs a new one.

Also moves comments of the scheduler back to the functions they describe.

--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -46,6 +46,9 @@
   schedule::SchedulerOptions scheduler;
   /// Who provides the fleet's hosts; without it hosts stay as they are.
   std::optional<Endpoint> hostProvider;
+  /// Who knows the queues' placement policies; without it, jobs of queues that
+  /// have one wait.
+  std::optional<Endpoint> adviser;
   /// How long the orders of two leaders for hosts must be apart.
   Duration hostOrderGap = Duration::Seconds(3);
   /// How long a stopping host serves on for those who have not noticed.
@@ -63,6 +66,7 @@
   const frontend::CallCodec& calls;
   const frontend::WorkerCodec& workers;
   const frontend::HostCodec& hosts;
+  const frontend::AdviceCodec& advice;
   const jobs::ConfigurationReader& configurations;
 };
 
--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -31,6 +31,8 @@
 /// Calls to the provider of hosts that may wait, and at once.
 static constexpr std::size_t kHostRingCapacity = 128;
 static constexpr std::size_t kProviderConnections = 4;
+/// Calls to the adviser that may wait; the scheduler has one at a time.
+static constexpr std::size_t kAdviceRingCapacity = 16;
 /// Bytes of a client's request: the configured limit is 256 KiB.
 static constexpr std::uint64_t kMaxClientBody = 256 * 1024;
 /// Bytes of an operator's request: some thousand queues.
@@ -112,10 +114,13 @@
     pipe::IoDuty clientDuty{ "workers" };
     AnswerSource<frontend::WorkerCodec> workerSource;
     AnswerSource<frontend::HostCodec> hostSource;
+    AnswerSource<frontend::AdviceCodec> adviceSource;
     http::Client workers;
     http::Client hosts;
+    http::Client adviser;
     CallSink<schedule::WorkerCall, frontend::WorkerCodec> workerSink;
     CallSink<schedule::HostCall, frontend::HostCodec> hostSink;
+    CallSink<schedule::AdviceCall, frontend::AdviceCodec> adviceSink;
     ReplySink replySink;
     RemoteMachine machine;
     LeadershipSink leadershipSink;
@@ -153,6 +158,7 @@
   , schedule({ .name = "schedule", .capacity = kRingCapacity }, aClock)
   , workerSource(aFrontEnd.workers, schedule)
   , hostSource(aFrontEnd.hosts, schedule)
+  , adviceSource(aFrontEnd.advice, schedule)
   , workers(clientDuty,
             { .capacity = kRingCapacity,
               .idlePerEndpoint = kConnectionsPerWorker,
@@ -163,8 +169,14 @@
             .idlePerEndpoint = kProviderConnections,
             .maxPerEndpoint = kProviderConnections },
           hostSource)
+  , adviser(clientDuty,
+            { .capacity = kAdviceRingCapacity,
+              .idlePerEndpoint = 1,
+              .maxPerEndpoint = 1 },
+            adviceSource)
   , workerSink(aFrontEnd.workers, workers.Calls())
   , hostSink(aFrontEnd.hosts, hosts.Calls())
+  , adviceSink(aFrontEnd.advice, adviser.Calls())
   , replySink(aFrontEnd.calls, aGate)
   , machine(schedule)
   , leadershipSink(schedule, aGate)
@@ -189,6 +201,7 @@
                    { .log = log.Inlet(),
                      .workers = workerSink,
                      .hosts = hostSink,
+                     .advice = adviceSink,
                      .replies = replySink })
   , decodeFilter(aFrontEnd.calls, schedule)
 {
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -67,6 +67,7 @@
   reader.ReadDuration(
     "scheduling", "job_retention", settings.scheduler.retention);
   settings.hostProvider = OptionalEndpoint(reader, "hosts", "provider");
+  settings.adviser = OptionalEndpoint(reader, "placement", "adviser");
   reader.ReadDuration("hosts", "order_gap", settings.hostOrderGap);
   reader.ReadDuration("shutdown", "notice", settings.shutdownNotice);
   reader.RejectUnknown();
--- a/packages/daemon/lib/filters/JobMessages.h
+++ b/packages/daemon/lib/filters/JobMessages.h
@@ -8,6 +8,7 @@
 
 #include "greengage/http/Message.h"
 #include "greengage/peer/Links.h"
+#include "greengage/schedule/AdviceCalls.h"
 #include "greengage/schedule/Calls.h"
 #include "greengage/schedule/HostCalls.h"
 #include "greengage/schedule/Messages.h"
@@ -66,6 +67,7 @@
 using ScheduleMessage = std::variant<schedule::IncomingCall,
                                      schedule::WorkerReply,
                                      schedule::HostReply,
+                                     schedule::AdviceReply,
                                      EntryCommitted,
                                      RestoreState,
                                      SnapshotWanted,
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -54,6 +54,13 @@
     unsentHostCalls_.pop_front();
     controller_.On(reply, aNow);
   }
+  while (!unsentAdviceCalls_.empty()) {
+    schedule::AdviceReply reply;
+    reply.id = unsentAdviceCalls_.front();
+    reply.detail = "too many calls wait for the adviser";
+    unsentAdviceCalls_.pop_front();
+    controller_.On(reply, aNow);
+  }
 }
 
 std::optional<Time>
@@ -91,6 +98,12 @@
   controller_.On(aReply, aNow);
 }
 
+void
+ScheduleFilter::On(schedule::AdviceReply&& aReply, schedule::Moment aNow)
+{
+  controller_.On(aReply, aNow);
+}
+
 void
 ScheduleFilter::On(EntryCommitted&& aEntry, schedule::Moment aNow)
 {
@@ -187,6 +200,15 @@
     unsentHostCalls_.push_back(id);
 }
 
+void
+ScheduleFilter::Call(schedule::AdviceCall&& aCall)
+{
+  const schedule::AdviceCallId id = aCall.id;
+  host_.metrics.Count("greengage_advice_calls_total");
+  if (!outlets_.advice.TryPush(std::move(aCall)))
+    unsentAdviceCalls_.push_back(id);
+}
+
 void
 ScheduleFilter::Answer(schedule::CallerId aCaller, schedule::Reply&& aReply)
 {
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -33,6 +33,7 @@
   pipe::Pipe<ConsensusInput>& log;
   pipe::Pipe<schedule::WorkerCall>& workers;
   pipe::Pipe<schedule::HostCall>& hosts;
+  pipe::Pipe<schedule::AdviceCall>& advice;
   /// Must always take replies in the end.
   pipe::Pipe<CallReply>& replies;
 };
@@ -57,6 +58,7 @@
   void On(schedule::IncomingCall&& aCall, schedule::Moment aNow);
   void On(schedule::WorkerReply&& aReply, schedule::Moment aNow);
   void On(schedule::HostReply&& aReply, schedule::Moment aNow);
+  void On(schedule::AdviceReply&& aReply, schedule::Moment aNow);
   void On(EntryCommitted&& aEntry, schedule::Moment aNow);
   void On(RestoreState&& aState, schedule::Moment aNow);
   void On(SnapshotWanted&& aWish, schedule::Moment aNow);
@@ -69,6 +71,7 @@
   bool Propose(schedule::BatchId aBatch, const std::string& aEntry) override;
   void Call(schedule::WorkerCall&& aCall) override;
   void Call(schedule::HostCall&& aCall) override;
+  void Call(schedule::AdviceCall&& aCall) override;
   void Answer(schedule::CallerId aCaller, schedule::Reply&& aReply) override;
 
   HostState& host_;
@@ -82,6 +85,7 @@
   /// Calls to workers that found no room.
   std::deque<schedule::WorkerCallId> unsent_;
   std::deque<schedule::HostCallId> unsentHostCalls_;
+  std::deque<schedule::AdviceCallId> unsentAdviceCalls_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/unittests/JobSettingsTest.cpp
+++ b/packages/daemon/unittests/JobSettingsTest.cpp
@@ -22,6 +22,8 @@
                            "[hosts]\n"
                            "provider = 10.200.0.82:8344\n"
                            "order_gap = 3000ms\n"
+                           "[placement]\n"
+                           "adviser = 10.200.1.9:8344\n"
                            "[scheduling]\n"
                            "max_lease = 10000ms\n"
                            "job_retention = 120s\n";
@@ -58,6 +60,7 @@
   CHECK_FALSE(settings->control);
   CHECK(settings->dataFolder.empty());
   CHECK(settings->hostProvider->port == 8344);
+  CHECK(settings->adviser->address == "10.200.1.9");
   CHECK(settings->scheduler.maxLease == Duration::Seconds(10));
   CHECK(settings->scheduler.retention == Duration::Seconds(120));
 }
--- a/packages/frontend/include/greengage/frontend/Codecs.h
+++ b/packages/frontend/include/greengage/frontend/Codecs.h
@@ -7,6 +7,7 @@
 
 #include "greengage/http/Client.h"
 #include "greengage/http/Message.h"
+#include "greengage/schedule/AdviceCalls.h"
 #include "greengage/schedule/Calls.h"
 #include "greengage/schedule/HostCalls.h"
 #include "greengage/schedule/Messages.h"
@@ -42,6 +43,15 @@
   virtual schedule::HostReply Decode(http::ClientResult&& aResult) const = 0;
 };
 
+/// Translates calls to whoever knows the queues' placement policies.
+class AdviceCodec
+{
+public:
+  virtual ~AdviceCodec() = default;
+  virtual http::ClientCall Encode(schedule::AdviceCall&& aCall) const = 0;
+  virtual schedule::AdviceReply Decode(http::ClientResult&& aResult) const = 0;
+};
+
 } // namespace greengage::frontend
 
 #endif // GREENGAGE_FRONTEND_CODECS_H
--- a/packages/jobs/include/greengage/jobs/Configuration.h
+++ b/packages/jobs/include/greengage/jobs/Configuration.h
@@ -19,6 +19,15 @@
 
 namespace greengage::jobs {
 
+/// Only some workers may run a queue's steps, and an adviser knows which. How
+/// long its answer takes, and its permits are good for.
+struct AdvicePolicy
+{
+  Duration base = {};
+  Duration perWorker = {};
+  Duration validity = {};
+};
+
 /// Where clients hand jobs in, and how they are run.
 struct Queue
 {
@@ -38,6 +47,7 @@
   Duration timeout = {};
   /// Calls need no key.
   bool isOpen = false;
+  std::optional<AdvicePolicy> advice = {};
 };
 
 /// A pool of workers.
--- a/packages/jobs/include/greengage/jobs/Ids.h
+++ b/packages/jobs/include/greengage/jobs/Ids.h
@@ -38,6 +38,16 @@
 /// A wave of host upkeep.
 using WaveId = StrongId<struct WaveTag, std::uint64_t>;
 
+/// One step of one occurrence of a job.
+struct StepId
+{
+  JobId job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  friend auto operator<=>(const StepId&, const StepId&) = default;
+};
+
 /// One task: its job, the occurrence of the job, the step and the place in it.
 /// All but the job count from 0.
 struct TaskId
@@ -50,6 +60,10 @@
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
 };
 
+/// The step that a task is of.
+StepId
+StepOf(const TaskId& aTask);
+
 /// Reads 16 lower-case hexadecimal digits.
 std::optional<JobId>
 ParseJobId(std::string_view aText);
@@ -58,6 +72,10 @@
 std::string
 ToString(JobId aJob);
 
+/// "JOB.OCCURRENCE.STEP".
+std::string
+ToString(const StepId& aStep);
+
 /// "JOB.OCCURRENCE.STEP.INDEX".
 std::string
 ToString(const TaskId& aTask);
--- a/packages/jobs/lib/Ids.cpp
+++ b/packages/jobs/lib/Ids.cpp
@@ -37,11 +37,25 @@
   return text;
 }
 
+StepId
+greengage::jobs::StepOf(const TaskId& aTask)
+{
+  return { .job = aTask.job,
+           .occurrence = aTask.occurrence,
+           .step = aTask.step };
+}
+
+std::string
+greengage::jobs::ToString(const StepId& aStep)
+{
+  return ToString(aStep.job) + '.' + std::to_string(aStep.occurrence) + '.' +
+         std::to_string(aStep.step);
+}
+
 std::string
 greengage::jobs::ToString(const TaskId& aTask)
 {
-  return ToString(aTask.job) + '.' + std::to_string(aTask.occurrence) + '.' +
-         std::to_string(aTask.step) + '.' + std::to_string(aTask.index);
+  return ToString(StepOf(aTask)) + '.' + std::to_string(aTask.index);
 }
 
 std::optional<TaskId>
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -38,6 +38,7 @@
   virtual bool Propose(BatchId aBatch, const std::string& aEntry) = 0;
   virtual void Call(WorkerCall&& aCall) = 0;
   virtual void Call(HostCall&& aCall) = 0;
+  virtual void Call(AdviceCall&& aCall) = 0;
   virtual void Answer(CallerId aCaller, Reply&& aReply) = 0;
 };
 
@@ -63,6 +64,7 @@
   void Handle(IncomingCall&& aCall, Time aLeaseEnd, Moment aNow);
   void On(const WorkerReply& aReply, Moment aNow);
   void On(const HostReply& aReply, Moment aNow);
+  void On(const AdviceReply& aReply, Moment aNow);
   /// A committed entry; \p aNow is the time of the call, not of the entry.
   void Apply(std::string_view aEntry, Moment aNow);
   /// An entry of this host has been applied.
@@ -97,6 +99,7 @@
   void Propose(jobs::Operation aOperation) override;
   void Call(WorkerCall aCall) override;
   void Call(HostCall aCall) override;
+  void Call(AdviceCall aCall) override;
   void ProposeFor(CallerId aCaller, jobs::Operation aOperation, Reply aReply);
   void Refuse(CallerId aCaller, ErrorKind aKind, std::string aDetail);
   void Serve(CallerId aCaller, QueueCall&& aCall);
--- a/packages/schedule/include/greengage/schedule/Messages.h
+++ b/packages/schedule/include/greengage/schedule/Messages.h
@@ -10,6 +10,7 @@
 #include "greengage/core/Units.h"
 #include "greengage/jobs/Ids.h"
 #include "greengage/jobs/Operation.h"
+#include "greengage/schedule/AdviceCalls.h"
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,8 @@
   Fence fence;
   /// The progress to resume from; empty if there is none.
   std::string checkpoint;
+  /// What lets the worker run the step; empty where none is needed.
+  Permit permit = {};
 };
 
 /// End a run, and never begin it if it has not begun.
@@ -119,6 +122,8 @@
   Late,
   /// It has no room.
   Capacity,
+  /// The permit is not good for it.
+  NotPermitted,
   Other,
 };
 
--- a/packages/schedule/include/greengage/schedule/Outbox.h
+++ b/packages/schedule/include/greengage/schedule/Outbox.h
@@ -5,6 +5,7 @@
 #define GREENGAGE_SCHEDULE_OUTBOX_H
 
 #include "greengage/jobs/Operation.h"
+#include "greengage/schedule/AdviceCalls.h"
 #include "greengage/schedule/Messages.h"
 
 namespace greengage::schedule {
@@ -18,6 +19,8 @@
   virtual void Propose(jobs::Operation aOperation) = 0;
   /// Calls a worker; the id is set by the scheduler.
   virtual void Call(WorkerCall aCall) = 0;
+  /// Asks whoever knows the placement policies.
+  virtual void Call(AdviceCall aCall) = 0;
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -10,6 +10,7 @@
 #include "greengage/jobs/JobBook.h"
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
+#include "greengage/schedule/PlacementAdvice.h"
 #include "greengage/schedule/WorkerSession.h"
 
 #include <cstdint>
@@ -63,6 +64,7 @@
   /// A worker whose beat is in the book was heard.
   void Hear(const WorkerBeat& aBeat, Time aNow);
   void On(const WorkerReply& aReply, Moment aNow);
+  void On(const AdviceReply& aReply, Moment aNow);
   /// Reacts to the time; to be called every few tens of milliseconds.
   void Tick(Moment aNow);
   /// Assigns what can run. To be called once after a batch of events.
@@ -176,6 +178,8 @@
     /// When the job has to go on at the latest to meet its objective, on the
     /// wall clock.
     Time latestStart;
+    /// Set where only some workers may run the job.
+    std::optional<jobs::AdvicePolicy> advice = {};
     /// It can't meet its objective any more.
     bool isLate = false;
   };
@@ -198,6 +202,11 @@
                     const jobs::WorkerRecord& aRecord,
                     const Candidate& aCandidate,
                     const TaskId& aTask);
+  bool IsPermitted(const jobs::WorkerRecord& aRecord,
+                   const Candidate& aCandidate,
+                   const TaskId& aTask) const;
+  void AskAdvice(const Candidate& aCandidate, const TaskId& aTask);
+  void AskAhead(const Candidate& aCandidate);
   void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
   WorkerSession* Choose(const Candidate& aCandidate, const TaskId& aTask);
   bool IsWithinQuota(const TeamId& aTeam,
@@ -239,6 +248,7 @@
   std::map<TaskId, Hold> holds_;
   /// Pools of which the first task without room has a hold.
   std::set<PoolId> heldPools_;
+  PlacementAdvice advice_;
   bool isDirty_ = false;
   Time nextForget_;
   Time nextDispatch_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -231,6 +231,20 @@
   sink_.Call(std::move(aCall));
 }
 
+void
+Controller::Call(AdviceCall aCall)
+{
+  sink_.Call(std::move(aCall));
+}
+
+void
+Controller::On(const AdviceReply& aReply, Moment aNow)
+{
+  now_ = aNow;
+  if (scheduler_.IsLeading())
+    scheduler_.On(aReply, aNow);
+}
+
 void
 Controller::On(const HostReply& aReply, Moment aNow)
 {
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -20,6 +20,7 @@
   : options_(aOptions)
   , book_(aBook)
   , outbox_(aOutbox)
+  , advice_(aOutbox)
 {
 }
 
@@ -86,6 +87,7 @@
   proposed_.clear();
   usage_.clear();
   holds_.clear();
+  advice_.Clear();
   isDirty_ = false;
 }
 
@@ -137,6 +139,7 @@
   if (!IsLeading())
     return;
   live_.erase(aJob.id);
+  advice_.Forget(aJob.id);
   TrackPending(aJob);
   for (auto& [number, session] : sessions_) {
     const TaskId first{ .job = aJob.id };
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -31,6 +31,9 @@
 /// How long the lists are left alone while ends wait for their commit.
 static constexpr Duration kCommitPatience = Duration(300);
 
+/// The fencing token for one life of a worker: it grows with the term, and
+/// within a term from each life to the next, so that calls that were sent to an
+/// earlier life do nothing in a later one.
 Fence
 Scheduler::FenceOf(const WorkerSession& aSession) const
 {
@@ -81,6 +84,8 @@
   // Any member's checkpoint is valid for a gang, and all need the same.
   const auto saved =
     isGang ? checkpoints.begin() : checkpoints.find(aTask.index);
+  const auto permit =
+    advice_.Find(StepOf(aTask), RecordOf(aSession).id, now_.steady);
   Send(aSession,
        { .kind = CallKind::Start,
          .worker = {},
@@ -93,7 +98,8 @@
                  .until = aRun.validUntil,
                  .fence = FenceOf(aSession),
                  .checkpoint =
-                   saved == checkpoints.end() ? std::string() : saved->second },
+                   saved == checkpoints.end() ? std::string() : saved->second,
+                 .permit = permit.value_or(Permit()) },
        kCallTimeout);
 }
 
@@ -204,6 +210,17 @@
   }
 }
 
+void
+Scheduler::On(const AdviceReply& aReply, Moment aNow)
+{
+  now_ = aNow;
+  // The next call for advice goes out with the next placement.
+  advice_.On(aReply, aNow.steady);
+  isDirty_ = true;
+}
+
+/// Whether another life answered, by its birth or by a clock that began anew.
+/// Its beat registers it and gives the runs of this one up.
 bool
 Scheduler::IsOfOtherLife(const WorkerSession& aSession,
                          const WorkerReply& aReply) const
@@ -255,6 +272,8 @@
       // An earlier send of the same start may have been carried out; the stop
       // and the lists after it tell.
       run.isStopWanted = true;
+      if (aReply.refusal == RefusalReason::NotPermitted)
+        advice_.Withdraw(StepOf(aCall.task), RecordOf(aSession).id);
       break;
   }
   TickSession(aSession);
--- a/packages/schedule/lib/SchedulerLists.cpp
+++ b/packages/schedule/lib/SchedulerLists.cpp
@@ -87,6 +87,7 @@
   }
 }
 
+/// \returns whether the worker runs what it should not.
 bool
 Scheduler::TakeRuns(WorkerSession& aSession, const WorkerReply& aReply)
 {
@@ -124,6 +125,8 @@
                      [&](const ListedRun& aRun) { return aRun.task == aTask; });
 }
 
+/// The worker has answered under a fencing token that is higher than those of
+/// its earlier lives: what was sent to them is refused from now on.
 void
 Scheduler::EndRunsOfEarlierLives(const WorkerSession& aSession,
                                  const WorkerReply& aReply)
@@ -139,6 +142,8 @@
   }
 }
 
+/// Ends runs that neither list names, though the worker confirmed them or can't
+/// begin them any more.
 void
 Scheduler::FindLostRuns(WorkerSession& aSession,
                         const PendingCall& aCall,
@@ -169,6 +174,7 @@
   }
 }
 
+/// Slows filling tasks down while a serving one beside them is near its target.
 void
 Scheduler::KeepTargets(WorkerSession& aSession, const WorkerReply& aReply)
 {
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -45,6 +45,8 @@
     std::any_of(aJob.description.steps.begin(),
                 aJob.description.steps.end(),
                 [](const jobs::Step& aStep) { return aStep.isPersistent; });
+  if (queue != nullptr)
+    candidate.advice = queue->advice;
   if (queue == nullptr || isPersistent)
     return candidate;
   const auto chain = static_cast<double>(ChainOf(aJob, false).Millis());
@@ -142,8 +144,68 @@
     return;
   DropStaleHolds();
   heldPools_.clear();
-  for (const Candidate& candidate : Candidates())
+  const std::vector<Candidate> candidates = Candidates();
+  for (const Candidate& candidate : candidates)
     DispatchJob(candidate);
+  for (const Candidate& candidate : candidates)
+    if (candidate.advice)
+      AskAhead(candidate);
+}
+
+/// Whether the worker has leave to run the step, where that is needed.
+bool
+Scheduler::IsPermitted(const jobs::WorkerRecord& aRecord,
+                       const Candidate& aCandidate,
+                       const TaskId& aTask) const
+{
+  return !aCandidate.advice ||
+         advice_.Find(StepOf(aTask), aRecord.id, now_.steady).has_value();
+}
+
+/// Asks which workers may run a step, those with the most room first.
+void
+Scheduler::AskAdvice(const Candidate& aCandidate, const TaskId& aTask)
+{
+  if (advice_.IsAsking())
+    return;
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  std::vector<std::pair<std::int64_t, jobs::WorkerId>> byRoom;
+  for (const auto& [number, session] : sessions_) {
+    const jobs::WorkerRecord& record = RecordOf(session);
+    if (session.IsUsable(now_.steady) &&
+        Suits(session, record, aCandidate, aTask) &&
+        jobs::Fits(TakenOf(step), session.used, record.capacity))
+      byRoom.emplace_back(
+        (session.used.processors - record.capacity.processors).Count(),
+        record.id);
+  }
+  std::sort(byRoom.begin(), byRoom.end());
+  std::vector<jobs::WorkerId> workers;
+  workers.reserve(byRoom.size());
+  for (auto& [room, worker] : byRoom)
+    workers.push_back(std::move(worker));
+  advice_.Ask(
+    StepOf(aTask), workers, step.count, *aCandidate.advice, now_.steady);
+}
+
+/// Asks about the next steps of a job that has begun, so that they need not
+/// wait for the answer.
+void
+Scheduler::AskAhead(const Candidate& aCandidate)
+{
+  const jobs::Job& job = *aCandidate.job;
+  for (const auto& [number, occurrence] : job.occurrences)
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& after = job.description.steps[step].after;
+      const bool isNext =
+        std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+          return occurrence.steps[aEarlier].waiting == 0;
+        });
+      if (job.hasBegun && isNext && occurrence.steps[step].waiting > 0)
+        AskAdvice(
+          aCandidate,
+          { .job = job.id, .occurrence = number, .step = step, .index = 0 });
+    }
 }
 
 void
@@ -191,7 +253,10 @@
     // task in the order of its pool.
     const bool mayHold =
       step.isPersistent || heldPools_.insert(aCandidate.pool).second;
-    if (!Place(aCandidate, task, mayHold) && !step.isPersistent)
+    const bool isPlaced = Place(aCandidate, task, mayHold);
+    if (!isPlaced && aCandidate.advice)
+      AskAdvice(aCandidate, task);
+    if (!isPlaced && !step.isPersistent)
       return;
     if (!step.isPersistent && holds_.count(task) == 0)
       heldPools_.erase(aCandidate.pool);
@@ -211,7 +276,8 @@
     session = SessionOf(hold->second.worker);
     // Other tasks of the step may have come to the worker since.
     const bool suits = session != nullptr &&
-                       Suits(*session, RecordOf(*session), aCandidate, aTask);
+                       Suits(*session, RecordOf(*session), aCandidate, aTask) &&
+                       IsPermitted(RecordOf(*session), aCandidate, aTask);
     if (suits && !IsHoldMet(aTask))
       return false;
     DropHold(aTask);
@@ -254,6 +320,7 @@
     const jobs::WorkerRecord& record = RecordOf(session);
     if (number == aExcept || IsHeld(number) || !session.IsUsable(now_.steady) ||
         !Suits(session, record, aCandidate, aTask) ||
+        !IsPermitted(record, aCandidate, aTask) ||
         !jobs::Fits(taken, {}, record.capacity))
       continue;
     const std::int64_t free =
@@ -324,6 +391,8 @@
         ? Choose(aCandidate, task)
         : nullptr;
     if (session == nullptr) {
+      if (aCandidate.advice)
+        AskAdvice(aCandidate, task);
       for (const auto& [member, worker] : placed)
         Release(sessions_.at(worker), member);
       return;
@@ -387,7 +456,8 @@
     const jobs::WorkerRecord& record = RecordOf(session);
     if (!session.IsUsable(now_.steady) ||
         !jobs::Fits(taken, session.used, record.capacity) ||
-        !Suits(session, record, aCandidate, aTask))
+        !Suits(session, record, aCandidate, aTask) ||
+        !IsPermitted(record, aCandidate, aTask))
       continue;
     const bool isNearData =
       step.preferredRack.Value().empty() || step.preferredRack == record.rack;
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -45,6 +45,7 @@
   if (!isNew)
     return;
   session.leaseEnd = now_.steady;
+  advice_.ExpirePermits(RecordOf(session).id);
   GiveUpEarlierLives(aWorker);
   TickSession(session);
 }
@@ -100,9 +101,6 @@
     session->clockOffset = *aBeat.clock - aNow;
 }
 
-/// The fencing token for one life of a worker: it grows with the term, and
-/// within a term from each life to the next, so that calls that were sent to an
-/// earlier life do nothing in a later one.
 void
 Scheduler::TickSession(WorkerSession& aSession)
 {
@@ -181,14 +179,6 @@
                                  .at = now_.wall });
 }
 
-/// Whether another life answered, by its birth or by a clock that began anew.
-/// Its beat registers it and gives the runs of this one up.
-/// \returns whether the worker runs what it should not.
-/// The worker has answered under a fencing token that is higher than those of
-/// its earlier lives: what was sent to them is refused from now on.
-/// Runs that neither list names, though the worker confirmed them or can't
-/// begin them any more.
-/// Slows filling tasks down while a serving one beside them is near its target.
 const WorkerSession*
 Scheduler::Find(jobs::WorkerNumber aWorker) const
 {
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -245,6 +245,82 @@
   CheckAll();
 }
 
+namespace {
+
+/// A fleet with a placement policy that forbids one of four workers.
+struct AdvisedFixture : ModelFleet
+{
+  explicit AdvisedFixture(Duration aValidity = Duration(3000))
+  {
+    reader.advice = { .base = Duration(20),
+                      .perWorker = Duration(3),
+                      .validity = aValidity };
+    // A new leader reads the policy.
+    ChangeLeader();
+    Ask(ConfigurationPut{ .version = jobs::ConfigurationVersion(2),
+                          .text = "configuration" });
+    Run(Duration(200));
+    forbidden = { "w1" };
+    for (const char* id : { "w1", "w2", "w3", "w4" })
+      AddWorker(id);
+    Run(Duration(500));
+  }
+  void CheckAll()
+  {
+    for (const std::string& what : broken)
+      FAIL_CHECK(what);
+    CHECK(permitsRefused == 0);
+  }
+};
+
+} // namespace
+
+TEST_CASE("only workers that the policy permits run a step")
+{
+  AdvisedFixture fleet;
+  jobs::Step second = Tasks(4);
+  second.after = { 0 };
+  const jobs::JobId job = fleet.Submit({ Tasks(8), second });
+  CHECK(fleet.RunUntil([&] { return fleet.RunsInAll() == 8; }, Duration(120)));
+  CHECK(fleet.RunsOn("w1") == 0);
+  CHECK(fleet.RunUntil(
+    [&] { return fleet.StateOf(job) == JobProgress::Completed; },
+    // Two run times, and the second step's permits were asked for ahead.
+    Duration(1800)));
+  // What is known to be forbidden or good is not asked about again.
+  CHECK(fleet.workersAsked <= 8);
+  fleet.CheckAll();
+}
+
+TEST_CASE("permits that run out are asked for again")
+{
+  AdvisedFixture fleet(Duration(600));
+  std::vector<jobs::JobId> jobs;
+  for (int count = 0; count < 6; ++count)
+    jobs.push_back(fleet.Submit({ Tasks(8) }, { .failures = 1 }));
+  CHECK(fleet.RunUntil(
+    [&] {
+      return std::all_of(jobs.begin(), jobs.end(), [&](jobs::JobId aJob) {
+        return fleet.StateOf(aJob) == JobProgress::Completed;
+      });
+    },
+    Duration(20000)));
+  fleet.CheckAll();
+}
+
+TEST_CASE("a worker's new life needs a new permit")
+{
+  AdvisedFixture fleet;
+  const jobs::JobId job =
+    fleet.Submit({ Tasks(24) }, { .runTime = Duration(500) });
+  fleet.Run(Duration(200));
+  fleet.CrashWorker("w2", Duration(100));
+  CHECK(
+    fleet.RunUntil([&] { return fleet.StateOf(job) == JobProgress::Completed; },
+                   Duration(9000)));
+  fleet.CheckAll();
+}
+
 /// The seeds to play: 1 to 40, or those that GREENGAGE_SEEDS names as "FIRST"
 /// or "FIRST-LAST".
 static std::pair<std::uint64_t, std::uint64_t>
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -37,7 +37,8 @@
                     .maxAttempts = maxAttempts,
                     .stretch = 1.6,
                     .objective = Duration(600),
-                    .timeout = Duration(3000) } };
+                    .timeout = Duration(3000),
+                    .advice = advice } };
   read.teams = {
     { .id = TeamId("caxias"), .keys = { "key" }, .quota = quota }
   };
@@ -167,6 +168,49 @@
   });
 }
 
+void
+ModelFleet::Call(AdviceCall&& aCall)
+{
+  workersAsked += aCall.workers.size();
+  AdviceReply reply;
+  reply.id = aCall.id;
+  reply.isAnswered = true;
+  reply.validity = reader.advice->validity;
+  // Calls are served in turn.
+  adviserFreeAt_ =
+    std::max(adviserFreeAt_, now_) + reader.advice->base +
+    reader.advice->perWorker * static_cast<std::int64_t>(aCall.workers.size());
+  for (const jobs::WorkerId& id : aCall.workers) {
+    const auto worker = workers_.find(id.Value());
+    if (worker == workers_.end() || forbidden.count(id.Value()) != 0)
+      continue;
+    const std::string permit = "p" + std::to_string(permits_.size());
+    permits_[permit] = { .step = aCall.step,
+                         .worker = id.Value(),
+                         .life = worker->second.record.incarnation,
+                         .goodUntil = adviserFreeAt_ + reply.validity };
+    reply.permitted.push_back({ .worker = id, .permit = Permit(permit) });
+  }
+  At(adviserFreeAt_ - now_ + kNetworkTime, [this, reply, leader = leader_] {
+    if (leader == leader_)
+      controller_->On(reply, Now());
+  });
+}
+
+bool
+ModelFleet::IsPermitted(const ModelWorker& aWorker,
+                        const StartRun& aStart) const
+{
+  if (!reader.advice)
+    return true;
+  const auto found = permits_.find(aStart.permit.Value());
+  return found != permits_.end() &&
+         found->second.step == jobs::StepOf(aStart.task) &&
+         found->second.worker == aWorker.record.id.Value() &&
+         found->second.life == aWorker.record.incarnation &&
+         found->second.goodUntil > now_;
+}
+
 HostReply
 ModelFleet::ListAllHosts() const
 {
@@ -537,6 +581,11 @@
     refuse(RefusalReason::OldAttempt);
     return;
   }
+  if (!IsPermitted(aWorker, aStart)) {
+    ++permitsRefused;
+    refuse(RefusalReason::NotPermitted);
+    return;
+  }
   CheckStart(aWorker, aStart);
   const JobModel& job = jobs_.at(aStart.task.job);
   const bool isPersistent = StepOf(aStart.task)->isPersistent;
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -30,6 +30,7 @@
                                           Error& aReason) const override;
   std::uint32_t maxAttempts = 3;
   jobs::Resources quota;
+  std::optional<jobs::AdvicePolicy> advice;
 };
 
 /// How a run goes on a model worker.
@@ -102,6 +103,12 @@
   std::size_t mostMaintained = 0;
   /// Whether the provider leaves calls unanswered.
   bool isProviderSilent = false;
+  /// Workers that the placement policy forbids.
+  std::set<std::string> forbidden;
+  /// Workers named in all calls for advice, and starts refused for their
+  /// permit.
+  std::size_t workersAsked = 0;
+  std::size_t permitsRefused = 0;
   std::mt19937_64 random;
 
   static constexpr jobs::Resources kRoom{ MilliCores(4000),
@@ -149,6 +156,15 @@
     std::set<TaskId> succeeded;
   };
 
+  /// A permit that the adviser has given.
+  struct ModelPermit
+  {
+    jobs::StepId step;
+    std::string worker;
+    jobs::Incarnation life;
+    Time goodUntil;
+  };
+
   /// A host as its provider knows it.
   struct ModelHost
   {
@@ -163,6 +179,7 @@
   bool Propose(BatchId aBatch, const std::string& aEntry) override;
   void Call(WorkerCall&& aCall) override;
   void Call(HostCall&& aCall) override;
+  void Call(AdviceCall&& aCall) override;
   void Answer(CallerId aCaller, Reply&& aReply) override;
 
   Moment Now() const;
@@ -180,6 +197,7 @@
   void Return(const WorkerReply& aReply, std::uint64_t aLeader);
   void NoteFault(Duration aSpan);
   void TickWorkers();
+  bool IsPermitted(const ModelWorker& aWorker, const StartRun& aStart) const;
   void CheckStart(const ModelWorker& aWorker, const StartRun& aStart);
   void CheckAlways();
   HostReply ListAllHosts() const;
@@ -201,6 +219,8 @@
   std::map<jobs::JobId, JobModel> jobs_;
   std::optional<Reply> lastReply_;
   std::map<CallerId, jobs::JobId> cancels_;
+  std::map<std::string, ModelPermit> permits_;
+  Time adviserFreeAt_;
   /// Since when no fault has an effect.
   Time calmSince_;
 };
--- a/tools/greengaged/JobCommand.cpp
+++ b/tools/greengaged/JobCommand.cpp
@@ -74,10 +74,13 @@
   const platform::PlatformConfigurationReader configurations;
   const platform::PlatformHostCodec hosts(
     settings->hostProvider.value_or(Endpoint()));
+  const platform::PlatformAdviceCodec advice(
+    settings->adviser.value_or(Endpoint()));
   daemon::JobDaemon daemon(std::move(*settings),
                            { .calls = calls,
                              .workers = workers,
                              .hosts = hosts,
+                             .advice = advice,
                              .configurations = configurations });
   if (!daemon.Start(aReason))
     return JobExit::Unavailable;
