--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -435,14 +435,17 @@
   if (chance(faults.late)) {
     const Duration delay(2000 + static_cast<std::int64_t>(random() % 10000));
     noAnswer(call->timeout);
-    At(delay, [this, call, leader] { Deliver(*call, leader, false); });
+    At(delay, [this, call, leader, sentAt = now_] {
+      Deliver(*call, leader, sentAt, false);
+    });
     return;
   }
   const bool answers = !chance(faults.loseAnswer);
   if (!answers)
     noAnswer(call->timeout);
-  At(kNetworkTime,
-     [this, call, leader, answers] { Deliver(*call, leader, answers); });
+  At(kNetworkTime, [this, call, leader, answers, sentAt = now_] {
+    Deliver(*call, leader, sentAt, answers);
+  });
 }
 
 void
@@ -455,6 +458,7 @@
 void
 ModelFleet::Deliver(const WorkerCall& aCall,
                     std::uint64_t aLeader,
+                    Time aSentAt,
                     bool aAnswers)
 {
   const auto found = workers_.find(aCall.worker.Value());
@@ -472,6 +476,11 @@
     return;
   }
   ModelWorker& worker = found->second;
+  const Time bornAt(worker.record.incarnation.Value());
+  // On the users' bench no call for an earlier life is carried out at all. Here
+  // they are once the life has been called: a fencing token has no say before.
+  if (aSentAt < bornAt && worker.fence == Fence(0))
+    return;
   auto reply = Execute(worker, aCall);
   if (!aAnswers)
     return;
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -186,7 +186,10 @@
   void At(Duration aDelay, std::function<void()> aEvent);
   void StartLeader();
   void Beat(ModelWorker& aWorker);
-  void Deliver(const WorkerCall& aCall, std::uint64_t aLeader, bool aAnswers);
+  void Deliver(const WorkerCall& aCall,
+               std::uint64_t aLeader,
+               Time aSentAt,
+               bool aAnswers);
   std::optional<WorkerReply> Execute(ModelWorker& aWorker,
                                      const WorkerCall& aCall);
   void Start(ModelWorker& aWorker, const StartRun& aStart, WorkerReply& aReply);
