Let hosts that became spare be moved again once their move is over

A host moved to the spare pool counted as away until its worker was heard, which never happens there, or for 5 s. Without that it was taken for a host of its old pool again, since the life that ended with the order stayed registered for 12 s: told apart by clocks before, now by its number in the registry.

The move time is a setting, from the deployment's bounds, which give it as 1.5 s: settings now take fractions that come to whole milliseconds. The case that refused "1.5s" now refuses seven other malformed fractions.

Test: "hosts that have just become spare come again at once" failed first (no order in 9 s).

--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -51,6 +51,8 @@
   std::optional<Endpoint> adviser;
   /// How long the orders of two leaders for hosts must be apart.
   Duration hostOrderGap = Duration::Seconds(3);
+  /// How long a host takes from one pool to another.
+  Duration hostMoveTime = Duration(1500);
   /// How long a stopping host serves on for those who have not noticed.
   Duration shutdownNotice = Duration(2500);
   observe::LogOptions log;
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -69,6 +69,7 @@
   settings.hostProvider = OptionalEndpoint(reader, "hosts", "provider");
   settings.adviser = OptionalEndpoint(reader, "placement", "adviser");
   reader.ReadDuration("hosts", "order_gap", settings.hostOrderGap);
+  reader.ReadDuration("hosts", "move_time", settings.hostMoveTime);
   reader.ReadDuration("shutdown", "notice", settings.shutdownNotice);
   reader.RejectUnknown();
   if (settings.scheduler.lease > settings.scheduler.maxLease)
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -34,6 +34,8 @@
   EntryHostId self;
   /// How long two holders of the orders must be apart.
   Duration settle = Duration::Seconds(3);
+  /// How long a host takes from one pool to another.
+  Duration moveTime = Duration(1500);
 };
 
 /// Takes the planner's calls.
@@ -82,8 +84,10 @@
     PoolId target;
     bool isOrderInFlight = false;
     Time nextOrder;
-    /// When the latest order was given, on the wall clock.
-    Time orderedAt;
+    /// The latest worker in the registry when the latest order was given.
+    jobs::WorkerNumber orderedAfter;
+    /// Workers up to this number ended with the latest order that was done.
+    jobs::WorkerNumber endedWorkers;
     /// The provider has said that it is not up.
     bool isDown = false;
     /// Since when its pool could have done without it.
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -15,6 +15,9 @@
 /// How long a host that was moved or maintained may take until its worker is
 /// heard: the provider takes 1.5 s or 2 s, a worker's start about one more.
 static constexpr Duration kReturnTime = Duration(5000);
+/// What a move may take beyond its time until the host can be moved again: the
+/// way of the order and of its answer.
+static constexpr Duration kMoveMargin = Duration(100);
 
 HostPlanner::HostPlanner(HostPlannerOptions aOptions,
                          const jobs::JobBook& aBook,
@@ -133,7 +136,12 @@
     listed_.insert(listed.host);
     Host& host = hosts_[listed.host];
     host.capacity = listed.capacity;
-    host.isDown = listed.state != HostState::Up;
+    host.isDown = listed.state == HostState::Down;
+    // An order of the former leader.
+    const bool isUnderWay = listed.state == HostState::Moving ||
+                            listed.state == HostState::Maintained;
+    if (isUnderWay && !IsAway(host))
+      host.awayUntil = now_.steady + kReturnTime;
     // A worker's own word is newer than the list.
     if (!host.worker && !IsAway(host))
       host.pool = listed.pool;
@@ -193,8 +201,12 @@
       else
         aHost.pool = aHost.target;
       aHost.purpose = Purpose::None;
+      aHost.endedWorkers = aHost.orderedAfter;
       aHost.worker.reset();
-      aHost.awayUntil = now_.steady + kReturnTime;
+      // No worker runs in the spare pool that could be heard.
+      aHost.awayUntil = now_.steady + (isUpkeep || !IsSpare(aHost.pool)
+                                         ? kReturnTime
+                                         : options_.moveTime + kMoveMargin);
       aHost.idleSince.reset();
       break;
     case HostAnswer::NotInWave:
@@ -237,7 +249,7 @@
         known->second.incarnation >= record.incarnation)
       continue;
     // The life that ended with the order may still be registered.
-    if (IsAway(host) && record.incarnation.Value() < host.orderedAt.Millis())
+    if (number <= host.endedWorkers)
       continue;
     host.worker = number;
     host.pool = record.pool;
@@ -315,7 +327,8 @@
 HostPlanner::Order(const HostId& aId, Host& aHost)
 {
   aHost.isOrderInFlight = true;
-  aHost.orderedAt = now_.wall;
+  if (!book_.Workers().empty())
+    aHost.orderedAfter = book_.Workers().rbegin()->first;
   HostRequest request = MoveHost{ .host = aId, .pool = aHost.target };
   if (aHost.purpose == Purpose::Upkeep)
     request = MaintainHost{ .host = aId, .wave = aHost.wave };
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -171,6 +171,25 @@
   CheckAll();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "hosts that have just become spare come again at once")
+{
+  for (int round = 0; round < 60; ++round) {
+    Submit({ Tasks(12) }, { .runTime = Duration(1000) });
+    Run(Duration(100));
+  }
+  CHECK(RunUntil([&] { return HostsInLines() == 2; }, Duration::Seconds(30)));
+  // The move to the spare pool takes 1.5 s; the way back begins at once.
+  bool isBack = false;
+  for (int round = 0; round < 24 && !isBack; ++round) {
+    Submit({ Tasks(30) }, { .runTime = Duration(1000) });
+    Run(Duration(100));
+    isBack = HostsInLines() >= 8;
+  }
+  CHECK(isBack);
+  CheckAll();
+}
+
 TEST_CASE_METHOD(Fixture, "a silent provider leaves the hosts where they are")
 {
   isProviderSilent = true;
--- a/packages/settings/lib/Values.cpp
+++ b/packages/settings/lib/Values.cpp
@@ -1,5 +1,6 @@
 #include "greengage/settings/Values.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -84,20 +85,45 @@
   return FailValue(aReason, aText, "true or false");
 }
 
+/// Reads "" or "." with digits as a part of \p aUnit milliseconds, which must
+/// come to whole milliseconds.
+static bool
+ReadFraction(std::string_view aText, std::int64_t aUnit, std::int64_t& aMillis)
+{
+  aMillis = 0;
+  if (aText.empty())
+    return true;
+  constexpr std::size_t kMaxDigits = 6;
+  std::int64_t digits = 0;
+  if (aText.size() > kMaxDigits + 1 || !ReadWhole(aText.substr(1), digits) ||
+      digits < 0)
+    return false;
+  std::int64_t scale = 1;
+  for (std::size_t place = 1; place < aText.size(); ++place)
+    scale *= 10;
+  aMillis = digits * aUnit / scale;
+  return digits * aUnit % scale == 0;
+}
+
 std::optional<Duration>
 greengage::settings::ParseDuration(std::string_view aText, Error& aReason)
 {
-  const std::string wanted = "a time such as 250ms, 10s, 5min, 2h, 3d or 8w";
+  const std::string wanted =
+    "a time such as 250ms, 1.5s, 10s, 5min, 2h, 3d or 8w";
   for (const UnitText& unit : kUnits) {
     if (!aText.ends_with(unit.suffix))
       continue;
     const auto digits = aText.substr(0, aText.size() - unit.suffix.size());
+    const auto point = std::min(digits.find('.'), digits.size());
     std::int64_t count = 0;
     const std::int64_t most =
       std::numeric_limits<std::int64_t>::max() / (1000 * unit.millis);
-    if (!ReadWhole(digits, count) || count < 0 || count > most)
+    std::int64_t fraction = 0;
+    if (!ReadWhole(digits.substr(0, point), count) || count < 0 ||
+        count > most ||
+        !ReadFraction(digits.substr(point), unit.millis, fraction))
       return FailValue(aReason, aText, wanted);
-    return Duration(count * unit.millis);
+    return Duration(count * unit.millis + fraction);
   }
   return FailValue(aReason, aText, wanted);
 }
--- a/packages/settings/unittests/SettingsTest.cpp
+++ b/packages/settings/unittests/SettingsTest.cpp
@@ -45,8 +45,21 @@
   REQUIRE(ParseDuration("10s", reason) == Duration(10000));
   REQUIRE(ParseDuration("5min", reason) == Duration(300000));
   REQUIRE(ParseDuration("8w", reason) == Duration(4838400000));
-  const auto bad =
-    GENERATE("", "10", "s", "-1s", "1.5s", "99999999999999999999s", "1 s");
+  REQUIRE(ParseDuration("1.5s", reason) == Duration(1500));
+  REQUIRE(ParseDuration("0.25min", reason) == Duration(15000));
+  const auto bad = GENERATE("",
+                            "10",
+                            "s",
+                            "-1s",
+                            "1.5ms",
+                            "1.0005s",
+                            "1.s",
+                            ".5s",
+                            "1.-5s",
+                            "1.2.3s",
+                            "1.0000000s",
+                            "99999999999999999999s",
+                            "1 s");
   REQUIRE_FALSE(ParseDuration(bad, reason));
 }
 
