Tell turns of demand by the fleet's size; let hosts go as a turn falls

Now a turn asks for a tenth of the fleet. - hosts stayed until their pool's first turn had ended: 15 of 37 idle for 5 s. Now they stay until it has begun. - waves were late (2 and 3 duties missed) where persistent tasks could not leave a host: the limit of tasks on one worker left no room in a pool with processors free. Now such a pool gets one more host at a time; more demand alone did not help (failed try, the same test).

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -104,6 +104,8 @@
     std::int64_t has = 0;
     std::int64_t needs = 0;
     std::uint32_t hosts = 0;
+    /// A host is on its way to it.
+    bool isAwaiting = false;
   };
 
   void Send(HostRequest aRequest, PendingCall aPending);
@@ -147,6 +149,8 @@
   std::set<HostId> listed_;
   /// Of each working pool, as the scheduler sees it now.
   std::map<PoolId, std::int64_t> demand_;
+  /// Pools where a persistent task finds no room.
+  std::set<PoolId> lackingRoom_;
   struct Sample
   {
     Time at;
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -41,7 +41,7 @@
   std::int64_t processors = 0;
   /// In mebibytes.
   std::int64_t memory = 0;
-  /// Steps with persistent tasks that do not run.
+  /// Steps with persistent tasks that do not run, or can't leave their worker.
   std::uint32_t persistentWaiting = 0;
 };
 
@@ -249,6 +249,8 @@
   /// Pools of which the first task without room has a hold.
   std::set<PoolId> heldPools_;
   PlacementAdvice advice_;
+  /// When a task that was to leave its worker last found no other in its pool.
+  std::map<PoolId, Time> lackingRoom_;
   bool isDirty_ = false;
   Time nextForget_;
   Time nextDispatch_;
--- a/packages/schedule/include/greengage/schedule/TurnForecast.h
+++ b/packages/schedule/include/greengage/schedule/TurnForecast.h
@@ -20,23 +20,26 @@
 class TurnForecast
 {
 public:
-  /// Notes what \p aPool asks for at \p aNow, in thousandths of a core.
-  void Observe(const PoolId& aPool, std::int64_t aDemand, Time aNow);
+  /// Notes what \p aPool asks for at \p aNow, and what all hosts together
+  /// have, in thousandths of a core.
+  void Observe(const PoolId& aPool,
+               std::int64_t aDemand,
+               std::int64_t aFleet,
+               Time aNow);
 
   /// What \p aPool is expected to ask for within \p aAhead, beyond what it
   /// asks for now; nothing while no turn is expected.
   std::optional<std::int64_t> Expected(const PoolId& aPool,
                                        Duration aAhead,
                                        Time aNow) const;
-  /// Whether a turn of \p aPool has ended.
-  bool HasHadTurn(const PoolId& aPool) const;
+  /// Whether \p aPool has had a turn, or is in its first.
+  bool HasBegunTurn(const PoolId& aPool) const;
 
 private:
   struct Pool
   {
     std::int64_t highest = 0;
     bool isInTurn = false;
-    std::uint32_t turns = 0;
     std::optional<Time> lastStart;
     std::optional<Time> lastEnd;
     /// The highest demand of the current or last turn.
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -51,6 +51,7 @@
   listed_.clear();
   calls_.clear();
   demand_.clear();
+  lackingRoom_.clear();
   recent_.clear();
   growth_.clear();
   forecast_ = TurnForecast();
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -118,6 +118,8 @@
       continue;
     found->second.has += host.capacity.processors.Count();
     ++found->second.hosts;
+    found->second.isAwaiting =
+      found->second.isAwaiting || host.purpose == Purpose::Move || IsAway(host);
   }
   for (auto& [pool, state] : balance) {
     const auto demand = demand_.find(pool);
@@ -130,12 +132,17 @@
     state.needs =
       std::max(asked * (kPercent + kHeadroomPercent) / kPercent + growth,
                expected * kExpectedPercent / kPercent);
+    // The limit of tasks on one worker may bind where processors are free: one
+    // more host at a time.
+    if (lackingRoom_.count(pool) != 0)
+      state.needs =
+        std::max(state.needs, state.has + (state.isAwaiting ? 0 : 1));
   }
   return balance;
 }
 
 /// What \p aDemand comes to in processors of the pool's hosts: memory may run
-/// out first, and a persistent task that finds no room needs another host.
+/// out first.
 std::int64_t
 HostPlanner::ProcessorsFor(const PoolId& aPool, const PoolDemand& aDemand) const
 {
@@ -149,17 +156,19 @@
   const jobs::Resources& host = sample->second.capacity;
   const std::int64_t byMemory =
     aDemand.memory * host.processors.Count() / host.memory.Count();
-  const std::int64_t extra =
-    aDemand.persistentWaiting > 0 ? host.processors.Count() : 0;
-  return std::max(aDemand.processors, byMemory) + extra;
+  return std::max(aDemand.processors, byMemory);
 }
 
 void
 HostPlanner::WatchDemand()
 {
   demand_.clear();
-  for (const auto& [pool, demand] : scheduler_.Demand())
+  lackingRoom_.clear();
+  for (const auto& [pool, demand] : scheduler_.Demand()) {
     demand_[pool] = ProcessorsFor(pool, demand);
+    if (demand.persistentWaiting > 0)
+      lackingRoom_.insert(pool);
+  }
   recent_.push_back({ .at = now_.steady, .demand = demand_ });
   while (recent_.front().at + kGrowthSpan < now_.steady)
     recent_.pop_front();
@@ -169,9 +178,12 @@
     if (before != recent_.front().demand.end())
       growth_[pool] = demand - before->second;
   }
+  std::int64_t fleet = 0;
+  for (const auto& [id, host] : hosts_)
+    fleet += host.capacity.processors.Count();
   for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
     if (!pool.isSpare)
-      forecast_.Observe(pool.id, demand_[pool.id], now_.steady);
+      forecast_.Observe(pool.id, demand_[pool.id], fleet, now_.steady);
 }
 
 void
@@ -278,7 +290,7 @@
     const bool isOver = from != aBalance.end() &&
                         host.purpose == Purpose::None && !IsAway(host) &&
                         host.worker && !HasPersistentRun(host) &&
-                        forecast_.HasHadTurn(host.pool) &&
+                        forecast_.HasBegunTurn(host.pool) &&
                         from->second.has - size >= from->second.needs &&
                         from->second.hosts > kMinHosts;
     if (!isOver) {
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -88,6 +88,7 @@
   usage_.clear();
   holds_.clear();
   advice_.Clear();
+  lackingRoom_.clear();
   isDirty_ = false;
 }
 
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -19,6 +19,9 @@
 /// for others.
 static constexpr std::int64_t kLateDivisor = 2;
 static constexpr std::int64_t kLaterStepDivisor = 3;
+/// How long a task that found no worker to move to counts as demand; it is
+/// tried again every 150 ms.
+static constexpr Duration kLackingRoomTime = Duration(500);
 /// How long room is kept for a task. Tasks run for 3.3 s at most, so that it is
 /// there by then.
 static constexpr Duration kHoldTime = Duration(4000);
@@ -511,6 +514,9 @@
         sum.memory += each.memory.Count() * left / divisor;
       }
   }
+  for (const auto& [pool, since] : lackingRoom_)
+    if (since + kLackingRoomTime > now_.steady)
+      ++demand[pool].persistentWaiting;
   return demand;
 }
 
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -237,8 +237,10 @@
   if (pool == pools_.end() || book_.CurrentConfiguration() == nullptr)
     return true;
   if (holds_.count(aTask) == 0 &&
-      !MakeHold(CandidateOf(*job, pool->second), aTask, aSession.number))
+      !MakeHold(CandidateOf(*job, pool->second), aTask, aSession.number)) {
+    lackingRoom_[pool->second] = now_.steady;
     return false;
+  }
   return IsHoldMet(aTask);
 }
 
--- a/packages/schedule/lib/TurnForecast.cpp
+++ b/packages/schedule/lib/TurnForecast.cpp
@@ -11,8 +11,9 @@
 static constexpr std::int64_t kBeginPercent = 40;
 static constexpr std::int64_t kEndPercent = 15;
 static constexpr std::int64_t kPercent = 100;
-/// Smaller demand makes no turn: some hosts of the users' sites.
-static constexpr std::int64_t kLeastPeak = 80000;
+/// Smaller demand, as a part of the fleet, makes no turn: the users' pools hold
+/// a sixth to a quarter of their fleet and ask for more than that in a turn.
+static constexpr std::int64_t kLeastPercentOfFleet = 10;
 /// Turns that must have begun before their pace is believed.
 static constexpr std::size_t kMinStarts = 2;
 /// A turn that ends and begins again within this time goes on.
@@ -25,7 +26,10 @@
 static constexpr std::int64_t kPatiencePercent = 25;
 
 void
-TurnForecast::Observe(const PoolId& aPool, std::int64_t aDemand, Time aNow)
+TurnForecast::Observe(const PoolId& aPool,
+                      std::int64_t aDemand,
+                      std::int64_t aFleet,
+                      Time aNow)
 {
   Pool& pool = pools_[aPool];
   pool.highest = std::max(pool.highest, aDemand);
@@ -34,11 +38,11 @@
     if (aDemand * kPercent < pool.highest * kEndPercent) {
       pool.isInTurn = false;
       pool.lastEnd = aNow;
-      ++pool.turns;
     }
     return;
   }
-  if (aDemand < kLeastPeak || aDemand * kPercent < pool.highest * kBeginPercent)
+  if (aDemand * kPercent < aFleet * kLeastPercentOfFleet ||
+      aDemand * kPercent < pool.highest * kBeginPercent)
     return;
   pool.isInTurn = true;
   if (pool.lastEnd && *pool.lastEnd + kSameTurn > aNow)
@@ -51,10 +55,10 @@
 }
 
 bool
-TurnForecast::HasHadTurn(const PoolId& aPool) const
+TurnForecast::HasBegunTurn(const PoolId& aPool) const
 {
   const auto found = pools_.find(aPool);
-  return found != pools_.end() && found->second.turns > 0;
+  return found != pools_.end() && found->second.lastStart;
 }
 
 /// The usual time between the starts of two pools' turns.
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -214,16 +214,17 @@
   };
   const auto play = [&](std::int64_t aFrom, std::int64_t aTo) {
     for (std::int64_t at = aFrom; at < aTo; at += 100) {
-      forecast.Observe(a, demandOf(0, at), Time(at));
-      forecast.Observe(b, demandOf(1, at), Time(at));
-      forecast.Observe(c, demandOf(2, at), Time(at));
+      forecast.Observe(a, demandOf(0, at), 400000, Time(at));
+      forecast.Observe(b, demandOf(1, at), 400000, Time(at));
+      forecast.Observe(c, demandOf(2, at), 400000, Time(at));
     }
   };
   play(0, 3000);
   CHECK_FALSE(forecast.Expected(b, Duration(3000), Time(3000)));
   play(3000, 7000);
-  CHECK(forecast.HasHadTurn(a));
-  CHECK_FALSE(forecast.HasHadTurn(c));
+  CHECK(forecast.HasBegunTurn(a));
+  CHECK(forecast.HasBegunTurn(b));
+  CHECK_FALSE(forecast.HasBegunTurn(c));
   // The last one without a turn comes next.
   CHECK(forecast.Expected(c, Duration(2000), Time(7000)) == 200000);
   CHECK_FALSE(forecast.Expected(a, Duration(2000), Time(7000)));
