Announce orders for hosts in the log; watch demand on all control hosts

A host is now ordered once its announcement is committed. A new leader waits for hosts announced in the last 4.5 s only (3 s between two holders and 1.5 s that an order may be on its way), also for the bound of a wave. Counts instead of times are agreed; each host measures by its own clock. Other control hosts watch demand from the book at 300 ms, so that turns are known after a change of leaders.

--- a/packages/jobs/include/greengage/jobs/JobBook.h
+++ b/packages/jobs/include/greengage/jobs/JobBook.h
@@ -146,6 +146,11 @@
   /// The number of a registered incarnation.
   std::optional<WorkerNumber> NumberOf(const WorkerId& aWorker) const;
   const std::map<WaveId, Wave>& Waves() const { return waves_; }
+  /// How many orders were announced for each host.
+  const std::map<HostId, std::uint64_t>& AnnouncedOrders() const
+  {
+    return announcedOrders_;
+  }
 
   /// Failed runs of one task after which the job has failed.
   std::uint32_t MaxAttemptsOf(const Job& aJob) const;
@@ -161,6 +166,7 @@
   void On(RetireWorker&& aOperation, JobBookObserver& aObserver);
   void On(StartWave&& aOperation, JobBookObserver& aObserver);
   void On(BeginUpkeep&& aOperation, JobBookObserver& aObserver);
+  void On(AnnounceOrder&& aOperation, JobBookObserver& aObserver);
   TaskState* Task(const TaskId& aTask);
   void EndJob(Job& aJob, JobState aState, Time aAt, JobBookObserver& aObserver);
   static void FinishTask(Job& aJob, const TaskId& aTask);
@@ -173,6 +179,7 @@
   std::map<WorkerId, WorkerNumber> workerNumbers_;
   std::uint32_t lastWorker_ = 0;
   std::map<WaveId, Wave> waves_;
+  std::map<HostId, std::uint64_t> announcedOrders_;
 };
 
 /// The occurrences of \p aJob that ever come.
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -128,6 +128,13 @@
   HostId host;
 };
 
+/// The provider is about to get an order for a host. Committed before it is
+/// given, so that the next leader knows which hosts may be under an order.
+struct AnnounceOrder
+{
+  HostId host;
+};
+
 using Operation = std::variant<PutConfiguration,
                                AcceptJob,
                                CancelJob,
@@ -137,7 +144,8 @@
                                RegisterWorker,
                                RetireWorker,
                                StartWave,
-                               BeginUpkeep>;
+                               BeginUpkeep,
+                               AnnounceOrder>;
 using Operations = std::vector<Operation>;
 
 /// The bytes of one log entry.
--- a/packages/jobs/lib/JobBook.cpp
+++ b/packages/jobs/lib/JobBook.cpp
@@ -301,3 +301,9 @@
   if (found != waves_.end())
     found->second.begun.insert(std::move(aOperation.host));
 }
+
+void
+JobBook::On(AnnounceOrder&& aOperation, JobBookObserver& /*aObserver*/)
+{
+  ++announcedOrders_[std::move(aOperation.host)];
+}
--- a/packages/jobs/lib/JobBookSnapshot.cpp
+++ b/packages/jobs/lib/JobBookSnapshot.cpp
@@ -110,11 +110,15 @@
       begun.push_back(host.Value());
     waves.push_back(Cbor::array({ ToCbor(wave.plan), std::move(begun) }));
   }
+  Cbor orders = Cbor::array();
+  for (const auto& [host, count] : announcedOrders_)
+    orders.push_back(Cbor::array({ host.Value(), count }));
   return BytesOf(Cbor::array({ configurationText_,
                                std::move(jobs),
                                lastWorker_,
                                std::move(workers),
-                               std::move(waves) }));
+                               std::move(waves),
+                               std::move(orders) }));
 }
 
 bool
@@ -150,6 +154,9 @@
       const WaveId id = wave.plan.id;
       restored.waves_.emplace(id, std::move(wave));
     }
+    for (const Cbor& item : value.at(5))
+      restored.announcedOrders_.emplace(item.at(0).get<std::string>(),
+                                        item.at(1).get<std::uint64_t>());
     configuration_ = std::move(restored.configuration_);
     configurationText_ = std::move(restored.configurationText_);
     jobs_ = std::move(restored.jobs_);
@@ -157,6 +164,7 @@
     workerNumbers_ = std::move(restored.workerNumbers_);
     lastWorker_ = restored.lastWorker_;
     waves_ = std::move(restored.waves_);
+    announcedOrders_ = std::move(restored.announcedOrders_);
     return true;
   } catch (const nlohmann::json::exception& error) {
     Fail(aReason,
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -23,6 +23,7 @@
   RetireWorker = 8,
   StartWave = 9,
   BeginUpkeep = 10,
+  AnnounceOrder = 11,
 };
 
 } // namespace
@@ -106,6 +107,12 @@
                        aOperation.host.Value() });
 }
 
+static Cbor
+Fields(const AnnounceOrder& aOperation)
+{
+  return Cbor::array({ OperationCode::AnnounceOrder, aOperation.host.Value() });
+}
+
 std::string
 greengage::jobs::Encode(const Operations& aOperations)
 {
@@ -170,6 +177,8 @@
       return WaveFrom(aValue.at(1));
     case OperationCode::BeginUpkeep:
       return BeginUpkeep{ .wave = WaveId(number(1)), .host = HostId(text(2)) };
+    case OperationCode::AnnounceOrder:
+      return AnnounceOrder{ .host = HostId(text(1)) };
   }
   return std::nullopt;
 }
--- a/packages/jobs/unittests/JobBookTest.cpp
+++ b/packages/jobs/unittests/JobBookTest.cpp
@@ -280,7 +280,9 @@
                   .hosts = { HostId("m-1"), HostId("m-2") },
                   .maxAtOnce = 1,
                   .deadline = Time(9000) },
-       BeginUpkeep{ .wave = WaveId(3), .host = HostId("m-1") } });
+       BeginUpkeep{ .wave = WaveId(3), .host = HostId("m-1") },
+       AnnounceOrder{ .host = HostId("m-1") },
+       AnnounceOrder{ .host = HostId("m-1") } });
   Assign(Task(0, 0), 1);
   End(Task(0, 0), 1, RunEnd::Failed);
   Assign(Task(0, 0), 2);
@@ -291,6 +293,7 @@
   CHECK(other.Find(Task(0, 0))->attempt == Attempt(2));
   CHECK(other.Find(Task(0, 0))->failures == 1);
   CHECK(other.Waves().at(WaveId(3)).begun.count(HostId("m-1")) == 1);
+  CHECK(other.AnnouncedOrders().at(HostId("m-1")) == 2);
   CHECK(other.Find(kJob)->occurrences.at(0).steps[0].checkpoints.at(0) == "c");
   CHECK_FALSE(other.Restore("damaged", reason));
   CHECK(reason.kind == ErrorKind::DataCorrupt);
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -136,6 +136,7 @@
   Time nextFlush_;
   Time nextTick_;
   Time nextPlan_;
+  Time nextWatch_;
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -62,6 +62,11 @@
   void On(const HostReply& aReply, Moment aNow);
   /// \p aLeaseEnd is until when no other host can lead.
   void Tick(Time aLeaseEnd, Moment aNow);
+  /// To be called from time to time while another host leads: demand and orders
+  /// are watched, so that this host can go on.
+  void Watch(Moment aNow);
+  /// Whether Tick has an order to give that has just been announced.
+  bool IsOrderDue() const;
 
 private:
   enum class Purpose : std::uint8_t
@@ -82,7 +87,10 @@
     Purpose purpose = Purpose::None;
     jobs::WaveId wave;
     PoolId target;
+    /// An order for it is announced or given, and not answered.
     bool isOrderInFlight = false;
+    /// How many orders the book must show before the announced one is given.
+    std::optional<std::uint64_t> awaitedOrders;
     Time nextOrder;
     /// The latest worker in the registry when the latest order was given.
     jobs::WorkerNumber orderedAfter;
@@ -125,7 +133,12 @@
   void Begin(const HostId& aId, Host& aHost, Purpose aPurpose);
   void Abandon(Host& aHost);
   void Advance(const HostId& aId, Host& aHost);
+  void Announce(const HostId& aId, Host& aHost);
+  void GiveAnnounced();
   void Order(const HostId& aId, Host& aHost);
+  void WatchOrders();
+  bool MayOrder(const HostId& aId) const;
+  std::uint64_t AnnouncedFor(const HostId& aId) const;
   bool IsSpare(const PoolId& aPool) const;
   bool IsAway(const Host& aHost) const;
   std::uint32_t RunsOn(const Host& aHost) const;
@@ -138,12 +151,21 @@
   HostOutbox& provider_;
   std::optional<Fence> fence_;
   Moment now_;
-  Time mayOrderFrom_;
+  Time leadingSince_;
   Time nextList_;
   Time nextBalanceLog_;
   bool isListInFlight_ = false;
   bool hasList_ = false;
   std::map<HostId, Host> hosts_;
+  /// What the book showed last, and since when.
+  struct SeenOrders
+  {
+    std::uint64_t count = 0;
+    Time since;
+  };
+  std::map<HostId, SeenOrders> seenOrders_;
+  /// What all hosts together have, in thousandths of a core.
+  std::int64_t fleetSize_ = 0;
   TurnForecast forecast_;
   /// Hosts named by pages of the list that is being read.
   std::set<HostId> listed_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -15,6 +15,8 @@
 static constexpr Duration kTickInterval = Duration(50);
 /// How often hosts are looked at. A move takes 1.5 s, so a tenth of it.
 static constexpr Duration kPlanInterval = Duration(150);
+/// How often demand is watched while another host leads.
+static constexpr Duration kWatchInterval = Duration(300);
 /// Bytes of one log entry; the log takes at most 192 KiB.
 static constexpr std::size_t kMaxEntryBytes = 96 * 1024;
 /// What one operation other than a new job or configuration takes at most.
@@ -67,7 +69,10 @@
 Controller::Restore(std::string_view aSnapshot, Error& aReason)
 {
   Follow();
-  return book_.Restore(aSnapshot, aReason);
+  if (!book_.Restore(aSnapshot, aReason))
+    return false;
+  scheduler_.OnConfiguration();
+  return true;
 }
 
 static std::size_t
@@ -140,19 +145,25 @@
 Controller::NextTick() const
 {
   if (!scheduler_.IsLeading())
-    return std::nullopt;
+    return nextWatch_;
   const bool hasWork =
     !open_.empty() || !unsent_.empty() || scheduler_.IsDispatchDue();
-  return hasWork ? std::min(nextFlush_, nextTick_) : nextTick_;
+  const Time next = hasWork ? std::min(nextFlush_, nextTick_) : nextTick_;
+  return hosts_.IsOrderDue() ? std::min(next, nextPlan_) : next;
 }
 
 void
 Controller::Tick(Time aLeaseEnd, Moment aNow)
 {
   now_ = aNow;
-  if (!scheduler_.IsLeading())
-    return;
   scheduler_.SetNow(aNow);
+  if (!scheduler_.IsLeading()) {
+    if (aNow.steady >= nextWatch_) {
+      nextWatch_ = aNow.steady + kWatchInterval;
+      hosts_.Watch(aNow);
+    }
+    return;
+  }
   if (aNow.steady >= nextTick_) {
     nextTick_ = aNow.steady + kTickInterval;
     scheduler_.Tick(aNow);
@@ -175,6 +186,8 @@
     observe::Log(observe::LogLevel::Error,
                  "log-entry-unreadable",
                  { { "reason", Describe(reason) } });
+  if (hosts_.IsOrderDue())
+    nextPlan_ = aNow.steady;
 }
 
 void
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -15,6 +15,9 @@
 /// How long a host that was moved or maintained may take until its worker is
 /// heard: the provider takes 1.5 s or 2 s, a worker's start about one more.
 static constexpr Duration kReturnTime = Duration(5000);
+/// How long an order may take until it is carried out or given up, and its
+/// connection reset.
+static constexpr Duration kOrderTime = Duration(1500);
 /// What a move may take beyond its time until the host can be moved again: the
 /// way of the order and of its answer.
 static constexpr Duration kMoveMargin = Duration(100);
@@ -38,8 +41,8 @@
   Follow();
   fence_ = aFence;
   now_ = aNow;
-  // The former leader may have given orders until now.
-  mayOrderFrom_ = aNow.steady + options_.settle;
+  WatchOrders();
+  leadingSince_ = aNow.steady;
   nextList_ = aNow.steady;
 }
 
@@ -50,11 +53,6 @@
   hosts_.clear();
   listed_.clear();
   calls_.clear();
-  demand_.clear();
-  lackingRoom_.clear();
-  recent_.clear();
-  growth_.clear();
-  forecast_ = TurnForecast();
   isListInFlight_ = false;
   hasList_ = false;
 }
@@ -229,6 +227,35 @@
   }
 }
 
+std::uint64_t
+HostPlanner::AnnouncedFor(const HostId& aId) const
+{
+  const auto found = book_.AnnouncedOrders().find(aId);
+  return found == book_.AnnouncedOrders().end() ? 0 : found->second;
+}
+
+/// Notes which hosts have been announced orders for since the last call.
+void
+HostPlanner::WatchOrders()
+{
+  for (const auto& [id, count] : book_.AnnouncedOrders()) {
+    SeenOrders& seen = seenOrders_[id];
+    if (seen.count == count)
+      continue;
+    seen.count = count;
+    seen.since = now_.steady;
+  }
+}
+
+/// Whether no order of a former leader can be too close to one given now.
+bool
+HostPlanner::MayOrder(const HostId& aId) const
+{
+  const auto seen = seenOrders_.find(aId);
+  return seen == seenOrders_.end() || seen->second.since > leadingSince_ ||
+         seen->second.since + options_.settle + kOrderTime <= now_.steady;
+}
+
 /// Takes over what workers say of their hosts.
 void
 HostPlanner::SeeWorkers()
@@ -274,14 +301,33 @@
     return;
   SeeWorkers();
   WatchDemand();
-  if (mayOrderFrom_ > aNow.steady)
-    return;
+  WatchOrders();
+  GiveAnnounced();
   PlanWaves();
   PlanMoves();
   for (auto& [id, host] : hosts_)
     Advance(id, host);
 }
 
+void
+HostPlanner::Watch(Moment aNow)
+{
+  now_ = aNow;
+  if (!options_.isEnabled || book_.CurrentConfiguration() == nullptr)
+    return;
+  WatchOrders();
+  WatchDemand();
+}
+
+bool
+HostPlanner::IsOrderDue() const
+{
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& aItem) {
+    return aItem.second.awaitedOrders &&
+           AnnouncedFor(aItem.first) >= *aItem.second.awaitedOrders;
+  });
+}
+
 void
 HostPlanner::Begin(const HostId& aId, Host& aHost, Purpose aPurpose)
 {
@@ -321,13 +367,33 @@
       return;
     }
   }
-  Order(aId, aHost);
+  if (MayOrder(aId))
+    Announce(aId, aHost);
 }
 
+/// Orders are given once they are committed, so that each later leader knows.
 void
-HostPlanner::Order(const HostId& aId, Host& aHost)
+HostPlanner::Announce(const HostId& aId, Host& aHost)
 {
   aHost.isOrderInFlight = true;
+  aHost.awaitedOrders = AnnouncedFor(aId) + 1;
+  outbox_.Propose(jobs::AnnounceOrder{ .host = aId });
+}
+
+void
+HostPlanner::GiveAnnounced()
+{
+  for (auto& [id, host] : hosts_) {
+    if (!host.awaitedOrders || AnnouncedFor(id) < *host.awaitedOrders)
+      continue;
+    host.awaitedOrders.reset();
+    Order(id, host);
+  }
+}
+
+void
+HostPlanner::Order(const HostId& aId, Host& aHost)
+{
   if (!book_.Workers().empty())
     aHost.orderedAfter = book_.Workers().rbegin()->first;
   HostRequest request = MoveHost{ .host = aId, .pool = aHost.target };
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -56,8 +56,10 @@
       const auto found = hosts_.find(host);
       if (found == hosts_.end())
         continue;
+      // A former leader may have begun an upkeep that is not noted yet.
       const bool isDownForIt =
-        wave.begun.count(host) != 0 && IsAway(found->second);
+        (wave.begun.count(host) != 0 && IsAway(found->second)) ||
+        !MayOrder(host);
       const bool isDraining = found->second.purpose == Purpose::Upkeep;
       taken += isDownForIt || isDraining ? 1 : 0;
     }
@@ -85,6 +87,7 @@
         break;
       Host& record = hosts_.at(host);
       if (record.purpose != Purpose::None || IsAway(record) || record.isDown ||
+          !MayOrder(host) ||
           (record.worker && scheduler_.IsHeld(*record.worker)))
         continue;
       const auto pool = balance.find(record.pool);
@@ -178,12 +181,17 @@
     if (before != recent_.front().demand.end())
       growth_[pool] = demand - before->second;
   }
-  std::int64_t fleet = 0;
+  // Spare hosts are known to a leader only.
+  std::int64_t seen = 0;
   for (const auto& [id, host] : hosts_)
-    fleet += host.capacity.processors.Count();
+    seen += host.capacity.processors.Count();
+  if (hosts_.empty())
+    for (const auto& [number, worker] : book_.Workers())
+      seen += worker.capacity.processors.Count();
+  fleetSize_ = std::max(fleetSize_, seen);
   for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
     if (!pool.isSpare)
-      forecast_.Observe(pool.id, demand_[pool.id], fleet, now_.steady);
+      forecast_.Observe(pool.id, demand_[pool.id], fleetSize_, now_.steady);
 }
 
 void
@@ -248,7 +256,7 @@
     if (isMet())
       return;
     if (host.purpose != Purpose::None || IsAway(host) || host.isDown ||
-        !IsSpare(host.pool))
+        !IsSpare(host.pool) || !MayOrder(id))
       continue;
     host.target = aPool;
     Begin(id, host, Purpose::Move);
@@ -260,7 +268,7 @@
     const auto from = aBalance.find(host.pool);
     if (from == aBalance.end() || host.pool == aPool ||
         host.purpose != Purpose::None || IsAway(host) || !host.worker ||
-        HasPersistentRun(host))
+        HasPersistentRun(host) || !MayOrder(id))
       continue;
     PoolBalance& source = from->second;
     const std::int64_t size = host.capacity.processors.Count();
@@ -287,12 +295,12 @@
   for (auto& [id, host] : hosts_) {
     const auto from = aBalance.find(host.pool);
     const std::int64_t size = host.capacity.processors.Count();
-    const bool isOver = from != aBalance.end() &&
-                        host.purpose == Purpose::None && !IsAway(host) &&
-                        host.worker && !HasPersistentRun(host) &&
-                        forecast_.HasBegunTurn(host.pool) &&
-                        from->second.has - size >= from->second.needs &&
-                        from->second.hosts > kMinHosts;
+    const bool isOver =
+      from != aBalance.end() && host.purpose == Purpose::None &&
+      !IsAway(host) && host.worker && MayOrder(id) && !HasPersistentRun(host) &&
+      forecast_.HasBegunTurn(host.pool) &&
+      from->second.has - size >= from->second.needs &&
+      from->second.hosts > kMinHosts;
     if (!isOver) {
       host.idleSince.reset();
       continue;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -95,13 +95,10 @@
 void
 Scheduler::OnConfiguration()
 {
-  if (!IsLeading())
-    return;
-  for (const jobs::Queue& queue : book_.CurrentConfiguration() != nullptr
-                                    ? book_.CurrentConfiguration()->queues
-                                    : std::vector<jobs::Queue>())
-    pools_[queue.id] = queue.pool;
-  isDirty_ = true;
+  if (const jobs::Configuration* configuration = book_.CurrentConfiguration())
+    for (const jobs::Queue& queue : configuration->queues)
+      pools_[queue.id] = queue.pool;
+  isDirty_ = IsLeading();
 }
 
 void
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -116,11 +116,19 @@
   std::vector<Candidate> candidates;
   if (book_.CurrentConfiguration() == nullptr)
     return candidates;
-  for (const jobs::JobId id : live_) {
-    const jobs::Job* job = book_.Find(id);
-    const auto pool = job == nullptr ? pools_.end() : pools_.find(job->queue);
+  const auto add = [&](const jobs::Job& aJob) {
+    const auto pool = pools_.find(aJob.queue);
     if (pool != pools_.end())
-      candidates.push_back(CandidateOf(*job, pool->second));
+      candidates.push_back(CandidateOf(aJob, pool->second));
+  };
+  if (IsLeading()) {
+    for (const jobs::JobId id : live_)
+      if (const jobs::Job* job = book_.Find(id))
+        add(*job);
+  } else {
+    for (const auto& [id, job] : book_.Jobs())
+      if (job.state == jobs::JobState::Live)
+        add(job);
   }
   std::sort(candidates.begin(),
             candidates.end(),
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -146,6 +146,7 @@
 ModelFleet::Call(HostCall&& aCall)
 {
   hostCalls.push_back(aCall);
+  CheckOrder(aCall);
   if (isProviderSilent)
     return;
   HostReply reply;
@@ -226,6 +227,25 @@
   return reply;
 }
 
+/// Two leaders' orders for one host must be apart.
+void
+ModelFleet::CheckOrder(const HostCall& aCall)
+{
+  HostId host;
+  if (const auto* move = std::get_if<MoveHost>(&aCall.request))
+    host = move->host;
+  if (const auto* upkeep = std::get_if<MaintainHost>(&aCall.request))
+    host = upkeep->host;
+  if (host.Value().empty())
+    return;
+  const auto [last, isFirst] = lastOrders_.try_emplace(
+    host, LastOrder{ .fence = aCall.fence, .at = now_ });
+  if (!isFirst && last->second.fence != aCall.fence &&
+      last->second.at + kOrderGap > now_)
+    Break(host.Value() + " is ordered by two leaders at once");
+  last->second = { .fence = aCall.fence, .at = now_ };
+}
+
 /// Ends the host's worker; a new one joins \p aPool a while later.
 HostAnswer
 ModelFleet::Reassign(const HostId& aHost, const PoolId& aPool, bool aIsUpkeep)
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -204,6 +204,7 @@
   void CheckStart(const ModelWorker& aWorker, const StartRun& aStart);
   void CheckAlways();
   HostReply ListAllHosts() const;
+  void CheckOrder(const HostCall& aCall);
   HostAnswer Reassign(const HostId& aHost, const PoolId& aPool, bool aIsUpkeep);
   void Break(std::string aWhat);
   const jobs::Step* StepOf(const TaskId& aTask) const;
@@ -219,6 +220,12 @@
   bool hasProvider_;
   std::map<std::string, ModelHost> hosts_;
   std::uint64_t lastHostWorker_ = 0;
+  struct LastOrder
+  {
+    Fence fence;
+    Time at;
+  };
+  std::map<HostId, LastOrder> lastOrders_;
   std::map<jobs::JobId, JobModel> jobs_;
   std::optional<Reply> lastReply_;
   std::map<CallerId, jobs::JobId> cancels_;
