Take less for a turn of demand no more; stop forecasts when one is missed

A turn now asks for 18 % of the fleet (a pool holds a sixth to a quarter of it, and asks for more in a turn). A turn that is late by a quarter of the gap breaks the pace until another begins.

--- a/packages/schedule/lib/TurnForecast.cpp
+++ b/packages/schedule/lib/TurnForecast.cpp
@@ -13,7 +13,7 @@
 static constexpr std::int64_t kPercent = 100;
 /// Smaller demand, as a part of the fleet, makes no turn: the users' pools hold
 /// a sixth to a quarter of their fleet and ask for more than that in a turn.
-static constexpr std::int64_t kLeastPercentOfFleet = 10;
+static constexpr std::int64_t kLeastPercentOfFleet = 18;
 /// Turns that must have begun before their pace is believed.
 static constexpr std::size_t kMinStarts = 2;
 /// A turn that ends and begins again within this time goes on.
@@ -114,8 +114,10 @@
   const auto start = NextStart(aPool);
   if (!start || found->second.isInTurn || *start > aNow + aAhead)
     return std::nullopt;
-  const Duration patience(Gap()->Millis() * kPatiencePercent / kPercent);
-  if (*start + patience < aNow)
+  const Duration gap = *Gap();
+  const Duration patience(gap.Millis() * kPatiencePercent / kPercent);
+  // A turn that does not come breaks the pace until another one begins.
+  if (starts_.back().at + gap + patience < aNow)
     return std::nullopt;
   if (found->second.peak > 0)
     return found->second.peak;
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -245,4 +245,10 @@
   play(7000, 11000);
   CHECK(forecast.Expected(a, Duration(2000), Time(11000)) == 200000);
   CHECK_FALSE(forecast.Expected(b, Duration(2000), Time(11000)));
+  // The turn of a does not come; nobody's is expected until one does.
+  for (std::int64_t at = 11000; at < 16000; at += 100)
+    for (const PoolId& pool : { a, b, c })
+      forecast.Observe(pool, 4000, 400000, Time(at));
+  CHECK_FALSE(forecast.Expected(a, Duration(2000), Time(15000)));
+  CHECK_FALSE(forecast.Expected(b, Duration(2000), Time(15000)));
 }
