Gangs whole, runs that stand still moved, voters replaced, emptiest hosts first

Before, a member whose end was lost ran again alone for ever. - runs without progress for 1.5 s, or with twice their usual time left, are stopped and done elsewhere; their worker gets no work for 3 s. - a voter silent for 6 s gives its place to a control host that follows.

--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -31,6 +31,9 @@
   /// between this and its double.
   Duration electionTimeout = Duration(1000);
   Duration heartbeatInterval = Duration(100);
+  /// Silence after which a voter's place goes to a follower that has caught up,
+  /// if there is one; zero for never. All followers must have disks then.
+  Duration replaceAfter = {};
   /// By how much clocks may drift apart during an election timeout.
   Duration clockDrift = Duration(50);
   /// How often a replica that nobody leads asks to join.
@@ -201,6 +204,8 @@
   void AddVoterProgress();
   void MaintainMembers();
   void DropSilentLearners();
+  void ReplaceSilentVoter();
+  int RemovalRank(const MemberId& aVoter) const;
   void TickJoin();
   void TryFound();
 
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -31,6 +31,10 @@
 Replica::On(const MemberId& /*aFrom*/, JoinReply&& aMessage)
 {
   isFoundedElsewhere_ = isFoundedElsewhere_ || aMessage.isFounded;
+  // The leader may be a host that the settings don't name.
+  const bool isLed = leader_ && HasLeaderLease();
+  if (aMessage.leader && *aMessage.leader != options_.self && !isLed)
+    Queue(*aMessage.leader, Join{});
 }
 
 void
@@ -123,6 +127,10 @@
         return aVoter.host == host;
       });
     if (former == voters.end()) {
+      // Another host may have taken its place.
+      if (options_.replaceAfter > Duration(0) &&
+          voters.size() >= options_.voters.size())
+        continue;
       ChangeMembers(member, true);
       return;
     }
@@ -132,6 +140,58 @@
       return;
     }
   }
+  ReplaceSilentVoter();
+}
+
+/// The higher, the sooner a voter is removed where there is one too many.
+int
+Replica::RemovalRank(const MemberId& aVoter) const
+{
+  if (aVoter == options_.self)
+    return 0;
+  return options_.voters.count(aVoter.host) != 0 ? 1 : 2;
+}
+
+/// Makes a follower a voter, and then the silent one none: one change at a
+/// time, and never fewer voters than wanted.
+void
+Replica::ReplaceSilentVoter()
+{
+  if (options_.replaceAfter <= Duration(0))
+    return;
+  const Members& voters = log_.LatestMembers();
+  const auto silent =
+    std::find_if(voters.begin(), voters.end(), [&](const MemberId& aVoter) {
+      const auto found = progress_.find(aVoter);
+      return found != progress_.end() &&
+             now_ - found->second.LastHeard() >= options_.replaceAfter;
+    });
+  if (voters.size() > options_.voters.size()) {
+    // The silent one, or if it has come back meanwhile the one that was added.
+    const auto surplus =
+      silent != voters.end()
+        ? silent
+        : std::max_element(voters.begin(),
+                           voters.end(),
+                           [&](const MemberId& aLeft, const MemberId& aRight) {
+                             return RemovalRank(aLeft) < RemovalRank(aRight);
+                           });
+    ChangeMembers(*surplus, false);
+    return;
+  }
+  if (silent == voters.end())
+    return;
+  const auto isOfVoter = [&](const MemberId& aMember) {
+    return std::any_of(
+      voters.begin(), voters.end(), [&](const MemberId& aVoter) {
+        return aVoter.host == aMember.host;
+      });
+  };
+  for (const auto& [member, progress] : progress_)
+    if (!isOfVoter(member) && HasCaughtUp(member)) {
+      ChangeMembers(member, true);
+      return;
+    }
 }
 
 void
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -91,6 +91,43 @@
   CheckSound(network);
 }
 
+TEST_CASE("a voter that stays away is replaced by a host that follows")
+{
+  Network network(
+    { .disks = 3, .spares = 1, .replaceAfter = Duration::Seconds(5) });
+  Found(network);
+  const std::size_t leader = *network.Leader();
+  const std::size_t victim = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  network.Crash(victim);
+  network.Run(Duration::Seconds(4));
+  CHECK_FALSE(network.At(3).replica->IsVoter());
+  REQUIRE(network.RunUntil(kLong, [&] {
+    return network.At(3).replica->IsVoter() && network.IsWhole();
+  }));
+  // Two of the three first voters are gone, and changes go on.
+  network.Crash(other);
+  CommitMany(network, 5);
+  // Who comes back finds its place taken.
+  network.Restart(victim);
+  network.Run(Duration::Seconds(3));
+  CHECK_FALSE(network.At(victim).replica->IsVoter());
+  CheckSound(network);
+}
+
+TEST_CASE("nobody is replaced where no follower has caught up")
+{
+  Network network({ .disks = 3, .replaceAfter = Duration::Seconds(5) });
+  Found(network);
+  const std::size_t victim = (*network.Leader() + 1) % 3;
+  network.Crash(victim);
+  network.Run(Duration::Seconds(20));
+  network.Restart(victim);
+  network.Run(Duration::Seconds(2));
+  CHECK(network.At(victim).replica->IsVoter());
+  CheckSound(network);
+}
+
 TEST_CASE("a vote asked of a former incarnation is not given")
 {
   ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(2) } };
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -35,6 +35,10 @@
 {
   std::size_t disks = 3;
   std::size_t learners = 0;
+  /// Further hosts with disks that do not vote at first, and the silence after
+  /// which one takes a voter's place.
+  std::size_t spares = 0;
+  Duration replaceAfter = {};
   std::uint64_t seed = 1;
   BrokenRule brokenRule = BrokenRule::None;
   /// Thousandths of the messages that are lost or doubled.
@@ -182,12 +186,13 @@
     : options_(aOptions)
     , random_(aOptions.seed)
   {
-    const std::size_t count = options_.disks + options_.learners;
+    const std::size_t withDisk = options_.disks + options_.spares;
+    const std::size_t count = withDisk + options_.learners;
     for (std::size_t at = 0; at < count; ++at) {
       Node& node = nodes_.emplace_back();
-      node.hasDisk = at < options_.disks;
+      node.hasDisk = at < withDisk;
       node.id.host = EntryHostId("h" + std::to_string(at));
-      if (node.hasDisk)
+      if (at < options_.disks)
         voters_.insert(node.id.host);
       node.id.incarnation = Incarnation(1);
     }
@@ -322,6 +327,9 @@
       if (node.hasDisk)
         present.insert(node.id);
     const Replica& replica = *nodes_[*leader].replica;
+    if (options_.spares > 0)
+      return replica.CurrentLog().LatestMembers().size() == options_.disks &&
+             replica.CurrentLog().LatestMembersIndex() <= replica.Committed();
     return replica.CurrentLog().LatestMembers() == present &&
            replica.CurrentLog().LatestMembersIndex() <= replica.Committed();
   }
@@ -393,6 +401,7 @@
     options.snapshotBytes = options_.snapshotBytes;
     options.electionTimeout = options_.electionTimeout;
     options.keptEntries = 10;
+    options.replaceAfter = options_.replaceAfter;
     options.seed = random_();
     aNode.replica = std::make_unique<Replica>(options, aNode.disk, now);
   }
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -33,6 +33,9 @@
   EntryHostId self;
   /// The hosts with disks, the same on all hosts.
   std::set<EntryHostId> voters;
+  /// Silence after which another host with a disk takes a voter's place; zero
+  /// for never.
+  Duration replaceAfter = {};
   /// Empty on a host without a disk.
   std::string dataFolder;
   /// Bytes of one command, and of one message between replicas.
--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -40,6 +40,10 @@
 /// Bytes of one entry of the agreed log: a configuration is one.
 static constexpr std::size_t kMaxEntryBytes = kMaxControlBody + 64 * 1024;
 static constexpr std::size_t kMaxConnections = 2048;
+/// Silence after which another control host votes in place of one: most cuts
+/// and freezes of the users' days are over by then, and it does no harm where
+/// one is not.
+static constexpr Duration kReplaceVoterAfter = Duration::Seconds(6);
 /// How long the last responses may take to leave at shutdown.
 static constexpr std::chrono::milliseconds kFlushTimeout(2500);
 
@@ -183,6 +187,7 @@
   , proposalEnds(schedule)
   , log({ .self = aSettings.id,
           .voters = { aSettings.seeds.begin(), aSettings.seeds.end() },
+          .replaceAfter = kReplaceVoterAfter,
           .dataFolder = aSettings.dataFolder,
           .maxEntryBytes = kMaxEntryBytes },
         aClock,
--- a/packages/jobs/include/greengage/jobs/JobBook.h
+++ b/packages/jobs/include/greengage/jobs/JobBook.h
@@ -169,6 +169,9 @@
   void On(AnnounceOrder&& aOperation, JobBookObserver& aObserver);
   TaskState* Task(const TaskId& aTask);
   void EndJob(Job& aJob, JobState aState, Time aAt, JobBookObserver& aObserver);
+  static void FinishGang(Job& aJob,
+                         const EndTask& aEnd,
+                         JobBookObserver& aObserver);
   static void FinishTask(Job& aJob, const TaskId& aTask);
 
   const ConfigurationReader& reader_;
--- a/packages/jobs/lib/JobBook.cpp
+++ b/packages/jobs/lib/JobBook.cpp
@@ -174,11 +174,10 @@
 {
   TaskState* task = Task(aOperation.task);
   Job* job = task == nullptr ? nullptr : &jobs_.at(aOperation.task.job);
-  const bool isValid =
-    job != nullptr && job->state == JobState::Live &&
-    task->phase == TaskPhase::Waiting &&
-    aOperation.attempt.Value() == task->attempt.Value() + 1 &&
-    workers_.count(aOperation.worker) != 0;
+  const bool isValid = job != nullptr && job->state == JobState::Live &&
+                       task->phase == TaskPhase::Waiting &&
+                       aOperation.attempt > task->attempt &&
+                       workers_.count(aOperation.worker) != 0;
   if (!isValid) {
     aObserver.OnAssignmentVoid(aOperation);
     return;
@@ -210,6 +209,45 @@
   ++aJob.occurrencesDone;
 }
 
+/// One success of a gang's member stands for all of them.
+void
+JobBook::FinishGang(Job& aJob, const EndTask& aEnd, JobBookObserver& aObserver)
+{
+  StepState& step =
+    aJob.occurrences.at(aEnd.task.occurrence).steps[aEnd.task.step];
+  step.checkpoints.clear();
+  EndTask end = aEnd;
+  for (end.task.index = 0; end.task.index < step.tasks.size();
+       ++end.task.index) {
+    TaskState& member = step.tasks[end.task.index];
+    if (member.phase == TaskPhase::Done)
+      continue;
+    const bool isAssigned = member.phase == TaskPhase::Assigned;
+    member.phase = TaskPhase::Done;
+    FinishTask(aJob, end.task);
+    if (!isAssigned) {
+      --step.waiting;
+      continue;
+    }
+    --aJob.assigned;
+    end.attempt = member.attempt;
+    aObserver.OnRunEnded(end, member.worker);
+  }
+}
+
+/// Failed runs that count against a task's limit; those of a gang count
+/// together.
+static std::uint32_t
+FailuresOf(const Step& aStep, const StepState& aState, const TaskState& aTask)
+{
+  if (!aStep.isGang)
+    return aTask.failures;
+  std::uint32_t failures = 0;
+  for (const TaskState& member : aState.tasks)
+    failures += member.failures;
+  return failures;
+}
+
 void
 JobBook::On(EndTask&& aOperation, JobBookObserver& aObserver)
 {
@@ -220,8 +258,8 @@
   Job& job = jobs_.at(aOperation.task.job);
   StepState& step =
     job.occurrences.at(aOperation.task.occurrence).steps[aOperation.task.step];
-  const bool isPersistent =
-    job.description.steps[aOperation.task.step].isPersistent;
+  const Step& described = job.description.steps[aOperation.task.step];
+  const bool isPersistent = described.isPersistent;
   const WorkerNumber worker = task->worker;
   --job.assigned;
   if (!aOperation.checkpoint.empty())
@@ -236,8 +274,11 @@
     if (aOperation.how == RunEnd::Failed)
       ++task->failures;
   }
-  const bool hasFailed = !isPersistent && task->failures >= MaxAttemptsOf(job);
+  const bool hasFailed =
+    !isPersistent && FailuresOf(described, step, *task) >= MaxAttemptsOf(job);
   aObserver.OnRunEnded(aOperation, worker);
+  if (described.isGang && aOperation.how == RunEnd::Done)
+    FinishGang(job, aOperation, aObserver);
   if (job.state != JobState::Live) {
     if (job.assigned == 0) {
       job.occurrences.clear();
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -98,8 +98,6 @@
     jobs::WorkerNumber endedWorkers;
     /// The provider has said that it is not up.
     bool isDown = false;
-    /// Since when its pool could have done without it.
-    std::optional<Time> idleSince;
   };
   struct PendingCall
   {
@@ -121,7 +119,14 @@
   void TakeOrderReply(const HostId& aId, Host& aHost, const HostReply& aReply);
   void SeeWorkers();
   void PlanWaves();
-  std::vector<HostId> HostsLeft(const jobs::Wave& aWave);
+  std::vector<HostId> HostsLeft(const jobs::Wave& aWave) const;
+  std::uint32_t HostsTaken(const jobs::Wave& aWave) const;
+  bool IsUrgent(const jobs::Wave& aWave, std::size_t aLeft) const;
+  void SortForUpkeep(std::vector<HostId>& aHosts,
+                     const std::map<PoolId, PoolBalance>& aBalance) const;
+  bool MayMaintain(const HostId& aId,
+                   const std::map<PoolId, PoolBalance>& aBalance,
+                   bool aIsUrgent) const;
   void PlanMoves();
   std::int64_t ProcessorsFor(const PoolId& aPool,
                              const PoolDemand& aDemand) const;
@@ -129,7 +134,11 @@
   std::map<PoolId, PoolBalance> Balance() const;
   void LogBalance(const std::map<PoolId, PoolBalance>& aBalance);
   void FillPool(const PoolId& aPool, std::map<PoolId, PoolBalance>& aBalance);
-  void EmptyPools(std::map<PoolId, PoolBalance>& aBalance);
+  template<typename Predicate>
+  std::vector<HostId> EmptiestFirst(Predicate aIsWanted) const;
+  bool MayLeave(const HostId& aId, const Host& aHost) const;
+  std::size_t LastingSurplus(const PoolId& aPool, std::size_t aSurplus);
+  void EmptyPools(const std::map<PoolId, PoolBalance>& aBalance);
   void Begin(const HostId& aId, Host& aHost, Purpose aPurpose);
   void Abandon(Host& aHost);
   void Advance(const HostId& aId, Host& aHost);
@@ -179,6 +188,13 @@
     std::map<PoolId, std::int64_t> demand;
   };
   std::deque<Sample> recent_;
+  /// Hosts that a pool could have done without.
+  struct Surplus
+  {
+    Time at;
+    std::size_t hosts = 0;
+  };
+  std::map<PoolId, std::deque<Surplus>> surplus_;
   /// By how much the demand of each pool has grown lately.
   std::map<PoolId, std::int64_t> growth_;
   std::unordered_map<HostCallId, PendingCall> calls_;
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -146,6 +146,9 @@
                     const WorkerReply& aReply);
   void TakeEnds(WorkerSession& aSession, const WorkerReply& aReply);
   bool TakeRuns(WorkerSession& aSession, const WorkerReply& aReply);
+  void WatchProgress(WorkerSession& aSession,
+                     const ListedRun& aListed,
+                     Run& aRun);
   void FindLostRuns(WorkerSession& aSession,
                     const PendingCall& aCall,
                     const WorkerReply& aReply);
@@ -189,6 +192,7 @@
                     std::uint32_t aOccurrence,
                     std::uint32_t aStep);
   bool Place(const Candidate& aCandidate, const TaskId& aTask, bool aMayHold);
+  void Suspend(WorkerSession& aSession, const char* aWhy) const;
   Duration RunTimeOf(const jobs::Job& aJob, const jobs::Step& aStep) const;
   Duration ChainOf(const jobs::Job& aJob, bool aIsLeftOnly) const;
   void LearnRunTime(const jobs::Job& aJob, const Run& aRun);
@@ -213,7 +217,9 @@
                      const jobs::Resources& aRequest) const;
   void Reserve(WorkerSession& aSession,
                const jobs::Job& aJob,
-               const TaskId& aTask);
+               const TaskId& aTask,
+               Attempt aAttempt);
+  RackId RackFor(const Candidate& aCandidate, const TaskId& aTask) const;
   void ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask);
   void Release(WorkerSession& aSession, const TaskId& aTask);
   void TrackPending(const jobs::Job& aJob);
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -46,6 +46,10 @@
   /// The share of its speed that the worker's lists gave last, 0 to 100; it
   /// grows to 100 while a persistent task starts up.
   std::uint32_t listedPercent = 0;
+  /// Whether it may be stopped and run elsewhere when it hardly gets on.
+  bool isMovable = false;
+  /// When the lists last showed more progress than before.
+  Time progressAt;
   /// 0 for a run that serves nobody.
   Duration targetLatency;
   /// To be stopped: its job has ended.
@@ -109,6 +113,8 @@
   /// The host is to be emptied: no new work.
   bool isCordoned = false;
 
+  /// Runs in a row that hardly got on.
+  std::uint32_t slowRuns = 0;
   /// Failed runs since the last success, and until when it gets no work.
   std::uint32_t failedRuns = 0;
   Time suspendedUntil;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -53,6 +53,7 @@
   hosts_.clear();
   listed_.clear();
   calls_.clear();
+  surplus_.clear();
   isListInFlight_ = false;
   hasList_ = false;
 }
@@ -206,7 +207,6 @@
       aHost.awayUntil = now_.steady + (isUpkeep || !IsSpare(aHost.pool)
                                          ? kReturnTime
                                          : options_.moveTime + kMoveMargin);
-      aHost.idleSince.reset();
       break;
     case HostAnswer::NotInWave:
     case HostAnswer::Invalid:
@@ -348,7 +348,6 @@
 HostPlanner::Abandon(Host& aHost)
 {
   aHost.purpose = Purpose::None;
-  aHost.idleSince.reset();
   if (aHost.worker)
     scheduler_.Cordon(*aHost.worker, false);
 }
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -36,7 +36,7 @@
 
 /// The hosts of the wave whose upkeep has not begun, as far as they exist.
 std::vector<HostId>
-HostPlanner::HostsLeft(const jobs::Wave& aWave)
+HostPlanner::HostsLeft(const jobs::Wave& aWave) const
 {
   std::vector<HostId> left;
   for (const HostId& host : aWave.plan.hosts)
@@ -45,58 +45,87 @@
   return left;
 }
 
+/// Hosts of the wave that are down for it, may be, or are about to be.
+std::uint32_t
+HostPlanner::HostsTaken(const jobs::Wave& aWave) const
+{
+  std::uint32_t taken = 0;
+  for (const HostId& id : aWave.plan.hosts) {
+    const auto found = hosts_.find(id);
+    if (found == hosts_.end())
+      continue;
+    const Host& host = found->second;
+    // A former leader may have begun an upkeep that is not noted yet.
+    const bool isDownForIt =
+      (aWave.begun.count(id) != 0 && IsAway(host)) || !MayOrder(id);
+    taken += isDownForIt || host.purpose == Purpose::Upkeep ? 1 : 0;
+  }
+  return taken;
+}
+
+/// Whether so little time is left that busy pools have to give hosts too.
+bool
+HostPlanner::IsUrgent(const jobs::Wave& aWave, std::size_t aLeft) const
+{
+  const std::int64_t atOnce = std::max<std::int64_t>(aWave.plan.maxAtOnce, 1);
+  const std::int64_t rounds =
+    (static_cast<std::int64_t>(aLeft) + atOnce - 1) / atOnce;
+  const Duration timeLeft = aWave.plan.deadline - now_.wall;
+  return kUpkeepTime.Millis() * rounds * kPercent >=
+         timeLeft.Millis() * kWavePatiencePercent;
+}
+
+/// Idle hosts first, and those of pools that have the most over.
+void
+HostPlanner::SortForUpkeep(std::vector<HostId>& aHosts,
+                           const std::map<PoolId, PoolBalance>& aBalance) const
+{
+  const auto rankOf = [&](const HostId& aId) {
+    const Host& host = hosts_.at(aId);
+    const auto pool = aBalance.find(host.pool);
+    const std::int64_t over =
+      pool == aBalance.end() ? 0 : pool->second.has - pool->second.needs;
+    return std::tuple(
+      !IsSpare(host.pool), HasPersistentRun(host), -over, RunsOn(host), aId);
+  };
+  std::sort(
+    aHosts.begin(), aHosts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rankOf(aLeft) < rankOf(aRight);
+    });
+}
+
+/// Whether the host can be taken for its upkeep now.
+bool
+HostPlanner::MayMaintain(const HostId& aId,
+                         const std::map<PoolId, PoolBalance>& aBalance,
+                         bool aIsUrgent) const
+{
+  const Host& host = hosts_.at(aId);
+  if (host.purpose != Purpose::None || IsAway(host) || host.isDown ||
+      !MayOrder(aId) || (host.worker && scheduler_.IsHeld(*host.worker)))
+    return false;
+  const auto pool = aBalance.find(host.pool);
+  const bool isNeeded =
+    pool != aBalance.end() && !IsSpare(host.pool) &&
+    pool->second.has - host.capacity.processors.Count() < pool->second.needs;
+  return aIsUrgent || !isNeeded;
+}
+
 void
 HostPlanner::PlanWaves()
 {
   const std::map<PoolId, PoolBalance> balance = Balance();
   for (const auto& [id, wave] : book_.Waves()) {
     std::vector<HostId> left = HostsLeft(wave);
-    std::uint32_t taken = 0;
-    for (const HostId& host : wave.plan.hosts) {
-      const auto found = hosts_.find(host);
-      if (found == hosts_.end())
-        continue;
-      // A former leader may have begun an upkeep that is not noted yet.
-      const bool isDownForIt =
-        (wave.begun.count(host) != 0 && IsAway(found->second)) ||
-        !MayOrder(host);
-      const bool isDraining = found->second.purpose == Purpose::Upkeep;
-      taken += isDownForIt || isDraining ? 1 : 0;
-    }
-    const std::int64_t rounds =
-      (static_cast<std::int64_t>(left.size()) + wave.plan.maxAtOnce - 1) /
-      std::max<std::int64_t>(wave.plan.maxAtOnce, 1);
-    const Duration timeLeft = wave.plan.deadline - now_.wall;
-    const bool isUrgent = kUpkeepTime.Millis() * rounds * kPercent >=
-                          timeLeft.Millis() * kWavePatiencePercent;
-    // Idle hosts first, and those of pools that have the most over.
-    const auto rankOf = [&](const HostId& aId) {
-      const Host& host = hosts_.at(aId);
-      const auto pool = balance.find(host.pool);
-      const std::int64_t over =
-        pool == balance.end() ? 0 : pool->second.has - pool->second.needs;
-      return std::tuple(
-        !IsSpare(host.pool), HasPersistentRun(host), -over, RunsOn(host), aId);
-    };
-    std::sort(
-      left.begin(), left.end(), [&](const auto& aLeft, const auto& aRight) {
-        return rankOf(aLeft) < rankOf(aRight);
-      });
+    std::uint32_t taken = HostsTaken(wave);
+    const bool isUrgent = IsUrgent(wave, left.size());
+    SortForUpkeep(left, balance);
     for (const HostId& host : left) {
       if (taken >= wave.plan.maxAtOnce)
         break;
-      Host& record = hosts_.at(host);
-      if (record.purpose != Purpose::None || IsAway(record) || record.isDown ||
-          !MayOrder(host) ||
-          (record.worker && scheduler_.IsHeld(*record.worker)))
-        continue;
-      const auto pool = balance.find(record.pool);
-      const bool isNeeded =
-        pool != balance.end() && !IsSpare(record.pool) &&
-        pool->second.has - record.capacity.processors.Count() <
-          pool->second.needs;
-      if (isNeeded && !isUrgent)
+      if (!MayMaintain(host, balance, isUrgent))
         continue;
+      Host& record = hosts_.at(host);
       record.wave = id;
       record.target = record.pool;
       Begin(host, record, Purpose::Upkeep);
@@ -229,6 +258,51 @@
   EmptyPools(balance);
 }
 
+/// The hosts of which \p aIsWanted holds, those with the fewest runs first:
+/// they can go soonest.
+template<typename Predicate>
+std::vector<HostId>
+HostPlanner::EmptiestFirst(Predicate aIsWanted) const
+{
+  std::vector<std::pair<std::uint32_t, HostId>> wanted;
+  for (const auto& [id, host] : hosts_)
+    if (aIsWanted(id, host))
+      wanted.emplace_back(RunsOn(host), id);
+  std::sort(wanted.begin(), wanted.end());
+  std::vector<HostId> sorted;
+  sorted.reserve(wanted.size());
+  for (auto& [runs, id] : wanted)
+    sorted.push_back(std::move(id));
+  return sorted;
+}
+
+/// Whether a host can go to another pool.
+bool
+HostPlanner::MayLeave(const HostId& aId, const Host& aHost) const
+{
+  return aHost.purpose == Purpose::None && !IsAway(aHost) && aHost.worker &&
+         MayOrder(aId) && !HasPersistentRun(aHost);
+}
+
+/// Hosts that the pool could have done without all through the last while.
+std::size_t
+HostPlanner::LastingSurplus(const PoolId& aPool, std::size_t aSurplus)
+{
+  auto& samples = surplus_[aPool];
+  samples.push_back({ .at = now_.steady, .hosts = aSurplus });
+  // The window begins with the latest sample that is old enough.
+  while (samples.size() > 1 && samples[1].at + kIdleTime <= now_.steady)
+    samples.pop_front();
+  if (samples.front().at + kIdleTime > now_.steady)
+    return 0;
+  std::size_t least = aSurplus;
+  for (const Surplus& sample : samples)
+    least = std::min(least, sample.hosts);
+  for (Surplus& sample : samples)
+    sample.hosts -= least;
+  return least;
+}
+
 /// Takes hosts for a pool: those that were about to leave it, then spare ones,
 /// then idle ones of pools that have some over.
 void
@@ -262,15 +336,16 @@
     Begin(id, host, Purpose::Move);
     count(host);
   }
-  for (auto& [id, host] : hosts_) {
+  const std::vector<HostId> others =
+    EmptiestFirst([&](const HostId& aId, const Host& aHost) {
+      return aBalance.count(aHost.pool) != 0 && aHost.pool != aPool &&
+             MayLeave(aId, aHost);
+    });
+  for (const HostId& id : others) {
     if (isMet())
       return;
-    const auto from = aBalance.find(host.pool);
-    if (from == aBalance.end() || host.pool == aPool ||
-        host.purpose != Purpose::None || IsAway(host) || !host.worker ||
-        HasPersistentRun(host) || !MayOrder(id))
-      continue;
-    PoolBalance& source = from->second;
+    Host& host = hosts_.at(id);
+    PoolBalance& source = aBalance.at(host.pool);
     const std::int64_t size = host.capacity.processors.Count();
     if (source.has - size < source.needs || source.hosts <= kMinHosts)
       continue;
@@ -284,7 +359,7 @@
 
 /// Sends hosts that their pools could do without for a while to the spare pool.
 void
-HostPlanner::EmptyPools(std::map<PoolId, PoolBalance>& aBalance)
+HostPlanner::EmptyPools(const std::map<PoolId, PoolBalance>& aBalance)
 {
   PoolId spare;
   for (const jobs::Pool& pool : book_.CurrentConfiguration()->pools)
@@ -292,26 +367,24 @@
       spare = pool.id;
   if (spare.Value().empty())
     return;
-  for (auto& [id, host] : hosts_) {
-    const auto from = aBalance.find(host.pool);
-    const std::int64_t size = host.capacity.processors.Count();
-    const bool isOver =
-      from != aBalance.end() && host.purpose == Purpose::None &&
-      !IsAway(host) && host.worker && MayOrder(id) && !HasPersistentRun(host) &&
-      forecast_.HasBegunTurn(host.pool) &&
-      from->second.has - size >= from->second.needs &&
-      from->second.hosts > kMinHosts;
-    if (!isOver) {
-      host.idleSince.reset();
-      continue;
+  for (const auto& [pool, state] : aBalance) {
+    const std::vector<HostId> hosts =
+      EmptiestFirst([&](const HostId& aId, const Host& aHost) {
+        return aHost.pool == pool && MayLeave(aId, aHost);
+      });
+    std::size_t surplus = 0;
+    std::int64_t over = state.has - state.needs;
+    while (surplus < hosts.size() && state.hosts > kMinHosts + surplus) {
+      over -= hosts_.at(hosts[surplus]).capacity.processors.Count();
+      if (over < 0 || !forecast_.HasBegunTurn(pool))
+        break;
+      ++surplus;
+    }
+    const std::size_t leaving = LastingSurplus(pool, surplus);
+    for (std::size_t place = 0; place < leaving; ++place) {
+      Host& host = hosts_.at(hosts[place]);
+      host.target = spare;
+      Begin(hosts[place], host, Purpose::Move);
     }
-    from->second.has -= size;
-    --from->second.hosts;
-    if (!host.idleSince)
-      host.idleSince = now_.steady;
-    if (*host.idleSince + kIdleTime > now_.steady)
-      continue;
-    host.target = spare;
-    Begin(id, host, Purpose::Move);
   }
 }
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -64,9 +64,8 @@
         WorkerSession* session = SessionOf(tasks[index].worker);
         if (session == nullptr)
           continue;
-        Reserve(*session, aJob, task);
+        Reserve(*session, aJob, task, tasks[index].attempt);
         Run& run = session->runs.at(task);
-        run.attempt = tasks[index].attempt;
         run.stage = RunStage::Starting;
         // The next lists show it, or the fencing token keeps it from starting.
         run.listedFrom = 1;
--- a/packages/schedule/lib/SchedulerLists.cpp
+++ b/packages/schedule/lib/SchedulerLists.cpp
@@ -14,6 +14,18 @@
 /// Failed runs in a row after which a worker gets no work for a while.
 static constexpr std::uint32_t kMaxFailedRuns = 4;
 static constexpr Duration kSuspension = Duration::Seconds(3);
+/// A run that showed no progress for so long stands still. Lists come once a
+/// second at least.
+static constexpr Duration kStallTime = Duration(1500);
+/// A run is moved if what is left of it takes this many times as long as all of
+/// it elsewhere.
+static constexpr std::int64_t kMoveFactor = 2;
+/// What a stop takes until the task can start elsewhere.
+static constexpr Duration kStopCost = Duration(500);
+/// Attempts up to which a task is moved: it may be as slow anywhere.
+static constexpr std::uint32_t kMaxSlowAttempts = 2;
+/// Slow runs in a row after which a worker gets no work for a while.
+static constexpr std::uint32_t kMaxSlowRuns = 2;
 /// Shares of the target latency above which filling tasks give way, and below
 /// which they get their speed back.
 static constexpr std::int64_t kThrottleAbovePercent = 70;
@@ -51,6 +63,19 @@
   return "";
 }
 
+/// Gives the worker no work for a while.
+void
+Scheduler::Suspend(WorkerSession& aSession, const char* aWhy) const
+{
+  aSession.suspendedUntil = now_.steady + kSuspension;
+  observe::Log(observe::LogLevel::Warning,
+               "worker-suspended",
+               { { "worker", RecordOf(aSession).id.Value() },
+                 { "failed_runs", std::to_string(aSession.failedRuns) },
+                 { "slow_runs", std::to_string(aSession.slowRuns) },
+                 { "why", aWhy } });
+}
+
 void
 Scheduler::TakeEnds(WorkerSession& aSession, const WorkerReply& aReply)
 {
@@ -66,15 +91,11 @@
     if (run.stage == RunStage::Ending)
       continue;
     if (end.how == ListedEndKind::Failed &&
-        ++aSession.failedRuns >= kMaxFailedRuns) {
-      aSession.suspendedUntil = now_.steady + kSuspension;
-      observe::Log(observe::LogLevel::Warning,
-                   "worker-suspended",
-                   { { "worker", RecordOf(aSession).id.Value() },
-                     { "failed_runs", std::to_string(aSession.failedRuns) } });
-    }
+        ++aSession.failedRuns >= kMaxFailedRuns)
+      Suspend(aSession, "its runs fail");
     if (end.how == ListedEndKind::Done) {
       aSession.failedRuns = 0;
+      aSession.slowRuns = 0;
       if (const jobs::Job* job = book_.Find(end.task.job))
         LearnRunTime(*job, run);
     }
@@ -87,6 +108,43 @@
   }
 }
 
+/// Moves a run that hardly gets on, if it would be done sooner elsewhere.
+void
+Scheduler::WatchProgress(WorkerSession& aSession,
+                         const ListedRun& aListed,
+                         Run& aRun)
+{
+  if (aRun.progressAt == Time(0) || aListed.percent > aRun.listedPercent)
+    aRun.progressAt = now_.steady;
+  const jobs::Job* job = book_.Find(aListed.task.job);
+  if (!aRun.isMovable || aRun.isStopWanted || job == nullptr ||
+      aRun.stage != RunStage::Running || aRun.confirmedAt == Time(0))
+    return;
+  const Duration whole =
+    RunTimeOf(*job, job->description.steps[aListed.task.step]);
+  const Duration taken = now_.steady - aRun.confirmedAt;
+  const std::int64_t percent =
+    std::clamp<std::int64_t>(aListed.percent, 1, kPercent);
+  const Duration left(taken.Millis() * (kPercent - percent) / percent);
+  const bool isSlow = taken > whole &&
+                      left > (whole + kStopCost) * kMoveFactor &&
+                      aRun.attempt.Value() <= kMaxSlowAttempts;
+  const bool isStalled = aRun.progressAt + kStallTime <= now_.steady;
+  if (!isSlow && !isStalled)
+    return;
+  observe::Log(observe::LogLevel::Info,
+               "run-moved",
+               { { "task", ToString(aListed.task) },
+                 { "worker", RecordOf(aSession).id.Value() },
+                 { "percent", std::to_string(aListed.percent) },
+                 { "taken_ms", std::to_string(taken.Millis()) },
+                 { "usual_ms", std::to_string(whole.Millis()) } });
+  aRun.isStopWanted = true;
+  aRun.nextCall = now_.steady;
+  if (++aSession.slowRuns >= kMaxSlowRuns)
+    Suspend(aSession, "its runs hardly get on");
+}
+
 /// \returns whether the worker runs what it should not.
 bool
 Scheduler::TakeRuns(WorkerSession& aSession, const WorkerReply& aReply)
@@ -107,6 +165,7 @@
       continue;
     }
     Run& run = found->second;
+    WatchProgress(aSession, listed, run);
     run.listedPercent = listed.percent;
     if (run.stage != RunStage::Starting)
       continue;
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -302,7 +302,8 @@
       MakeHold(aCandidate, aTask, jobs::WorkerNumber(0));
     return false;
   }
-  Reserve(*session, *aCandidate.job, aTask);
+  const Attempt latest = book_.Find(aTask)->attempt;
+  Reserve(*session, *aCandidate.job, aTask, Attempt(latest.Value() + 1));
   ProposeAssignment(*session, aTask);
   return true;
 }
@@ -393,6 +394,10 @@
     aCandidate.job->occurrences.at(aFirst.occurrence).steps[aFirst.step].tasks;
   std::vector<std::pair<TaskId, jobs::WorkerNumber>> placed;
   TaskId task = aFirst;
+  // The members share the number of their attempt, whatever became of the last.
+  Attempt latest;
+  for (const jobs::TaskState& member : tasks)
+    latest = std::max(latest, member.attempt);
   for (task.index = 0; task.index < tasks.size(); ++task.index) {
     const bool isFree = tasks[task.index].phase == jobs::TaskPhase::Waiting &&
                         proposed_.count(task) == 0;
@@ -408,7 +413,7 @@
         Release(sessions_.at(worker), member);
       return;
     }
-    Reserve(*session, *aCandidate.job, task);
+    Reserve(*session, *aCandidate.job, task, Attempt(latest.Value() + 1));
     placed.emplace_back(task, session->number);
   }
   for (const auto& [member, worker] : placed)
@@ -454,12 +459,38 @@
                       aSession.RunsOfStep(aTask) < step.maxPerWorker);
 }
 
+/// The rack that a task is best on: the one with its data, or for a step that
+/// wants one rack the one where its tasks are or have the most room.
+RackId
+Scheduler::RackFor(const Candidate& aCandidate, const TaskId& aTask) const
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  if (!step.preferredRack.Value().empty() || !step.wantsOneRack)
+    return step.preferredRack;
+  std::map<RackId, std::int64_t> free;
+  for (const auto& [number, session] : sessions_) {
+    const jobs::WorkerRecord& record = RecordOf(session);
+    if (session.RunsOfStep(aTask) > 0)
+      return record.rack;
+    if (session.IsUsable(now_.steady) &&
+        Suits(session, record, aCandidate, aTask))
+      free[record.rack] +=
+        (record.capacity.processors - session.used.processors).Count();
+  }
+  const auto best = std::max_element(
+    free.begin(), free.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  return best == free.end() ? RackId() : best->first;
+}
+
 WorkerSession*
 Scheduler::Choose(const Candidate& aCandidate, const TaskId& aTask)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const Resources taken = TakenOf(step);
   const jobs::TaskState* state = book_.Find(aTask);
+  const RackId rack = RackFor(aCandidate, aTask);
   WorkerSession* best = nullptr;
   // Larger is better, place by place.
   std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
@@ -470,8 +501,7 @@
         !Suits(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
-    const bool isNearData =
-      step.preferredRack.Value().empty() || step.preferredRack == record.rack;
+    const bool isNearData = rack.Value().empty() || rack == record.rack;
     const bool isFirstTry = state == nullptr || state->attempt == Attempt(0) ||
                             state->worker != number;
     // Persistent tasks keep together, so that other hosts can leave the pool.
@@ -531,23 +561,23 @@
 void
 Scheduler::Reserve(WorkerSession& aSession,
                    const jobs::Job& aJob,
-                   const TaskId& aTask)
+                   const TaskId& aTask,
+                   Attempt aAttempt)
 {
   const jobs::Step& step = aJob.description.steps[aTask.step];
-  const jobs::TaskState* state = book_.Find(aTask);
   Run& run = aSession.runs[aTask];
   run.taken = TakenOf(step);
   run.charged = step.request;
   run.team = aJob.team;
   run.usesIdleProcessors = step.usesIdleProcessors;
   run.isPersistent = step.isPersistent;
+  run.isMovable = !step.isPersistent && !step.isGang;
   run.targetLatency = step.targetLatency;
   aSession.used += run.taken;
   usage_[run.team] += run.charged;
-  if (state->phase != jobs::TaskPhase::Waiting)
-    return;
-  run.attempt = Attempt(state->attempt.Value() + 1);
-  proposed_.insert(aTask);
+  run.attempt = aAttempt;
+  if (book_.Find(aTask)->phase == jobs::TaskPhase::Waiting)
+    proposed_.insert(aTask);
 }
 
 void
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -245,6 +245,111 @@
   CheckAll();
 }
 
+TEST_CASE_METHOD(Fixture, "runs that hardly get on are done elsewhere")
+{
+  slowWorkers = { "w1" };
+  const jobs::JobId job = Submit({ Tasks(9) });
+  CHECK(Ends(job, JobProgress::Completed, Duration(4000)));
+  // New work goes to the others meanwhile.
+  const jobs::JobId next = Submit({ Tasks(6) });
+  Run(Duration(100));
+  CHECK(RunsOn("w1") == 0);
+  CHECK(Ends(next, JobProgress::Completed, Duration(1500)));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "long tasks are not moved again and again")
+{
+  // Fifty times what the client has estimated, wherever they run.
+  slowWorkers = { "w1", "w2", "w3" };
+  const jobs::JobId job = Submit({ Tasks(3) }, { .runTime = Duration(300) });
+  CHECK(Ends(job, JobProgress::Completed, Duration(25000)));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a gang starts together and ends once")
+{
+  jobs::Step gang = Tasks(5);
+  gang.isGang = true;
+  jobs::Step second = Tasks(1);
+  second.after = { 0 };
+  const jobs::JobId job = Submit({ gang, second }, { .failures = 1 });
+  CHECK(Ends(job, JobProgress::Completed, Duration(4000)));
+  CHECK(endedAlone == 0);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a gang waits until all of it has room")
+{
+  const jobs::JobId first = Submit({ Tasks(9) }, { .runTime = Duration(1500) });
+  Run(Duration(100));
+  jobs::Step gang = Tasks(6);
+  gang.isGang = true;
+  const jobs::JobId job = Submit({ gang });
+  Run(Duration(500));
+  CHECK(RunsInAll() == 9);
+  CHECK(Ends(job, JobProgress::Completed, Duration(4000)));
+  CHECK(StateOf(first) == JobProgress::Completed);
+  CHECK(endedAlone == 0);
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a gang that has failed often enough fails its job")
+{
+  jobs::Step gang = Tasks(3);
+  gang.isGang = true;
+  const jobs::JobId job = Submit({ gang }, { .failures = 3 });
+  CHECK(Ends(job, JobProgress::Failed, Duration(8000)));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "a gang that loses a member runs again as a whole")
+{
+  jobs::Step gang = Tasks(9);
+  gang.isGang = true;
+  const jobs::JobId job = Submit({ gang }, { .runTime = Duration(1500) });
+  Run(Duration(500));
+  CrashWorker("w2", Duration(200));
+  CHECK(Ends(job, JobProgress::Completed, Duration(9000)));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "one success of a gang stands for all of it")
+{
+  jobs::Step gang = Tasks(9);
+  gang.isGang = true;
+  const jobs::JobId job = Submit({ gang }, { .runTime = Duration(1000) });
+  Run(Duration(500));
+  REQUIRE(RunsInAll() == 9);
+  // The ends that two workers would list are lost with them.
+  CutWorker("w1", Duration(20000));
+  CutWorker("w2", Duration(20000));
+  CHECK(Ends(job, JobProgress::Completed, Duration(1500)));
+  CheckAll();
+}
+
+TEST_CASE_METHOD(Fixture, "tasks that want one rack share one")
+{
+  for (const char* id : { "x1", "x2", "x3" })
+    AddWorker(id, kRoom, "r2");
+  Run(Duration(300));
+  // Room that is uneven, so that packing alone would mix the racks.
+  Submit({ Tasks(2) }, { .runTime = Duration(3000) });
+  Run(Duration(100));
+  jobs::Step near = Tasks(8);
+  near.wantsOneRack = true;
+  const std::size_t before = RunsOn("w1") + RunsOn("w2") + RunsOn("w3");
+  const std::size_t beforeElsewhere =
+    RunsOn("x1") + RunsOn("x2") + RunsOn("x3");
+  Submit({ near });
+  Run(Duration(100));
+  const std::size_t first = RunsOn("w1") + RunsOn("w2") + RunsOn("w3") - before;
+  const std::size_t second =
+    RunsOn("x1") + RunsOn("x2") + RunsOn("x3") - beforeElsewhere;
+  CHECK(first + second == 8);
+  CHECK(std::max(first, second) == 8);
+}
+
 namespace {
 
 /// A fleet with a placement policy that forbids one of four workers.
--- a/packages/schedule/unittests/ModelFleet.cpp
+++ b/packages/schedule/unittests/ModelFleet.cpp
@@ -15,6 +15,9 @@
 static constexpr Duration kMoveTime(1500);
 static constexpr Duration kUpkeepTime(2000);
 static constexpr Duration kOrderGap(3000);
+static constexpr Duration kGangWait(3000);
+/// How many times as long runs take on a slow worker.
+static constexpr std::int64_t kSlowFactor = 50;
 static constexpr Duration kMaxLease = Duration::Seconds(10);
 /// When the latest of the late calls is carried out.
 static constexpr Duration kLatestCall(12000);
@@ -369,7 +372,9 @@
 }
 
 void
-ModelFleet::AddWorker(const std::string& aId, jobs::Resources aCapacity)
+ModelFleet::AddWorker(const std::string& aId,
+                      jobs::Resources aCapacity,
+                      const std::string& aRack)
 {
   ModelWorker& worker = workers_[aId];
   const std::int64_t born = now_.Millis();
@@ -384,7 +389,7 @@
                     .host = jobs::HostId("host-" + aId),
                     .endpoint = { "10.0.0.1", port },
                     .pool = PoolId("lines"),
-                    .rack = RackId("r1"),
+                    .rack = RackId(aRack),
                     .capacity = aCapacity };
   worker.clockOffset = Duration(0) - Duration(born);
   if (aId.find('-') == std::string::npos)
@@ -565,6 +570,18 @@
                std::min(*aRenew.until - aWorker.clockOffset, now_ + kMaxLease));
 }
 
+/// How much of a run is done; a persistent one is at work at once.
+std::uint32_t
+ModelFleet::PercentOf(const TaskId& aTask, const ModelRun& aRun) const
+{
+  constexpr std::int64_t kPercent = 100;
+  if (StepOf(aTask)->isPersistent)
+    return kPercent;
+  const std::int64_t taken = (now_ - aRun.startedAt).Millis();
+  const std::int64_t whole = (aRun.endsAt - aRun.startedAt).Millis();
+  return static_cast<std::uint32_t>(taken * kPercent / std::max(whole, taken));
+}
+
 void
 ModelFleet::List(const ModelWorker& aWorker, WorkerReply& aReply) const
 {
@@ -573,7 +590,7 @@
     aReply.running.push_back({ .task = task,
                                .attempt = run.attempt,
                                .checkpoint = {},
-                               .percent = 100,
+                               .percent = PercentOf(task, run),
                                .load = 0 });
   aReply.ended.assign(aWorker.ended.begin(), aWorker.ended.end());
 }
@@ -617,12 +634,18 @@
   }
   CheckStart(aWorker, aStart);
   const JobModel& job = jobs_.at(aStart.task.job);
-  const bool isPersistent = StepOf(aStart.task)->isPersistent;
-  aWorker.runs[aStart.task] = {
-    .attempt = aStart.attempt,
-    .endsAt = now_ + (isPersistent ? kFarAway : job.task.runTime),
-    .fails = aStart.attempt.Value() <= job.task.failures
-  };
+  const jobs::Step& step = *StepOf(aStart.task);
+  // A gang begins once all of it is there.
+  const bool isOpenEnded = step.isPersistent || step.isGang;
+  const Duration runTime =
+    job.task.runTime *
+    (slowWorkers.count(aWorker.record.id.Value()) != 0 ? kSlowFactor : 1);
+  aWorker.runs[aStart.task] = { .attempt = aStart.attempt,
+                                .endsAt =
+                                  now_ + (isOpenEnded ? kFarAway : runTime),
+                                .fails =
+                                  aStart.attempt.Value() <= job.task.failures,
+                                .startedAt = now_ };
 }
 
 void
@@ -653,9 +676,43 @@
                             .checkpoint = {} });
 }
 
+/// Lets gangs begin that are complete, and ends those that fell apart.
+void
+ModelFleet::TickGangs()
+{
+  std::map<std::pair<jobs::StepId, Attempt>,
+           std::vector<std::pair<ModelWorker*, TaskId>>>
+    gangs;
+  for (auto& [id, worker] : workers_)
+    for (const auto& [task, run] : worker.runs)
+      if (worker.isUp && StepOf(task)->isGang)
+        gangs[{ jobs::StepOf(task), run.attempt }].emplace_back(&worker, task);
+  for (const auto& [gang, members] : gangs) {
+    const bool isWhole =
+      members.size() == StepOf(members.front().second)->count;
+    const Duration runTime = jobs_.at(gang.first.job).task.runTime;
+    for (const auto& [worker, task] : members) {
+      ModelRun& run = worker->runs.at(task);
+      const bool isAtWork = run.endsAt < run.startedAt + kFarAway;
+      // One member is enough for the gang to fail.
+      const bool fails = run.fails && task.index == 0;
+      run.fails = fails;
+      if (isWhole && !isAtWork)
+        run.endsAt = now_ + (fails ? Duration(runTime.Millis() / 2) : runTime);
+      if (!isWhole && isAtWork)
+        EndRun(*worker, task, ListedEndKind::GangBroken);
+      if (!isWhole && !isAtWork && run.startedAt + kGangWait <= now_) {
+        ++endedAlone;
+        EndRun(*worker, task, ListedEndKind::GangIncomplete);
+      }
+    }
+  }
+}
+
 void
 ModelFleet::TickWorkers()
 {
+  TickGangs();
   for (auto& [id, worker] : workers_) {
     if (!worker.isUp)
       continue;
--- a/packages/schedule/unittests/ModelFleet.h
+++ b/packages/schedule/unittests/ModelFleet.h
@@ -63,7 +63,9 @@
   bool RunUntil(const std::function<bool()>& aIsDone, Duration aSpan);
 
   /// Adds a worker to the pool "lines" and has it beat.
-  void AddWorker(const std::string& aId, jobs::Resources aCapacity = kRoom);
+  void AddWorker(const std::string& aId,
+                 jobs::Resources aCapacity = kRoom,
+                 const std::string& aRack = "r1");
   /// Adds a host to the spare pool; no worker runs on it.
   void AddSpareHost(const std::string& aName);
   /// The pool of a host, as its provider knows it.
@@ -103,12 +105,16 @@
   std::size_t mostMaintained = 0;
   /// Whether the provider leaves calls unanswered.
   bool isProviderSilent = false;
+  /// Workers on which runs take fifty times as long.
+  std::set<std::string> slowWorkers;
   /// Workers that the placement policy forbids.
   std::set<std::string> forbidden;
   /// Workers named in all calls for advice, and starts refused for their
   /// permit.
   std::size_t workersAsked = 0;
   std::size_t permitsRefused = 0;
+  /// Runs that ended since the rest of their gang did not come.
+  std::size_t endedAlone = 0;
   std::mt19937_64 random;
 
   static constexpr jobs::Resources kRoom{ MilliCores(4000),
@@ -121,6 +127,7 @@
     Attempt attempt;
     Time endsAt;
     bool fails = false;
+    Time startedAt;
   };
   struct ModelWorker
   {
@@ -203,6 +210,8 @@
   bool IsPermitted(const ModelWorker& aWorker, const StartRun& aStart) const;
   void CheckStart(const ModelWorker& aWorker, const StartRun& aStart);
   void CheckAlways();
+  std::uint32_t PercentOf(const TaskId& aTask, const ModelRun& aRun) const;
+  void TickGangs();
   HostReply ListAllHosts() const;
   void CheckOrder(const HostCall& aCall);
   HostAnswer Reassign(const HostId& aHost, const PoolId& aPool, bool aIsUpkeep);
