--- a/packages/schedule/lib/SchedulerLists.cpp
+++ b/packages/schedule/lib/SchedulerLists.cpp
@@ -20,6 +20,9 @@
 /// A run is moved if what is left of it takes this many times as long as all of
 /// it elsewhere.
 static constexpr std::int64_t kMoveFactor = 2;
+/// Usual run times are taken for at least this: clients' estimates may be a
+/// tenth of what a task takes, and a second tells a slow worker well enough.
+static constexpr Duration kLeastUsualTime = Duration::Seconds(1);
 /// What a stop takes until the task can start elsewhere.
 static constexpr Duration kStopCost = Duration(500);
 /// Attempts up to which a task is moved: it may be as slow anywhere.
@@ -121,7 +124,8 @@
       aRun.stage != RunStage::Running || aRun.confirmedAt == Time(0))
     return;
   const Duration whole =
-    RunTimeOf(*job, job->description.steps[aListed.task.step]);
+    std::max(RunTimeOf(*job, job->description.steps[aListed.task.step]),
+             kLeastUsualTime);
   const Duration taken = now_.steady - aRun.confirmedAt;
   const std::int64_t percent =
     std::clamp<std::int64_t>(aListed.percent, 1, kPercent);
