--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -367,7 +367,9 @@
       spare = pool.id;
   if (spare.Value().empty())
     return;
-  for (const auto& [pool, state] : aBalance) {
+  for (const auto& item : aBalance) {
+    const PoolId& pool = item.first;
+    const PoolBalance& state = item.second;
     const std::vector<HostId> hosts =
       EmptiestFirst([&](const HostId& aId, const Host& aHost) {
         return aHost.pool == pool && MayLeave(aId, aHost);
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -205,18 +205,24 @@
 Scheduler::AskAhead(const Candidate& aCandidate)
 {
   const jobs::Job& job = *aCandidate.job;
-  for (const auto& [number, occurrence] : job.occurrences)
-    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+  if (!job.hasBegun)
+    return;
+  for (const auto& item : job.occurrences) {
+    const auto& steps = item.second.steps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
       const auto& after = job.description.steps[step].after;
       const bool isNext =
         std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
-          return occurrence.steps[aEarlier].waiting == 0;
+          return steps[aEarlier].waiting == 0;
         });
-      if (job.hasBegun && isNext && occurrence.steps[step].waiting > 0)
-        AskAdvice(
-          aCandidate,
-          { .job = job.id, .occurrence = number, .step = step, .index = 0 });
+      if (isNext && steps[step].waiting > 0)
+        AskAdvice(aCandidate,
+                  { .job = job.id,
+                    .occurrence = item.first,
+                    .step = step,
+                    .index = 0 });
     }
+  }
 }
 
 void
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -401,6 +401,7 @@
 {
   AdvisedFixture fleet(Duration(600));
   std::vector<jobs::JobId> jobs;
+  jobs.reserve(6);
   for (int count = 0; count < 6; ++count)
     jobs.push_back(fleet.Submit({ Tasks(8) }, { .failures = 1 }));
   CHECK(fleet.RunUntil(
