Spread persistent tasks of a step; maintain their hosts first

Persistent tasks are still kept together, but those of one step on different hosts of them; and hosts with persistent tasks begin their upkeep right after spare ones.

Test: "persistent tasks of one step are spread over hosts" fails without.

--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -75,7 +75,8 @@
          timeLeft.Millis() * kWavePatiencePercent;
 }
 
-/// Idle hosts first, and those of pools that have the most over.
+/// Spare hosts first, then those with persistent tasks, which take longest to
+/// leave, then those of pools that have the most over.
 void
 HostPlanner::SortForUpkeep(std::vector<HostId>& aHosts,
                            const std::map<PoolId, PoolBalance>& aBalance) const
@@ -86,7 +87,7 @@
     const std::int64_t over =
       pool == aBalance.end() ? 0 : pool->second.has - pool->second.needs;
     return std::tuple(
-      !IsSpare(host.pool), HasPersistentRun(host), -over, RunsOn(host), aId);
+      !IsSpare(host.pool), !HasPersistentRun(host), -over, RunsOn(host), aId);
   };
   std::sort(
     aHosts.begin(), aHosts.end(), [&](const auto& aLeft, const auto& aRight) {
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -499,7 +499,7 @@
   const RackId rack = RackFor(aCandidate, aTask);
   WorkerSession* best = nullptr;
   // Larger is better, place by place.
-  std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
+  std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t> bestRank;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
     if (!session.IsUsable(now_.steady) ||
@@ -512,6 +512,9 @@
                             state->worker != number;
     // Persistent tasks keep together, so that other hosts can leave the pool.
     const bool isBesideAlike = step.isPersistent == session.HasPersistentRun();
+    // Those of one step are apart: they leave a host one after the other.
+    const std::int64_t ofStep =
+      step.isPersistent ? session.RunsOfStep(aTask) : 0;
     const bool isUndisturbed =
       !step.usesIdleProcessors || !session.HasServingRun();
     const std::tuple rank(
@@ -519,6 +522,7 @@
       isFirstTry,
       isUndisturbed,
       step.isPersistent ? isBesideAlike : false,
+      -ofStep,
       (session.used.processors - record.capacity.processors).Count());
     if (best == nullptr || rank > bestRank) {
       best = &session;
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -149,6 +149,33 @@
   CheckAll();
 }
 
+TEST_CASE_METHOD(Fixture, "persistent tasks of one step are spread over hosts")
+{
+  jobs::Step other = Tasks(1);
+  other.isPersistent = true;
+  other.maxPerWorker = 1;
+  // Two hosts have persistent tasks already.
+  Submit({ other });
+  Submit({ Tasks(2) }, { .runTime = Duration(400) });
+  jobs::Step pair = other;
+  pair.count = 2;
+  Submit({ pair });
+  Run(Duration(600));
+  jobs::Step service = Tasks(4);
+  service.isPersistent = true;
+  service.request.processors = MilliCores(200);
+  const std::size_t before = RunsInAll();
+  Submit({ service });
+  Run(Duration(200));
+  REQUIRE(RunsInAll() == before + 4);
+  std::size_t most = 0;
+  for (const char* id : { "w1", "w2", "w3", "w4", "w5", "w6" })
+    most = std::max(most, RunsOn(id));
+  // Beside at most two others, two of the four.
+  CHECK(most <= 4);
+  CheckAll();
+}
+
 TEST_CASE_METHOD(Fixture, "persistent tasks that may not be away stay")
 {
   jobs::Step service = Tasks(1);
