--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -194,6 +194,28 @@
   CheckAll();
 }
 
+TEST_CASE_METHOD(Fixture, "room is held where small tasks end one by one")
+{
+  const bool isPersistent = GENERATE(false, true);
+  // A little more than three workers can do, so that each bit of room that
+  // gets free has a task waiting for it.
+  const auto press = [&] {
+    Submit({ Tasks(1, 900) }, { .runTime = Duration(1100) });
+    Run(Duration(80));
+  };
+  for (int count = 0; count < 40; ++count)
+    press();
+  jobs::Step large = Tasks(1, 3600);
+  large.isPersistent = isPersistent;
+  const jobs::JobId job = Submit({ large });
+  // All that runs on a worker ends within 1.1 s; the rest of two seconds is for
+  // the next placement, lists and commits.
+  for (int count = 0; count < 25 && !HasRun(job); ++count)
+    press();
+  CHECK(HasRun(job));
+  CheckAll();
+}
+
 TEST_CASE_METHOD(Fixture,
                  "the limit of a step on one worker holds with held room")
 {
