--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -53,17 +53,16 @@
        const std::string& aPeer,
        std::uint16_t aPeerPort,
        const std::string& aSecret = "secret")
-    : links(duty,
-            { .self = EntryHostId(aSelf),
-              .availabilityZone = AvailabilityZoneId("z-" + aSelf),
-              .endpoint = { .address = "127.0.0.1", .port = aPort },
-              .secret = aSecret,
-              .peers = { { EntryHostId(aPeer), { "127.0.0.1", aPeerPort } } },
-              .heartbeat = Duration(50),
-              .silence = Duration(400),
-              .redial = Duration(50) },
-            clock,
-            events)
+    : Host({ .self = EntryHostId(aSelf),
+             .availabilityZone = AvailabilityZoneId("z-" + aSelf),
+             .endpoint = { .address = "127.0.0.1", .port = aPort },
+             .secret = aSecret,
+             .peers = { { EntryHostId(aPeer), { "127.0.0.1", aPeerPort } } } })
+  {
+  }
+  /// \p aOptions without the intervals, which are short here.
+  explicit Host(LinkOptions aOptions)
+    : links(duty, WithShortIntervals(std::move(aOptions)), clock, events)
   {
     Error reason;
     REQUIRE(links.Start(reason));
@@ -71,6 +70,14 @@
   }
   ~Host() { duty.Stop(); }
 
+  static LinkOptions WithShortIntervals(LinkOptions aOptions)
+  {
+    aOptions.heartbeat = Duration(50);
+    aOptions.silence = Duration(400);
+    aOptions.redial = Duration(50);
+    return aOptions;
+  }
+
   BootClock clock;
   EventRing events;
   pipe::IoDuty duty{ "links" };
@@ -206,34 +213,19 @@
 namespace {
 
 /// A host that is named by its address and listens where all others do.
-struct AddressedHost
+struct AddressedHost : Host
 {
   AddressedHost(const std::string& aAddress,
                 std::uint16_t aPort,
                 const std::string& aSecret = "secret")
-    : links(duty,
-            { .self = EntryHostId(aAddress),
-              .availabilityZone = AvailabilityZoneId("z"),
-              .endpoint = { .address = aAddress, .port = aPort },
-              .secret = aSecret,
-              .peers = {},
-              .commonPort = aPort,
-              .heartbeat = Duration(50),
-              .silence = Duration(400),
-              .redial = Duration(50) },
-            clock,
-            events)
+    : Host({ .self = EntryHostId(aAddress),
+             .availabilityZone = AvailabilityZoneId("z"),
+             .endpoint = { .address = aAddress, .port = aPort },
+             .secret = aSecret,
+             .peers = {},
+             .commonPort = aPort })
   {
-    Error reason;
-    REQUIRE(links.Start(reason));
-    duty.Start();
   }
-  ~AddressedHost() { duty.Stop(); }
-
-  BootClock clock;
-  EventRing events;
-  pipe::IoDuty duty{ "links" };
-  Links links;
 };
 
 } // namespace
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -111,7 +111,7 @@
     std::int64_t needs = 0;
     std::uint32_t hosts = 0;
     /// A host is on its way to it.
-    bool isAwaiting = false;
+    bool hasHostComing = false;
   };
 
   void Send(HostRequest aRequest, PendingCall aPending);
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -172,7 +172,9 @@
   bool MayStop(const TaskId& aTask) const;
   bool HasRoomElsewhere(const WorkerSession& aSession, const TaskId& aTask);
 
-  // Placement; in SchedulerPlacement.cpp.
+  // Placement; in SchedulerPlacement.cpp. The order of jobs and their demand
+  // are in SchedulerOrder.cpp, held room in SchedulerHolds.cpp, permits in
+  // SchedulerAdvice.cpp.
   struct Candidate
   {
     const jobs::Job* job;
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -151,8 +151,8 @@
       continue;
     found->second.has += host.capacity.processors.Count();
     ++found->second.hosts;
-    found->second.isAwaiting =
-      found->second.isAwaiting || host.purpose == Purpose::Move || IsAway(host);
+    found->second.hasHostComing = found->second.hasHostComing ||
+                                  host.purpose == Purpose::Move || IsAway(host);
   }
   for (auto& [pool, state] : balance) {
     const auto demand = demand_.find(pool);
@@ -169,7 +169,7 @@
     // more host at a time.
     if (lackingRoom_.count(pool) != 0)
       state.needs =
-        std::max(state.needs, state.has + (state.isAwaiting ? 0 : 1));
+        std::max(state.needs, state.has + (state.hasHostComing ? 0 : 1));
   }
   return balance;
 }
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -462,6 +462,34 @@
   return { first, *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first };
 }
 
+/// One random fault, or in most cases none.
+static void
+Disturb(ModelFleet& aFleet,
+        const std::vector<std::string>& aWorkers,
+        const std::vector<jobs::JobId>& aJobs)
+{
+  const auto drawTime = [&](std::uint64_t aBelow) {
+    return Duration(static_cast<std::int64_t>(aFleet.random() % aBelow));
+  };
+  const std::string& worker = aWorkers[aFleet.random() % aWorkers.size()];
+  switch (aFleet.random() % 14) {
+    case 0:
+      aFleet.CrashWorker(worker, drawTime(4000));
+      break;
+    case 1:
+      aFleet.CutWorker(worker, drawTime(9000));
+      break;
+    case 2:
+      aFleet.ChangeLeader();
+      break;
+    case 3:
+      aFleet.Cancel(aJobs[aFleet.random() % aJobs.size()]);
+      break;
+    default:
+      break;
+  }
+}
+
 TEST_CASE("rules hold over random faults")
 {
   const auto seeds = SeedsToPlay();
@@ -478,7 +506,6 @@
     return fleet.random() % aBelow;
   };
   std::vector<jobs::JobId> jobs;
-  std::vector<jobs::JobId> cancelled;
   fleet.faults = { .loseAnswer = static_cast<int>(draw(20)),
                    .late = static_cast<int>(draw(15)) };
   for (int round = 0; round < 60; ++round) {
@@ -491,26 +518,7 @@
         second },
       { .runTime = Duration(static_cast<std::int64_t>(200 + draw(1500))),
         .failures = static_cast<std::uint32_t>(draw(5) == 0 ? 1 : 0) }));
-    const std::string& worker = ids[draw(ids.size())];
-    switch (draw(14)) {
-      case 0:
-        fleet.CrashWorker(worker,
-                          Duration(static_cast<std::int64_t>(draw(4000))));
-        break;
-      case 1:
-        fleet.CutWorker(worker,
-                        Duration(static_cast<std::int64_t>(draw(9000))));
-        break;
-      case 2:
-        fleet.ChangeLeader();
-        break;
-      case 3:
-        cancelled.push_back(jobs[draw(jobs.size())]);
-        fleet.Cancel(cancelled.back());
-        break;
-      default:
-        break;
-    }
+    Disturb(fleet, ids, jobs);
     fleet.Run(Duration(static_cast<std::int64_t>(50 + draw(500))));
   }
   fleet.faults = {};
