--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -11,6 +11,7 @@
 /// dead connection to the leader shows after 2 s.
 static constexpr Duration kReplyTimeout = Duration(2500);
 static constexpr Duration kCheckInterval = Duration(100);
+static constexpr Duration kLoadReportInterval = Duration::Seconds(2);
 /// When to ask again where there is no leader; an election takes 1 to 2 s.
 static constexpr Duration kRetryAfter = Duration::Seconds(1);
 
@@ -74,6 +75,14 @@
     host_.metrics.Set("greengage_log_lines_dropped",
                       static_cast<double>(lines.dropped));
     host_.metrics.Set("greengage_ready", CanServe() && !isStopping_ ? 1 : 0);
+    for (const pipe::DutyLoad& load : pipe::CurrentDutyLoads()) {
+      const observe::MetricLabels labels{ { "duty", load.duty } };
+      host_.metrics.Set("greengage_duty_processor_ms",
+                        static_cast<double>(load.processorTime.Millis()),
+                        labels);
+      host_.metrics.Set(
+        "greengage_duty_backlog", static_cast<double>(load.backlog), labels);
+    }
     http::HttpResponse response = PlainResponse(200, "");
     response.body = host_.metrics.Serialize();
     Respond(caller, std::move(response));
@@ -334,4 +343,27 @@
   nextCheck_ = aNow + kCheckInterval;
   GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
          "the leader did not answer in time");
+  if (outlets_.log != nullptr && aNow >= nextLoadReport_) {
+    nextLoadReport_ = aNow + kLoadReportInterval;
+    ReportLoads();
+  }
+}
+
+/// Logs what each duty has cost since the last report.
+void
+GateFilter::ReportLoads()
+{
+  for (pipe::DutyLoad& load : pipe::CurrentDutyLoads()) {
+    pipe::DutyLoad& reported = reportedLoads_[load.duty];
+    observe::Log(
+      observe::LogLevel::Info,
+      "duty-load",
+      { { "duty", load.duty },
+        { "processor_ms",
+          std::to_string(
+            (load.processorTime - reported.processorTime).Millis()) },
+        { "messages", std::to_string(load.messages - reported.messages) },
+        { "backlog", std::to_string(load.backlog) } });
+    reported = std::move(load);
+  }
 }
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -8,6 +8,7 @@
 #include "../HostState.h"
 #include "JobMessages.h"
 
+#include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Filter.h"
 #include "greengage/pipe/Pipe.h"
 
@@ -16,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 
 namespace greengage::daemon::detail {
@@ -78,6 +80,7 @@
   void Refuse(const Caller& aCaller, const char* aWhy);
   void GiveUp(const std::function<bool(const Caller&)>& aMatches,
               const char* aWhy);
+  void ReportLoads();
   bool LeadsHere() const;
   bool CanServe() const;
 
@@ -92,6 +95,8 @@
   std::uint64_t lastCaller_ = 0;
   Time now_;
   Time nextCheck_;
+  Time nextLoadReport_;
+  std::map<std::string, pipe::DutyLoad> reportedLoads_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -7,6 +7,8 @@
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
+static constexpr Duration kWorkReportInterval = Duration::Seconds(2);
+
 ScheduleFilter::ScheduleFilter(schedule::SchedulerOptions aOptions,
                                schedule::HostPlannerOptions aHostOptions,
                                const jobs::ConfigurationReader& aReader,
@@ -76,6 +78,30 @@
   const schedule::ClockReading now = ClockReadingAt(aNow);
   controller_.Tick(Time(host_.leaderUntil.load()), now);
   ReportUnsent(now);
+  if (controller_.GetScheduler().IsLeading() && aNow >= nextWorkReport_)
+    ReportWork();
+}
+
+void
+ScheduleFilter::ReportWork()
+{
+  nextWorkReport_ = now_ + kWorkReportInterval;
+  const schedule::Scheduler& scheduler = controller_.GetScheduler();
+  const schedule::DispatchWork& work = scheduler.Work();
+  const auto since = [](std::uint64_t aNow, std::uint64_t aBefore) {
+    return std::to_string(aNow - aBefore);
+  };
+  observe::Log(
+    observe::LogLevel::Info,
+    "dispatch-work",
+    { { "live_jobs", std::to_string(scheduler.LiveJobCount()) },
+      { "passes", since(work.passes, reportedWork_.passes) },
+      { "ranked_jobs", since(work.rankedJobs, reportedWork_.rankedJobs) },
+      { "examined_workers",
+        since(work.examinedWorkers, reportedWork_.examinedWorkers) },
+      { "proposed_runs",
+        since(work.proposedRuns, reportedWork_.proposedRuns) } });
+  reportedWork_ = work;
 }
 
 void
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -64,6 +64,8 @@
   void On(SnapshotWanted&& aWish, schedule::ClockReading aNow);
   void On(Leadership&& aLeadership, schedule::ClockReading aNow);
   void On(ProposalEnded&& aEnd, schedule::ClockReading aNow);
+  /// Logs the work of dispatch since the last report.
+  void ReportWork();
   /// Reports calls that found no room as not sent.
   void ReportUnsent(schedule::ClockReading aNow);
   schedule::ClockReading ClockReadingAt(Time aNow) const;
@@ -80,6 +82,8 @@
   schedule::Controller controller_;
   consensus::Term leadingTerm_;
   Time now_;
+  Time nextWorkReport_;
+  schedule::DispatchWork reportedWork_;
   /// When entries that are not committed yet were proposed.
   std::map<schedule::BatchId, Time> proposedAt_;
   /// Calls to workers that found no room.
--- a/packages/observe/lib/Log.cpp
+++ b/packages/observe/lib/Log.cpp
@@ -1,7 +1,7 @@
 #include "greengage/observe/Log.h"
 
+#include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Ring.h"
-#include "greengage/pipe/ThreadName.h"
 
 #include <easylogging++.h>
 
@@ -126,15 +126,23 @@
   }
 }
 
+static constexpr std::uint64_t kLinesPerLoadSample = 100;
+
 /// Writes lines until the queue is closed and empty.
 static void
 WriteQueued(LogQueue& aQueue)
 {
   std::uint64_t reported = 0;
   QueuedLine line;
-  greengage::pipe::NameThisThread("log");
+  greengage::pipe::DutyMeter meter;
+  const greengage::pipe::DutyScope scope("log", meter);
+  std::uint64_t sampled = 0;
   while (aQueue.lines.Pop(line) == greengage::pipe::PopStatus::Taken) {
     Write(line.level, line.text);
+    if (gWritten.load() >= sampled + kLinesPerLoadSample) {
+      sampled = gWritten.load();
+      meter.Sample();
+    }
     const std::uint64_t dropped = gDropped.load();
     if (dropped == reported)
       continue;
--- a/packages/pipe/include/greengage/pipe/Duty.h
+++ b/packages/pipe/include/greengage/pipe/Duty.h
@@ -5,10 +5,10 @@
 #define GREENGAGE_PIPE_DUTY_H
 
 #include "greengage/core/Clock.h"
+#include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Filter.h"
 #include "greengage/pipe/Pipe.h"
 #include "greengage/pipe/Ring.h"
-#include "greengage/pipe/ThreadName.h"
 
 #include <cassert>
 #include <cstddef>
@@ -60,28 +60,47 @@
 
   bool TryPush(Message&& aMessage) override
   {
-    return ring_.TryPush(std::move(aMessage));
+    return Count(ring_.TryPush(std::move(aMessage)));
   }
   bool Push(Message&& aMessage) override
   {
-    return ring_.Push(std::move(aMessage));
+    return Count(ring_.Push(std::move(aMessage)));
   }
 
 private:
+  bool Count(bool aIsPushed)
+  {
+    if (aIsPushed)
+      meter_.OnPushed();
+    return aIsPushed;
+  }
+
   void Run(Filter<Message>& aFilter)
   {
-    NameThisThread(options_.name);
+    const DutyScope scope(options_.name, meter_);
     Message message;
     PopStatus status = PopStatus::TimedOut;
     while (status != PopStatus::Closed) {
       status = Next(message, aFilter);
-      if (status == PopStatus::Taken)
+      if (status == PopStatus::Taken) {
+        meter_.OnTaken();
         aFilter.Accept(std::move(message), clock_.Now());
+      }
       FireTimer(aFilter);
+      SampleLoad();
     }
     aFilter.OnClose(clock_.Now());
   }
 
+  void SampleLoad()
+  {
+    const Time now = clock_.Now();
+    if (now < nextSample_)
+      return;
+    nextSample_ = now + kLoadSampleInterval;
+    meter_.Sample();
+  }
+
   PopStatus Next(Message& aMessage, const Filter<Message>& aFilter)
   {
     const auto wake = aFilter.NextTimer();
@@ -105,6 +124,8 @@
   DutyOptions options_;
   const Clock& clock_;
   Ring<Message> ring_;
+  DutyMeter meter_;
+  Time nextSample_;
   std::thread thread_;
 };
 
--- a/packages/pipe/include/greengage/pipe/IoDuty.h
+++ b/packages/pipe/include/greengage/pipe/IoDuty.h
@@ -5,12 +5,14 @@
 #ifndef GREENGAGE_PIPE_IODUTY_H
 #define GREENGAGE_PIPE_IODUTY_H
 
+#include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Pipe.h"
 #include "greengage/pipe/Ring.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -38,9 +40,13 @@
   using WorkGuard =
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
+  void SampleLoad();
+
   std::string name_;
+  DutyMeter meter_;
   boost::asio::io_context context_{ 1 };
   WorkGuard work_;
+  boost::asio::steady_timer sampleTimer_{ context_ };
   std::thread thread_;
 };
 
--- a/packages/pipe/lib/IoDuty.cpp
+++ b/packages/pipe/lib/IoDuty.cpp
@@ -1,8 +1,7 @@
 #include "greengage/pipe/IoDuty.h"
 
-#include "greengage/pipe/ThreadName.h"
-
 #include <cassert>
+#include <chrono>
 
 using namespace greengage::pipe;
 
@@ -22,11 +21,24 @@
 {
   assert(!thread_.joinable() && "a duty is started once");
   thread_ = std::thread([this] {
-    NameThisThread(name_);
+    const DutyScope scope(name_, meter_);
+    SampleLoad();
     context_.run();
   });
 }
 
+void
+IoDuty::SampleLoad()
+{
+  meter_.Sample();
+  sampleTimer_.expires_after(
+    std::chrono::milliseconds(kLoadSampleInterval.Millis()));
+  sampleTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError)
+      SampleLoad();
+  });
+}
+
 void
 IoDuty::Stop()
 {
--- a/packages/pipe/unittests/DutyTest.cpp
+++ b/packages/pipe/unittests/DutyTest.cpp
@@ -1,10 +1,11 @@
 #include "greengage/pipe/Duty.h"
+#include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/IoDuty.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <ctime>
-
 #include <future>
 #include <vector>
 
@@ -97,3 +98,59 @@
   duty.Stop();
   REQUIRE(seen == std::vector<int>{ 0, 1, 2, 3, 4 });
 }
+
+static std::optional<DutyLoad>
+FindLoad(const std::string& aDuty)
+{
+  const std::vector<DutyLoad> loads = CurrentDutyLoads();
+  const auto found =
+    std::find_if(loads.begin(), loads.end(), [&](const DutyLoad& aLoad) {
+      return aLoad.duty == aDuty;
+    });
+  return found == loads.end() ? std::nullopt : std::optional(*found);
+}
+
+namespace {
+
+/// Uses 30 ms of processor time for a first message, then waits to be resumed.
+class BusyFilter final : public Filter<int>
+{
+public:
+  void Accept(int&& aMessage, Time) override
+  {
+    if (aMessage > 1)
+      return;
+    const std::int64_t until = ProcessorMillis() + 30;
+    while (ProcessorMillis() < until) {
+    }
+    isBusy.set_value();
+    resume.get_future().wait();
+  }
+  std::promise<void> isBusy;
+  std::promise<void> resume;
+};
+
+} // namespace
+
+TEST_CASE("the load of a duty has its messages, backlog and processor time")
+{
+  const BootClock clock;
+  BusyFilter filter;
+  Duty<int> duty({ .name = "busy", .capacity = 8 }, clock);
+  REQUIRE_FALSE(FindLoad("busy"));
+  duty.Start(filter);
+  duty.Push(1);
+  filter.isBusy.get_future().wait();
+  REQUIRE(duty.TryPush(2));
+  REQUIRE(duty.TryPush(3));
+  REQUIRE(FindLoad("busy")->messages == 1);
+  REQUIRE(FindLoad("busy")->backlog == 2);
+  filter.resume.set_value();
+  const Time giveUp = clock.Now() + Duration::Seconds(5);
+  while (FindLoad("busy")->messages < 3 && clock.Now() < giveUp)
+    std::this_thread::yield();
+  REQUIRE(FindLoad("busy")->backlog == 0);
+  REQUIRE(FindLoad("busy")->processorTime >= Duration(20));
+  duty.Stop();
+  REQUIRE_FALSE(FindLoad("busy"));
+}
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -88,6 +88,7 @@
   void Tick(Time aLeaseEnd, ClockReading aNow);
 
   const jobs::JobStateMachine& StateMachine() const { return stateMachine_; }
+  const Scheduler& GetScheduler() const { return scheduler_; }
 
 private:
   /// A reply that is sent once its log entry is committed.
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -13,6 +13,7 @@
 #include "greengage/schedule/PermitCache.h"
 #include "greengage/schedule/WorkerSession.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,17 @@
   Duration retention = Duration::Seconds(180);
 };
 
+/// How much work dispatch has done since the start of the process.
+struct DispatchWork
+{
+  std::uint64_t passes = 0;
+  /// Jobs that were ranked for placement.
+  std::uint64_t rankedJobs = 0;
+  /// Workers that were checked for a task's placement or reservation.
+  std::uint64_t examinedWorkers = 0;
+  std::uint64_t proposedRuns = 0;
+};
+
 /// The resource demand of the queues of a pool.
 struct PoolDemand
 {
@@ -77,6 +89,8 @@
   /// events.
   void Dispatch(ClockReading aNow);
   bool IsDispatchDue() const { return isDispatchDue_; }
+  const DispatchWork& Work() const { return work_; }
+  std::size_t LiveJobCount() const { return liveJobs_.size(); }
 
   /// \returns the session of a worker, or null.
   const WorkerSession* FindSession(jobs::WorkerNumber aWorker) const;
@@ -282,6 +296,7 @@
   bool isDispatchDue_ = false;
   Time nextRetentionScan_;
   Time nextDispatchAt_;
+  mutable DispatchWork work_;
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/lib/SchedulerAdvice.cpp
+++ b/packages/schedule/lib/SchedulerAdvice.cpp
@@ -32,6 +32,7 @@
   std::vector<std::pair<std::int64_t, jobs::WorkerId>> byFreeProcessors;
   for (const auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
+    ++work_.examinedWorkers;
     if (session.IsUsable(now_.steady) &&
         IsEligible(session, record, aCandidate, aTask) &&
         jobs::Fits(AllocationFor(step), session.used, record.capacity))
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -22,6 +22,8 @@
   CancelStaleReservations();
   reservingPools_.clear();
   const std::vector<Candidate> candidates = RankedCandidates();
+  ++work_.passes;
+  work_.rankedJobs += candidates.size();
   for (const Candidate& candidate : candidates)
     DispatchJob(candidate);
   for (const Candidate& candidate : candidates)
@@ -124,6 +126,7 @@
 void
 Scheduler::ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask)
 {
+  ++work_.proposedRuns;
   outbox_.Propose(jobs::AssignTask{ .task = aTask,
                                     .attempt = aSession.runs.at(aTask).attempt,
                                     .worker = aSession.number });
@@ -216,6 +219,7 @@
   std::map<RackId, std::int64_t> freeProcessors;
   for (const auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
+    ++work_.examinedWorkers;
     if (session.CountRunsOfStep(aTask) > 0)
       return record.rack;
     if (session.IsUsable(now_.steady) &&
@@ -243,6 +247,7 @@
   std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t> bestRank;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
+    ++work_.examinedWorkers;
     if (!session.IsUsable(now_.steady) ||
         !jobs::Fits(allocation, session.used, record.capacity) ||
         !IsEligible(session, record, aCandidate, aTask) ||
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -39,6 +39,7 @@
   std::int64_t bestFreeProcessors = 0;
   for (auto& [number, session] : sessions_) {
     const jobs::WorkerRecord& record = RecordOf(session);
+    ++work_.examinedWorkers;
     if (number == aExcluded || HasReservation(number) ||
         !session.IsUsable(now_.steady) ||
         !IsEligible(session, record, aCandidate, aTask) ||
