Scheduler: placing a task examines only workers that may take it

Jobs that were accepted ran seconds late.

Cause: for each task that found no place, a dispatch pass walked all workers of the fleet, with a look-up of each worker's record in an ordered map; persistent tasks did so once for each waiting task of a step, and again to reserve capacity. The cost of a pass grew with workers times waiting jobs.

Now an index holds the current workers of each pool, a session knows its worker's record and its number of reservations, and a request that found no worker with enough free capacity answers for all requests of the pool that are at least as large until capacity is released. The tasks of a step share one failed search. Two other walks over all workers go for the same reason: a renewal's reply looks up earlier incarnations of its worker, and the end of a job its assigned tasks.

Test: "waiting jobs don't each examine the whole fleet in every pass", 350 workers and 600 waiting jobs.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -11,6 +11,7 @@
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/PermitCache.h"
+#include "greengage/schedule/PoolIndex.h"
 #include "greengage/schedule/WorkerSession.h"
 
 #include <cstddef>
@@ -145,7 +146,10 @@
   // workers in SchedulerCalls.cpp and the processing of their lists in
   // SchedulerReconcile.cpp.
   WorkerSession* SessionOf(jobs::WorkerNumber aWorker);
-  const jobs::WorkerRecord& RecordOf(const WorkerSession& aSession) const;
+  static const jobs::WorkerRecord& RecordOf(const WorkerSession& aSession)
+  {
+    return *aSession.record;
+  }
   void Send(WorkerSession& aSession,
             PendingCall aPending,
             WorkerRequest aRequest,
@@ -217,9 +221,18 @@
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
                     std::uint32_t aStep);
-  bool PlaceTask(const Candidate& aCandidate,
-                 const TaskId& aTask,
-                 bool aMayReserve);
+  enum class PlacementResult : std::uint8_t
+  {
+    Placed,
+    /// The task has a reservation whose capacity is not free yet.
+    Reserved,
+    /// No worker can take the task, and no capacity was reserved for it.
+    NoWorker,
+    OverQuota,
+  };
+  PlacementResult PlaceTask(const Candidate& aCandidate,
+                            const TaskId& aTask,
+                            bool aMayReserve);
   void Suspend(WorkerSession& aSession, const char* aReason) const;
   Duration ExpectedRunTime(const jobs::Job& aJob,
                            const jobs::Step& aStep) const;
@@ -252,6 +265,7 @@
   void ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask);
   void RemoveRun(WorkerSession& aSession, const TaskId& aTask);
   void UpdateUnstartedJobs(const jobs::Job& aJob);
+  void StopRunOfEndedJob(const TaskId& aTask, jobs::WorkerNumber aWorker);
   void ForgetExpiredJobs();
 
   SchedulerOptions options_;
@@ -260,6 +274,8 @@
   std::optional<FencingToken> fence_;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
+  PoolIndex poolIndex_;
+  std::set<jobs::WorkerNumber> supersededWorkers_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
   std::uint64_t lastCallId_ = 0;
   /// Jobs that have not ended.
@@ -288,6 +304,8 @@
   /// Pools in which this dispatch pass has already reached the one task that
   /// may reserve capacity: the first that cannot be placed.
   std::set<PoolId> reservingPools_;
+  /// Requests that found no free capacity in this dispatch pass.
+  UnplaceableRequests unplaceable_;
   PermitCache permitCache_;
   /// When a task to be moved last found no other worker with enough capacity,
   /// by pool.
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -9,6 +9,7 @@
 #include "greengage/core/Units.h"
 #include "greengage/jobs/Ids.h"
 #include "greengage/jobs/Job.h"
+#include "greengage/jobs/Operation.h"
 #include "greengage/schedule/Messages.h"
 
 #include <cstdint>
@@ -88,8 +89,12 @@
 struct WorkerSession
 {
   jobs::WorkerNumber number;
+  /// The worker's record in the job state machine, which outlives the session.
+  const jobs::WorkerRecord* record = nullptr;
   std::map<TaskId, Run> runs;
+  /// Resources of the runs and of the reservations on this worker.
   jobs::Resources used;
+  std::uint32_t reservationCount = 0;
   std::map<TaskId, UnansweredStarts> unansweredStarts;
 
   /// Whether the worker's complete lists have been processed under the current
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -33,7 +33,9 @@
   for (const auto& [number, worker] : stateMachine_.Workers()) {
     WorkerSession& session = sessions_[number];
     session.number = number;
+    session.record = &worker;
     session.lastHeartbeat = aNow.steady;
+    poolIndex_.Put(worker.pool, session);
     // The previous leader may have renewed the lease up to now.
     session.leaseExpiry = aNow.steady + LeaseExpiryBound(options_.lease);
   }
@@ -82,6 +84,8 @@
 {
   fence_.reset();
   sessions_.clear();
+  poolIndex_.Clear();
+  supersededWorkers_.clear();
   pendingCalls_.clear();
   liveJobs_.clear();
   unstartedJobs_.clear();
@@ -142,16 +146,33 @@
   liveJobs_.erase(aJob.id);
   permitCache_.DropJob(aJob.id);
   UpdateUnstartedJobs(aJob);
-  for (auto& [number, session] : sessions_) {
-    const TaskId first{ .job = aJob.id };
-    for (auto it = session.runs.lower_bound(first);
-         it != session.runs.end() && it->first.job == aJob.id;
-         ++it) {
-      it->second.isStopRequested = true;
-      it->second.nextCallAt = now_.steady;
-      TickRun(session, it->first, it->second);
+  // A proposed assignment is rejected once the job has ended, so only the
+  // assigned tasks have runs to stop.
+  for (const auto& [number, occurrence] : aJob.occurrences)
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& tasks = occurrence.steps[step].tasks;
+      for (std::uint32_t index = 0; index < tasks.size(); ++index)
+        if (tasks[index].phase == jobs::TaskPhase::Assigned)
+          StopRunOfEndedJob({ .job = aJob.id,
+                              .occurrence = number,
+                              .step = step,
+                              .index = index },
+                            tasks[index].worker);
     }
-  }
+}
+
+void
+Scheduler::StopRunOfEndedJob(const TaskId& aTask, jobs::WorkerNumber aWorker)
+{
+  WorkerSession* session = SessionOf(aWorker);
+  if (session == nullptr)
+    return;
+  const auto found = session->runs.find(aTask);
+  if (found == session->runs.end())
+    return;
+  found->second.isStopRequested = true;
+  found->second.nextCallAt = now_.steady;
+  TickRun(*session, aTask, found->second);
 }
 
 void
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -21,6 +21,7 @@
     return;
   CancelStaleReservations();
   reservingPools_.clear();
+  unplaceable_.Clear();
   const std::vector<Candidate> candidates = RankedCandidates();
   ++work_.passes;
   work_.rankedJobs += candidates.size();
@@ -67,33 +68,40 @@
   }
   const auto& tasks =
     aCandidate.job->occurrences.at(aOccurrence).steps[aStep].tasks;
+  bool isWorkerLacking = false;
   for (task.index = 0; task.index < tasks.size(); ++task.index) {
     if (tasks[task.index].phase != jobs::TaskPhase::Waiting ||
         proposedTasks_.count(task) != 0)
       continue;
-    // The tasks of a step are identical: if one cannot be placed, neither can
-    // the next. Capacity is reserved for every persistent task, as these should
-    // always run, and for the first task of the pool that cannot be placed.
+    // The tasks of a step are identical: if one finds no worker and no capacity
+    // to reserve, neither does the next, unless that has a reservation.
+    if (isWorkerLacking && reservations_.count(task) == 0)
+      continue;
+    // Capacity is reserved for every persistent task, as these should always
+    // run, and for the first task of the pool that cannot be placed.
     const bool mayReserve =
       step.isPersistent || reservingPools_.insert(aCandidate.pool).second;
-    const bool isPlaced = PlaceTask(aCandidate, task, mayReserve);
+    const PlacementResult result = PlaceTask(aCandidate, task, mayReserve);
+    const bool isPlaced = result == PlacementResult::Placed;
     if (!isPlaced && aCandidate.advicePolicy)
       RequestStepPermits(aCandidate, task);
     if (!isPlaced && !step.isPersistent)
       return;
+    isWorkerLacking = result == PlacementResult::NoWorker ||
+                      result == PlacementResult::OverQuota;
     if (!step.isPersistent && reservations_.count(task) == 0)
       reservingPools_.erase(aCandidate.pool);
   }
 }
 
-bool
+Scheduler::PlacementResult
 Scheduler::PlaceTask(const Candidate& aCandidate,
                      const TaskId& aTask,
                      bool aMayReserve)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   if (!IsWithinQuota(aCandidate.job->team, step.request))
-    return false;
+    return PlacementResult::OverQuota;
   WorkerSession* session = nullptr;
   if (const auto reservation = reservations_.find(aTask);
       reservation != reservations_.end()) {
@@ -105,7 +113,7 @@
       IsEligible(*session, RecordOf(*session), aCandidate, aTask) &&
       IsPermitted(RecordOf(*session), aCandidate, aTask);
     if (isEligible && !IsReservedCapacityFree(aTask))
-      return false;
+      return PlacementResult::Reserved;
     CancelReservation(aTask);
     if (!isEligible)
       session = nullptr;
@@ -113,14 +121,14 @@
   if (session == nullptr)
     session = ChooseWorker(aCandidate, aTask);
   if (session == nullptr) {
-    if (aMayReserve)
-      ReserveCapacity(aCandidate, aTask, jobs::WorkerNumber(0));
-    return false;
+    const bool isReserved =
+      aMayReserve && ReserveCapacity(aCandidate, aTask, jobs::WorkerNumber(0));
+    return isReserved ? PlacementResult::Reserved : PlacementResult::NoWorker;
   }
   const Attempt latest = stateMachine_.Find(aTask)->attempt;
   AddRun(*session, *aCandidate.job, aTask, Attempt(latest.Value() + 1));
   ProposeAssignment(*session, aTask);
-  return true;
+  return PlacementResult::Placed;
 }
 
 void
@@ -217,7 +225,8 @@
   if (!step.preferredRack.Value().empty() || !step.wantsOneRack)
     return step.preferredRack;
   std::map<RackId, std::int64_t> freeProcessors;
-  for (const auto& [number, session] : sessions_) {
+  for (const WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
+    const WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
     if (session.CountRunsOfStep(aTask) > 0)
@@ -240,23 +249,29 @@
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const Resources allocation = AllocationFor(step);
+  if (unplaceable_.Contains(aCandidate.pool, allocation))
+    return nullptr;
   const jobs::TaskState* state = stateMachine_.Find(aTask);
   const RackId rack = PreferredRack(aCandidate, aTask);
   WorkerSession* best = nullptr;
+  bool hasCapacity = false;
   // Compared lexicographically; the highest rank wins.
   std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t> bestRank;
-  for (auto& [number, session] : sessions_) {
+  for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
+    WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
     if (!session.IsUsable(now_.steady) ||
-        !jobs::Fits(allocation, session.used, record.capacity) ||
-        !IsEligible(session, record, aCandidate, aTask) ||
+        !jobs::Fits(allocation, session.used, record.capacity))
+      continue;
+    hasCapacity = true;
+    if (!IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
     const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
     const bool differsFromLastWorker = state == nullptr ||
                                        state->attempt == Attempt(0) ||
-                                       state->worker != number;
+                                       state->worker != session.number;
     // Packing persistent tasks onto the same workers keeps them off other
     // hosts, so that those can be moved to another pool.
     const bool hasSameKind = step.isPersistent == session.HasPersistentRun();
@@ -278,6 +293,8 @@
       bestRank = rank;
     }
   }
+  if (!hasCapacity)
+    unplaceable_.Add(aCandidate.pool, allocation);
   return best;
 }
 
@@ -311,4 +328,5 @@
   quotaUsage_[found->second.team] -= found->second.quotaCharge;
   aSession.runs.erase(found);
   proposedTasks_.erase(aTask);
+  unplaceable_.Clear();
 }
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -205,8 +205,9 @@
                                         const WorkerReply& aReply)
 {
   const jobs::WorkerRecord& record = RecordOf(aSession);
-  for (auto& [number, earlier] : sessions_) {
-    if (!earlier.isSuperseded || RecordOf(earlier).id != record.id)
+  for (const jobs::WorkerNumber number : supersededWorkers_) {
+    WorkerSession& earlier = sessions_.at(number);
+    if (RecordOf(earlier).id != record.id)
       continue;
     for (auto& [task, run] : earlier.runs) {
       if (!ListsRun(aReply, task) && run.stage != RunStage::Proposed)
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -37,10 +37,11 @@
   const Resources allocation = AllocationFor(step);
   WorkerSession* best = nullptr;
   std::int64_t bestFreeProcessors = 0;
-  for (auto& [number, session] : sessions_) {
+  for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
+    WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
-    if (number == aExcluded || HasReservation(number) ||
+    if (session.number == aExcluded || session.reservationCount > 0 ||
         !session.IsUsable(now_.steady) ||
         !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask) ||
@@ -56,6 +57,7 @@
   if (best == nullptr)
     return false;
   best->used += allocation;
+  ++best->reservationCount;
   reservations_[aTask] = { .worker = best->number,
                            .reserved = allocation,
                            .expiresAt = now_.steady + kReservationTimeout };
@@ -68,8 +70,11 @@
   const auto found = reservations_.find(aTask);
   if (found == reservations_.end())
     return;
-  if (WorkerSession* session = SessionOf(found->second.worker))
+  if (WorkerSession* session = SessionOf(found->second.worker)) {
     session->used -= found->second.reserved;
+    --session->reservationCount;
+    unplaceable_.Clear();
+  }
   reservations_.erase(found);
 }
 
@@ -92,8 +97,6 @@
 bool
 Scheduler::HasReservation(jobs::WorkerNumber aWorker) const
 {
-  return std::any_of(
-    reservations_.begin(), reservations_.end(), [&](const auto& aItem) {
-      return aItem.second.worker == aWorker;
-    });
+  const WorkerSession* session = FindSession(aWorker);
+  return session != nullptr && session->reservationCount > 0;
 }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -26,12 +26,6 @@
   return found == sessions_.end() ? nullptr : &found->second;
 }
 
-const jobs::WorkerRecord&
-Scheduler::RecordOf(const WorkerSession& aSession) const
-{
-  return stateMachine_.Workers().at(aSession.number);
-}
-
 void
 Scheduler::OnWorkerRegistered(jobs::WorkerNumber aWorker)
 {
@@ -40,7 +34,10 @@
   const auto [it, isNew] = sessions_.try_emplace(aWorker);
   WorkerSession& session = it->second;
   session.number = aWorker;
+  session.record = &stateMachine_.Workers().at(aWorker);
   session.lastHeartbeat = now_.steady;
+  if (!session.isSuperseded)
+    poolIndex_.Put(session.record->pool, session);
   isDispatchDue_ = true;
   if (!isNew)
     return;
@@ -68,6 +65,8 @@
       continue;
     session.isSuperseded = true;
     session.supersededAt = now_.steady;
+    supersededWorkers_.insert(number);
+    poolIndex_.Remove(session);
     const bool isSameAddress =
       isSameWorker && record.endpoint == latest.endpoint;
     for (auto& [task, run] : session.runs) {
@@ -88,7 +87,12 @@
 void
 Scheduler::OnWorkerRetired(jobs::WorkerNumber aWorker)
 {
-  sessions_.erase(aWorker);
+  const auto found = sessions_.find(aWorker);
+  if (found == sessions_.end())
+    return;
+  poolIndex_.Remove(found->second);
+  supersededWorkers_.erase(aWorker);
+  sessions_.erase(found);
 }
 
 void
--- /dev/null
+++ b/packages/schedule/unittests/DispatchWorkTest.cpp
@@ -0,0 +1,64 @@
+#include "SimulatedFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+namespace {
+
+constexpr std::uint64_t kWorkers = 350;
+constexpr std::uint64_t kJobs = 600;
+
+/// A fleet whose only usable capacity is taken by persistent tasks, so that all
+/// further jobs wait.
+struct FullFleet : SimulatedFleet
+{
+  FullFleet()
+  {
+    for (std::uint64_t number = 0; number < kWorkers; ++number)
+      AddWorker("w" + std::to_string(number));
+    Run(Duration(1000));
+    Submit({ { .count = kWorkers,
+               .request = { kDefaultCapacity.processors, Mebibytes(1), {} },
+               .isPersistent = true } });
+    Run(Duration(1000));
+    REQUIRE(TotalRuns() == kWorkers);
+  }
+
+  void SubmitWaitingJobs()
+  {
+    for (std::uint64_t number = 0; number < kJobs; ++number)
+      Submit(
+        { { .count = 1, .request = { MilliCores(100), Mebibytes(1), {} } } });
+    Run(Duration(500));
+  }
+
+  /// Work of dispatch in \p aSpan.
+  DispatchWork WorkDuring(Duration aSpan)
+  {
+    const DispatchWork before = Work();
+    Run(aSpan);
+    const DispatchWork after = Work();
+    return { .passes = after.passes - before.passes,
+             .rankedJobs = after.rankedJobs - before.rankedJobs,
+             .examinedWorkers = after.examinedWorkers - before.examinedWorkers,
+             .proposedRuns = after.proposedRuns - before.proposedRuns };
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+  FullFleet,
+  "waiting jobs don't each examine the whole fleet in every pass")
+{
+  SubmitWaitingJobs();
+  const DispatchWork work = WorkDuring(Duration(2000));
+  REQUIRE(work.passes > 0);
+  REQUIRE(work.proposedRuns == 0);
+  // One search for a place and one for capacity to reserve, for all jobs.
+  REQUIRE(work.examinedWorkers <= work.passes * 2 * kWorkers);
+}
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -101,6 +101,12 @@
   /// Passes a client's or worker's call to the controller.
   void Send(schedule::Call aCall);
 
+  /// The dispatch work of the current leader since it started.
+  const DispatchWork& Work() const
+  {
+    return controller_->GetScheduler().Work();
+  }
+
   /// Number of runs on \p aWorker.
   std::size_t RunsOn(const std::string& aWorker) const;
   /// Number of runs on all workers that are up.
