Scheduler: ranking waiting jobs has a bounded share of the processor

Once searches for a place were cheap, ranking was the largest part of a dispatch pass.

Cause: each pass ranked all live jobs, also those whose tasks were all assigned, and a pass followed each batch of events, up to 200 times a second. A job's rank took several look-ups by queue name and two allocations. The work grew with jobs times events.

Only jobs with a task that may be placed (or that needs permits) are ranked, what ranking needs of a queue is found once, and the time to the next pass grows with the number of jobs ranked, at most 20 a millisecond in the mean.

Test: "events don't each rank all waiting jobs when there are many", 600 to 800 waiting jobs, an event each 10 ms for 2 s.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -89,7 +89,8 @@
   /// Assigns ready tasks to workers. Must be called once after each batch of
   /// events.
   void Dispatch(ClockReading aNow);
-  bool IsDispatchDue() const { return isDispatchDue_; }
+  /// When Dispatch has to be called next, if at all.
+  std::optional<Time> NextDispatch() const;
   const DispatchWork& Work() const { return work_; }
   std::size_t LiveJobCount() const { return liveJobs_.size(); }
 
@@ -203,6 +204,16 @@
   // Placement is implemented in SchedulerPlacement.cpp, job ordering and demand
   // in SchedulerOrder.cpp, capacity reservations in SchedulerReservations.cpp
   // and placement permits in SchedulerAdvice.cpp.
+  /// What the scheduler keeps of a queue, also across configurations.
+  struct QueueState
+  {
+    /// The queue in the current configuration; null if it was removed.
+    const jobs::Queue* configured = nullptr;
+    /// The latest configured pool: a removed queue may still have jobs.
+    std::optional<PoolId> pool;
+    /// Moving average of the task run times, in milliseconds.
+    std::optional<double> meanRunTime;
+  };
   struct Candidate
   {
     const jobs::Job* job;
@@ -216,7 +227,10 @@
     /// The job can no longer meet its objective.
     bool isLate = false;
   };
+  std::vector<Candidate> LiveCandidates() const;
   std::vector<Candidate> RankedCandidates() const;
+  static bool HasDispatchableStep(const jobs::Job& aJob);
+  const QueueState* FindQueue(const jobs::QueueId& aQueue) const;
   void DispatchJob(const Candidate& aCandidate);
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
@@ -234,11 +248,14 @@
                             const TaskId& aTask,
                             bool aMayReserve);
   void Suspend(WorkerSession& aSession, const char* aReason) const;
-  Duration ExpectedRunTime(const jobs::Job& aJob,
-                           const jobs::Step& aStep) const;
-  Duration CriticalPath(const jobs::Job& aJob, bool aIsRemainingOnly) const;
+  static Duration ExpectedRunTime(const QueueState* aQueue,
+                                  const jobs::Step& aStep);
+  Duration CriticalPath(const jobs::Job& aJob,
+                        const QueueState& aQueue,
+                        bool aIsRemainingOnly) const;
   void UpdateMeanRunTime(const jobs::Job& aJob, const Run& aRun);
-  Candidate MakeCandidate(const jobs::Job& aJob, const PoolId& aPool) const;
+  Candidate MakeCandidate(const jobs::Job& aJob,
+                          const QueueState& aQueue) const;
   bool ReserveCapacity(const Candidate& aCandidate,
                        const TaskId& aTask,
                        jobs::WorkerNumber aExcluded);
@@ -275,7 +292,7 @@
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
   PoolIndex poolIndex_;
-  std::set<jobs::WorkerNumber> supersededWorkers_;
+  std::map<jobs::WorkerId, std::set<jobs::WorkerNumber>> supersededWorkers_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
   std::uint64_t lastCallId_ = 0;
   /// Jobs that have not ended.
@@ -286,11 +303,10 @@
   std::set<TaskId> proposedTasks_;
   /// Resources charged to each team's quota.
   std::unordered_map<TeamId, jobs::Resources> quotaUsage_;
-  /// Moving average of the task run times of each queue, in milliseconds.
-  std::map<jobs::QueueId, double> meanRunTimes_;
-  /// The pool of each queue. Queues removed from the configuration keep their
-  /// last pool, because they may still have jobs.
-  std::map<jobs::QueueId, PoolId> poolByQueue_;
+  std::unordered_map<jobs::QueueId, QueueState> queues_;
+  std::unordered_map<TeamId, jobs::Resources> quotas_;
+  /// Scratch space for CriticalPath.
+  mutable std::vector<Duration> pathEnds_;
   /// Capacity reserved on a worker until enough is free for the task. It counts
   /// as used; otherwise small tasks would take all capacity as it is freed and
   /// starve the larger task.
@@ -312,6 +328,7 @@
   std::map<PoolId, Time> lastShortageAt_;
   /// Whether anything has changed that may make a task placeable.
   bool isDispatchDue_ = false;
+  Time earliestDispatch_;
   Time nextRetentionScan_;
   Time nextDispatchAt_;
   mutable DispatchWork work_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -134,7 +134,7 @@
 void
 Controller::Flush(ClockReading aNow)
 {
-  if (scheduler_.IsDispatchDue())
+  if (const auto due = scheduler_.NextDispatch(); due && *due <= aNow.steady)
     scheduler_.Dispatch(aNow);
   CloseBatch();
   nextFlush_ = aNow.steady + kBatchDelay;
@@ -155,9 +155,11 @@
 {
   if (!scheduler_.IsLeading())
     return nextDemandSample_;
-  const bool hasWork = !openOperations_.empty() || !queuedBatches_.empty() ||
-                       scheduler_.IsDispatchDue();
-  const Time next = hasWork ? std::min(nextFlush_, nextTick_) : nextTick_;
+  Time next = nextTick_;
+  if (!openOperations_.empty() || !queuedBatches_.empty())
+    next = std::min(next, nextFlush_);
+  if (const auto dispatch = scheduler_.NextDispatch())
+    next = std::min(next, std::max(nextFlush_, *dispatch));
   return hostPlanner_.IsOrderDue() ? std::min(next, nextPlanning_) : next;
 }
 
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -100,13 +100,37 @@
 void
 Scheduler::OnConfigurationChanged()
 {
+  for (auto& [id, queue] : queues_)
+    queue.configured = nullptr;
+  quotas_.clear();
   if (const jobs::Configuration* configuration =
-        stateMachine_.CurrentConfiguration())
-    for (const jobs::Queue& queue : configuration->queues)
-      poolByQueue_[queue.id] = queue.pool;
+        stateMachine_.CurrentConfiguration()) {
+    for (const jobs::Queue& queue : configuration->queues) {
+      QueueState& state = queues_[queue.id];
+      state.configured = &queue;
+      state.pool = queue.pool;
+    }
+    for (const jobs::Team& team : configuration->teams)
+      quotas_[team.id] = team.quota;
+  }
   isDispatchDue_ = IsLeading();
 }
 
+const Scheduler::QueueState*
+Scheduler::FindQueue(const jobs::QueueId& aQueue) const
+{
+  const auto found = queues_.find(aQueue);
+  return found == queues_.end() ? nullptr : &found->second;
+}
+
+std::optional<Time>
+Scheduler::NextDispatch() const
+{
+  if (!isDispatchDue_)
+    return std::nullopt;
+  return earliestDispatch_;
+}
+
 void
 Scheduler::UpdateUnstartedJobs(const jobs::Job& aJob)
 {
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -26,13 +26,13 @@
 static constexpr Duration kShortageDemandTime = Duration(500);
 
 Scheduler::Candidate
-Scheduler::MakeCandidate(const jobs::Job& aJob, const PoolId& aPool) const
+Scheduler::MakeCandidate(const jobs::Job& aJob, const QueueState& aQueue) const
 {
-  const jobs::Queue* queue =
-    stateMachine_.CurrentConfiguration()->Find(aJob.queue);
-  Candidate candidate{
-    .job = &aJob, .pool = aPool, .priority = 0, .latestStart = aJob.acceptedAt
-  };
+  const jobs::Queue* queue = aQueue.configured;
+  Candidate candidate{ .job = &aJob,
+                       .pool = *aQueue.pool,
+                       .priority = 0,
+                       .latestStart = aJob.acceptedAt };
   // Jobs with persistent tasks have no objective: their tasks should always
   // run, so they keep the highest priority.
   const bool isPersistent =
@@ -44,12 +44,12 @@
   if (queue == nullptr || isPersistent)
     return candidate;
   const auto criticalPathMs =
-    static_cast<double>(CriticalPath(aJob, false).Millis());
+    static_cast<double>(CriticalPath(aJob, aQueue, false).Millis());
   candidate.priority = queue->priority;
   candidate.latestStart =
     aJob.acceptedAt + queue->objective +
     Duration(static_cast<std::int64_t>(queue->stretch * criticalPathMs)) -
-    CriticalPath(aJob, true);
+    CriticalPath(aJob, aQueue, true);
   candidate.isLate = aJob.description.recurrence.count == 0 &&
                      candidate.latestStart + kLateTolerance < now_.wall;
   return candidate;
@@ -58,24 +58,26 @@
 /// \returns the expected run time of a step's tasks: the mean of the client's
 /// estimate, which is rough, and the average measured for the queue.
 Duration
-Scheduler::ExpectedRunTime(const jobs::Job& aJob, const jobs::Step& aStep) const
+Scheduler::ExpectedRunTime(const QueueState* aQueue, const jobs::Step& aStep)
 {
-  const auto average = meanRunTimes_.find(aJob.queue);
-  if (average == meanRunTimes_.end())
+  if (aQueue == nullptr || !aQueue->meanRunTime)
     return aStep.estimate;
-  const auto averageMs = static_cast<std::int64_t>(average->second);
+  const auto averageMs = static_cast<std::int64_t>(*aQueue->meanRunTime);
   return Duration((aStep.estimate.Millis() + averageMs) / 2);
 }
 
 /// \returns the expected run time of the critical path through all steps, or
 /// through the unfinished ones only.
 Duration
-Scheduler::CriticalPath(const jobs::Job& aJob, bool aIsRemainingOnly) const
+Scheduler::CriticalPath(const jobs::Job& aJob,
+                        const QueueState& aQueue,
+                        bool aIsRemainingOnly) const
 {
   const auto& steps = aJob.description.steps;
   const jobs::Occurrence* occurrence =
     aJob.occurrences.empty() ? nullptr : &aJob.occurrences.begin()->second;
-  std::vector<Duration> ends(steps.size());
+  std::vector<Duration>& ends = pathEnds_;
+  ends.resize(steps.size());
   Duration longest;
   for (std::size_t index = 0; index < steps.size(); ++index) {
     const bool isDone = aIsRemainingOnly && occurrence != nullptr &&
@@ -85,7 +87,7 @@
     for (const std::uint32_t predecessor : steps[index].dependencies)
       start = std::max(start, ends[predecessor]);
     ends[index] =
-      start + (isDone ? Duration(0) : ExpectedRunTime(aJob, steps[index]));
+      start + (isDone ? Duration(0) : ExpectedRunTime(&aQueue, steps[index]));
     longest = std::max(longest, ends[index]);
   }
   return longest;
@@ -98,30 +100,60 @@
     return;
   const auto elapsedMs =
     static_cast<double>((now_.steady - aRun.confirmedAt).Millis());
-  const auto [it, isFirst] = meanRunTimes_.try_emplace(aJob.queue, elapsedMs);
-  if (!isFirst)
-    it->second += (elapsedMs - it->second) * kRunTimeSmoothing;
+  std::optional<double>& mean = queues_[aJob.queue].meanRunTime;
+  mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
+}
+
+/// Whether a step of the job has tasks that wait for a worker and not for other
+/// steps.
+bool
+Scheduler::HasDispatchableStep(const jobs::Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences)
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+      if (occurrence.steps[step].waitingTasks > 0 &&
+          jobs::AreDependenciesDone(aJob, occurrence, step))
+        return true;
+  return false;
 }
 
+/// \returns the live jobs of known queues, without an order.
 std::vector<Scheduler::Candidate>
-Scheduler::RankedCandidates() const
+Scheduler::LiveCandidates() const
 {
   std::vector<Candidate> candidates;
-  if (stateMachine_.CurrentConfiguration() == nullptr)
-    return candidates;
   const auto add = [&](const jobs::Job& aJob) {
-    const auto pool = poolByQueue_.find(aJob.queue);
-    if (pool != poolByQueue_.end())
-      candidates.push_back(MakeCandidate(aJob, pool->second));
+    const QueueState* queue = FindQueue(aJob.queue);
+    if (queue != nullptr && queue->pool)
+      candidates.push_back(MakeCandidate(aJob, *queue));
   };
-  if (IsLeading()) {
-    for (const jobs::JobId id : liveJobs_)
-      if (const jobs::Job* job = stateMachine_.Find(id))
-        add(*job);
-  } else {
+  if (!IsLeading()) {
     for (const auto& [id, job] : stateMachine_.Jobs())
       if (job.state == jobs::JobState::Live)
         add(job);
+    return candidates;
+  }
+  for (const jobs::JobId id : liveJobs_)
+    if (const jobs::Job* job = stateMachine_.Find(id))
+      add(*job);
+  return candidates;
+}
+
+/// \returns the live jobs with tasks that may be placed or need permits, in the
+/// order in which they are served.
+std::vector<Scheduler::Candidate>
+Scheduler::RankedCandidates() const
+{
+  std::vector<Candidate> candidates;
+  for (const jobs::JobId id : liveJobs_) {
+    const jobs::Job* job = stateMachine_.Find(id);
+    const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
+    if (queue == nullptr || !queue->pool)
+      continue;
+    const bool needsPermits =
+      queue->configured != nullptr && queue->configured->advice;
+    if (needsPermits || HasDispatchableStep(*job))
+      candidates.push_back(MakeCandidate(*job, *queue));
   }
   std::sort(candidates.begin(),
             candidates.end(),
@@ -143,7 +175,7 @@
 Scheduler::ComputeDemand() const
 {
   std::map<PoolId, PoolDemand> demand;
-  for (const Candidate& candidate : RankedCandidates()) {
+  for (const Candidate& candidate : LiveCandidates()) {
     const jobs::Job& job = *candidate.job;
     PoolDemand& poolDemand = demand[candidate.pool];
     for (const auto& [number, occurrence] : job.occurrences)
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -12,6 +12,11 @@
 
 using jobs::Resources;
 
+/// Passes are spaced so that no more jobs are ranked in the mean: with many
+/// waiting jobs, a pass for each event would leave no time to handle the
+/// events.
+static constexpr std::int64_t kMaxRankedJobsPerMilli = 20;
+
 void
 Scheduler::Dispatch(ClockReading aNow)
 {
@@ -25,6 +30,9 @@
   const std::vector<Candidate> candidates = RankedCandidates();
   ++work_.passes;
   work_.rankedJobs += candidates.size();
+  earliestDispatch_ =
+    aNow.steady + Duration(static_cast<std::int64_t>(candidates.size()) /
+                           kMaxRankedJobsPerMilli);
   for (const Candidate& candidate : candidates)
     DispatchJob(candidate);
   for (const Candidate& candidate : candidates)
@@ -178,23 +186,20 @@
 bool
 Scheduler::IsWithinQuota(const TeamId& aTeam, const Resources& aRequest) const
 {
-  const jobs::Configuration* configuration =
-    stateMachine_.CurrentConfiguration();
-  const jobs::Team* team =
-    configuration == nullptr ? nullptr : configuration->Find(aTeam);
+  const auto quota = quotas_.find(aTeam);
   const auto used = quotaUsage_.find(aTeam);
-  if (team == nullptr || used == quotaUsage_.end())
+  if (quota == quotas_.end() || used == quotaUsage_.end())
     return true;
   const auto fits = [](auto aUsed, auto aAsked, auto aLimit) {
     return aLimit.Count() == 0 || aUsed + aAsked <= aLimit;
   };
   return fits(used->second.processors,
               aRequest.processors,
-              team->quota.processors) &&
-         fits(used->second.memory, aRequest.memory, team->quota.memory) &&
+              quota->second.processors) &&
+         fits(used->second.memory, aRequest.memory, quota->second.memory) &&
          fits(used->second.accelerators,
               aRequest.accelerators,
-              team->quota.accelerators);
+              quota->second.accelerators);
 }
 
 /// Whether a worker is eligible for a task, regardless of its free capacity.
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -131,7 +131,8 @@
       aRun.stage != RunStage::Running || aRun.confirmedAt == Time(0))
     return;
   const Duration expected =
-    std::max(ExpectedRunTime(*job, job->description.steps[aListed.task.step]),
+    std::max(ExpectedRunTime(FindQueue(job->queue),
+                             job->description.steps[aListed.task.step]),
              kMinExpectedRunTime);
   const Duration elapsed = now_.steady - aRun.confirmedAt;
   const std::int64_t percent =
@@ -204,11 +205,11 @@
 Scheduler::EndRunsOfEarlierIncarnations(const WorkerSession& aSession,
                                         const WorkerReply& aReply)
 {
-  const jobs::WorkerRecord& record = RecordOf(aSession);
-  for (const jobs::WorkerNumber number : supersededWorkers_) {
+  const auto superseded = supersededWorkers_.find(RecordOf(aSession).id);
+  if (superseded == supersededWorkers_.end())
+    return;
+  for (const jobs::WorkerNumber number : superseded->second) {
     WorkerSession& earlier = sessions_.at(number);
-    if (RecordOf(earlier).id != record.id)
-      continue;
     for (auto& [task, run] : earlier.runs) {
       if (!ListsRun(aReply, task) && run.stage != RunStage::Proposed)
         EndRun(
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -65,7 +65,7 @@
       continue;
     session.isSuperseded = true;
     session.supersededAt = now_.steady;
-    supersededWorkers_.insert(number);
+    supersededWorkers_[record.id].insert(number);
     poolIndex_.Remove(session);
     const bool isSameAddress =
       isSameWorker && record.endpoint == latest.endpoint;
@@ -91,7 +91,10 @@
   if (found == sessions_.end())
     return;
   poolIndex_.Remove(found->second);
-  supersededWorkers_.erase(aWorker);
+  for (auto it = supersededWorkers_.begin(); it != supersededWorkers_.end();) {
+    it->second.erase(aWorker);
+    it = it->second.empty() ? supersededWorkers_.erase(it) : std::next(it);
+  }
   sessions_.erase(found);
 }
 
@@ -247,15 +250,12 @@
 Scheduler::ReserveElsewhere(const WorkerSession& aSession, const TaskId& aTask)
 {
   const jobs::Job* job = stateMachine_.Find(aTask.job);
-  const auto pool =
-    job == nullptr ? poolByQueue_.end() : poolByQueue_.find(job->queue);
-  if (pool == poolByQueue_.end() ||
-      stateMachine_.CurrentConfiguration() == nullptr)
+  const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
+  if (queue == nullptr || !queue->pool)
     return true;
   if (reservations_.count(aTask) == 0 &&
-      !ReserveCapacity(
-        MakeCandidate(*job, pool->second), aTask, aSession.number)) {
-    lastShortageAt_[pool->second] = now_.steady;
+      !ReserveCapacity(MakeCandidate(*job, *queue), aTask, aSession.number)) {
+    lastShortageAt_[*queue->pool] = now_.steady;
     return false;
   }
   return IsReservedCapacityFree(aTask);
--- a/packages/schedule/unittests/DispatchWorkTest.cpp
+++ b/packages/schedule/unittests/DispatchWorkTest.cpp
@@ -62,3 +62,23 @@
   // One search for a place and one for capacity to reserve, for all jobs.
   REQUIRE(work.examinedWorkers <= work.passes * 2 * kWorkers);
 }
+
+TEST_CASE_METHOD(FullFleet,
+                 "events don't each rank all waiting jobs when there are many")
+{
+  SubmitWaitingJobs();
+  const DispatchWork before = Work();
+  constexpr std::uint64_t kEvents = 200;
+  constexpr std::uint64_t kEventInterval = 10;
+  for (std::uint64_t event = 0; event < kEvents; ++event) {
+    Submit(
+      { { .count = 1, .request = { MilliCores(100), Mebibytes(1), {} } } });
+    Run(Duration(kEventInterval));
+  }
+  constexpr std::uint64_t kRankedPerMilli = 20;
+  constexpr std::uint64_t kLastPass = kJobs + kEvents;
+  CAPTURE(Work().passes - before.passes);
+  REQUIRE(Work().passes > before.passes);
+  REQUIRE(Work().rankedJobs - before.rankedJobs <=
+          kEvents * kEventInterval * kRankedPerMilli + kLastPass);
+}
