--- /dev/null
+++ b/packages/daemon/unittests/JournalFilterTest.cpp
@@ -0,0 +1,147 @@
+#include "../lib/filters/JournalFilter.h"
+
+#include "greengage/pipe/Duty.h"
+#include "greengage/wire/LogRecord.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+namespace {
+
+/// Keeps the reports to the replica.
+class ReportList final : public pipe::Pipe<ConsensusInput>
+{
+public:
+  bool TryPush(ConsensusInput&& aInput) override
+  {
+    return Push(std::move(aInput));
+  }
+  bool Push(ConsensusInput&& aInput) override
+  {
+    const auto& event = std::get<consensus::Event>(aInput);
+    durable.push_back(std::get<consensus::Persisted>(event).id.Value());
+    return true;
+  }
+  std::vector<std::uint64_t> durable;
+};
+
+struct TemporaryFolder
+{
+  TemporaryFolder()
+    : path(std::filesystem::temp_directory_path() /
+           ("journal-filter-" + std::to_string(getpid())))
+  {
+    std::filesystem::remove_all(path);
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path); }
+  std::filesystem::path path;
+};
+
+} // namespace
+
+static std::unique_ptr<storage::Journal>
+OpenJournal(const TemporaryFolder& aFolder,
+            storage::FileSystem& aFiles,
+            storage::Recovered& aRecovered)
+{
+  Error reason;
+  auto journal = storage::Journal::Open({ .folder = aFolder.path.string(),
+                                          .host = EntryHostId("a"),
+                                          .newFolderId = storage::FolderId(1) },
+                                        aFiles,
+                                        aRecovered,
+                                        reason);
+  REQUIRE(journal);
+  return journal;
+}
+
+static consensus::Persist
+PersistEntry(std::uint64_t aNumber)
+{
+  consensus::Persist persist{ .id = consensus::PersistId(aNumber),
+                              .hardState = std::nullopt,
+                              .snapshot = nullptr,
+                              .truncateFrom = std::nullopt,
+                              .firstIndex = state::LogIndex(aNumber),
+                              .entries = {} };
+  persist.entries.push_back({ .term = consensus::Term(1),
+                              .kind = consensus::EntryKind::Command,
+                              .command = "command " + std::to_string(aNumber),
+                              .members = {} });
+  return persist;
+}
+
+static std::vector<std::string>
+Commands(const storage::Recovered& aRecovered)
+{
+  std::vector<std::string> commands;
+  Error reason;
+  for (const storage::Record& record : aRecovered.records) {
+    const auto entry = wire::DecodeEntry(record.payload, reason);
+    REQUIRE(entry);
+    commands.push_back(entry->command);
+  }
+  return commands;
+}
+
+TEST_CASE("writes that queue for the disk become durable with one sync")
+{
+  const BootClock clock;
+  const TemporaryFolder folder;
+  storage::PosixFileSystem files;
+  ReportList reports;
+  {
+    storage::Recovered recovered;
+    const auto journal = OpenJournal(folder, files, recovered);
+    JournalFilter filter(*journal, reports);
+    pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
+                                        clock);
+    for (std::uint64_t number = 1; number <= 10; ++number)
+      REQUIRE(duty.TryPush(PersistEntry(number)));
+    duty.Start(filter);
+    duty.Stop();
+  }
+  // One report follows each sync.
+  REQUIRE(reports.durable == std::vector<std::uint64_t>{ 10 });
+  storage::Recovered recovered;
+  OpenJournal(folder, files, recovered);
+  REQUIRE(Commands(recovered).size() == 10);
+  REQUIRE(Commands(recovered).back() == "command 10");
+}
+
+TEST_CASE("a write that truncates the log is not merged with earlier ones")
+{
+  const BootClock clock;
+  const TemporaryFolder folder;
+  storage::PosixFileSystem files;
+  ReportList reports;
+  {
+    storage::Recovered recovered;
+    const auto journal = OpenJournal(folder, files, recovered);
+    JournalFilter filter(*journal, reports);
+    pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
+                                        clock);
+    for (std::uint64_t number = 1; number <= 3; ++number)
+      REQUIRE(duty.TryPush(PersistEntry(number)));
+    consensus::Persist replaced = PersistEntry(2);
+    replaced.id = consensus::PersistId(4);
+    replaced.truncateFrom = state::LogIndex(2);
+    replaced.entries.front().command = "replaced";
+    REQUIRE(duty.TryPush(std::move(replaced)));
+    duty.Start(filter);
+    duty.Stop();
+  }
+  REQUIRE(reports.durable.back() == 4);
+  storage::Recovered recovered;
+  OpenJournal(folder, files, recovered);
+  REQUIRE(Commands(recovered) ==
+          std::vector<std::string>{ "command 1", "replaced" });
+}
--- a/packages/pipe/include/greengage/pipe/Duty.h
+++ b/packages/pipe/include/greengage/pipe/Duty.h
@@ -82,16 +82,26 @@
     PopStatus status = PopStatus::TimedOut;
     while (status != PopStatus::Closed) {
       status = Next(message, aFilter);
-      if (status == PopStatus::Taken) {
-        meter_.OnTaken();
-        aFilter.Accept(std::move(message), clock_.Now());
-      }
+      if (status == PopStatus::Taken)
+        HandleBatch(message, aFilter);
       FireTimer(aFilter);
       SampleLoad();
     }
     aFilter.OnClose(clock_.Now());
   }
 
+  /// Handles \p aMessage and the messages that wait behind it.
+  void HandleBatch(Message& aMessage, Filter<Message>& aFilter)
+  {
+    std::size_t count = 0;
+    do {
+      meter_.OnTaken();
+      aFilter.Accept(std::move(aMessage), clock_.Now());
+      FireTimer(aFilter);
+    } while (++count < kMaxBatch && ring_.TryPop(aMessage));
+    aFilter.OnBatchEnd(clock_.Now());
+  }
+
   void SampleLoad()
   {
     const Time now = clock_.Now();
@@ -121,6 +131,10 @@
       aFilter.OnTimer(now);
   }
 
+  /// A batch ends after this many messages, so that its effects are not delayed
+  /// for long.
+  static constexpr std::size_t kMaxBatch = 64;
+
   DutyOptions options_;
   const Clock& clock_;
   Ring<Message> ring_;
--- a/packages/pipe/include/greengage/pipe/Filter.h
+++ b/packages/pipe/include/greengage/pipe/Filter.h
@@ -20,6 +20,10 @@
   /// Handles one message.
   virtual void Accept(Message&& aMessage, Time aNow) = 0;
 
+  /// Called after all messages that were waiting have been handled, or after
+  /// many of them.
+  virtual void OnBatchEnd(Time /*aNow*/) {}
+
   /// When OnTimer is to be called next, if at all.
   virtual std::optional<Time> NextTimer() const { return std::nullopt; }
 
