Controller: one log entry at a time, with all that came meanwhile

Cause: the leader closed an entry every 5 ms and had up to 64 on their way, so a slow commit did not make entries larger but more numerous. Each entry costs a message to and from each of five control hosts and several wake-ups on the leader: 2,300 messages a second in its consensus duty and 2,700 in its gate, at a time when the processor was the bottleneck.

An entry is now proposed once its predecessor is committed and takes all operations since then. A lightly loaded leader commits within the old interval, so that little changes for it. A worker's reply is also no longer copied, lists and all, before it is handled.

Test: "operations that arrive during a commit share one log entry".

--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -129,6 +129,7 @@
   /// Dispatches if due, and proposes the collected operations as log entries.
   void Flush(ClockReading aNow);
   void CloseBatch();
+  bool CanPropose() const;
   void FailBatch(BatchId aBatch, const Reply& aReply);
 
   ControllerSink& sink_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -23,8 +23,10 @@
 /// Upper bound for the encoded size of an operation and of one step of a job;
 /// the payload of a job and the text of a configuration come on top.
 static constexpr std::size_t kMaxOperationBytes = 512;
-/// Limit for log entries that are proposed and not committed.
-static constexpr std::size_t kMaxBatchesInFlight = 64;
+/// Limit for log entries that are proposed and not committed. Operations that
+/// come meanwhile share the next entry, so that a slow commit makes entries
+/// larger and not more numerous.
+static constexpr std::size_t kMaxBatchesInFlight = 1;
 /// Retry delay sent with temporary refusals, such as for the lack of a leader
 /// lease.
 static constexpr Duration kRetryAfter = Duration(500);
@@ -136,10 +138,10 @@
 {
   if (const auto due = scheduler_.NextDispatch(); due && *due <= aNow.steady)
     scheduler_.Dispatch(aNow);
-  CloseBatch();
   nextFlush_ = aNow.steady + kBatchDelay;
-  while (!queuedBatches_.empty() &&
-         inFlightReplies_.size() < kMaxBatchesInFlight) {
+  while (CanPropose()) {
+    if (queuedBatches_.empty())
+      CloseBatch();
     const BatchId id(lastBatchId_ + 1);
     Batch& batch = queuedBatches_.front();
     if (!sink_.Propose(id, batch.entry))
@@ -150,13 +152,21 @@
   }
 }
 
+/// Whether operations wait to be proposed and may be.
+bool
+Controller::CanPropose() const
+{
+  return inFlightReplies_.size() < kMaxBatchesInFlight &&
+         (!openOperations_.empty() || !queuedBatches_.empty());
+}
+
 std::optional<Time>
 Controller::NextTick() const
 {
   if (!scheduler_.IsLeading())
     return nextDemandSample_;
   Time next = nextTick_;
-  if (!openOperations_.empty() || !queuedBatches_.empty())
+  if (CanPropose())
     next = std::min(next, nextFlush_);
   if (const auto dispatch = scheduler_.NextDispatch())
     next = std::min(next, std::max(nextFlush_, *dispatch));
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -185,14 +185,15 @@
   WorkerSession* session = SessionOf(call.worker);
   if (session == nullptr)
     return;
-  WorkerReply reply = aReply;
-  if (IsFromOtherIncarnation(*session, reply)) {
-    // The reply says nothing about this incarnation: treat the call as
-    // unanswered.
-    reply = WorkerReply();
-    reply.id = aReply.id;
-    reply.detail = "another life of the worker answered";
+  // The reply of another incarnation says nothing about this one: the call is
+  // treated as unanswered.
+  const bool isFromOther = IsFromOtherIncarnation(*session, aReply);
+  WorkerReply unanswered;
+  if (isFromOther) {
+    unanswered.id = aReply.id;
+    unanswered.detail = "another life of the worker answered";
   }
+  const WorkerReply& reply = isFromOther ? unanswered : aReply;
   const bool hasAnswered = reply.answer != WorkerCallStatus::NotSent &&
                            reply.answer != WorkerCallStatus::NoAnswer;
   if (hasAnswered) {
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -105,6 +105,23 @@
   CHECK(std::holds_alternative<NoSuchJob>(*LastReply()));
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "operations that arrive during a commit share one log entry")
+{
+  constexpr std::size_t kSubmissions = 100;
+  const Duration interval(5);
+  const std::size_t before = LogEntryCount();
+  for (std::size_t number = 0; number < kSubmissions; ++number) {
+    Submit({ { .count = 1 } });
+    Run(interval);
+  }
+  const std::size_t commits = kSubmissions *
+                              static_cast<std::size_t>(interval.Millis()) /
+                              static_cast<std::size_t>(kCommitLatency.Millis());
+  REQUIRE(LogEntryCount() > before);
+  REQUIRE(LogEntryCount() - before <= commits + 1);
+}
+
 TEST_CASE_METHOD(Fixture, "cancelling a job stops all of its runs")
 {
   const jobs::JobId job =
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -9,7 +9,6 @@
 using namespace greengage::schedule;
 
 static constexpr Duration kTickInterval(5);
-static constexpr Duration kCommitLatency(10);
 static constexpr Duration kNetworkLatency(1);
 static constexpr Duration kHeartbeatInterval(1500);
 static constexpr Duration kHostMoveTime(1500);
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -107,6 +107,11 @@
     return controller_->GetScheduler().Work();
   }
 
+  /// Number of entries in the replicated log.
+  std::size_t LogEntryCount() const { return log_.size(); }
+  /// The time from the proposal of an entry to its commit.
+  static constexpr Duration kCommitLatency = Duration(10);
+
   /// Number of runs on \p aWorker.
   std::size_t RunsOn(const std::string& aWorker) const;
   /// Number of runs on all workers that are up.
