HTTP client: connections to endpoints that are called no more are closed

Cause: the leader could connect to no new worker. The client kept idle connections for each endpoint without end. From 38 s on its calls to new workers failed with "connect: Too many open files" (216 workers logged). The planner moved seven more hosts into the pool, one at a time, for the waiting task; all but one of their workers logged that failure and none was called with success, so no run was placed on them.

Idle connections are now closed after a time (5 s for workers, 30 s elsewhere), and the longest idle one beyond 1,024 in all.

Both tests failed with the options declared and the old client: the connections stayed open for the 5 s that they wait.

--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -28,6 +28,10 @@
 static constexpr std::size_t kRingCapacity = 1024;
 /// Calls to one worker at once: one that waits for its lists, and starts.
 static constexpr std::size_t kConnectionsPerWorker = 4;
+/// How long an idle connection to a worker is kept: workers with runs are
+/// called every second, and a worker that comes back after its host moved has
+/// another address.
+static constexpr Duration kWorkerIdleTimeout = Duration::Seconds(5);
 /// Calls to the provider of hosts that may wait, and at once.
 static constexpr std::size_t kHostRingCapacity = 128;
 static constexpr std::size_t kProviderConnections = 4;
@@ -166,6 +170,7 @@
   , workers(clientDuty,
             { .capacity = kRingCapacity,
               .idlePerEndpoint = kConnectionsPerWorker,
+              .idleTimeout = kWorkerIdleTimeout,
               .maxPerEndpoint = kConnectionsPerWorker },
             workerSource)
   , hosts(clientDuty,
--- a/packages/http/include/greengage/http/Client.h
+++ b/packages/http/include/greengage/http/Client.h
@@ -68,6 +68,11 @@
   std::size_t capacity = 4096;
   /// Idle connections kept for each endpoint.
   std::size_t idlePerEndpoint = 16;
+  /// Idle connections kept in all; beyond it, the longest idle one is closed.
+  std::size_t maxIdle = 1024;
+  /// How long an idle connection is kept. An endpoint may never be called
+  /// again, and may have gone without closing its side.
+  Duration idleTimeout = Duration::Seconds(30);
   /// Calls to one endpoint at once; further ones wait for their turn, and the
   /// wait counts towards their time. 0 for no limit.
   std::size_t maxPerEndpoint = 0;
--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -4,11 +4,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cassert>
 #include <chrono>
 #include <deque>
+#include <iterator>
+#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -46,6 +50,7 @@
     : options_(aOptions)
     , results_(aResults)
     , context_(aDuty.Context())
+    , idleTimer_(context_)
     , calls_(aDuty, aOptions.capacity, [this](ClientCall&& aCall) {
       Begin(std::move(aCall));
     })
@@ -63,11 +68,28 @@
   asio::io_context& Context() { return context_; }
 
 private:
+  struct IdleConnection
+  {
+    Endpoint endpoint;
+    std::unique_ptr<Connection> connection;
+    std::chrono::steady_clock::time_point since;
+  };
+  using IdleList = std::list<IdleConnection>;
+
+  void CloseIdle(IdleList::iterator aIdle);
+  void ArmIdleTimer();
+  void CloseExpiredIdle();
+
   ClientOptions options_;
   pipe::Pipe<ClientResult>& results_;
   asio::io_context& context_;
+  asio::steady_timer idleTimer_;
+  /// Armed while there are idle connections.
+  bool isIdleTimerArmed_ = false;
   pipe::IoPipe<ClientCall> calls_;
-  std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle_;
+  /// The longest idle connection first, here and for each endpoint.
+  IdleList idle_;
+  std::map<Endpoint, std::deque<IdleList::iterator>> idleByEndpoint_;
   /// Calls in progress and those that wait for their turn, where the number of
   /// calls is limited.
   struct Turns
@@ -264,18 +286,21 @@
 std::unique_ptr<Connection>
 ClientImpl::TakeIdle(const Endpoint& aEndpoint)
 {
-  const auto found = idle_.find(aEndpoint);
-  if (found == idle_.end())
+  const auto found = idleByEndpoint_.find(aEndpoint);
+  if (found == idleByEndpoint_.end())
     return nullptr;
   auto& kept = found->second;
-  while (!kept.empty()) {
-    std::unique_ptr<Connection> connection = std::move(kept.back());
+  std::unique_ptr<Connection> taken;
+  while (taken == nullptr && !kept.empty()) {
+    const auto latest = kept.back();
     kept.pop_back();
-    if (!IsClosedByPeer(*connection))
-      return connection;
+    if (!IsClosedByPeer(*latest->connection))
+      taken = std::move(latest->connection);
+    idle_.erase(latest);
   }
-  idle_.erase(found);
-  return nullptr;
+  if (kept.empty())
+    idleByEndpoint_.erase(found);
+  return taken;
 }
 
 void
@@ -283,10 +308,54 @@
                      std::unique_ptr<Connection> aConnection)
 {
   aConnection->stream.expires_never();
-  auto& kept = idle_[aEndpoint];
-  kept.push_back(std::move(aConnection));
+  idle_.push_back({ .endpoint = aEndpoint,
+                    .connection = std::move(aConnection),
+                    .since = std::chrono::steady_clock::now() });
+  auto& kept = idleByEndpoint_[aEndpoint];
+  kept.push_back(std::prev(idle_.end()));
   if (kept.size() > options_.idlePerEndpoint)
-    kept.pop_front();
+    CloseIdle(kept.front());
+  if (idle_.size() > options_.maxIdle)
+    CloseIdle(idle_.begin());
+  ArmIdleTimer();
+}
+
+/// Closes the longest idle connection of its endpoint.
+void
+ClientImpl::CloseIdle(IdleList::iterator aIdle)
+{
+  const auto found = idleByEndpoint_.find(aIdle->endpoint);
+  assert(found->second.front() == aIdle && "connections expire in order");
+  found->second.pop_front();
+  if (found->second.empty())
+    idleByEndpoint_.erase(found);
+  idle_.erase(aIdle);
+}
+
+void
+ClientImpl::ArmIdleTimer()
+{
+  if (isIdleTimerArmed_ || idle_.empty())
+    return;
+  isIdleTimerArmed_ = true;
+  idleTimer_.expires_at(idle_.front().since + ToChrono(options_.idleTimeout));
+  idleTimer_.async_wait([weak = weak_from_this()](beast::error_code aError) {
+    const auto self = weak.lock();
+    if (aError || self == nullptr)
+      return;
+    self->isIdleTimerArmed_ = false;
+    self->CloseExpiredIdle();
+    self->ArmIdleTimer();
+  });
+}
+
+void
+ClientImpl::CloseExpiredIdle()
+{
+  const auto latest =
+    std::chrono::steady_clock::now() - ToChrono(options_.idleTimeout);
+  while (!idle_.empty() && idle_.front().since <= latest)
+    CloseIdle(idle_.begin());
 }
 
 } // namespace greengage::http::detail
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -7,11 +7,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -389,3 +391,83 @@
   CHECK(requests.Take().body == "3");
   clientDuty.Stop();
 }
+
+namespace {
+
+/// Calls of a client to several endpoints, each of which answers one call.
+struct IdleFixture
+{
+  explicit IdleFixture(ClientOptions aOptions)
+    : client(duty, aOptions, results)
+  {
+    duty.Start();
+  }
+  ~IdleFixture() { duty.Stop(); }
+
+  /// Makes a call to a new endpoint, which keeps its connection open.
+  /// \returns the endpoint's side of the connection.
+  std::unique_ptr<asio::ip::tcp::socket> CallNewEndpoint()
+  {
+    asio::ip::tcp::acceptor acceptor(
+      context, { asio::ip::make_address("127.0.0.1"), 0 });
+    ClientCall call;
+    call.id = ClientCallId(++lastId);
+    call.endpoint = { "127.0.0.1", acceptor.local_endpoint().port() };
+    client.Calls().Push(std::move(call));
+    auto socket = std::make_unique<asio::ip::tcp::socket>(acceptor.accept());
+    std::string request;
+    asio::read_until(*socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    asio::write(*socket,
+                asio::buffer(
+                  std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    REQUIRE(results.Take().progress == CallProgress::Responded);
+    return socket;
+  }
+
+  /// Whether the client closes the connection within \p aSpan.
+  bool IsClosedWithin(asio::ip::tcp::socket& aSocket,
+                      std::chrono::milliseconds aSpan)
+  {
+    bool isClosed = false;
+    char byte = 0;
+    aSocket.async_receive(
+      asio::buffer(&byte, 1),
+      [&](const boost::system::error_code& aError, std::size_t) {
+        isClosed = aError && aError != asio::error::operation_aborted;
+      });
+    context.restart();
+    context.run_for(aSpan);
+    aSocket.cancel();
+    context.restart();
+    context.run();
+    return isClosed;
+  }
+
+  asio::io_context context;
+  std::uint64_t lastId = 0;
+  RingPipe<ClientResult> results{ 16 };
+  pipe::IoDuty duty{ "client" };
+  Client client;
+};
+
+} // namespace
+
+TEST_CASE("connections to endpoints that are called no more are closed")
+{
+  IdleFixture fixture({ .idleTimeout = Duration(200) });
+  const auto first = fixture.CallNewEndpoint();
+  const auto second = fixture.CallNewEndpoint();
+  CHECK(fixture.IsClosedWithin(*first, std::chrono::seconds(5)));
+  CHECK(fixture.IsClosedWithin(*second, std::chrono::seconds(5)));
+}
+
+TEST_CASE("the longest idle connection is closed beyond the limit")
+{
+  IdleFixture fixture({ .maxIdle = 2 });
+  const auto first = fixture.CallNewEndpoint();
+  const auto second = fixture.CallNewEndpoint();
+  const auto third = fixture.CallNewEndpoint();
+  CHECK(fixture.IsClosedWithin(*first, std::chrono::seconds(5)));
+  CHECK_FALSE(fixture.IsClosedWithin(*second, std::chrono::milliseconds(100)));
+  CHECK_FALSE(fixture.IsClosedWithin(*third, std::chrono::milliseconds(100)));
+}
