Host planner: whether an order is due no longer walks all hosts

The scheduling duty asks for it twice a message and after each committed entry, and each time the planner walked its 350 hosts. Those whose order waits for its intent's commit are now kept by themselves, usually none.

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -96,9 +96,6 @@
     /// The intent to send an order for the host has been proposed, or the order
     /// has been sent, and there is no answer yet.
     bool isOrderInFlight = false;
-    /// Set until the intent to send an order is committed: the order is sent
-    /// once the job state machine counts this many order intents for the host.
-    std::optional<std::uint64_t> awaitedOrderCount;
     Time nextOrderAt;
     /// The highest registered worker number when the latest order was sent.
     jobs::WorkerNumber lastWorkerAtOrder;
@@ -177,6 +174,9 @@
   bool isListInFlight_ = false;
   bool hasList_ = false;
   std::map<HostId, Host> hosts_;
+  /// Known hosts whose order waits for the commit of its intent: the order is
+  /// sent once the job state machine counts this many order intents.
+  std::map<HostId, std::uint64_t> awaitedOrderCounts_;
   /// The number of order intents recorded for a host, and when it was first
   /// seen.
   struct ObservedOrders
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -53,6 +53,7 @@
 {
   fence_.reset();
   hosts_.clear();
+  awaitedOrderCounts_.clear();
   listedHosts_.clear();
   pendingCalls_.clear();
   surplusSamples_.clear();
@@ -154,8 +155,14 @@
     Send(ListHosts{ .page = aReply.nextPage }, { .host = {}, .isList = true });
     return;
   }
-  for (auto it = hosts_.begin(); it != hosts_.end();)
-    it = listedHosts_.count(it->first) == 0 ? hosts_.erase(it) : std::next(it);
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    if (listedHosts_.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    awaitedOrderCounts_.erase(it->first);
+    it = hosts_.erase(it);
+  }
   listedHosts_.clear();
   hasList_ = true;
   nextList_ = now_.steady + kListInterval;
@@ -334,10 +341,11 @@
 bool
 HostPlanner::IsOrderDue() const
 {
-  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& aItem) {
-    return aItem.second.awaitedOrderCount &&
-           OrderIntentCount(aItem.first) >= *aItem.second.awaitedOrderCount;
-  });
+  return std::any_of(awaitedOrderCounts_.begin(),
+                     awaitedOrderCounts_.end(),
+                     [&](const auto& aItem) {
+                       return OrderIntentCount(aItem.first) >= aItem.second;
+                     });
 }
 
 void
@@ -390,19 +398,21 @@
 HostPlanner::ProposeOrderIntent(const HostId& aId, Host& aHost)
 {
   aHost.isOrderInFlight = true;
-  aHost.awaitedOrderCount = OrderIntentCount(aId) + 1;
+  awaitedOrderCounts_[aId] = OrderIntentCount(aId) + 1;
   outbox_.Propose(jobs::RecordOrderIntent{ .host = aId });
 }
 
 void
 HostPlanner::SendDueOrders()
 {
-  for (auto& [id, host] : hosts_) {
-    if (!host.awaitedOrderCount ||
-        OrderIntentCount(id) < *host.awaitedOrderCount)
+  for (auto it = awaitedOrderCounts_.begin();
+       it != awaitedOrderCounts_.end();) {
+    if (OrderIntentCount(it->first) < it->second) {
+      ++it;
       continue;
-    host.awaitedOrderCount.reset();
-    SendOrder(id, host);
+    }
+    SendOrder(it->first, hosts_.at(it->first));
+    it = awaitedOrderCounts_.erase(it);
   }
 }
 
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -1,11 +1,15 @@
 #include "SimulatedFleet.h"
 
+#include "greengage/observe/Log.h"
 #include "greengage/schedule/BurstForecast.h"
+#include "greengage/schedule/HostPlanner.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace greengage;
 using namespace greengage::schedule;
@@ -290,3 +294,125 @@
   CHECK_FALSE(forecast.ExpectedDemand(a, Duration(2000), Time(15000)));
   CHECK_FALSE(forecast.ExpectedDemand(b, Duration(2000), Time(15000)));
 }
+
+namespace {
+
+/// A planner that leads, has read the provider's list and has proposed the
+/// intents to maintain the spare hosts s1 and s2.
+struct IntentFixture
+  : private Outbox
+  , private HostOutbox
+{
+  IntentFixture()
+  {
+    observe::ConfigureLog({ .path = {}, .level = observe::LogLevel::Error });
+    Apply(jobs::PutConfiguration{ .text = "configuration" });
+    Apply(jobs::StartWave{ .id = jobs::WaveId(1),
+                           .hosts = { HostId("s1"), HostId("s2") },
+                           .maxConcurrentHosts = 2,
+                           .deadline = now.wall + Duration::Seconds(20) });
+    scheduler.BecomeLeader(FencingToken(1), now);
+    planner.BecomeLeader(FencingToken(1), now);
+    Tick(Duration(0));
+    AnswerList({ "s1", "s2" });
+    Tick(Duration(150));
+  }
+
+  void Tick(Duration aAfter)
+  {
+    now.steady = now.steady + aAfter;
+    now.wall = now.wall + aAfter;
+    planner.Tick(now.steady + Duration::Seconds(10), now);
+  }
+  void AnswerList(const std::vector<std::string>& aHosts)
+  {
+    HostReply reply;
+    reply.id = hostCalls.back().id;
+    reply.answer = HostCallStatus::Done;
+    for (const std::string& host : aHosts)
+      reply.hosts.push_back(
+        { .host = HostId(host), .pool = PoolId("spare"), .capacity = {} });
+    planner.On(reply, now);
+  }
+  void Apply(jobs::Operation aOperation)
+  {
+    Error reason;
+    REQUIRE(machine.Apply(
+      jobs::Encode({ std::move(aOperation) }), &scheduler, reason));
+  }
+  void CommitIntent(const char* aHost)
+  {
+    Apply(jobs::RecordOrderIntent{ .host = HostId(aHost) });
+  }
+  /// The hosts of the maintenance orders sent so far.
+  std::vector<std::string> OrderedHosts() const
+  {
+    std::vector<std::string> hosts;
+    for (const HostCall& call : hostCalls)
+      if (const auto* order = std::get_if<MaintainHost>(&call.request))
+        hosts.emplace_back(order->host.Value());
+    return hosts;
+  }
+
+  void Propose(jobs::Operation aOperation) override
+  {
+    proposals.push_back(std::move(aOperation));
+  }
+  void Call(WorkerCall /*aCall*/) override {}
+  void Call(AdviceCall /*aCall*/) override {}
+  void Call(HostCall aCall) override { hostCalls.push_back(std::move(aCall)); }
+
+  ClockReading now{ .steady = Time(1000000), .wall = Time(1000000) };
+  jobs::Operations proposals;
+  std::vector<HostCall> hostCalls;
+  SimulatedConfigurationReader reader;
+  jobs::JobStateMachine machine{ reader };
+  Scheduler scheduler{ {}, machine, *this };
+  HostPlanner planner{ { .isEnabled = true, .self = EntryHostId("leader") },
+                       machine,
+                       scheduler,
+                       *this,
+                       *this };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(IntentFixture,
+                 "an order is due once its intent has been committed")
+{
+  REQUIRE(proposals.size() == 2);
+  CHECK_FALSE(planner.IsOrderDue());
+  // The record of another leader's order for a host unknown here.
+  CommitIntent("s3");
+  CHECK_FALSE(planner.IsOrderDue());
+  CommitIntent("s2");
+  CHECK(planner.IsOrderDue());
+  Tick(Duration(10));
+  CHECK_FALSE(planner.IsOrderDue());
+  CHECK(OrderedHosts() == std::vector<std::string>{ "s2" });
+  CommitIntent("s1");
+  CHECK(planner.IsOrderDue());
+  Tick(Duration(10));
+  CHECK_FALSE(planner.IsOrderDue());
+  CHECK(OrderedHosts() == std::vector<std::string>{ "s2", "s1" });
+}
+
+TEST_CASE_METHOD(IntentFixture,
+                 "no order is due for a host that is listed no more")
+{
+  Tick(Duration::Seconds(5));
+  AnswerList({ "s2" });
+  CommitIntent("s1");
+  CHECK_FALSE(planner.IsOrderDue());
+  CommitIntent("s2");
+  CHECK(planner.IsOrderDue());
+  Tick(Duration(10));
+  CHECK(OrderedHosts() == std::vector<std::string>{ "s2" });
+}
+
+TEST_CASE_METHOD(IntentFixture, "no order is due on a follower")
+{
+  planner.BecomeFollower();
+  CommitIntent("s1");
+  CHECK_FALSE(planner.IsOrderDue());
+}
