--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -337,8 +337,8 @@
   void Apply(jobs::Operation aOperation)
   {
     Error reason;
-    REQUIRE(machine.Apply(
-      jobs::Encode({ std::move(aOperation) }), &scheduler, reason));
+    const std::string entry = jobs::Encode({ std::move(aOperation) });
+    REQUIRE(machine.Apply(entry, &scheduler, reason));
   }
   void CommitIntent(const char* aHost)
   {
