Servers and links wait before they accept again after a failure

Found beside the shortage of descriptors: a process that can open none spins. A pending connection makes each attempt to accept fail at once with "too many open files", and both acceptors tried again at once, so that the duty used a whole core until a descriptor was free.

Both now wait 100 ms. Asio itself retries after a connection that its caller aborted, so such a caller delays nobody.

--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -98,6 +98,7 @@
     , next_(aNext)
     , context_(aDuty.Context())
     , acceptor_(context_)
+    , acceptTimer_(context_)
     , responses_(
         aDuty,
         RingCapacity(aOptions.maxConnections),
@@ -107,6 +108,7 @@
 
   bool Listen(Error& aReason);
   void Accept();
+  void AcceptLater();
   void Drain(std::promise<void>&& aDone);
   /// Breaks the cycles between this object and the sessions that wait.
   void DropSessions() { waiting_.clear(); }
@@ -146,6 +148,7 @@
   pipe::Pipe<HttpRequest>& next_;
   asio::io_context& context_;
   tcp::acceptor acceptor_;
+  asio::steady_timer acceptTimer_;
   pipe::IoPipe<HttpResponse> responses_;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   std::uint64_t lastExchange_ = 0;
@@ -345,22 +348,35 @@
   acceptor_.async_accept([self](beast::error_code aError, tcp::socket aSocket) {
     if (aError == asio::error::operation_aborted || self->closing_)
       return;
-    if (!aError) {
-      beast::error_code ignored;
-      aSocket.set_option(tcp::no_delay(true), ignored);
-      const bool isFull = self->connections_ >= self->options_.maxConnections;
-      ++self->connections_;
-      auto session = std::make_shared<Session>(std::move(aSocket), self);
-      if (isFull)
-        session->Refuse(
-          RefusalOf(503, ErrorKind::Overloaded, "too many connections"));
-      else
-        session->Read();
+    if (aError) {
+      self->AcceptLater();
+      return;
     }
+    beast::error_code ignored;
+    aSocket.set_option(tcp::no_delay(true), ignored);
+    const bool isFull = self->connections_ >= self->options_.maxConnections;
+    ++self->connections_;
+    auto session = std::make_shared<Session>(std::move(aSocket), self);
+    if (isFull)
+      session->Refuse(
+        RefusalOf(503, ErrorKind::Overloaded, "too many connections"));
+    else
+      session->Read();
     self->Accept();
   });
 }
 
+void
+ServerImpl::AcceptLater()
+{
+  auto self = shared_from_this();
+  acceptTimer_.expires_after(ToChrono(pipe::kAcceptRetryDelay));
+  acceptTimer_.async_wait([self](beast::error_code aError) {
+    if (!aError && !self->closing_)
+      self->Accept();
+  });
+}
+
 void
 ServerImpl::Drain(std::promise<void>&& aDone)
 {
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -1,6 +1,7 @@
 #include "greengage/http/Client.h"
 #include "greengage/http/Server.h"
 #include "greengage/pipe/Ring.h"
+#include "greengage/support/DescriptorShortage.h"
 #include "greengage/support/FreePort.h"
 
 #include <boost/asio/buffer.hpp>
@@ -13,8 +14,10 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <ctime>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace greengage;
@@ -260,6 +263,23 @@
   REQUIRE(ReadAll(socket).find("room again") != std::string::npos);
 }
 
+TEST_CASE_METHOD(ServerFixture,
+                 "a server without free descriptors waits until it has one")
+{
+  asio::ip::tcp::socket socket(context);
+  socket.open(asio::ip::tcp::v4());
+  {
+    const support::DescriptorShortage shortage;
+    socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+    const std::clock_t before = std::clock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    // A thread that spins uses the processor all the time.
+    CHECK(std::clock() - before < CLOCKS_PER_SEC / 4);
+  }
+  asio::write(socket, asio::buffer(kGet));
+  CHECK(requests.Take().target == "/x");
+}
+
 TEST_CASE("draining waits for the response, however the threads run")
 {
   for (int round = 0; round < 300; ++round) {
--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -51,6 +51,7 @@
     , events_(aEvents)
     , context_(aDuty.Context())
     , acceptor_(context_)
+    , acceptTimer_(context_)
     , timer_(context_)
     , outbox_(aDuty, options_.capacity, [this](PeerSend&& aSend) {
       Send(std::move(aSend));
@@ -94,6 +95,7 @@
 
   Peer* FindOrAdd(const EntryHostId& aId);
   void Accept();
+  void AcceptLater();
   void OnAccepted(tcp::socket aSocket);
   void OnFirstFrame(const StreamPtr& aStream,
                     const std::string& aNonce,
@@ -127,6 +129,7 @@
   pipe::Pipe<PeerEvent>& events_;
   asio::io_context& context_;
   tcp::acceptor acceptor_;
+  asio::steady_timer acceptTimer_;
   asio::steady_timer timer_;
   pipe::IoPipe<PeerSend> outbox_;
   std::map<EntryHostId, Peer> peers_;
@@ -186,12 +189,26 @@
   acceptor_.async_accept([self](error_code aError, tcp::socket aSocket) {
     if (aError == asio::error::operation_aborted)
       return;
-    if (!aError)
-      self->OnAccepted(std::move(aSocket));
+    if (aError) {
+      self->AcceptLater();
+      return;
+    }
+    self->OnAccepted(std::move(aSocket));
     self->Accept();
   });
 }
 
+void
+LinksImpl::AcceptLater()
+{
+  auto self = shared_from_this();
+  acceptTimer_.expires_after(ToChrono(pipe::kAcceptRetryDelay));
+  acceptTimer_.async_wait([self](error_code aError) {
+    if (!aError && self->acceptor_.is_open())
+      self->Accept();
+  });
+}
+
 void
 LinksImpl::OnAccepted(tcp::socket aSocket)
 {
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -1,5 +1,6 @@
 #include "greengage/peer/Links.h"
 #include "greengage/state/Key.h"
+#include "greengage/support/DescriptorShortage.h"
 #include "greengage/support/FreePort.h"
 #include "greengage/wire/Frame.h"
 
@@ -11,6 +12,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <ctime>
+#include <thread>
+
 using namespace greengage;
 using namespace greengage::peer;
 
@@ -259,3 +264,23 @@
     { .to = EntryHostId("name"), .message = wire::LoadReport{} });
   CHECK(first.events.Await<PeerUndeliverable>());
 }
+
+TEST_CASE("links without free descriptors wait until they have one")
+{
+  const std::uint16_t port1 = support::FreePort();
+  const std::uint16_t port2 = support::FreePort();
+  Host first("e1", port1, "e2", port2);
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.open(asio::ip::tcp::v4());
+  {
+    const support::DescriptorShortage shortage;
+    socket.connect({ asio::ip::make_address("127.0.0.1"), port1 });
+    const std::clock_t before = std::clock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    // A thread that spins uses the processor all the time.
+    CHECK(std::clock() - before < CLOCKS_PER_SEC / 4);
+  }
+  const Host second("e2", port2, "e1", port1);
+  CHECK(first.events.Await<PeerConnected>());
+}
--- a/packages/pipe/include/greengage/pipe/Sockets.h
+++ b/packages/pipe/include/greengage/pipe/Sockets.h
@@ -15,6 +15,11 @@
 
 namespace greengage::pipe {
 
+/// Delay before a connection is accepted again after that failed, for example
+/// because the process can open no more descriptors: until then the pending
+/// connection would make each attempt fail at once.
+inline constexpr Duration kAcceptRetryDelay = Duration(100);
+
 /// Binds and listens. False if the address can't be had, with \p aReason.
 bool
 ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor,
