Scheduler: no call to a worker after the end of the leader lease

A deposed leader's scheduling duty learns of it behind its ring. Until then its ticks and the replies that it handled renewed leases and sent starts. A worker that the successor couldn't reach kept a run beyond the time after which the successor declared it lost and ran its task elsewhere: two runs at once. A run could also end there as done while the successor had it as lost, and the end was then acknowledged.

The successor's bound counts from its own start, so no call may be made after the end of the leader lease as it is known at that moment. Replies and entries now come with it, as calls and ticks did, and starts, stops, renewals and throttling need it. The time in a renewal and the deadline of a start are on the worker's clock, so calls that wait in a ring or for a connection need no check.

The model of workers has deposed leaders that go on until they handle the notice, a lag between the arrival and the handling of a message, partitions from successors only, and slow worker clocks.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -28,6 +28,14 @@
   return { .steady = aNow, .wall = wallClock_.Now() };
 }
 
+/// The consensus duty updates it without waiting for this duty, which may be
+/// late to handle the notice that another host leads.
+Time
+ScheduleFilter::LeaderLeaseEnd() const
+{
+  return Time(host_.leaderUntil.load());
+}
+
 void
 ScheduleFilter::Accept(ScheduleMessage&& aMessage, Time aNow)
 {
@@ -47,7 +55,7 @@
     reply.answer = schedule::WorkerCallStatus::NotSent;
     reply.detail = "too many calls wait for workers";
     unsent_.pop_front();
-    controller_.On(reply, aNow);
+    controller_.On(reply, LeaderLeaseEnd(), aNow);
   }
   while (!unsentHostCalls_.empty()) {
     schedule::HostReply reply;
@@ -76,7 +84,7 @@
 {
   now_ = aNow;
   const schedule::ClockReading now = ClockReadingAt(aNow);
-  controller_.Tick(Time(host_.leaderUntil.load()), now);
+  controller_.Tick(LeaderLeaseEnd(), now);
   ReportUnsent(now);
   if (controller_.GetScheduler().IsLeading() && aNow >= nextWorkReport_)
     ReportWork();
@@ -107,7 +115,7 @@
 void
 ScheduleFilter::On(schedule::IncomingCall&& aCall, schedule::ClockReading aNow)
 {
-  controller_.Handle(std::move(aCall), Time(host_.leaderUntil.load()), aNow);
+  controller_.Handle(std::move(aCall), LeaderLeaseEnd(), aNow);
 }
 
 void
@@ -115,7 +123,7 @@
 {
   if (aReply.answer == schedule::WorkerCallStatus::NoAnswer)
     host_.metrics.Count("greengage_worker_calls_unanswered_total");
-  controller_.On(aReply, aNow);
+  controller_.On(aReply, LeaderLeaseEnd(), aNow);
 }
 
 void
@@ -133,7 +141,7 @@
 void
 ScheduleFilter::On(EntryCommitted&& aEntry, schedule::ClockReading aNow)
 {
-  controller_.Apply(aEntry.entry, aNow);
+  controller_.Apply(aEntry.entry, LeaderLeaseEnd(), aNow);
 }
 
 void
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -69,6 +69,7 @@
   /// Reports calls that found no room as not sent.
   void ReportUnsent(schedule::ClockReading aNow);
   schedule::ClockReading ClockReadingAt(Time aNow) const;
+  Time LeaderLeaseEnd() const;
 
   bool Propose(schedule::BatchId aBatch, const std::string& aEntry) override;
   void Call(schedule::WorkerCall&& aCall) override;
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -67,12 +67,13 @@
   /// \param aLeaseEnd the end of the leader lease on the steady clock; no other
   /// host can be the leader before that.
   void Handle(IncomingCall&& aCall, Time aLeaseEnd, ClockReading aNow);
-  void On(const WorkerReply& aReply, ClockReading aNow);
+  /// \p aLeaseEnd is as for Handle.
+  void On(const WorkerReply& aReply, Time aLeaseEnd, ClockReading aNow);
   void On(const HostReply& aReply, ClockReading aNow);
   void On(const AdviceReply& aReply, ClockReading aNow);
-  /// Applies a committed entry. \p aNow is the time of the call, not of the
-  /// entry.
-  void Apply(std::string_view aEntry, ClockReading aNow);
+  /// Applies a committed entry. \p aLeaseEnd is as for Handle; \p aNow is the
+  /// time of the call, not of the entry.
+  void Apply(std::string_view aEntry, Time aLeaseEnd, ClockReading aNow);
   /// An entry that this host proposed has been committed and applied.
   void OnBatchApplied(BatchId aBatch);
   /// The entry is not in the log and never will be.
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -122,6 +122,10 @@
 
   /// Sets the current time for subsequent observer callbacks.
   void SetNow(ClockReading aNow) { now_ = aNow; }
+  /// Sets the end of the leader lease, on the steady clock, for subsequent
+  /// events. No call to a worker is made from then on: the next leader assumes
+  /// that leases and starts were last granted before its own term.
+  void SetLeaderLeaseEnd(Time aEnd) { leaderLeaseEnd_ = aEnd; }
 
 private:
   enum class CallKind : std::uint8_t
@@ -146,6 +150,7 @@
   // SchedulerReconcile.cpp.
   WorkerSession* SessionOf(jobs::WorkerNumber aWorker);
   const jobs::WorkerRecord& RecordOf(const WorkerSession& aSession) const;
+  bool HoldsLeaderLease() const { return now_.steady < leaderLeaseEnd_; }
   void Send(WorkerSession& aSession,
             PendingCall aPending,
             WorkerRequest aRequest,
@@ -258,6 +263,7 @@
   const jobs::JobStateMachine& stateMachine_;
   Outbox& outbox_;
   std::optional<FencingToken> fence_;
+  Time leaderLeaseEnd_;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -166,6 +166,7 @@
 {
   now_ = aNow;
   scheduler_.SetNow(aNow);
+  scheduler_.SetLeaderLeaseEnd(aLeaseEnd);
   if (!scheduler_.IsLeading()) {
     if (aNow.steady >= nextDemandSample_) {
       nextDemandSample_ = aNow.steady + kDemandSampleInterval;
@@ -186,10 +187,11 @@
 }
 
 void
-Controller::Apply(std::string_view aEntry, ClockReading aNow)
+Controller::Apply(std::string_view aEntry, Time aLeaseEnd, ClockReading aNow)
 {
   now_ = aNow;
   scheduler_.SetNow(aNow);
+  scheduler_.SetLeaderLeaseEnd(aLeaseEnd);
   Error reason;
   if (!stateMachine_.Apply(aEntry, &scheduler_, reason))
     observe::Log(observe::LogLevel::Error,
@@ -241,9 +243,10 @@
 }
 
 void
-Controller::On(const WorkerReply& aReply, ClockReading aNow)
+Controller::On(const WorkerReply& aReply, Time aLeaseEnd, ClockReading aNow)
 {
   now_ = aNow;
+  scheduler_.SetLeaderLeaseEnd(aLeaseEnd);
   if (scheduler_.IsLeading())
     scheduler_.On(aReply, aNow);
 }
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -69,7 +69,7 @@
 {
   const auto clock = aSession.WorkerClockAt(now_.steady);
   const jobs::Job* job = stateMachine_.Find(aTask.job);
-  if (!clock || job == nullptr)
+  if (!clock || job == nullptr || !HoldsLeaderLease())
     return;
   if (!aRun.isStartSent) {
     aRun.startDeadline = *clock + kStartValidity;
@@ -117,6 +117,8 @@
                     Attempt aAttempt,
                     Run* aRun)
 {
+  if (!HoldsLeaderLease())
+    return;
   if (aRun != nullptr) {
     aRun->isCallInFlight = true;
     aRun->nextCallAt = now_.steady + kRetryInterval;
@@ -135,6 +137,8 @@
 void
 Scheduler::Renew(WorkerSession& aSession)
 {
+  if (!HoldsLeaderLease())
+    return;
   const auto clock = aSession.WorkerClockAt(now_.steady);
   // The lease of an unresponsive worker must be able to expire.
   const bool extendsLease = clock && aSession.consecutiveFailedCalls == 0;
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -255,6 +255,8 @@
 void
 Scheduler::AdjustThrottling(WorkerSession& aSession, const WorkerReply& aReply)
 {
+  if (!HoldsLeaderLease())
+    return;
   std::int64_t highestLoadPercent = 0;
   for (const ListedRun& listed : aReply.running) {
     const auto found = aSession.runs.find(listed.task);
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <cstdlib>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -173,6 +174,23 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a deposed leader that is late to notice extends no lease")
+{
+  jobs::Step step = MakeStep(3);
+  step.isPersistent = true;
+  Submit({ step });
+  Run(Duration(300));
+  REQUIRE(TotalRuns() == 3);
+  // The new leader can't ask these workers what they run.
+  for (const char* id : { "w1", "w2", "w3" })
+    PartitionWorkerFromSuccessors(id, Duration(20000));
+  AddWorker("w4");
+  ChangeLeader(Duration(3000));
+  Run(Duration(12000));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
@@ -514,48 +532,64 @@
   }
 }
 
-TEST_CASE("no invariant is violated under random faults")
+/// Runs random jobs while \p aInjectFault, called before each job's share of
+/// time, injects faults; then checks that all jobs end.
+static void
+RunUnderFaults(
+  SimulatedFleet& aFleet,
+  FaultProbabilities aFaults,
+  const std::function<void(const std::vector<std::string>&,
+                           const std::vector<jobs::JobId>&)>& aInjectFault)
 {
-  const auto seeds = SeedRange();
-  const auto seed =
-    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
-  INFO("seed " << seed);
-  SimulatedFleet fleet(seed);
-  fleet.Run(Duration(200));
   const std::vector<std::string> workers{ "w1", "w2", "w3", "w4" };
   for (const std::string& id : workers)
-    fleet.AddWorker(id);
-  fleet.Run(Duration(300));
+    aFleet.AddWorker(id);
+  aFleet.Run(Duration(300));
   const auto randomBelow = [&](std::uint64_t aLimit) {
-    return fleet.random() % aLimit;
+    return aFleet.random() % aLimit;
   };
   std::vector<jobs::JobId> jobs;
-  fleet.faults = { .lostReplyPercent = static_cast<int>(randomBelow(20)),
-                   .delayedCallPercent = static_cast<int>(randomBelow(15)) };
+  aFleet.faults = aFaults;
+  aFleet.faults.lostReplyPercent = static_cast<int>(randomBelow(20));
+  aFleet.faults.delayedCallPercent = static_cast<int>(randomBelow(15));
   for (int round = 0; round < 60; ++round) {
     jobs::Step second =
       MakeStep(static_cast<std::uint32_t>(1 + randomBelow(3)));
     second.dependencies = { 0 };
     second.maxPerWorker = static_cast<std::uint32_t>(randomBelow(3));
-    jobs.push_back(fleet.Submit(
+    jobs.push_back(aFleet.Submit(
       { MakeStep(static_cast<std::uint32_t>(1 + randomBelow(4)),
                  static_cast<std::int64_t>(500 + randomBelow(2500))),
         second },
       { .runTime = Duration(static_cast<std::int64_t>(200 + randomBelow(1500))),
         .failures = static_cast<std::uint32_t>(randomBelow(5) == 0 ? 1 : 0) }));
-    InjectRandomFault(fleet, workers, jobs);
-    fleet.Run(Duration(static_cast<std::int64_t>(50 + randomBelow(500))));
+    aInjectFault(workers, jobs);
+    aFleet.Run(Duration(static_cast<std::int64_t>(50 + randomBelow(500))));
   }
-  fleet.faults = {};
+  aFleet.faults = {};
+  aFleet.SetHandlingLag(Duration(0));
   const auto hasEnded = [&](jobs::JobId aJob) {
-    const auto state = fleet.QueryState(aJob);
+    const auto state = aFleet.QueryState(aJob);
     return state != JobProgress::Queued && state != JobProgress::Running;
   };
-  const bool haveAllEnded = fleet.RunUntil(
+  const bool haveAllEnded = aFleet.RunUntil(
     [&] { return std::all_of(jobs.begin(), jobs.end(), hasEnded); },
     Duration(90000));
   CHECK(haveAllEnded);
-  CHECK(fleet.TotalRuns() == 0);
-  for (const std::string& violation : fleet.violations)
+  CHECK(aFleet.TotalRuns() == 0);
+  for (const std::string& violation : aFleet.violations)
     FAIL_CHECK(violation);
 }
+
+TEST_CASE("no invariant is violated under random faults")
+{
+  const auto seeds = SeedRange();
+  const auto seed =
+    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
+  INFO("seed " << seed);
+  SimulatedFleet fleet(seed);
+  fleet.Run(Duration(200));
+  RunUnderFaults(fleet, {}, [&](const auto& aWorkers, const auto& aJobs) {
+    InjectRandomFault(fleet, aWorkers, aJobs);
+  });
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -29,6 +29,51 @@
 /// the last effect of a fault, whichever is later.
 static constexpr Duration kMaxCancelDelay(3900);
 
+/// A control host that schedules as the leader of one term.
+struct SimulatedFleet::Leader final : ControllerSink
+{
+  Leader(SimulatedFleet& aFleet, std::uint64_t aTerm)
+    : fleet(aFleet)
+    , term(aTerm)
+    , controller(SchedulerOptions{},
+                 HostPlannerOptions{ .isEnabled = aFleet.hasProvider_,
+                                     .self = EntryHostId("leader"),
+                                     .minOrderGap = kMinOrderInterval },
+                 aFleet.reader,
+                 *this)
+  {
+  }
+
+  bool Propose(BatchId aBatch, const std::string& aEntry) override
+  {
+    fleet.Propose(term, aBatch, aEntry);
+    return true;
+  }
+  void Call(WorkerCall&& aCall) override { fleet.Call(term, std::move(aCall)); }
+  void Call(HostCall&& aCall) override { fleet.Call(term, std::move(aCall)); }
+  void Call(AdviceCall&& aCall) override { fleet.Call(term, std::move(aCall)); }
+  void Answer(CallerId aCaller, Reply&& aReply) override
+  {
+    fleet.Answer(term, aCaller, std::move(aReply));
+  }
+
+  struct Message
+  {
+    Time handledAt;
+    std::function<void(Leader&)> handle;
+  };
+
+  SimulatedFleet& fleet;
+  const std::uint64_t term;
+  Controller controller;
+  /// The end of the leader lease.
+  Time leaseEnd = Time(0) + kFarFuture;
+  /// When a replaced leader handles the notice of it.
+  Time noticeAt;
+  Duration handlingLag;
+  std::deque<Message> messages;
+};
+
 std::optional<jobs::Configuration>
 SimulatedConfigurationReader::Read(std::string_view /*aText*/,
                                    Error& /*aReason*/) const
@@ -80,27 +125,89 @@
 void
 SimulatedFleet::StartLeader()
 {
-  ++leaderTerm_;
-  ControllerSink& sink = *this;
-  controller_ = std::make_unique<Controller>(
-    SchedulerOptions{},
-    HostPlannerOptions{ .isEnabled = hasProvider_,
-                        .self = EntryHostId("leader"),
-                        .minOrderGap = kMinOrderInterval },
-    reader,
-    sink);
+  leader_ = std::make_unique<Leader>(*this, ++leaderTerm_);
   for (const std::string& entry : log_)
-    controller_->Apply(entry, Now());
-  controller_->BecomeLeader(FencingToken(leaderTerm_), Now());
+    leader_->controller.Apply(entry, leader_->leaseEnd, Now());
+  leader_->controller.BecomeLeader(FencingToken(leaderTerm_), Now());
 }
 
 void
-SimulatedFleet::ChangeLeader()
+SimulatedFleet::ChangeLeader(Duration aNoticeDelay)
 {
-  ExtendFaultPeriod(Duration(0));
+  ExtendFaultPeriod(aNoticeDelay);
+  if (aNoticeDelay > Duration(0)) {
+    leader_->leaseEnd = now_;
+    leader_->noticeAt = now_ + aNoticeDelay;
+    deposedLeaders_.push_back(std::move(leader_));
+  }
   StartLeader();
 }
 
+void
+SimulatedFleet::RestartLeadership()
+{
+  leader_->controller.BecomeFollower();
+  leader_->controller.BecomeLeader(FencingToken(leaderTerm_), Now());
+}
+
+void
+SimulatedFleet::SetHandlingLag(Duration aLag)
+{
+  leader_->handlingLag = aLag;
+}
+
+SimulatedFleet::Leader*
+SimulatedFleet::FindLeader(std::uint64_t aTerm)
+{
+  if (leader_ && leader_->term == aTerm)
+    return leader_.get();
+  for (const auto& leader : deposedLeaders_)
+    if (leader->term == aTerm)
+      return leader.get();
+  return nullptr;
+}
+
+void
+SimulatedFleet::Deliver(std::uint64_t aTerm,
+                        std::function<void(Leader&)> aHandle)
+{
+  Leader* leader = FindLeader(aTerm);
+  if (leader == nullptr)
+    return;
+  if (leader->handlingLag == Duration(0) && leader->messages.empty()) {
+    aHandle(*leader);
+    return;
+  }
+  const Time last =
+    leader->messages.empty() ? Time(0) : leader->messages.back().handledAt;
+  leader->messages.push_back(
+    { .handledAt = std::max(last, now_ + leader->handlingLag),
+      .handle = std::move(aHandle) });
+}
+
+void
+SimulatedFleet::TickLeaders()
+{
+  deposedLeaders_.erase(std::remove_if(deposedLeaders_.begin(),
+                                       deposedLeaders_.end(),
+                                       [&](const auto& aLeader) {
+                                         return aLeader->noticeAt <= now_;
+                                       }),
+                        deposedLeaders_.end());
+  const auto tick = [&](Leader& aLeader) {
+    while (!aLeader.messages.empty() &&
+           aLeader.messages.front().handledAt <= now_) {
+      const auto message = std::move(aLeader.messages.front());
+      aLeader.messages.pop_front();
+      message.handle(aLeader);
+    }
+    aLeader.controller.Tick(aLeader.leaseEnd, Now());
+  };
+  for (const auto& leader : deposedLeaders_)
+    tick(*leader);
+  tick(*leader_);
+}
+
 /// Records that a fault may have effects for another \p aSpan.
 void
 SimulatedFleet::ExtendFaultPeriod(Duration aSpan)
@@ -120,7 +227,7 @@
       event();
     }
     TickWorkers();
-    controller_->Tick(now_ + kFarFuture, Now());
+    TickLeaders();
     CheckInvariants();
   }
 }
@@ -134,23 +241,25 @@
   return aIsDone();
 }
 
-bool
-SimulatedFleet::Propose(BatchId aBatch, const std::string& aEntry)
+void
+SimulatedFleet::Propose(std::uint64_t aTerm,
+                        BatchId aBatch,
+                        const std::string& aEntry)
 {
-  const std::uint64_t term = leaderTerm_;
-  ScheduleEvent(kCommitLatency, [this, term, aBatch, aEntry] {
+  ScheduleEvent(kCommitLatency, [this, aTerm, aBatch, aEntry] {
     // Entries that are not committed when their leader is replaced are lost.
-    if (term != leaderTerm_)
+    if (aTerm != leaderTerm_)
       return;
     log_.push_back(aEntry);
-    controller_->Apply(aEntry, Now());
-    controller_->OnBatchApplied(aBatch);
+    Deliver(aTerm, [this, aBatch, aEntry](Leader& aLeader) {
+      aLeader.controller.Apply(aEntry, aLeader.leaseEnd, Now());
+      aLeader.controller.OnBatchApplied(aBatch);
+    });
   });
-  return true;
 }
 
 void
-SimulatedFleet::Call(HostCall&& aCall)
+SimulatedFleet::Call(std::uint64_t aTerm, HostCall&& aCall)
 {
   hostCalls.push_back(aCall);
   CheckOrderInterval(aCall);
@@ -170,14 +279,15 @@
       host.maintenanceWaves.insert(upkeep->wave);
   }
   reply.id = aCall.id;
-  ScheduleEvent(kNetworkLatency, [this, reply, leader = leaderTerm_] {
-    if (leader == leaderTerm_)
-      controller_->On(reply, Now());
+  ScheduleEvent(kNetworkLatency, [this, reply, aTerm] {
+    Deliver(aTerm, [this, reply](Leader& aLeader) {
+      aLeader.controller.On(reply, Now());
+    });
   });
 }
 
 void
-SimulatedFleet::Call(AdviceCall&& aCall)
+SimulatedFleet::Call(std::uint64_t aTerm, AdviceCall&& aCall)
 {
   adviceWorkerCount += aCall.workers.size();
   AdviceReply reply;
@@ -199,11 +309,11 @@
                          .expiresAt = adviserIdleAt_ + reply.validity };
     reply.permitted.push_back({ .worker = id, .permit = Permit(permit) });
   }
-  ScheduleEvent(adviserIdleAt_ - now_ + kNetworkLatency,
-                [this, reply, leader = leaderTerm_] {
-                  if (leader == leaderTerm_)
-                    controller_->On(reply, Now());
-                });
+  ScheduleEvent(adviserIdleAt_ - now_ + kNetworkLatency, [this, reply, aTerm] {
+    Deliver(aTerm, [this, reply](Leader& aLeader) {
+      aLeader.controller.On(reply, Now());
+    });
+  });
 }
 
 bool
@@ -323,8 +433,10 @@
 }
 
 void
-SimulatedFleet::Answer(CallerId aCaller, Reply&& aReply)
+SimulatedFleet::Answer(std::uint64_t aTerm, CallerId aCaller, Reply&& aReply)
 {
+  if (aTerm != leaderTerm_)
+    return;
   const auto cancel = cancelCalls_.find(aCaller);
   if (cancel != cancelCalls_.end() && std::holds_alternative<Accepted>(aReply))
     jobs_.at(cancel->second).cancelledAt = now_;
@@ -335,9 +447,9 @@
 SimulatedFleet::Send(schedule::Call aCall)
 {
   lastReply_.reset();
-  controller_->Handle(
+  leader_->controller.Handle(
     { .caller = CallerId(++lastCaller_), .call = std::move(aCall) },
-    now_ + kFarFuture,
+    leader_->leaseEnd,
     Now());
 }
 
@@ -405,7 +517,7 @@
                     .pool = PoolId("lines"),
                     .rack = RackId(aRack),
                     .capacity = aCapacity };
-  worker.clockOffset = Duration(0) - Duration(startedAtMillis);
+  worker.clockRate = clockRate_;
   if (aId.find('-') == std::string::npos)
     hosts_["host-" + aId] = { .pool = PoolId("lines"),
                               .worker = aId,
@@ -419,11 +531,17 @@
 SimulatedFleet::SendHeartbeat(SimulatedWorker& aWorker)
 {
   aWorker.nextHeartbeat = now_ + kHeartbeatInterval;
-  if (!aWorker.isUp || aWorker.partitionedUntil > now_)
+  if (!aWorker.isUp || IsPartitioned(aWorker, leaderTerm_))
     return;
-  Send(WorkerHeartbeat{ .worker = aWorker.record,
+  WorkerHeartbeat beat{ .worker = aWorker.record,
                         .sequence = ++aWorker.lastSequence,
-                        .clock = now_ + aWorker.clockOffset });
+                        .clock = ClockOf(aWorker) };
+  Deliver(leaderTerm_, [this, beat = std::move(beat)](Leader& aLeader) {
+    aLeader.controller.Handle(
+      { .caller = CallerId(++lastCaller_), .call = beat },
+      aLeader.leaseEnd,
+      Now());
+  });
 }
 
 void
@@ -435,16 +553,14 @@
   const jobs::Resources capacity = worker.record.capacity;
   worker.isUp = false;
   worker.runs.clear();
-  if (worker.deferredRenewal) {
-    const WorkerCallId call = worker.deferredRenewal->first.id;
-    ScheduleEvent(worker.deferredRenewal->first.timeout,
-                  [this, call, leader = worker.deferredRenewalTerm] {
+  for (const auto& [term, deferred] : worker.deferredRenewals)
+    ScheduleEvent(deferred.first.timeout,
+                  [this, call = deferred.first.id, leader = term] {
                     WorkerReply reply;
                     reply.id = call;
                     DeliverReply(reply, leader);
                   });
-  }
-  worker.deferredRenewal.reset();
+  worker.deferredRenewals.clear();
   if (aRestartAfter)
     ScheduleEvent(*aRestartAfter,
                   [this, aId, capacity] { AddWorker(aId, capacity); });
@@ -454,13 +570,40 @@
 SimulatedFleet::PartitionWorker(const std::string& aId, Duration aSpan)
 {
   ExtendFaultPeriod(aSpan);
-  workers_.at(aId).partitionedUntil = now_ + aSpan;
+  SimulatedWorker& worker = workers_.at(aId);
+  worker.partitionedUntil = now_ + aSpan;
+  worker.firstPartitionedTerm = 0;
+}
+
+void
+SimulatedFleet::PartitionWorkerFromSuccessors(const std::string& aId,
+                                              Duration aSpan)
+{
+  PartitionWorker(aId, aSpan);
+  workers_.at(aId).firstPartitionedTerm = leaderTerm_ + 1;
+}
+
+/// \returns the time on the worker's own clock, which starts with it.
+Time
+SimulatedFleet::ClockOf(const SimulatedWorker& aWorker) const
+{
+  constexpr std::int64_t kPercent = 100;
+  const Time startedAt(aWorker.record.incarnation.Value());
+  return Time((now_ - startedAt).Millis() * aWorker.clockRate / kPercent);
+}
+
+bool
+SimulatedFleet::IsPartitioned(const SimulatedWorker& aWorker,
+                              std::uint64_t aTerm) const
+{
+  return aWorker.partitionedUntil > now_ &&
+         aTerm >= aWorker.firstPartitionedTerm;
 }
 
 void
-SimulatedFleet::Call(WorkerCall&& aCall)
+SimulatedFleet::Call(std::uint64_t aTerm, WorkerCall&& aCall)
 {
-  const std::uint64_t term = leaderTerm_;
+  const std::uint64_t term = aTerm;
   const auto occurs = [&](int aPercent) {
     return static_cast<int>(random() % 100) < aPercent;
   };
@@ -473,7 +616,11 @@
     });
   };
   if (occurs(faults.delayedCallPercent)) {
-    const Duration delay(2000 + static_cast<std::int64_t>(random() % 10000));
+    const auto delayRange = static_cast<std::uint64_t>(
+      (faults.maxCallDelay - faults.minCallDelay).Millis());
+    const Duration delay =
+      faults.minCallDelay +
+      Duration(static_cast<std::int64_t>(random() % delayRange));
     scheduleTimeout(call->timeout);
     ScheduleEvent(delay, [this, call, term, sentAt = now_] {
       DeliverCall(*call, term, sentAt, false);
@@ -492,8 +639,9 @@
 void
 SimulatedFleet::DeliverReply(const WorkerReply& aReply, std::uint64_t aTerm)
 {
-  if (aTerm == leaderTerm_)
-    controller_->On(aReply, Now());
+  Deliver(aTerm, [this, aReply](Leader& aLeader) {
+    aLeader.controller.On(aReply, aLeader.leaseEnd, Now());
+  });
 }
 
 void
@@ -504,7 +652,7 @@
 {
   const auto found = workers_.find(aCall.worker.Value());
   const bool isReachable = found != workers_.end() && found->second.isUp &&
-                           found->second.partitionedUntil <= now_ &&
+                           !IsPartitioned(found->second, aTerm) &&
                            found->second.record.endpoint == aCall.endpoint;
   if (!isReachable) {
     if (!aIsReplyDelivered)
@@ -534,8 +682,8 @@
     return;
   }
   const auto& renew = std::get<RenewLease>(aCall.request);
-  worker.deferredRenewal = { aCall, now_ + renew.longPollTimeout };
-  worker.deferredRenewalTerm = aTerm;
+  worker.deferredRenewals.insert_or_assign(
+    aTerm, std::pair(aCall, now_ + renew.longPollTimeout));
 }
 
 /// \returns nothing for a lease renewal whose reply is deferred until a run
@@ -546,7 +694,7 @@
   WorkerReply reply;
   reply.id = aCall.id;
   reply.answer = WorkerCallStatus::Done;
-  reply.clock = now_ + aWorker.clockOffset;
+  reply.clock = ClockOf(aWorker);
   reply.incarnation = aWorker.record.incarnation;
   const FencingToken fence = std::visit(
     [](const auto& aRequest) { return aRequest.fence; }, aCall.request);
@@ -589,9 +737,9 @@
     aWorker.unacknowledgedEnds.pop_front();
   }
   if (aRenew.leaseExpiry)
-    aWorker.leaseEnd = std::max(
-      aWorker.leaseEnd,
-      std::min(*aRenew.leaseExpiry - aWorker.clockOffset, now_ + kMaxLease));
+    aWorker.leaseEnd =
+      std::max(aWorker.leaseEnd,
+               std::min(*aRenew.leaseExpiry, ClockOf(aWorker) + kMaxLease));
 }
 
 /// The part of its run time that a run has completed, in percent; always 100
@@ -644,13 +792,13 @@
   if (running != aWorker.runs.end() &&
       running->second.attempt == aStart.attempt)
     return;
-  if (aStart.startDeadline <= now_ + aWorker.clockOffset) {
+  if (aStart.startDeadline <= ClockOf(aWorker)) {
     refuse(RefusalReason::StartDeadlinePassed);
     return;
   }
-  aWorker.leaseEnd = std::max(
-    aWorker.leaseEnd,
-    std::min(aStart.startDeadline - aWorker.clockOffset, now_ + kMaxLease));
+  aWorker.leaseEnd =
+    std::max(aWorker.leaseEnd,
+             std::min(aStart.startDeadline, ClockOf(aWorker) + kMaxLease));
   const auto highest = aWorker.highestAttempts.find(aStart.task);
   if (highest != aWorker.highestAttempts.end() &&
       aStart.attempt <= highest->second) {
@@ -750,11 +898,12 @@
   for (auto& [id, worker] : workers_) {
     if (!worker.isUp)
       continue;
-    if (worker.leaseEnd <= now_)
+    const bool hasExpired = worker.leaseEnd <= ClockOf(worker);
+    if (hasExpired)
       worker.lastExpiredAt = now_;
     std::vector<std::pair<TaskId, ListedEndKind>> ends;
     for (const auto& [task, run] : worker.runs) {
-      if (worker.leaseEnd <= now_)
+      if (hasExpired)
         ends.emplace_back(task, ListedEndKind::LeaseExpired);
       else if (run.endsAt <= now_)
         ends.emplace_back(
@@ -762,27 +911,36 @@
     }
     for (const auto& [task, kind] : ends)
       EndRun(worker, task, kind);
-    if (worker.deferredRenewal && (!worker.unacknowledgedEnds.empty() ||
-                                   worker.deferredRenewal->second <= now_)) {
-      WorkerReply reply;
-      reply.id = worker.deferredRenewal->first.id;
-      reply.answer = WorkerCallStatus::Done;
-      reply.clock = now_ + worker.clockOffset;
-      reply.incarnation = worker.record.incarnation;
-      FillLists(worker, reply);
-      worker.deferredRenewal.reset();
-      if (worker.partitionedUntil > now_) {
-        const WorkerCallId call = reply.id;
-        reply = WorkerReply();
-        reply.id = call;
-      }
-      DeliverReply(reply, worker.deferredRenewalTerm);
-    }
+    SendDueReplies(worker);
     if (worker.nextHeartbeat <= now_)
       SendHeartbeat(worker);
   }
 }
 
+/// Answers the deferred lease renewals if a run has ended or their time is up.
+void
+SimulatedFleet::SendDueReplies(SimulatedWorker& aWorker)
+{
+  for (auto it = aWorker.deferredRenewals.begin();
+       it != aWorker.deferredRenewals.end();) {
+    const auto& [term, deferred] = *it;
+    if (aWorker.unacknowledgedEnds.empty() && deferred.second > now_) {
+      ++it;
+      continue;
+    }
+    WorkerReply reply;
+    reply.id = deferred.first.id;
+    if (!IsPartitioned(aWorker, term)) {
+      reply.answer = WorkerCallStatus::Done;
+      reply.clock = ClockOf(aWorker);
+      reply.incarnation = aWorker.record.incarnation;
+      FillLists(aWorker, reply);
+    }
+    DeliverReply(reply, term);
+    it = aWorker.deferredRenewals.erase(it);
+  }
+}
+
 void
 SimulatedFleet::ReportViolation(std::string aDescription)
 {
@@ -839,7 +997,9 @@
 void
 SimulatedFleet::CheckInvariants()
 {
-  if (faults.delayedCallPercent > 0 || faults.lostReplyPercent > 0)
+  const bool isLate =
+    leader_->handlingLag > Duration(0) || !leader_->messages.empty();
+  if (faults.delayedCallPercent > 0 || faults.lostReplyPercent > 0 || isLate)
     ExtendFaultPeriod(kMaxCallDelay);
   jobs::Resources total;
   for (const auto& [id, worker] : workers_) {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -49,19 +49,21 @@
 {
   /// The call is executed, but its reply is lost.
   int lostReplyPercent = 0;
-  /// The call times out at the caller and is executed 2 to 12 s after it was
-  /// sent.
+  /// The call times out at the caller and is executed between \p minCallDelay
+  /// and \p maxCallDelay after it was sent.
   int delayedCallPercent = 0;
+  Duration minCallDelay = Duration(2000);
+  Duration maxCallDelay = Duration(12000);
 };
 
-/// The simulated environment of one leading controller, driven by a virtual
-/// clock.
-class SimulatedFleet : private ControllerSink
+/// The simulated environment of a leading controller and of deposed ones that
+/// do not know yet that they are, driven by a virtual clock.
+class SimulatedFleet
 {
 public:
   /// \param aHasProvider whether a host provider moves and maintains hosts.
   explicit SimulatedFleet(std::uint64_t aSeed = 1, bool aHasProvider = false);
-  ~SimulatedFleet() override;
+  virtual ~SimulatedFleet();
 
   /// Advances the simulated time by \p aSpan.
   void Run(Duration aSpan);
@@ -88,8 +90,21 @@
   /// Partitions the worker for \p aSpan: calls to it, its deferred replies and
   /// its heartbeats are lost.
   void PartitionWorker(const std::string& aId, Duration aSpan);
-  /// Replaces the leader while calls of the old one are still in flight.
-  void ChangeLeader();
+  /// Partitions the worker for \p aSpan from all leaders but the current and
+  /// earlier ones.
+  void PartitionWorkerFromSuccessors(const std::string& aId, Duration aSpan);
+  /// Replaces the leader while calls of the old one are still in flight. The
+  /// old one handles the notice of it after \p aNoticeDelay; its leader lease
+  /// ends at once.
+  void ChangeLeader(Duration aNoticeDelay = Duration(0));
+  /// Ends and renews the leadership of the leader within its term.
+  void RestartLeadership();
+  /// From now on the leader handles each message but clients' calls \p aLag
+  /// after it arrives.
+  void SetHandlingLag(Duration aLag);
+  /// Makes the clocks of workers that start from now on advance at this
+  /// percentage of the simulated time.
+  void SetWorkerClockRate(std::int64_t aPercent) { clockRate_ = aPercent; }
 
   jobs::JobId Submit(std::vector<jobs::Step> aSteps,
                      TaskBehavior aBehavior = {});
@@ -149,9 +164,12 @@
     jobs::WorkerRecord record;
     bool isUp = true;
     Time partitionedUntil;
-    /// The worker's clock minus the simulated time.
-    Duration clockOffset;
+    /// The first leader that the partition concerns.
+    std::uint64_t firstPartitionedTerm = 0;
+    /// The rate of the worker's clock in percent of the simulated time.
+    std::int64_t clockRate = 100;
     FencingToken highestFence;
+    /// On the worker's clock.
     Time leaseEnd;
     std::map<TaskId, SimulatedRun> runs;
     std::map<TaskId, Attempt> highestAttempts;
@@ -163,10 +181,9 @@
     std::uint64_t lastEndNumber = 0;
     std::uint64_t lastSequence = 0;
     Time nextHeartbeat;
-    /// A lease renewal whose reply is deferred until a run ends, and the latest
-    /// time of the reply.
-    std::optional<std::pair<WorkerCall, Time>> deferredRenewal;
-    std::uint64_t deferredRenewalTerm = 0;
+    /// The lease renewal of each leader, by its term, whose reply is deferred
+    /// until a run ends, and the latest time of the reply.
+    std::map<std::uint64_t, std::pair<WorkerCall, Time>> deferredRenewals;
   };
   /// What the checks need to know of a job.
   struct SimulatedJob
@@ -200,13 +217,21 @@
     std::set<jobs::WaveId> maintenanceWaves;
   };
 
-  // ControllerSink:
-  bool Propose(BatchId aBatch, const std::string& aEntry) override;
-  void Call(WorkerCall&& aCall) override;
-  void Call(HostCall&& aCall) override;
-  void Call(AdviceCall&& aCall) override;
-  void Answer(CallerId aCaller, Reply&& aReply) override;
+  struct Leader;
 
+  void Propose(std::uint64_t aTerm, BatchId aBatch, const std::string& aEntry);
+  void Call(std::uint64_t aTerm, WorkerCall&& aCall);
+  void Call(std::uint64_t aTerm, HostCall&& aCall);
+  void Call(std::uint64_t aTerm, AdviceCall&& aCall);
+  void Answer(std::uint64_t aTerm, CallerId aCaller, Reply&& aReply);
+
+  /// Has the leader of \p aTerm handle a message after its handling lag, unless
+  /// it has learnt by then that it is deposed.
+  void Deliver(std::uint64_t aTerm, std::function<void(Leader&)> aHandle);
+  Leader* FindLeader(std::uint64_t aTerm);
+  void TickLeaders();
+  Time ClockOf(const SimulatedWorker& aWorker) const;
+  bool IsPartitioned(const SimulatedWorker& aWorker, std::uint64_t aTerm) const;
   ClockReading Now() const;
   void ScheduleEvent(Duration aDelay, std::function<void()> aEvent);
   void StartLeader();
@@ -229,6 +254,7 @@
   void DeliverReply(const WorkerReply& aReply, std::uint64_t aTerm);
   void ExtendFaultPeriod(Duration aSpan);
   void TickWorkers();
+  void SendDueReplies(SimulatedWorker& aWorker);
   bool IsPermitted(const SimulatedWorker& aWorker,
                    const StartRun& aStart) const;
   void CheckStart(const SimulatedWorker& aWorker, const StartRun& aStart);
@@ -247,7 +273,10 @@
   Time now_{ 1000000 };
   std::multimap<Time, std::function<void()>> events_;
   std::vector<std::string> log_;
-  std::unique_ptr<Controller> controller_;
+  std::unique_ptr<Leader> leader_;
+  /// Replaced leaders that have not handled the notice of it.
+  std::vector<std::unique_ptr<Leader>> deposedLeaders_;
+  std::int64_t clockRate_ = 100;
   std::uint64_t leaderTerm_ = 0;
   std::uint64_t lastCaller_ = 0;
   std::uint64_t lastJob_ = 0;
