Consensus: the lease is given up before another host is asked to lead

The end of the leader lease was published after the actions of an event were carried out, and one of these asks another host to take over. Until then the scheduling duty still saw a lease, for as long as the consensus duty waited for processor time or for room in a ring. It is published before the actions now.

--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -84,7 +84,6 @@
 void
 ConsensusFilter::PublishLeadership()
 {
-  host_.leaderUntil.store(replica_.LeaseExpiresAt().Millis());
   Leadership current{ .term = replica_.CurrentTerm(),
                       .leader = std::nullopt,
                       .isReadyHere = replica_.IsLeaderReady() };
@@ -99,6 +98,9 @@
 void
 ConsensusFilter::CarryOut(consensus::Actions&& aActions, Time aNow)
 {
+  // The actions may ask another host to take over, which ends the lease, so the
+  // new end must be known first.
+  host_.leaderUntil.store(replica_.LeaseExpiresAt().Millis());
   for (consensus::Action& action : aActions)
     std::visit([&](auto&& aKind) { Do(std::forward<decltype(aKind)>(aKind)); },
                std::move(action));
--- a/packages/daemon/unittests/ConsensusStageTest.cpp
+++ b/packages/daemon/unittests/ConsensusStageTest.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <filesystem>
+#include <future>
 #include <mutex>
 
 #include <unistd.h>
@@ -84,6 +85,35 @@
   bool Push(Message&& /*aMessage*/) override { return true; }
 };
 
+/// Passes messages on, and notes the end of the leader lease that the sender
+/// states while it asks another host to take over.
+class HandOverWatch final : public pipe::Pipe<peer::PeerSend>
+{
+public:
+  HandOverWatch(pipe::Pipe<peer::PeerSend>& aNext, const HostState& aState)
+    : next_(aNext)
+    , state_(aState)
+  {
+  }
+  bool TryPush(peer::PeerSend&& aMessage) override
+  {
+    const auto* log = std::get_if<wire::LogMessage>(&aMessage.message);
+    if (log != nullptr &&
+        std::holds_alternative<consensus::TimeoutNow>(log->message))
+      leaseEndAtHandOver.set_value(Time(state_.leaderUntil.load()));
+    return next_.TryPush(std::move(aMessage));
+  }
+  bool Push(peer::PeerSend&& aMessage) override
+  {
+    return TryPush(std::move(aMessage));
+  }
+  std::promise<Time> leaseEndAtHandOver;
+
+private:
+  pipe::Pipe<peer::PeerSend>& next_;
+  const HostState& state_;
+};
+
 using Addresses = std::vector<peer::PeerAddress>;
 
 /// Links made first, with the stage that they feed behind them.
@@ -129,12 +159,13 @@
     : state(aHosts[aSelf].id, AvailabilityZoneId("z"))
     , source_(dispatch_, once_, &slot_)
     , links_(duty_, LinkOptionsOf(aHosts, aSelf), clock_, source_)
+    , watch(links_.Outbox(), state)
     , stage(
         { .self = aHosts[aSelf].id, .voters = aVoters, .dataFolder = aFolder },
         clock_,
         machine,
         state,
-        links_.Outbox(),
+        watch,
         outcomes)
   {
     Error reason;
@@ -177,6 +208,7 @@
   peer::Links links_;
 
 public:
+  HandOverWatch watch;
   ConsensusStage stage;
 };
 
@@ -301,6 +333,19 @@
   fleet.CheckAll();
 }
 
+TEST_CASE("a leader gives its lease up before it asks for its replacement")
+{
+  Fleet fleet;
+  const std::size_t leader = fleet.Commit("one");
+  fleet.CheckAll();
+  const Time before = BootClock().Now();
+  std::future<Time> leaseEnd =
+    fleet.hosts[leader]->watch.leaseEndAtHandOver.get_future();
+  fleet.hosts[leader]->stage.Stop();
+  REQUIRE(leaseEnd.wait_for(kPatience) == std::future_status::ready);
+  CHECK(leaseEnd.get() < before);
+}
+
 TEST_CASE("a host whose journal fails is silent and says that it isn't ready")
 {
   Fleet fleet;
