Scheduler: a worker's clock is a lower bound

A renewal's end and a start's deadline are times on the worker's clock, which was taken as an offset from the latest answer or from the first heartbeat.

- An idle worker isn't called, and its clock may be 2 % slow.
After a minute the offset is 1.2 s ahead, so a lease ran 1.2 s longer than its bound, which has 0.3 s to spare.
Callers saw two runs at once where the answers of such a worker got lost with its first start.
- An answer that is handled late put the offset back by that time, so that leases got shorter and starts were refused as late while the scheduler was behind.

The clock now counts on at the lowest rate from the message that gives the latest time; every heartbeat states it. Heartbeats of an earlier incarnation were taken for the current one's and are ignored, since their clocks may be far ahead.

"the lease of a worker with a slow clock ends within its bound after a long idle time" failed before (a second start while the first run went on). "a delayed heartbeat of an earlier incarnation does not change the clock of the next one" fails without the check of the incarnation; the code before passes it.

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -103,9 +103,14 @@
   std::uint64_t lastHeartbeatSequence = 0;
   Time lastAnswer;
   std::uint32_t consecutiveFailedCalls = 0;
-  /// The worker's clock minus the local steady clock, from its latest answer
-  /// or, before the first answer, from its first heartbeat.
-  std::optional<Duration> clockOffset;
+  /// The worker's clock, as stated in an answer or a heartbeat that was handled
+  /// at a time on the local steady clock.
+  struct StatedClock
+  {
+    Time clock;
+    Time handledAt;
+  };
+  std::optional<StatedClock> statedClock;
 
   bool isRenewalInFlight = false;
   /// Number of lease renewals sent.
@@ -141,7 +146,13 @@
   /// The number up to which all listed ends are committed, so that the worker
   /// may discard them.
   RunEndSequence LastCommittedEnd() const;
-  /// The worker's clock at \p aNow, if its offset is known.
+  /// Takes the worker's clock from a message that is handled at \p aNow, unless
+  /// an earlier message gives a later time.
+  void UpdateClock(Time aClock, Time aNow);
+  /// A lower bound of the worker's clock at \p aNow, if it has stated one: a
+  /// message may be handled late, and the worker's clock may be slow. A lease
+  /// or a start deadline that counts from it ends no later on the worker than
+  /// the local clock allows for.
   std::optional<Time> WorkerClockAt(Time aNow) const;
   /// Whether a call is needed to extend the lease, to get the worker's lists or
   /// to acknowledge ended runs.
--- a/packages/schedule/lib/SchedulerBounds.h
+++ b/packages/schedule/lib/SchedulerBounds.h
@@ -24,6 +24,10 @@
 /// Uncertainty of the estimated clock offset of a worker.
 inline constexpr Duration kClockUncertainty = Duration(250);
 
+/// The lowest rate of a worker's clock, in percent of the local clock's, per
+/// the platform's documentation.
+inline constexpr std::int64_t kMinClockRatePercent = 98;
+
 /// \returns the time on the local clock, counted from the renewal, after which
 /// a lease of \p aLease has certainly expired on the worker. A worker's clock
 /// may run up to 2 % slow, which lengthens the lease by slightly more than 2 %
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -202,7 +202,7 @@
   if (hasAnswered) {
     session->lastAnswer = aNow.steady;
     if (reply.clock)
-      session->clockOffset = *reply.clock - aNow.steady;
+      session->UpdateClock(*reply.clock, aNow.steady);
   }
   if (reply.refusal == RefusalReason::Fenced)
     observe::Log(observe::LogLevel::Warning,
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -96,12 +96,15 @@
 {
   const auto number = stateMachine_.FindWorkerNumber(aBeat.worker.id);
   WorkerSession* session = number ? SessionOf(*number) : nullptr;
-  if (session == nullptr || aBeat.sequence < session->lastHeartbeatSequence)
+  // A delayed heartbeat of an earlier incarnation says nothing about this one.
+  if (session == nullptr ||
+      RecordOf(*session).incarnation != aBeat.worker.incarnation ||
+      aBeat.sequence < session->lastHeartbeatSequence)
     return;
   session->lastHeartbeatSequence = aBeat.sequence;
   session->lastHeartbeat = aNow;
-  if (aBeat.clock && !session->clockOffset)
-    session->clockOffset = *aBeat.clock - aNow;
+  if (aBeat.clock)
+    session->UpdateClock(*aBeat.clock, aNow);
 }
 
 void
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -1,9 +1,12 @@
 #include "greengage/schedule/WorkerSession.h"
 
+#include "SchedulerBounds.h"
+
 #include <algorithm>
 
 using namespace greengage;
 using namespace greengage::schedule;
+using namespace greengage::schedule::detail;
 
 /// A worker that has been silent for longer gets no new runs. Covers two
 /// heartbeat intervals of 1.5 s.
@@ -20,9 +23,18 @@
 std::optional<Time>
 WorkerSession::WorkerClockAt(Time aNow) const
 {
-  if (!clockOffset)
+  if (!statedClock)
     return std::nullopt;
-  return aNow + *clockOffset;
+  const std::int64_t elapsed = (aNow - statedClock->handledAt).Millis();
+  return statedClock->clock +
+         Duration(elapsed * kMinClockRatePercent / kPercent);
+}
+
+void
+WorkerSession::UpdateClock(Time aClock, Time aNow)
+{
+  if (const auto current = WorkerClockAt(aNow); !current || aClock >= *current)
+    statedClock = { .clock = aClock, .handledAt = aNow };
 }
 
 bool
@@ -43,7 +55,7 @@
 {
   const Time lastContact = std::max(lastHeartbeat, lastAnswer);
   return isReconciled && !isSuperseded && !isCordoned &&
-         consecutiveFailedCalls == 0 && clockOffset &&
+         consecutiveFailedCalls == 0 && statedClock &&
          lastContact + kMaxUsableSilence > aNow && suspendedUntil <= aNow;
 }
 
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -191,6 +191,53 @@
   CheckInvariants();
 }
 
+TEST_CASE("the lease of a worker with a slow clock ends within its bound after "
+          "a long idle time")
+{
+  SimulatedFleet fleet;
+  fleet.SetWorkerClockRate(98);
+  fleet.Run(Duration(200));
+  for (const char* id : { "w1", "w2" })
+    fleet.AddWorker(id);
+  fleet.Run(Duration(60000));
+  // The worker gets the start and a renewal, but its answers are lost.
+  fleet.faults.lostReplyPercent = 100;
+  fleet.Submit({ MakeStep(1) }, { .runTime = Duration(9000) });
+  REQUIRE(
+    fleet.RunUntil([&] { return fleet.TotalRuns() == 1; }, Duration(100)));
+  fleet.Run(Duration(100));
+  const std::string worker = fleet.RunsOn("w1") == 1 ? "w1" : "w2";
+  fleet.PartitionWorker(worker, Duration(20000));
+  fleet.faults = {};
+  fleet.Run(Duration(12000));
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
+
+TEST_CASE("a delayed heartbeat of an earlier incarnation does not change the "
+          "clock of the next one")
+{
+  SimulatedFleet fleet;
+  fleet.Run(Duration(200));
+  fleet.AddWorker("w1");
+  jobs::Step step = MakeStep(1);
+  step.isPersistent = true;
+  fleet.Submit({ step });
+  fleet.Run(Duration(1000));
+  REQUIRE(fleet.RunsOn("w1") == 1);
+  fleet.Send(WorkerHeartbeat{ .worker = { .id = jobs::WorkerId("w1"),
+                                          .incarnation = jobs::Incarnation(1) },
+                              .sequence = 1000,
+                              .clock = Time(60000) });
+  fleet.Run(Duration(2000));
+  fleet.AddWorker("w2");
+  fleet.PartitionWorker("w1", Duration(20000));
+  fleet.Run(Duration(12000));
+  CHECK(fleet.RunsOn("w2") == 1);
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
