--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -124,6 +124,10 @@
 
   /// Sets the current time for subsequent observer callbacks.
   void SetNow(ClockReading aNow) { now_ = aNow; }
+  /// Sets the end of the leader lease, on the steady clock, for subsequent
+  /// events. No call to a worker is made from then on: the next leader assumes
+  /// that leases and starts were last granted before its own term.
+  void SetLeaderLeaseEnd(Time aEnd) { leaderLeaseEnd_ = aEnd; }
 
 private:
   enum class CallKind : std::uint8_t
@@ -151,6 +155,7 @@
   {
     return *aSession.record;
   }
+  bool HoldsLeaderLease() const { return now_.steady < leaderLeaseEnd_; }
   void Send(WorkerSession& aSession,
             PendingCall aPending,
             WorkerRequest aRequest,
@@ -289,6 +294,7 @@
   const jobs::JobStateMachine& stateMachine_;
   Outbox& outbox_;
   std::optional<FencingToken> fence_;
+  Time leaderLeaseEnd_;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
   PoolIndex poolIndex_;
