--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -136,7 +136,7 @@
 {
   std::string result = machine_.Apply(aAction.index, aAction.command);
   if (aAction.kind == consensus::EntryKind::Configuration)
-    host_.metrics.Set("greengage_agreed_voter", replica_.IsVoter() ? 1 : 0);
+    ReportVoters(aAction.index);
   host_.metrics.Set("greengage_agreed_index",
                     static_cast<double>(aAction.index.Value()));
   if (aAction.proposal)
@@ -146,6 +146,20 @@
                                 .result = std::move(result) } });
 }
 
+void
+ConsensusFilter::ReportVoters(consensus::LogIndex aIndex)
+{
+  host_.metrics.Set("greengage_agreed_voter", replica_.IsVoter() ? 1 : 0);
+  std::string voters;
+  for (const consensus::ReplicaId& voter :
+       replica_.CurrentLog().VotersAt(aIndex))
+    voters += (voters.empty() ? "" : ",") + voter.host.Value();
+  observe::Log(
+    observe::LogLevel::Info,
+    "voters-changed",
+    { { "index", std::to_string(aIndex.Value()) }, { "voters", voters } });
+}
+
 void
 ConsensusFilter::Do(consensus::RestoreSnapshot&& aAction)
 {
--- a/packages/daemon/lib/filters/ConsensusFilter.h
+++ b/packages/daemon/lib/filters/ConsensusFilter.h
@@ -57,6 +57,8 @@
   void Do(consensus::ProposalRefused&& aAction);
   void Do(consensus::ProposalUnknown&& aAction);
   void Do(consensus::LeaderChanged&& aAction);
+  /// Reports the voters of the committed configuration at \p aIndex.
+  void ReportVoters(consensus::LogIndex aIndex);
   /// Keeps the promise of a planned stop once this replica doesn't lead.
   void EndHandOver();
   void PublishLeadership();
