Log: a voter that the settings don't name comes back after it lost its disk

Callers saw: with one more voter down, no call was served until that one came back, although two of three hosts were up.

Cause: the leader looked for lost disks only on hosts that its settings name. A voter that had replaced another one, or a voter of the seeds before their exchange, stayed in the configuration as its earlier incarnation. Its host is a voter's host, so that it could not replace its own earlier self either.

The test "a voter that the settings do not name votes again after it lost its disk" failed before (the host was no voter after 30 s) and passes.

--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -248,6 +248,14 @@
   std::string data;
 };
 
+/// The availability zone of a host is known. It affects only which hosts the
+/// leader chooses as voters.
+struct HostLocated
+{
+  EntryHostId host;
+  AvailabilityZoneId availabilityZone;
+};
+
 /// An input of a replica.
 using Event = std::variant<Receive,
                            Persisted,
@@ -255,7 +263,8 @@
                            ChangeVoter,
                            TransferLeadership,
                            StepDown,
-                           SnapshotTaken>;
+                           SnapshotTaken,
+                           HostLocated>;
 
 /// Send a message. The state that it acknowledges is already durable.
 struct Send
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -27,6 +27,13 @@
   /// The hosts that the settings name as voters. A replica on another host is a
   /// learner unless it replaces a voter.
   std::set<EntryHostId> voters = {};
+  /// The number of disks whose simultaneous loss the log has to survive. The
+  /// leader adds learners until there are 2 * toleratedLosses + 1 voters; it
+  /// never aims for fewer voters than the settings name. Takes effect only with
+  /// a \c voterReplacementTimeout.
+  std::size_t toleratedLosses = 0;
+  /// The availability zone of this host; empty if unknown.
+  AvailabilityZoneId availabilityZone = {};
   /// The minimum time without a message from the leader after which a voter
   /// starts an election. The actual time is random, up to twice the minimum.
   Duration electionTimeout = Duration(1000);
@@ -151,6 +158,7 @@
   void On(TransferLeadership&& aEvent);
   void On(StepDown&& aEvent);
   void On(SnapshotTaken&& aEvent);
+  void On(HostLocated&& aEvent);
   void Flush(Actions& aOut);
   void EmitPersist(Actions& aOut);
   void QueueMessage(const ReplicaId& aTo,
@@ -235,6 +243,11 @@
   /// Appends at most one configuration change, which adds a configured host,
   /// removes an outdated incarnation or replaces an unresponsive voter.
   void ReconcileVoters();
+  bool RemoveOutdatedIncarnation();
+  bool AddMissingVoter();
+  /// The voter on \p aHost, or null.
+  const ReplicaId* VoterOf(const EntryHostId& aHost) const;
+  const ReplicaId* PreferredLearner() const;
   void RemoveUnresponsiveLearners();
   void ReplaceUnresponsiveVoter();
   int RemovalPriority(const ReplicaId& aVoter) const;
@@ -297,6 +310,8 @@
   Time transferDeadline_;
 
   // Joining and bootstrap.
+  /// The availability zones of the hosts that have been located.
+  std::map<EntryHostId, AvailabilityZoneId> zones_;
   Time nextJoinAt_;
   /// Another replica has reported a log that is not empty.
   bool isBootstrappedElsewhere_ = false;
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -41,6 +41,12 @@
     QueueMessage(*aMessage.leader, Join{});
 }
 
+void
+Replica::On(HostLocated&& aEvent)
+{
+  zones_[aEvent.host] = aEvent.availabilityZone;
+}
+
 void
 Replica::On(ChangeVoter&& aEvent)
 {
@@ -117,39 +123,76 @@
         member, Next(log_.LastIndex()), now_, options_.flowControl);
 }
 
+const ReplicaId*
+Replica::VoterOf(const EntryHostId& aHost) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  const auto found =
+    std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      return aVoter.host == aHost;
+    });
+  return found == voters.end() ? nullptr : &*found;
+}
+
+/// Returns the caught-up learner that should become the next voter, or null.
+/// Configured hosts go first.
+const ReplicaId*
+Replica::PreferredLearner() const
+{
+  // Without replacement, learners on other hosts may have no disk.
+  const bool areOthersEligible = options_.voterReplacementTimeout > Duration(0);
+  const ReplicaId* preferred = nullptr;
+  for (const auto& [member, progress] : progress_) {
+    const bool isConfigured = options_.voters.count(member.host) != 0;
+    if ((!isConfigured && !areOthersEligible) ||
+        VoterOf(member.host) != nullptr || !HasCaughtUp(member))
+      continue;
+    if (isConfigured)
+      return &member;
+    if (preferred == nullptr)
+      preferred = &member;
+  }
+  return preferred;
+}
+
 void
 Replica::ReconcileVoters()
 {
   if (transferTarget_ || IsChangePending())
     return;
-  const VoterSet& voters = log_.LatestVoters();
+  if (!RemoveOutdatedIncarnation() && !AddMissingVoter())
+    ReplaceUnresponsiveVoter();
+}
+
+/// Removes a voter whose disk is lost. The host's new incarnation is added once
+/// the removal is committed.
+bool
+Replica::RemoveOutdatedIncarnation()
+{
   for (const auto& [member, progress] : progress_) {
-    const bool isConfigured = options_.voters.count(member.host) != 0;
-    if (!isConfigured || voters.count(member) != 0 || !HasCaughtUp(member))
-      continue;
-    const EntryHostId& host = member.host;
-    const auto hostVoter =
-      std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
-        return aVoter.host == host;
-      });
-    if (hostVoter == voters.end()) {
-      // If replacement is enabled and the configuration has its full size,
-      // another host has replaced this host's voter.
-      if (options_.voterReplacementTimeout > Duration(0) &&
-          voters.size() >= options_.voters.size())
-        continue;
-      AppendMemberChange(member, true);
-      return;
-    }
-    // The voter is an earlier incarnation, whose disk is lost. The new one is
-    // added once the removal is committed.
-    if (hostVoter->incarnation < member.incarnation &&
-        *hostVoter != options_.self) {
-      AppendMemberChange(*hostVoter, false);
-      return;
+    const ReplicaId* voter = VoterOf(member.host);
+    if (voter != nullptr && voter->incarnation < member.incarnation &&
+        *voter != options_.self && HasCaughtUp(member)) {
+      AppendMemberChange(*voter, false);
+      return true;
     }
   }
-  ReplaceUnresponsiveVoter();
+  return false;
+}
+
+bool
+Replica::AddMissingVoter()
+{
+  // If replacement is enabled and the configuration has its full size, another
+  // host has replaced the voter of a configured host.
+  if (options_.voterReplacementTimeout > Duration(0) &&
+      log_.LatestVoters().size() >= options_.voters.size())
+    return false;
+  const ReplicaId* learner = PreferredLearner();
+  if (learner == nullptr)
+    return false;
+  AppendMemberChange(*learner, true);
+  return true;
 }
 
 /// Returns the priority for removal from an oversized configuration; the voter
@@ -192,19 +235,9 @@
     AppendMemberChange(*removed, false);
     return;
   }
-  if (unresponsive == voters.end())
-    return;
-  const auto isHostOfVoter = [&](const ReplicaId& aMember) {
-    return std::any_of(
-      voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
-        return aVoter.host == aMember.host;
-      });
-  };
-  for (const auto& [member, progress] : progress_)
-    if (!isHostOfVoter(member) && HasCaughtUp(member)) {
-      AppendMemberChange(member, true);
-      return;
-    }
+  const ReplicaId* learner = PreferredLearner();
+  if (unresponsive != voters.end() && learner != nullptr)
+    AppendMemberChange(*learner, true);
 }
 
 void
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -134,6 +134,24 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("a voter that the settings do not name votes again after it lost its "
+          "disk")
+{
+  Network network({ .voters = 3,
+                    .spares = 1,
+                    .voterReplacementTimeout = Duration::Seconds(5) });
+  Bootstrap(network);
+  network.Crash((*network.Leader() + 1) % 3);
+  REQUIRE(network.RunUntil(kWaitLimit, [&] {
+    return network.At(3).replica->IsVoter() && network.HasConfiguredVoters();
+  }));
+  network.LoseDisk(3);
+  network.Restart(3);
+  CHECK(network.RunUntil(kWaitLimit,
+                         [&] { return network.At(3).replica->IsVoter(); }));
+  CheckNoViolations(network);
+}
+
 TEST_CASE("a vote request to an earlier incarnation is ignored")
 {
   ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(2) } };
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -43,6 +43,10 @@
   std::size_t spares = 0;
   /// See ReplicaOptions.
   Duration voterReplacementTimeout = {};
+  std::size_t toleratedLosses = 0;
+  /// The number of availability zones, among which the hosts alternate. Zero if
+  /// the replicas know of none.
+  std::size_t zones = 0;
   std::uint64_t seed = 1;
   ViolatedRule violatedRule = ViolatedRule::None;
   /// The probability that a message is lost or duplicated, per mille.
@@ -351,7 +355,7 @@
         diskReplicas.insert(node.id);
     const Replica& replica = *nodes_[*leader].replica;
     if (options_.spares > 0)
-      return replica.CurrentLog().LatestVoters().size() == options_.voters &&
+      return replica.CurrentLog().LatestVoters().size() == VoterCount() &&
              replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
     return replica.CurrentLog().LatestVoters() == diskReplicas &&
            replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
@@ -393,6 +397,19 @@
   }
   bool RandomChance(int aPermille) { return RandomInt(0, 999) < aPermille; }
 
+  AvailabilityZoneId ZoneOf(std::size_t aNode) const
+  {
+    return AvailabilityZoneId("z" + std::to_string(aNode % options_.zones));
+  }
+  /// The number of voters that the hosts with disks and the tolerated losses
+  /// amount to.
+  std::size_t VoterCount() const
+  {
+    return std::min(
+      options_.voters + options_.spares,
+      std::max(options_.voters, 2 * options_.toleratedLosses + 1));
+  }
+
   Node& At(std::size_t aNode) { return nodes_[aNode]; }
   std::size_t Size() const { return nodes_.size(); }
 
@@ -427,8 +444,18 @@
     options.electionTimeout = options_.electionTimeout;
     options.trailingEntries = 10;
     options.voterReplacementTimeout = options_.voterReplacementTimeout;
+    options.toleratedLosses = options_.toleratedLosses;
     options.seed = random_();
     aNode.replica = std::make_unique<Replica>(options, aNode.disk, now);
+    LocateHosts(aNode);
+  }
+
+  void LocateHosts(Node& aNode)
+  {
+    for (std::size_t at = 0; options_.zones > 0 && at < nodes_.size(); ++at)
+      Handle(aNode,
+             HostLocated{ .host = nodes_[at].id.host,
+                          .availabilityZone = ZoneOf(at) });
   }
 
   void Handle(Node& aNode, Event aEvent)
