Log: as many voters as the losses to be borne need

Cause: the log had three voters, the seeds, and so survived the loss of one disk; the deployment has to bear two.

The number is now 2 x losses + 1. Without it, or with one loss, there are three voters as before. The seeds found the log; the leader then adds caught-up learners one by one, and keeps the number when it replaces a silent voter.

"a log that has to survive two lost disks survives them" failed before (no leader 10 s after the loss).

New setting, nothing renamed: `[agreed] tolerated_losses`.

--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -243,6 +243,8 @@
   /// Appends at most one configuration change, which adds a configured host,
   /// removes an outdated incarnation or replaces an unresponsive voter.
   void ReconcileVoters();
+  /// The number of voters that the leader aims for.
+  std::size_t TargetVoterCount() const;
   bool RemoveOutdatedIncarnation();
   bool AddMissingVoter();
   /// The voter on \p aHost, or null.
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -123,6 +123,12 @@
         member, Next(log_.LastIndex()), now_, options_.flowControl);
 }
 
+std::size_t
+Replica::TargetVoterCount() const
+{
+  return std::max(options_.voters.size(), 2 * options_.toleratedLosses + 1);
+}
+
 const ReplicaId*
 Replica::VoterOf(const EntryHostId& aHost) const
 {
@@ -186,7 +192,7 @@
   // If replacement is enabled and the configuration has its full size, another
   // host has replaced the voter of a configured host.
   if (options_.voterReplacementTimeout > Duration(0) &&
-      log_.LatestVoters().size() >= options_.voters.size())
+      log_.LatestVoters().size() >= TargetVoterCount())
     return false;
   const ReplicaId* learner = PreferredLearner();
   if (learner == nullptr)
@@ -208,7 +214,7 @@
 
 /// Adds a caught-up learner as a voter, then removes the unresponsive voter.
 /// The two changes are committed one after the other, and the number of voters
-/// never drops below the configured number.
+/// never drops below the target.
 void
 Replica::ReplaceUnresponsiveVoter()
 {
@@ -221,7 +227,7 @@
       return found != progress_.end() && now_ - found->second.LastReplyAt() >=
                                            options_.voterReplacementTimeout;
     });
-  if (voters.size() > options_.voters.size()) {
+  if (voters.size() > TargetVoterCount()) {
     // Remove the unresponsive voter, or the added one if all respond again.
     const auto removed =
       unresponsive != voters.end()
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -134,6 +134,55 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("a log that has to survive two lost disks survives them")
+{
+  // Three hosts are named, so the other two voters are learners at first.
+  for (const std::size_t spares : { 2, 3 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(6),
+                      .toleratedLosses = 2 });
+    REQUIRE(network.RunUntil(kWaitLimit,
+                             [&] { return network.Leader().has_value(); }));
+    network.Run(Duration::Seconds(5));
+    CommitCommands(network, 20);
+    const std::size_t committed = network.invariants.CommittedCount();
+    // The disks of the leader and of another named host are lost while all
+    // other hosts lose power.
+    const std::size_t leader = *network.Leader();
+    for (std::size_t at = 0; at < network.Size(); ++at)
+      network.Crash(at);
+    network.LoseDisk(leader);
+    network.LoseDisk((leader + 1) % 3);
+    network.Heal();
+    REQUIRE(network.RunUntil(Duration::Seconds(10),
+                             [&] { return network.Leader().has_value(); }));
+    CommitCommands(network, 1);
+    CHECK(network.invariants.CommittedCount() > committed);
+    // Both hosts become voters again, or others have taken their place.
+    CHECK(network.RunUntil(kWaitLimit,
+                           [&] { return network.HasConfiguredVoters(); }));
+    CheckNoViolations(network);
+  }
+}
+
+TEST_CASE("a log that has to survive one lost disk keeps three voters")
+{
+  for (const std::size_t spares : { 0, 1 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(6),
+                      .toleratedLosses = 1 });
+    Bootstrap(network);
+    network.Run(Duration::Seconds(10));
+    const std::size_t leader = *network.Leader();
+    CHECK(network.At(leader).replica->CurrentLog().LatestVoters().size() == 3);
+    CheckNoViolations(network);
+  }
+}
+
 TEST_CASE("a voter that the settings do not name votes again after it lost its "
           "disk")
 {
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -343,7 +343,7 @@
            node.replica->CurrentRole() == Role::Leader;
   }
   /// Whether the committed voters are the current incarnations of all hosts
-  /// with disks or, with spares, have their configured number.
+  /// with disks or, with spares, of as many as there should be.
   bool HasConfiguredVoters() const
   {
     const auto leader = Leader();
@@ -354,8 +354,13 @@
       if (node.hasDisk)
         diskReplicas.insert(node.id);
     const Replica& replica = *nodes_[*leader].replica;
+    const VoterSet& voters = replica.CurrentLog().LatestVoters();
     if (options_.spares > 0)
-      return replica.CurrentLog().LatestVoters().size() == VoterCount() &&
+      return voters.size() == VoterCount() &&
+             std::includes(diskReplicas.begin(),
+                           diskReplicas.end(),
+                           voters.begin(),
+                           voters.end()) &&
              replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
     return replica.CurrentLog().LatestVoters() == diskReplicas &&
            replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -16,6 +16,7 @@
 #include "greengage/schedule/Scheduler.h"
 #include "greengage/settings/IniFile.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -37,6 +38,8 @@
   std::vector<EntryHostId> seeds;
   /// Set on a control host.
   std::string dataFolder;
+  /// The number of control hosts whose disks may be lost at the same time.
+  std::size_t toleratedLosses = 0;
 
   std::optional<Endpoint> callers;
   std::optional<Endpoint> readiness;
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -109,6 +109,7 @@
   consensus::ReplicaOptions options{
     .self = { .host = options_.self, .incarnation = incarnation_ },
     .voters = options_.voters,
+    .toleratedLosses = options_.toleratedLosses,
     .voterReplacementTimeout = options_.voterReplacementTimeout,
     .maxMessageBytes = options_.maxEntryBytes,
     .maxCommandBytes = options_.maxEntryBytes
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -36,6 +36,8 @@
   /// Silence after which another host with a disk takes a voter's place; zero
   /// for never.
   Duration voterReplacementTimeout = {};
+  /// Disks that may be lost at the same time.
+  std::size_t toleratedLosses = 0;
   /// Empty on a host without a disk.
   std::string dataFolder;
   /// Bytes of one command, and of one message between replicas.
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -11,6 +11,7 @@
 
 static constexpr std::size_t kMinSecret = 16;
 static constexpr settings::IntegerRange kPortRange{ 1, 65535 };
+static constexpr settings::IntegerRange kToleratedLossesRange{ 0, 1000 };
 
 static std::optional<Endpoint>
 OptionalEndpoint(SettingsReader& aReader,
@@ -58,6 +59,10 @@
                       " characters");
   }
   settings.seeds = ReadSeeds(reader);
+  reader.ReadInteger("agreed",
+                     "tolerated_losses",
+                     kToleratedLossesRange,
+                     settings.toleratedLosses);
   settings.callers = OptionalEndpoint(reader, "ports", "callers");
   settings.readiness = OptionalEndpoint(reader, "ports", "readiness");
   settings.control = OptionalEndpoint(reader, "ports", "control");
--- a/packages/daemon/unittests/JobSettingsTest.cpp
+++ b/packages/daemon/unittests/JobSettingsTest.cpp
@@ -16,6 +16,8 @@
                            "port = 7000\n"
                            "secret = 0123456789abcdef\n"
                            "seeds = 10.1.0.26:8345,10.2.0.17:8345\n"
+                           "[agreed]\n"
+                           "tolerated_losses = 2\n"
                            "[ports]\n"
                            "callers = 10.1.0.23:8340\n"
                            "readiness = 10.1.0.23:8343\n"
@@ -56,6 +58,7 @@
   CHECK(settings->peerPort == 7000);
   REQUIRE(settings->seeds.size() == 2);
   CHECK(settings->seeds[1] == EntryHostId("10.2.0.17"));
+  CHECK(settings->toleratedLosses == 2);
   CHECK(settings->callers->port == 8340);
   CHECK_FALSE(settings->control);
   CHECK(settings->dataFolder.empty());
@@ -73,6 +76,7 @@
         { "port = 7000", "port = 70000", "port" },
         { "0123456789abcdef", "short", "secret" },
         { "10.2.0.17:8345", "10.2.0.17", "seeds" },
+        { "tolerated_losses = 2", "tolerated_losses = -1", "tolerated" },
         { "10.1.0.23:8340", "entry:8340", "callers" },
         { "max_lease = 10000ms", "max_lease = 10000", "max_lease" },
         { "max_lease = 10000ms", "max_lease = 1000ms", "lease" },
