Log: voters are spread over the availability zones

Callers would see: no job served while one zone is cut off or without power, although the deployment bears that.

Cause: a silent voter was replaced by the first learner in the order of their addresses, and stayed replaced for good.

The next voter now comes from the zone with the fewest, hosts of the settings first among equals. If the loss of one zone would leave no majority and a caught-up learner of another zone is there, it takes the place of one of that zone's voters, by the same two changes. The replica learns the zones from the peer connections by a new event, `HostLocated`; unknown ones change nothing.

--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace greengage::consensus {
@@ -32,8 +33,6 @@
   /// never aims for fewer voters than the settings name. Takes effect only with
   /// a \c voterReplacementTimeout.
   std::size_t toleratedLosses = 0;
-  /// The availability zone of this host; empty if unknown.
-  AvailabilityZoneId availabilityZone = {};
   /// The minimum time without a message from the leader after which a voter
   /// starts an election. The actual time is random, up to twice the minimum.
   Duration electionTimeout = Duration(1000);
@@ -250,9 +249,13 @@
   /// The voter on \p aHost, or null.
   const ReplicaId* VoterOf(const EntryHostId& aHost) const;
   const ReplicaId* PreferredLearner() const;
+  /// The number of voters in the availability zone of \p aHost.
+  std::size_t VotersInZoneOf(const EntryHostId& aHost) const;
+  bool ImprovesZoneSpread(const ReplicaId& aLearner) const;
   void RemoveUnresponsiveLearners();
   void ReplaceUnresponsiveVoter();
-  int RemovalPriority(const ReplicaId& aVoter) const;
+  std::tuple<bool, std::size_t, bool> RemovalPriority(
+    const ReplicaId& aVoter) const;
   void TickJoin();
   /// Starts a bootstrap election if the log is empty, this host is the first of
   /// the configured voters and all others have recently sent Join.
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -1,6 +1,7 @@
 #include "greengage/consensus/Replica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengage::consensus {
 
@@ -140,22 +141,53 @@
   return found == voters.end() ? nullptr : &*found;
 }
 
+std::size_t
+Replica::VotersInZoneOf(const EntryHostId& aHost) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  const auto zone = zones_.find(aHost);
+  // A host in an unknown zone counts as the only one in its zone.
+  if (zone == zones_.end())
+    return VoterOf(aHost) != nullptr ? 1 : 0;
+  return static_cast<std::size_t>(
+    std::count_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      const auto other = zones_.find(aVoter.host);
+      return other != zones_.end() && other->second == zone->second;
+    }));
+}
+
+/// Returns whether adding \p aLearner and removing another voter leads towards
+/// a configuration that keeps a majority when any one zone is lost.
+bool
+Replica::ImprovesZoneSpread(const ReplicaId& aLearner) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  return std::any_of(
+    voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      const std::size_t count = VotersInZoneOf(aVoter.host);
+      return voters.size() - count < Majority() &&
+             VotersInZoneOf(aLearner.host) + 1 < count;
+    });
+}
+
 /// Returns the caught-up learner that should become the next voter, or null.
-/// Configured hosts go first.
+/// Zones with few voters go first, then configured hosts.
 const ReplicaId*
 Replica::PreferredLearner() const
 {
   // Without replacement, learners on other hosts may have no disk.
   const bool areOthersEligible = options_.voterReplacementTimeout > Duration(0);
+  const auto rank = [&](const ReplicaId& aMember) {
+    const bool isConfigured = options_.voters.count(aMember.host) != 0;
+    return std::pair(VotersInZoneOf(aMember.host), !isConfigured);
+  };
   const ReplicaId* preferred = nullptr;
   for (const auto& [member, progress] : progress_) {
     const bool isConfigured = options_.voters.count(member.host) != 0;
     if ((!isConfigured && !areOthersEligible) ||
         VoterOf(member.host) != nullptr || !HasCaughtUp(member))
       continue;
-    if (isConfigured)
-      return &member;
-    if (preferred == nullptr)
+    if (preferred == nullptr || rank(member) < rank(*preferred))
       preferred = &member;
   }
   return preferred;
@@ -202,19 +234,20 @@
 }
 
 /// Returns the priority for removal from an oversized configuration; the voter
-/// with the highest value is removed. Hosts that aren't configured as voters
-/// have the highest, the leader itself the lowest.
-int
+/// with the highest value is removed. Hosts in the zone with the most voters
+/// come first, among them those that aren't configured, and the leader last.
+std::tuple<bool, std::size_t, bool>
 Replica::RemovalPriority(const ReplicaId& aVoter) const
 {
-  if (aVoter == options_.self)
-    return 0;
-  return options_.voters.count(aVoter.host) != 0 ? 1 : 2;
+  return { aVoter != options_.self,
+           VotersInZoneOf(aVoter.host),
+           options_.voters.count(aVoter.host) == 0 };
 }
 
-/// Adds a caught-up learner as a voter, then removes the unresponsive voter.
-/// The two changes are committed one after the other, and the number of voters
-/// never drops below the target.
+/// Adds a caught-up learner as a voter, then removes the unresponsive voter, or
+/// one of a zone whose loss would leave no majority. The two changes are
+/// committed one after the other, and the number of voters never drops below
+/// the target.
 void
 Replica::ReplaceUnresponsiveVoter()
 {
@@ -228,7 +261,7 @@
                                            options_.voterReplacementTimeout;
     });
   if (voters.size() > TargetVoterCount()) {
-    // Remove the unresponsive voter, or the added one if all respond again.
+    // Remove the unresponsive voter, or another one if all respond again.
     const auto removed =
       unresponsive != voters.end()
         ? unresponsive
@@ -242,7 +275,8 @@
     return;
   }
   const ReplicaId* learner = PreferredLearner();
-  if (unresponsive != voters.end() && learner != nullptr)
+  if (learner != nullptr &&
+      (unresponsive != voters.end() || ImprovesZoneSpread(*learner)))
     AppendMemberChange(*learner, true);
 }
 
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -201,6 +201,43 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("a log in three availability zones survives the loss of one after a "
+          "voter was replaced")
+{
+  // With one spare, the only replacement is in the zone of another voter.
+  for (const std::size_t spares : { 1, 3 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(5),
+                      .toleratedLosses = 1,
+                      .zones = 3 });
+    Bootstrap(network);
+    REQUIRE(*network.Leader() == 0);
+    const ReplicaId victim = network.At(1).id;
+    network.Crash(1);
+    REQUIRE(network.RunUntil(kWaitLimit, [&] {
+      return network.HasConfiguredVoters() && network.At(*network.Leader())
+                                                  .replica->CurrentLog()
+                                                  .LatestVoters()
+                                                  .count(victim) == 0;
+    }));
+    network.Restart(1);
+    network.Run(Duration::Seconds(5));
+    for (std::size_t zone = 0; zone < 3; ++zone) {
+      CAPTURE(zone);
+      for (std::size_t at = zone; at < network.Size(); at += 3)
+        network.Crash(at);
+      REQUIRE(network.RunUntil(Duration::Seconds(4),
+                               [&] { return network.Leader().has_value(); }));
+      CommitCommands(network, 1);
+      network.Heal();
+      network.Run(Duration::Seconds(5));
+    }
+    CheckNoViolations(network);
+  }
+}
+
 TEST_CASE("a vote request to an earlier incarnation is ignored")
 {
   ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(2) } };
--- a/packages/consensus/unittests/ScheduleTest.cpp
+++ b/packages/consensus/unittests/ScheduleTest.cpp
@@ -150,6 +150,7 @@
         .spares = 3,
         .voterReplacementTimeout = Duration::Seconds(2),
         .toleratedLosses = 2,
+        .zones = 3,
         .lossPermille = 20 },
       { .crashes = 5, .diskLosses = 5, .linkCuts = 5, .heals = 8 } },
     { "configuration changes and transfers",
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -137,6 +137,9 @@
   if (journalFilter_)
     journalDuty_.Start(*journalFilter_);
   duty_.Start(*filter_);
+  if (!options_.availabilityZone.Value().empty())
+    duty_.Push(consensus::Event(consensus::HostLocated{
+      .host = options_.self, .availabilityZone = options_.availabilityZone }));
   isRunning_ = true;
 }
 
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -31,6 +31,7 @@
 struct ConsensusStageOptions
 {
   EntryHostId self;
+  AvailabilityZoneId availabilityZone = {};
   /// The hosts with disks, the same on all hosts.
   std::set<EntryHostId> voters;
   /// Silence after which another host with a disk takes a voter's place; zero
--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -186,6 +186,7 @@
   , leadershipSink(schedule, aGate)
   , proposalEnds(schedule)
   , log({ .self = aSettings.id,
+          .availabilityZone = aSettings.availabilityZone,
           .voters = { aSettings.seeds.begin(), aSettings.seeds.end() },
           .voterReplacementTimeout = kReplaceVoterAfter,
           .toleratedLosses = aSettings.toleratedLosses,
--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -217,6 +217,9 @@
 GateFilter::OnPeer(peer::PeerConnected&& aEvent, Time /*aNow*/)
 {
   up_.insert(aEvent.peer);
+  if (outlets_.log != nullptr)
+    outlets_.log->TryPush(consensus::Event(consensus::HostLocated{
+      .host = aEvent.peer, .availabilityZone = aEvent.availabilityZone }));
   if (outlets_.log != nullptr && term_ > consensus::Term(0))
     outlets_.peers.TryPush(
       { .to = aEvent.peer,
