Log: founded only at the first start of the whole system

Callers could see: two leaders, each with a log of its own; jobs that were accepted before are unknown to one of them, and tasks run twice.

Cause: the first of the hosts that the settings name founded a log when all of these had empty disks and none of them knew a log. After an exchange of seeds they can all be new hosts, which never speak with the old ones; and the three named hosts may all have lost their disks while others still have the log. The settings' `bootstrap` was not read.

A replica now takes part in founding, as candidate or voter, only if its folder was made while `[agreed] bootstrap` was true. That is kept in the hard state before the first Join, so that hosts restarted before the log is founded, whose settings say false by then, still found it. A host whose folder is lost before that needs `true` again. Without the key everything is as before.

Failed before, with the permission always given: "new hosts that are configured as voters later do not bootstrap a second log" and "configured voters that all lost their disks do not bootstrap a second log" (more than one leader in term 1, logs do not match at index 1). "hosts that restart before the log is bootstrapped still bootstrap it" passed before and guards the permission's record.

Stored data: the hard state has one field more at its end, false in old folders, which matters only where a log was never founded. New setting: `[agreed] bootstrap`.

--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -84,6 +84,9 @@
   /// The candidate that got this replica's vote in the bootstrap election. It
   /// is kept across terms, so that a replica helps to bootstrap only one log.
   std::optional<ReplicaId> bootstrapVote = {};
+  /// The data folder was created when the whole system first started, so this
+  /// replica may take part in bootstrapping the log.
+  bool mayBootstrap = false;
 
   friend bool operator==(const HardState&, const HardState&) = default;
 };
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -33,6 +33,10 @@
   /// never aims for fewer voters than the settings name. Takes effect only with
   /// a \c voterReplacementTimeout.
   std::size_t toleratedLosses = 0;
+  /// Whether the whole system starts for the first time, so that an empty disk
+  /// means that no log exists. It is kept on the disk: a replica that restarts
+  /// before the log is bootstrapped still takes part if this is then false.
+  bool mayBootstrap = true;
   /// The minimum time without a message from the leader after which a voter
   /// starts an election. The actual time is random, up to twice the minimum.
   Duration electionTimeout = Duration(1000);
@@ -257,8 +261,9 @@
   std::tuple<bool, std::size_t, bool> RemovalPriority(
     const ReplicaId& aVoter) const;
   void TickJoin();
-  /// Starts a bootstrap election if the log is empty, this host is the first of
-  /// the configured voters and all others have recently sent Join.
+  /// Starts a bootstrap election if this replica may bootstrap, the log is
+  /// empty, this host is the first of the configured voters and all others have
+  /// recently sent Join.
   void TryBootstrap();
 
   ReplicaOptions options_;
@@ -280,6 +285,8 @@
   std::deque<PendingWrite> pendingWrites_;
   std::deque<DeferredSend> deferredSends_;
   bool isHardStateDirty_ = false;
+  /// The permission to bootstrap is new and has to be written.
+  bool isBootstrapPermissionDirty_ = false;
   SnapshotPtr dirtySnapshot_;
   std::optional<LogIndex> truncateFrom_;
   std::optional<LogIndex> firstDirtyIndex_;
--- a/packages/consensus/lib/Replica.cpp
+++ b/packages/consensus/lib/Replica.cpp
@@ -21,6 +21,10 @@
 {
   assert(options_.self.incarnation != kAnyIncarnation &&
          "kAnyIncarnation cannot identify a replica");
+  if (options_.mayBootstrap && log_.IsEmpty() && !hardState_.mayBootstrap) {
+    hardState_.mayBootstrap = true;
+    isBootstrapPermissionDirty_ = true;
+  }
   ResetElectionTimer();
 }
 
@@ -37,6 +41,7 @@
 Replica::Tick(Time aNow, Actions& aOut)
 {
   now_ = aNow;
+  isHardStateDirty_ = isHardStateDirty_ || isBootstrapPermissionDirty_;
   if (role_ == Role::Leader)
     CheckQuorum();
   if (role_ == Role::Leader) {
@@ -207,6 +212,7 @@
                              .term = hardState_.term });
   aOut.push_back(std::move(persist));
   isHardStateDirty_ = false;
+  isBootstrapPermissionDirty_ = false;
   dirtySnapshot_.reset();
   truncateFrom_.reset();
   firstDirtyIndex_.reset();
--- a/packages/consensus/lib/ReplicaElection.cpp
+++ b/packages/consensus/lib/ReplicaElection.cpp
@@ -82,7 +82,8 @@
   // without them.
   const bool hasOtherBootstrapVote =
     hardState_.bootstrapVote && *hardState_.bootstrapVote != aFrom;
-  if (aMessage.isBootstrap && (!log_.IsEmpty() || hasOtherBootstrapVote))
+  if (aMessage.isBootstrap &&
+      (!hardState_.mayBootstrap || !log_.IsEmpty() || hasOtherBootstrapVote))
     return false;
   const bool isUpToDate = std::tuple(aMessage.lastTerm, aMessage.lastIndex) >=
                           std::tuple(log_.LastTerm(), log_.LastIndex());
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -313,8 +313,8 @@
     !options_.voters.empty() && *options_.voters.begin() == options_.self.host;
   const bool hasOtherBootstrapVote =
     hardState_.bootstrapVote && *hardState_.bootstrapVote != options_.self;
-  if (!isBootstrapHost || !log_.IsEmpty() || hasOtherBootstrapVote ||
-      isBootstrappedElsewhere_)
+  if (!isBootstrapHost || !hardState_.mayBootstrap || !log_.IsEmpty() ||
+      hasOtherBootstrapVote || isBootstrappedElsewhere_)
     return;
   VoterSet initialVoters{ options_.self };
   for (const EntryHostId& host : options_.voters) {
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -58,6 +58,67 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("new hosts that are configured as voters later do not bootstrap a "
+          "second log")
+{
+  Network network({ .voters = 3, .spares = 3 });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.LoseDisk(newHost);
+  REQUIRE(
+    network.RunUntil(kWaitLimit, [&] { return network.Leader().has_value(); }));
+  CommitCommands(network, 5);
+  const std::size_t leader = *network.Leader();
+  network.ChangeSettings({ 3, 4, 5 });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.Restart(newHost);
+  network.Run(kWaitLimit);
+  CheckNoViolations(network);
+  for (const std::size_t newHost : { 3, 4, 5 })
+    CHECK_FALSE(network.IsLeader(newHost));
+  CHECK(network.IsLeader(leader));
+}
+
+TEST_CASE("configured voters that all lost their disks do not bootstrap a "
+          "second log")
+{
+  Network network({ .voters = 3,
+                    .spares = 3,
+                    .voterReplacementTimeout = Duration::Seconds(2) });
+  Bootstrap(network);
+  CommitCommands(network, 5);
+  const std::size_t committed = network.invariants.CommittedCount();
+  network.ChangeSettings({ 0, 1, 2 });
+  for (std::size_t at = 0; at < network.Size(); ++at)
+    network.Crash(at);
+  for (const std::size_t host : { 0, 1, 2 }) {
+    network.LoseDisk(host);
+    network.Restart(host);
+  }
+  network.Run(kWaitLimit);
+  CHECK_FALSE(network.Leader());
+  CHECK(network.invariants.CommittedCount() == committed);
+  CheckNoViolations(network);
+}
+
+TEST_CASE(
+  "hosts that restart before the log is bootstrapped still bootstrap it")
+{
+  Network network({ .voters = 3 });
+  network.Run(Duration(100));
+  network.Crash(2);
+  network.Run(Duration::Seconds(5));
+  network.ChangeSettings({ 0, 1, 2 });
+  for (const std::size_t host : { 0, 1 }) {
+    network.Crash(host);
+    network.Restart(host);
+  }
+  network.Run(Duration::Seconds(5));
+  CHECK_FALSE(network.Leader());
+  network.Restart(2);
+  Bootstrap(network);
+  CheckNoViolations(network);
+}
+
 TEST_CASE(
   "a second bootstrap vote is denied after the first candidate lost its disk")
 {
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -302,6 +302,15 @@
       Restart(at);
     }
   }
+  /// Changes the settings that hosts read when they start: the hosts that are
+  /// configured as voters, and that the system has started before.
+  void ChangeSettings(const std::set<std::size_t>& aVoters)
+  {
+    voters_.clear();
+    for (const std::size_t voter : aVoters)
+      voters_.insert(nodes_[voter].id.host);
+    mayBootstrap_ = false;
+  }
   void SetMessageFaults(int aLossPermille,
                         int aDuplicationPermille,
                         int aMaxDelayMs)
@@ -450,6 +459,7 @@
     options.trailingEntries = 10;
     options.voterReplacementTimeout = options_.voterReplacementTimeout;
     options.toleratedLosses = options_.toleratedLosses;
+    options.mayBootstrap = mayBootstrap_;
     options.seed = random_();
     aNode.replica = std::make_unique<Replica>(options, aNode.disk, now);
     LocateHosts(aNode);
@@ -657,6 +667,7 @@
   std::mt19937_64 random_;
   std::deque<Node> nodes_;
   std::set<EntryHostId> voters_;
+  bool mayBootstrap_ = true;
   std::vector<Packet> packets_;
   std::set<std::pair<EntryHostId, EntryHostId>> cutLinks_;
   std::map<LogIndex, std::uint64_t> digests_;
--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -40,6 +40,8 @@
   std::string dataFolder;
   /// The number of control hosts whose disks may be lost at the same time.
   std::size_t toleratedLosses = 0;
+  /// Whether the whole system starts for the first time.
+  bool mayBootstrap = true;
 
   std::optional<Endpoint> callers;
   std::optional<Endpoint> readiness;
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -110,6 +110,7 @@
     .self = { .host = options_.self, .incarnation = incarnation_ },
     .voters = options_.voters,
     .toleratedLosses = options_.toleratedLosses,
+    .mayBootstrap = options_.mayBootstrap,
     .voterReplacementTimeout = options_.voterReplacementTimeout,
     .maxMessageBytes = options_.maxEntryBytes,
     .maxCommandBytes = options_.maxEntryBytes
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -39,6 +39,8 @@
   Duration voterReplacementTimeout = {};
   /// Disks that may be lost at the same time.
   std::size_t toleratedLosses = 0;
+  /// Whether an empty data folder means that no log exists yet.
+  bool mayBootstrap = true;
   /// Empty on a host without a disk.
   std::string dataFolder;
   /// Bytes of one command, and of one message between replicas.
--- a/packages/daemon/lib/JobSettings.cpp
+++ b/packages/daemon/lib/JobSettings.cpp
@@ -63,6 +63,7 @@
                      "tolerated_losses",
                      kToleratedLossesRange,
                      settings.toleratedLosses);
+  reader.ReadBoolean("agreed", "bootstrap", settings.mayBootstrap);
   settings.callers = OptionalEndpoint(reader, "ports", "callers");
   settings.readiness = OptionalEndpoint(reader, "ports", "readiness");
   settings.control = OptionalEndpoint(reader, "ports", "control");
--- a/packages/daemon/unittests/JobSettingsTest.cpp
+++ b/packages/daemon/unittests/JobSettingsTest.cpp
@@ -18,6 +18,7 @@
                            "seeds = 10.1.0.26:8345,10.2.0.17:8345\n"
                            "[agreed]\n"
                            "tolerated_losses = 2\n"
+                           "bootstrap = false\n"
                            "[ports]\n"
                            "callers = 10.1.0.23:8340\n"
                            "readiness = 10.1.0.23:8343\n"
@@ -59,6 +60,7 @@
   REQUIRE(settings->seeds.size() == 2);
   CHECK(settings->seeds[1] == EntryHostId("10.2.0.17"));
   CHECK(settings->toleratedLosses == 2);
+  CHECK_FALSE(settings->mayBootstrap);
   CHECK(settings->callers->port == 8340);
   CHECK_FALSE(settings->control);
   CHECK(settings->dataFolder.empty());
@@ -77,6 +79,7 @@
         { "0123456789abcdef", "short", "secret" },
         { "10.2.0.17:8345", "10.2.0.17", "seeds" },
         { "tolerated_losses = 2", "tolerated_losses = -1", "tolerated" },
+        { "bootstrap = false", "bootstrap = no", "bootstrap" },
         { "10.1.0.23:8340", "entry:8340", "callers" },
         { "max_lease = 10000ms", "max_lease = 10000", "max_lease" },
         { "max_lease = 10000ms", "max_lease = 1000ms", "lease" },
--- a/packages/wire/lib/LogCodec.cpp
+++ b/packages/wire/lib/LogCodec.cpp
@@ -380,7 +380,8 @@
   const auto bootstrapVote = EncodeMember(builder, aState.bootstrapVote);
   return Finish(
     builder,
-    fb::CreateHardState(builder, aState.term.Value(), vote, bootstrapVote));
+    fb::CreateHardState(
+      builder, aState.term.Value(), vote, bootstrapVote, aState.mayBootstrap));
 }
 
 std::string
@@ -417,8 +418,8 @@
     return std::nullopt;
   return consensus::HardState{ .term = Term(table->term()),
                                .vote = DecodeMember(table->vote()),
-                               .bootstrapVote =
-                                 DecodeMember(table->founder()) };
+                               .bootstrapVote = DecodeMember(table->founder()),
+                               .mayBootstrap = table->may_bootstrap() };
 }
 
 std::optional<consensus::Snapshot>
--- a/packages/wire/unittests/WireTest.cpp
+++ b/packages/wire/unittests/WireTest.cpp
@@ -216,7 +216,9 @@
                      .kind = EntryKind::Command,
                      .command = std::string("x\0y", 3),
                      .members = { member } };
-  const HardState state{ .term = Term(5), .vote = member };
+  const HardState state{ .term = Term(5),
+                         .vote = member,
+                         .mayBootstrap = true };
   const Snapshot snapshot{
     .index = LogIndex(1), .term = Term(2), .members = { member }, .data = "d"
   };
