Log: a control host whose seeds are all new finds the log

Callers could see: after the seeds were exchanged for new hosts, calls that go by these hosts are refused for good.

Cause: a replica asks only the hosts of its settings for the log. If these are all new, none has it. The old hosts do connect to the new ones, and announce the leader, but a control host did not use the announcement.

The gate now passes the announced leader on (`LeaderAnnounced`), and the replica asks it, too, as long as it hears no leader. It also counts as the news that a log exists.

"new hosts follow the announced leader if the settings name only new hosts" failed without the request to the announced leader; "a control host tells its replica who leads elsewhere" tests the gate.

--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -259,6 +259,12 @@
   AvailabilityZoneId availabilityZone;
 };
 
+/// A peer has announced that a replica on \c host leads the log.
+struct LeaderAnnounced
+{
+  EntryHostId host;
+};
+
 /// An input of a replica.
 using Event = std::variant<Receive,
                            Persisted,
@@ -267,7 +273,8 @@
                            TransferLeadership,
                            StepDown,
                            SnapshotTaken,
-                           HostLocated>;
+                           HostLocated,
+                           LeaderAnnounced>;
 
 /// Send a message. The state that it acknowledges is already durable.
 struct Send
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -162,6 +162,7 @@
   void On(StepDown&& aEvent);
   void On(SnapshotTaken&& aEvent);
   void On(HostLocated&& aEvent);
+  void On(LeaderAnnounced&& aEvent);
   void Flush(Actions& aOut);
   void EmitPersist(Actions& aOut);
   void QueueMessage(const ReplicaId& aTo,
@@ -322,6 +323,8 @@
   Time transferDeadline_;
 
   // Joining and bootstrap.
+  /// The host that peers have announced as the leader's.
+  std::optional<EntryHostId> announcedLeader_;
   /// The availability zones of the hosts that have been located.
   std::map<EntryHostId, AvailabilityZoneId> zones_;
   Time nextJoinAt_;
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -48,6 +48,14 @@
   zones_[aEvent.host] = aEvent.availabilityZone;
 }
 
+void
+Replica::On(LeaderAnnounced&& aEvent)
+{
+  isBootstrappedElsewhere_ = true;
+  announcedLeader_ = std::move(aEvent.host);
+  nextJoinAt_ = now_;
+}
+
 void
 Replica::On(ChangeVoter&& aEvent)
 {
@@ -301,7 +309,11 @@
   if (hasLeader || now_ < nextJoinAt_)
     return;
   nextJoinAt_ = now_ + options_.joinInterval;
-  for (const EntryHostId& host : options_.voters)
+  std::set<EntryHostId> targets = options_.voters;
+  // None of the configured hosts may have the log.
+  if (announcedLeader_)
+    targets.insert(*announcedLeader_);
+  for (const EntryHostId& host : targets)
     if (host != options_.self.host)
       QueueMessage({ .host = host, .incarnation = kAnyIncarnation }, Join{});
 }
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -78,6 +78,27 @@
   CHECK(network.IsLeader(leader));
 }
 
+TEST_CASE("new hosts follow the announced leader if the settings name only new "
+          "hosts")
+{
+  Network network({ .voters = 3,
+                    .spares = 3,
+                    .voterReplacementTimeout = Duration::Seconds(2) });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.LoseDisk(newHost);
+  REQUIRE(
+    network.RunUntil(kWaitLimit, [&] { return network.Leader().has_value(); }));
+  CommitCommands(network, 5);
+  const EntryHostId leader = network.At(*network.Leader()).id.host;
+  network.ChangeSettings({ 3, 4, 5 });
+  for (const std::size_t newHost : { 3, 4, 5 }) {
+    network.Restart(newHost);
+    network.Handle(newHost, LeaderAnnounced{ .host = leader });
+  }
+  CHECK(network.RunUntil(kWaitLimit, [&] { return network.HaveAllApplied(); }));
+  CheckNoViolations(network);
+}
+
 TEST_CASE("configured voters that all lost their disks do not bootstrap a "
           "second log")
 {
--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -291,9 +291,13 @@
 void
 GateFilter::OnMessage(const wire::LeaderNotice& aNotice)
 {
-  // A host with the log believes its own replica.
   if (outlets_.log == nullptr)
     Learn(aNotice.term, aNotice.leader);
+  // A host with the log believes its own replica, which asks the leader for the
+  // log if it has no other way to it.
+  else if (aNotice.leader)
+    outlets_.log->TryPush(
+      consensus::Event(consensus::LeaderAnnounced{ .host = *aNotice.leader }));
 }
 
 void
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -278,6 +278,17 @@
   CHECK(NextStatus() == 503);
 }
 
+TEST_CASE_METHOD(ControlFixture,
+                 "a control host tells its replica who leads elsewhere")
+{
+  Notice(2, std::nullopt);
+  CHECK(log.messages.empty());
+  Notice(2, kLeader);
+  REQUIRE(log.messages.size() == 1);
+  const auto& event = std::get<consensus::Event>(log.messages.front());
+  CHECK(std::get<consensus::LeaderAnnounced>(event).host == kLeader);
+}
+
 TEST_CASE_METHOD(ControlFixture, "a host speaks only for its own replica")
 {
   const auto message = [](const EntryHostId& aFrom) {
