--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -26,7 +26,7 @@
 {
   ReplicaId self;
   /// The hosts that the settings name as voters. A replica on another host is a
-  /// learner unless it replaces a voter.
+  /// learner unless it replaces a voter or more voters are needed.
   std::set<EntryHostId> voters = {};
   /// The number of disks whose simultaneous loss the log has to survive. The
   /// leader adds learners until there are 2 * toleratedLosses + 1 voters; it
@@ -244,8 +244,9 @@
   bool HasCaughtUp(const ReplicaId& aMember) const;
   void AppendMemberChange(const ReplicaId& aMember, bool aIsAdded);
   void TrackVoters();
-  /// Appends at most one configuration change, which adds a configured host,
-  /// removes an outdated incarnation or replaces an unresponsive voter.
+  /// Appends at most one configuration change, which removes an outdated
+  /// incarnation, adds a missing voter, or replaces a voter that is
+  /// unresponsive or in a zone with too many voters.
   void ReconcileVoters();
   /// The number of voters that the leader aims for.
   std::size_t TargetVoterCount() const;
