--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -84,6 +84,9 @@
   /// The candidate that got this replica's vote in the bootstrap election. It
   /// is kept across terms, so that a replica helps to bootstrap only one log.
   std::optional<ReplicaId> bootstrapVote = {};
+  /// The data folder was created when the whole system first started, so this
+  /// replica may take part in bootstrapping the log.
+  bool mayBootstrap = false;
 
   friend bool operator==(const HardState&, const HardState&) = default;
 };
@@ -248,6 +251,20 @@
   std::string data;
 };
 
+/// The availability zone of a host is known. It affects only which hosts the
+/// leader chooses as voters.
+struct HostLocated
+{
+  EntryHostId host;
+  AvailabilityZoneId availabilityZone;
+};
+
+/// A peer has announced that a replica on \c host leads the log.
+struct LeaderAnnounced
+{
+  EntryHostId host;
+};
+
 /// An input of a replica.
 using Event = std::variant<Receive,
                            Persisted,
@@ -255,7 +272,9 @@
                            ChangeVoter,
                            TransferLeadership,
                            StepDown,
-                           SnapshotTaken>;
+                           SnapshotTaken,
+                           HostLocated,
+                           LeaderAnnounced>;
 
 /// Send a message. The state that it acknowledges is already durable.
 struct Send
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace greengage::consensus {
@@ -25,8 +26,17 @@
 {
   ReplicaId self;
   /// The hosts that the settings name as voters. A replica on another host is a
-  /// learner unless it replaces a voter.
+  /// learner unless it replaces a voter or more voters are needed.
   std::set<EntryHostId> voters = {};
+  /// The number of disks whose simultaneous loss the log has to survive. The
+  /// leader adds learners until there are 2 * toleratedLosses + 1 voters; it
+  /// never aims for fewer voters than the settings name. Takes effect only with
+  /// a \c voterReplacementTimeout.
+  std::size_t toleratedLosses = 0;
+  /// Whether the whole system starts for the first time, so that an empty disk
+  /// means that no log exists. It is kept on the disk: a replica that restarts
+  /// before the log is bootstrapped still takes part if this is then false.
+  bool mayBootstrap = true;
   /// The minimum time without a message from the leader after which a voter
   /// starts an election. The actual time is random, up to twice the minimum.
   Duration electionTimeout = Duration(1000);
@@ -151,6 +161,8 @@
   void On(TransferLeadership&& aEvent);
   void On(StepDown&& aEvent);
   void On(SnapshotTaken&& aEvent);
+  void On(HostLocated&& aEvent);
+  void On(LeaderAnnounced&& aEvent);
   void Flush(Actions& aOut);
   void EmitPersist(Actions& aOut);
   void QueueMessage(const ReplicaId& aTo,
@@ -232,15 +244,28 @@
   bool HasCaughtUp(const ReplicaId& aMember) const;
   void AppendMemberChange(const ReplicaId& aMember, bool aIsAdded);
   void TrackVoters();
-  /// Appends at most one configuration change, which adds a configured host,
-  /// removes an outdated incarnation or replaces an unresponsive voter.
+  /// Appends at most one configuration change, which removes an outdated
+  /// incarnation, adds a missing voter, or replaces a voter that is
+  /// unresponsive or in a zone with too many voters.
   void ReconcileVoters();
+  /// The number of voters that the leader aims for.
+  std::size_t TargetVoterCount() const;
+  bool RemoveOutdatedIncarnation();
+  bool AddMissingVoter();
+  /// The voter on \p aHost, or null.
+  const ReplicaId* VoterOf(const EntryHostId& aHost) const;
+  const ReplicaId* PreferredLearner() const;
+  /// The number of voters in the availability zone of \p aHost.
+  std::size_t VotersInZoneOf(const EntryHostId& aHost) const;
+  bool ImprovesZoneSpread(const ReplicaId& aLearner) const;
   void RemoveUnresponsiveLearners();
   void ReplaceUnresponsiveVoter();
-  int RemovalPriority(const ReplicaId& aVoter) const;
+  std::tuple<bool, std::size_t, bool> RemovalPriority(
+    const ReplicaId& aVoter) const;
   void TickJoin();
-  /// Starts a bootstrap election if the log is empty, this host is the first of
-  /// the configured voters and all others have recently sent Join.
+  /// Starts a bootstrap election if this replica may bootstrap, the log is
+  /// empty, this host is the first of the configured voters and all others have
+  /// recently sent Join.
   void TryBootstrap();
 
   ReplicaOptions options_;
@@ -262,6 +287,8 @@
   std::deque<PendingWrite> pendingWrites_;
   std::deque<DeferredSend> deferredSends_;
   bool isHardStateDirty_ = false;
+  /// The permission to bootstrap is new and has to be written.
+  bool isBootstrapPermissionDirty_ = false;
   SnapshotPtr dirtySnapshot_;
   std::optional<LogIndex> truncateFrom_;
   std::optional<LogIndex> firstDirtyIndex_;
@@ -297,6 +324,10 @@
   Time transferDeadline_;
 
   // Joining and bootstrap.
+  /// The host that peers have announced as the leader's.
+  std::optional<EntryHostId> announcedLeader_;
+  /// The availability zones of the hosts that have been located.
+  std::map<EntryHostId, AvailabilityZoneId> zones_;
   Time nextJoinAt_;
   /// Another replica has reported a log that is not empty.
   bool isBootstrappedElsewhere_ = false;
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -1,6 +1,7 @@
 #include "greengage/consensus/Replica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengage::consensus {
 
@@ -41,6 +42,20 @@
     QueueMessage(*aMessage.leader, Join{});
 }
 
+void
+Replica::On(HostLocated&& aEvent)
+{
+  zones_[aEvent.host] = aEvent.availabilityZone;
+}
+
+void
+Replica::On(LeaderAnnounced&& aEvent)
+{
+  isBootstrappedElsewhere_ = true;
+  announcedLeader_ = std::move(aEvent.host);
+  nextJoinAt_ = now_;
+}
+
 void
 Replica::On(ChangeVoter&& aEvent)
 {
@@ -117,55 +132,130 @@
         member, Next(log_.LastIndex()), now_, options_.flowControl);
 }
 
+std::size_t
+Replica::TargetVoterCount() const
+{
+  return std::max(options_.voters.size(), 2 * options_.toleratedLosses + 1);
+}
+
+const ReplicaId*
+Replica::VoterOf(const EntryHostId& aHost) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  const auto found =
+    std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      return aVoter.host == aHost;
+    });
+  return found == voters.end() ? nullptr : &*found;
+}
+
+std::size_t
+Replica::VotersInZoneOf(const EntryHostId& aHost) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  const auto zone = zones_.find(aHost);
+  // A host in an unknown zone counts as the only one in its zone.
+  if (zone == zones_.end())
+    return VoterOf(aHost) != nullptr ? 1 : 0;
+  return static_cast<std::size_t>(
+    std::count_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      const auto other = zones_.find(aVoter.host);
+      return other != zones_.end() && other->second == zone->second;
+    }));
+}
+
+/// Returns whether adding \p aLearner and removing another voter leads towards
+/// a configuration that keeps a majority when any one zone is lost.
+bool
+Replica::ImprovesZoneSpread(const ReplicaId& aLearner) const
+{
+  const VoterSet& voters = log_.LatestVoters();
+  return std::any_of(
+    voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
+      const std::size_t count = VotersInZoneOf(aVoter.host);
+      return voters.size() - count < Majority() &&
+             VotersInZoneOf(aLearner.host) + 1 < count;
+    });
+}
+
+/// Returns the caught-up learner that should become the next voter, or null.
+/// Zones with few voters go first, then configured hosts.
+const ReplicaId*
+Replica::PreferredLearner() const
+{
+  // Without replacement, learners on other hosts may have no disk.
+  const bool areOthersEligible = options_.voterReplacementTimeout > Duration(0);
+  const auto rank = [&](const ReplicaId& aMember) {
+    const bool isConfigured = options_.voters.count(aMember.host) != 0;
+    return std::pair(VotersInZoneOf(aMember.host), !isConfigured);
+  };
+  const ReplicaId* preferred = nullptr;
+  for (const auto& [member, progress] : progress_) {
+    const bool isConfigured = options_.voters.count(member.host) != 0;
+    if ((!isConfigured && !areOthersEligible) ||
+        VoterOf(member.host) != nullptr || !HasCaughtUp(member))
+      continue;
+    if (preferred == nullptr || rank(member) < rank(*preferred))
+      preferred = &member;
+  }
+  return preferred;
+}
+
 void
 Replica::ReconcileVoters()
 {
   if (transferTarget_ || IsChangePending())
     return;
-  const VoterSet& voters = log_.LatestVoters();
+  if (!RemoveOutdatedIncarnation() && !AddMissingVoter())
+    ReplaceUnresponsiveVoter();
+}
+
+/// Removes a voter whose disk is lost. The host's new incarnation is added once
+/// the removal is committed.
+bool
+Replica::RemoveOutdatedIncarnation()
+{
   for (const auto& [member, progress] : progress_) {
-    const bool isConfigured = options_.voters.count(member.host) != 0;
-    if (!isConfigured || voters.count(member) != 0 || !HasCaughtUp(member))
-      continue;
-    const EntryHostId& host = member.host;
-    const auto hostVoter =
-      std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
-        return aVoter.host == host;
-      });
-    if (hostVoter == voters.end()) {
-      // If replacement is enabled and the configuration has its full size,
-      // another host has replaced this host's voter.
-      if (options_.voterReplacementTimeout > Duration(0) &&
-          voters.size() >= options_.voters.size())
-        continue;
-      AppendMemberChange(member, true);
-      return;
-    }
-    // The voter is an earlier incarnation, whose disk is lost. The new one is
-    // added once the removal is committed.
-    if (hostVoter->incarnation < member.incarnation &&
-        *hostVoter != options_.self) {
-      AppendMemberChange(*hostVoter, false);
-      return;
+    const ReplicaId* voter = VoterOf(member.host);
+    if (voter != nullptr && voter->incarnation < member.incarnation &&
+        *voter != options_.self && HasCaughtUp(member)) {
+      AppendMemberChange(*voter, false);
+      return true;
     }
   }
-  ReplaceUnresponsiveVoter();
+  return false;
+}
+
+bool
+Replica::AddMissingVoter()
+{
+  // If replacement is enabled and the configuration has its full size, another
+  // host has replaced the voter of a configured host.
+  if (options_.voterReplacementTimeout > Duration(0) &&
+      log_.LatestVoters().size() >= TargetVoterCount())
+    return false;
+  const ReplicaId* learner = PreferredLearner();
+  if (learner == nullptr)
+    return false;
+  AppendMemberChange(*learner, true);
+  return true;
 }
 
 /// Returns the priority for removal from an oversized configuration; the voter
-/// with the highest value is removed. Hosts that aren't configured as voters
-/// have the highest, the leader itself the lowest.
-int
+/// with the highest value is removed. Hosts in the zone with the most voters
+/// come first, among them those that aren't configured, and the leader last.
+std::tuple<bool, std::size_t, bool>
 Replica::RemovalPriority(const ReplicaId& aVoter) const
 {
-  if (aVoter == options_.self)
-    return 0;
-  return options_.voters.count(aVoter.host) != 0 ? 1 : 2;
+  return { aVoter != options_.self,
+           VotersInZoneOf(aVoter.host),
+           options_.voters.count(aVoter.host) == 0 };
 }
 
-/// Adds a caught-up learner as a voter, then removes the unresponsive voter.
-/// The two changes are committed one after the other, and the number of voters
-/// never drops below the configured number.
+/// Adds a caught-up learner as a voter, then removes the unresponsive voter, or
+/// one of a zone whose loss would leave no majority. The two changes are
+/// committed one after the other, and the number of voters never drops below
+/// the target.
 void
 Replica::ReplaceUnresponsiveVoter()
 {
@@ -178,8 +268,8 @@
       return found != progress_.end() && now_ - found->second.LastReplyAt() >=
                                            options_.voterReplacementTimeout;
     });
-  if (voters.size() > options_.voters.size()) {
-    // Remove the unresponsive voter, or the added one if all respond again.
+  if (voters.size() > TargetVoterCount()) {
+    // Remove the unresponsive voter, or another one if all respond again.
     const auto removed =
       unresponsive != voters.end()
         ? unresponsive
@@ -192,19 +282,10 @@
     AppendMemberChange(*removed, false);
     return;
   }
-  if (unresponsive == voters.end())
-    return;
-  const auto isHostOfVoter = [&](const ReplicaId& aMember) {
-    return std::any_of(
-      voters.begin(), voters.end(), [&](const ReplicaId& aVoter) {
-        return aVoter.host == aMember.host;
-      });
-  };
-  for (const auto& [member, progress] : progress_)
-    if (!isHostOfVoter(member) && HasCaughtUp(member)) {
-      AppendMemberChange(member, true);
-      return;
-    }
+  const ReplicaId* learner = PreferredLearner();
+  if (learner != nullptr &&
+      (unresponsive != voters.end() || ImprovesZoneSpread(*learner)))
+    AppendMemberChange(*learner, true);
 }
 
 void
@@ -228,7 +309,11 @@
   if (hasLeader || now_ < nextJoinAt_)
     return;
   nextJoinAt_ = now_ + options_.joinInterval;
-  for (const EntryHostId& host : options_.voters)
+  std::set<EntryHostId> targets = options_.voters;
+  // None of the configured hosts may have the log.
+  if (announcedLeader_)
+    targets.insert(*announcedLeader_);
+  for (const EntryHostId& host : targets)
     if (host != options_.self.host)
       QueueMessage({ .host = host, .incarnation = kAnyIncarnation }, Join{});
 }
@@ -240,8 +325,8 @@
     !options_.voters.empty() && *options_.voters.begin() == options_.self.host;
   const bool hasOtherBootstrapVote =
     hardState_.bootstrapVote && *hardState_.bootstrapVote != options_.self;
-  if (!isBootstrapHost || !log_.IsEmpty() || hasOtherBootstrapVote ||
-      isBootstrappedElsewhere_)
+  if (!isBootstrapHost || !hardState_.mayBootstrap || !log_.IsEmpty() ||
+      hasOtherBootstrapVote || isBootstrappedElsewhere_)
     return;
   VoterSet initialVoters{ options_.self };
   for (const EntryHostId& host : options_.voters) {
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -58,6 +58,88 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("new hosts that are configured as voters later do not bootstrap a "
+          "second log")
+{
+  Network network({ .voters = 3, .spares = 3 });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.LoseDisk(newHost);
+  REQUIRE(
+    network.RunUntil(kWaitLimit, [&] { return network.Leader().has_value(); }));
+  CommitCommands(network, 5);
+  const std::size_t leader = *network.Leader();
+  network.ChangeSettings({ 3, 4, 5 });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.Restart(newHost);
+  network.Run(kWaitLimit);
+  CheckNoViolations(network);
+  for (const std::size_t newHost : { 3, 4, 5 })
+    CHECK_FALSE(network.IsLeader(newHost));
+  CHECK(network.IsLeader(leader));
+}
+
+TEST_CASE("new hosts follow the announced leader if the settings name only new "
+          "hosts")
+{
+  Network network({ .voters = 3,
+                    .spares = 3,
+                    .voterReplacementTimeout = Duration::Seconds(2) });
+  for (const std::size_t newHost : { 3, 4, 5 })
+    network.LoseDisk(newHost);
+  REQUIRE(
+    network.RunUntil(kWaitLimit, [&] { return network.Leader().has_value(); }));
+  CommitCommands(network, 5);
+  const EntryHostId leader = network.At(*network.Leader()).id.host;
+  network.ChangeSettings({ 3, 4, 5 });
+  for (const std::size_t newHost : { 3, 4, 5 }) {
+    network.Restart(newHost);
+    network.Handle(newHost, LeaderAnnounced{ .host = leader });
+  }
+  CHECK(network.RunUntil(kWaitLimit, [&] { return network.HaveAllApplied(); }));
+  CheckNoViolations(network);
+}
+
+TEST_CASE("configured voters that all lost their disks do not bootstrap a "
+          "second log")
+{
+  Network network({ .voters = 3,
+                    .spares = 3,
+                    .voterReplacementTimeout = Duration::Seconds(2) });
+  Bootstrap(network);
+  CommitCommands(network, 5);
+  const std::size_t committed = network.invariants.CommittedCount();
+  network.ChangeSettings({ 0, 1, 2 });
+  for (std::size_t at = 0; at < network.Size(); ++at)
+    network.Crash(at);
+  for (const std::size_t host : { 0, 1, 2 }) {
+    network.LoseDisk(host);
+    network.Restart(host);
+  }
+  network.Run(kWaitLimit);
+  CHECK_FALSE(network.Leader());
+  CHECK(network.invariants.CommittedCount() == committed);
+  CheckNoViolations(network);
+}
+
+TEST_CASE(
+  "hosts that restart before the log is bootstrapped still bootstrap it")
+{
+  Network network({ .voters = 3 });
+  network.Run(Duration(100));
+  network.Crash(2);
+  network.Run(Duration::Seconds(5));
+  network.ChangeSettings({ 0, 1, 2 });
+  for (const std::size_t host : { 0, 1 }) {
+    network.Crash(host);
+    network.Restart(host);
+  }
+  network.Run(Duration::Seconds(5));
+  CHECK_FALSE(network.Leader());
+  network.Restart(2);
+  Bootstrap(network);
+  CheckNoViolations(network);
+}
+
 TEST_CASE(
   "a second bootstrap vote is denied after the first candidate lost its disk")
 {
@@ -134,6 +216,110 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("a log that has to survive two lost disks survives them")
+{
+  // Three hosts are named, so the other two voters are learners at first.
+  for (const std::size_t spares : { 2, 3 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(6),
+                      .toleratedLosses = 2 });
+    REQUIRE(network.RunUntil(kWaitLimit,
+                             [&] { return network.Leader().has_value(); }));
+    network.Run(Duration::Seconds(5));
+    CommitCommands(network, 20);
+    const std::size_t committed = network.invariants.CommittedCount();
+    // The disks of the leader and of another named host are lost while all
+    // other hosts lose power.
+    const std::size_t leader = *network.Leader();
+    for (std::size_t at = 0; at < network.Size(); ++at)
+      network.Crash(at);
+    network.LoseDisk(leader);
+    network.LoseDisk((leader + 1) % 3);
+    network.Heal();
+    REQUIRE(network.RunUntil(Duration::Seconds(10),
+                             [&] { return network.Leader().has_value(); }));
+    CommitCommands(network, 1);
+    CHECK(network.invariants.CommittedCount() > committed);
+    // Both hosts become voters again, or others have taken their place.
+    CHECK(network.RunUntil(kWaitLimit,
+                           [&] { return network.HasConfiguredVoters(); }));
+    CheckNoViolations(network);
+  }
+}
+
+TEST_CASE("a log that has to survive one lost disk keeps three voters")
+{
+  for (const std::size_t spares : { 0, 1 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(6),
+                      .toleratedLosses = 1 });
+    Bootstrap(network);
+    network.Run(Duration::Seconds(10));
+    const std::size_t leader = *network.Leader();
+    CHECK(network.At(leader).replica->CurrentLog().LatestVoters().size() == 3);
+    CheckNoViolations(network);
+  }
+}
+
+TEST_CASE("a voter that the settings do not name votes again after it lost its "
+          "disk")
+{
+  Network network({ .voters = 3,
+                    .spares = 1,
+                    .voterReplacementTimeout = Duration::Seconds(5) });
+  Bootstrap(network);
+  network.Crash((*network.Leader() + 1) % 3);
+  REQUIRE(network.RunUntil(kWaitLimit, [&] {
+    return network.At(3).replica->IsVoter() && network.HasConfiguredVoters();
+  }));
+  network.LoseDisk(3);
+  network.Restart(3);
+  CHECK(network.RunUntil(kWaitLimit,
+                         [&] { return network.At(3).replica->IsVoter(); }));
+  CheckNoViolations(network);
+}
+
+TEST_CASE("a log in three availability zones survives the loss of one after a "
+          "voter was replaced")
+{
+  // With one spare, the only replacement is in the zone of another voter.
+  for (const std::size_t spares : { 1, 3 }) {
+    CAPTURE(spares);
+    Network network({ .voters = 3,
+                      .spares = spares,
+                      .voterReplacementTimeout = Duration::Seconds(5),
+                      .toleratedLosses = 1,
+                      .zones = 3 });
+    Bootstrap(network);
+    REQUIRE(*network.Leader() == 0);
+    const ReplicaId victim = network.At(1).id;
+    network.Crash(1);
+    REQUIRE(network.RunUntil(kWaitLimit, [&] {
+      return network.HasConfiguredVoters() && network.At(*network.Leader())
+                                                  .replica->CurrentLog()
+                                                  .LatestVoters()
+                                                  .count(victim) == 0;
+    }));
+    network.Restart(1);
+    network.Run(Duration::Seconds(5));
+    for (std::size_t zone = 0; zone < 3; ++zone) {
+      CAPTURE(zone);
+      for (std::size_t at = zone; at < network.Size(); at += 3)
+        network.Crash(at);
+      REQUIRE(network.RunUntil(Duration::Seconds(4),
+                               [&] { return network.Leader().has_value(); }));
+      CommitCommands(network, 1);
+      network.Heal();
+      network.Run(Duration::Seconds(5));
+    }
+    CheckNoViolations(network);
+  }
+}
+
 TEST_CASE("a vote request to an earlier incarnation is ignored")
 {
   ReplicaOptions options{ .self = { EntryHostId("a"), Incarnation(2) } };
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -43,6 +43,10 @@
   std::size_t spares = 0;
   /// See ReplicaOptions.
   Duration voterReplacementTimeout = {};
+  std::size_t toleratedLosses = 0;
+  /// The number of availability zones, among which the hosts alternate. Zero if
+  /// the replicas know of none.
+  std::size_t zones = 0;
   std::uint64_t seed = 1;
   ViolatedRule violatedRule = ViolatedRule::None;
   /// The probability that a message is lost or duplicated, per mille.
@@ -298,6 +302,15 @@
       Restart(at);
     }
   }
+  /// Changes the settings that hosts read when they start: the hosts that are
+  /// configured as voters, and that the system has started before.
+  void ChangeSettings(const std::set<std::size_t>& aVoters)
+  {
+    voters_.clear();
+    for (const std::size_t voter : aVoters)
+      voters_.insert(nodes_[voter].id.host);
+    mayBootstrap_ = false;
+  }
   void SetMessageFaults(int aLossPermille,
                         int aDuplicationPermille,
                         int aMaxDelayMs)
@@ -339,7 +352,7 @@
            node.replica->CurrentRole() == Role::Leader;
   }
   /// Whether the committed voters are the current incarnations of all hosts
-  /// with disks or, with spares, have their configured number.
+  /// with disks or, with spares, of as many as there should be.
   bool HasConfiguredVoters() const
   {
     const auto leader = Leader();
@@ -350,8 +363,13 @@
       if (node.hasDisk)
         diskReplicas.insert(node.id);
     const Replica& replica = *nodes_[*leader].replica;
+    const VoterSet& voters = replica.CurrentLog().LatestVoters();
     if (options_.spares > 0)
-      return replica.CurrentLog().LatestVoters().size() == options_.voters &&
+      return voters.size() == VoterCount() &&
+             std::includes(diskReplicas.begin(),
+                           diskReplicas.end(),
+                           voters.begin(),
+                           voters.end()) &&
              replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
     return replica.CurrentLog().LatestVoters() == diskReplicas &&
            replica.CurrentLog().LatestVotersIndex() <= replica.CommitIndex();
@@ -393,6 +411,19 @@
   }
   bool RandomChance(int aPermille) { return RandomInt(0, 999) < aPermille; }
 
+  AvailabilityZoneId ZoneOf(std::size_t aNode) const
+  {
+    return AvailabilityZoneId("z" + std::to_string(aNode % options_.zones));
+  }
+  /// The number of voters that the hosts with disks and the tolerated losses
+  /// amount to.
+  std::size_t VoterCount() const
+  {
+    return std::min(
+      options_.voters + options_.spares,
+      std::max(options_.voters, 2 * options_.toleratedLosses + 1));
+  }
+
   Node& At(std::size_t aNode) { return nodes_[aNode]; }
   std::size_t Size() const { return nodes_.size(); }
 
@@ -427,8 +458,19 @@
     options.electionTimeout = options_.electionTimeout;
     options.trailingEntries = 10;
     options.voterReplacementTimeout = options_.voterReplacementTimeout;
+    options.toleratedLosses = options_.toleratedLosses;
+    options.mayBootstrap = mayBootstrap_;
     options.seed = random_();
     aNode.replica = std::make_unique<Replica>(options, aNode.disk, now);
+    LocateHosts(aNode);
+  }
+
+  void LocateHosts(Node& aNode)
+  {
+    for (std::size_t at = 0; options_.zones > 0 && at < nodes_.size(); ++at)
+      Handle(aNode,
+             HostLocated{ .host = nodes_[at].id.host,
+                          .availabilityZone = ZoneOf(at) });
   }
 
   void Handle(Node& aNode, Event aEvent)
@@ -625,6 +667,7 @@
   std::mt19937_64 random_;
   std::deque<Node> nodes_;
   std::set<EntryHostId> voters_;
+  bool mayBootstrap_ = true;
   std::vector<Packet> packets_;
   std::set<std::pair<EntryHostId, EntryHostId>> cutLinks_;
   std::map<LogIndex, std::uint64_t> digests_;
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -109,6 +109,8 @@
   consensus::ReplicaOptions options{
     .self = { .host = options_.self, .incarnation = incarnation_ },
     .voters = options_.voters,
+    .toleratedLosses = options_.toleratedLosses,
+    .mayBootstrap = options_.mayBootstrap,
     .voterReplacementTimeout = options_.voterReplacementTimeout,
     .maxMessageBytes = options_.maxEntryBytes,
     .maxCommandBytes = options_.maxEntryBytes
@@ -136,6 +138,9 @@
   if (journalFilter_)
     journalDuty_.Start(*journalFilter_);
   duty_.Start(*filter_);
+  if (!options_.availabilityZone.Value().empty())
+    duty_.Push(consensus::Event(consensus::HostLocated{
+      .host = options_.self, .availabilityZone = options_.availabilityZone }));
   isRunning_ = true;
 }
 
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -31,11 +31,16 @@
 struct ConsensusStageOptions
 {
   EntryHostId self;
+  AvailabilityZoneId availabilityZone = {};
   /// The hosts with disks, the same on all hosts.
   std::set<EntryHostId> voters;
   /// Silence after which another host with a disk takes a voter's place; zero
   /// for never.
   Duration voterReplacementTimeout = {};
+  /// Disks that may be lost at the same time.
+  std::size_t toleratedLosses = 0;
+  /// Whether an empty data folder means that no log exists yet.
+  bool mayBootstrap = true;
   /// Empty on a host without a disk.
   std::string dataFolder;
   /// Bytes of one command, and of one message between replicas.
