Scheduler: a start is sent again where leadership resumes in the same term

A leader that asks another host to take over and gets no answer leads on in its term after a second. It rebuilt its state with the fencing tokens that it had, and took a run that the first lists don't name for never begun. The token keeps late starts of earlier terms out, not its own of before: one that was delayed on its way ran beside its replacement.

With the same token a recovered run now counts as one whose start is unanswered. The start is repeated for the same attempt; only lists made after its deadline show that it never began.

"a delayed start is not executed after leadership resumes in the same term" failed before (two runs at once).

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -264,6 +264,10 @@
   Outbox& outbox_;
   std::optional<FencingToken> fence_;
   Time leaderLeaseEnd_;
+  /// The fencing token that this host led with last.
+  std::optional<FencingToken> lastFence_;
+  /// Whether this host has led with the current fencing token before.
+  bool isFenceReused_ = false;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -30,6 +30,8 @@
   BecomeFollower();
   now_ = aNow;
   fence_ = aFence;
+  isFenceReused_ = lastFence_ == aFence;
+  lastFence_ = aFence;
   for (const auto& [number, worker] : stateMachine_.Workers()) {
     WorkerSession& session = sessions_[number];
     session.number = number;
@@ -69,9 +71,13 @@
         Run& run = session->runs.at(task);
         run.stage = RunStage::Starting;
         // A run missing from the first lists can no longer start: the worker
-        // rejects start requests with an older fencing token.
-        run.firstListingRenewal = 1;
-        run.isStartSent = true;
+        // rejects start requests with an older fencing token. It does not
+        // reject this host's own earlier ones if their token is the same, so
+        // the start is then sent again, with a later deadline than theirs.
+        if (!isFenceReused_) {
+          run.firstListingRenewal = 1;
+          run.isStartSent = true;
+        }
         run.isStopRequested = aJob.state != jobs::JobState::Live;
       }
     }
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -238,6 +238,22 @@
     FAIL_CHECK(violation);
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "a delayed start is not executed after leadership resumes in the same term")
+{
+  faults = { .delayedCallPercent = 100,
+             .minCallDelay = Duration(1000),
+             .maxCallDelay = Duration(1001) };
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration(3000) });
+  Run(Duration(40));
+  faults = {};
+  RestartLeadership();
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(9000)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
