Scheduler: an assignment that commits after leadership resumes is started

A host that loses leadership and regains it discards its record of runs, but an assignment that it had proposed may still be committed, in its term or, if the proposal waited in a ring, in the next one. The scheduler took no notice of it: the task stayed assigned without a run, and nothing started it until the next change of leaders. Callers saw a job that doesn't go on although there is room.

A committed assignment without a record now gets one and is started.

"an assignment that commits after leadership resumes starts" failed before (the job never completed).

--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -170,10 +170,14 @@
   WorkerSession* session = SessionOf(aAssignment.worker);
   if (session == nullptr)
     return;
-  const auto found = session->runs.find(aAssignment.task);
-  if (found == session->runs.end())
-    return;
-  Run& run = found->second;
+  // This host may have proposed the assignment before it lost and regained
+  // leadership, which discarded its record of the run.
+  if (session->runs.count(aAssignment.task) == 0)
+    AddRun(*session,
+           *stateMachine_.Find(aAssignment.task.job),
+           aAssignment.task,
+           aAssignment.attempt);
+  Run& run = session->runs.at(aAssignment.task);
   run.stage = RunStage::Starting;
   if (session->isSuperseded) {
     EndRun(*session,
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -254,6 +254,22 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "an assignment that commits after leadership resumes starts")
+{
+  const jobs::JobId job = Submit({ MakeStep(3) });
+  // The job is accepted, and its assignments are proposed but not committed.
+  REQUIRE(RunUntil([&] { return QueryState(job) == JobProgress::Queued; },
+                   Duration(100)));
+  Run(Duration(5));
+  REQUIRE(QueryState(job) == JobProgress::Queued);
+  RestartLeadership();
+  Run(Duration(10));
+  REQUIRE(QueryState(job) == JobProgress::Running);
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(5000)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
