Scheduler: runs on a later incarnation of their worker are followed

A worker that restarts under its id and address executes starts that were meant for its earlier incarnation, until the leader has learnt of the restart. Two cases were not followed:

- The next incarnation listed the run as done before it had answered a call of its own.
The end belonged to no run of this incarnation, so it was acknowledged, and the task was taken for lost and started again.
- A new leader doesn't know which starts of its predecessor were unanswered, so it ended the runs of the earlier incarnation at once, and started their tasks again beside those on an incarnation that it couldn't reach.

Ends are now matched with the runs of earlier incarnations, and are acknowledged after their commit. A recovered run counts as one with an unanswered start.

"a success on a later incarnation of the worker counts for the task" and "a new leader expects starts of its predecessor on a restarted worker" failed before.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -173,6 +173,8 @@
   void OnRenewReply(WorkerSession& aSession,
                     const PendingCall& aCall,
                     const WorkerReply& aReply);
+  WorkerSession* FindSessionOfEndedRun(WorkerSession& aListing,
+                                       const ListedEnd& aEnd);
   void ProcessListedEnds(WorkerSession& aSession, const WorkerReply& aReply);
   bool ProcessListedRuns(WorkerSession& aSession, const WorkerReply& aReply);
   void CheckProgress(WorkerSession& aSession,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -70,8 +70,11 @@
   /// over the run. If that reply or a later one does not list the run, the
   /// worker no longer has it.
   std::optional<std::uint64_t> firstListingRenewal;
-  /// The number of the run's entry in the worker's list of ended runs.
+  /// The number of the run's entry in the list of ended runs of \ref
+  /// endListedBy: the run's own incarnation of the worker or, if that executed
+  /// the start, a later one.
   std::optional<RunEndSequence> endNumber;
+  jobs::WorkerNumber endListedBy;
   /// The speed limit last sent to the worker, 0 to 100.
   std::uint32_t speedLimitPercent = 100;
 };
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -68,6 +68,9 @@
         if (session == nullptr)
           continue;
         AddRun(*session, aJob, task, tasks[index].attempt);
+        // The previous leader may have sent a start that was not answered.
+        session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
+                                            .count = 1 };
         Run& run = session->runs.at(task);
         run.stage = RunStage::Starting;
         // A run missing from the first lists can no longer start: the worker
@@ -217,13 +220,18 @@
   const auto found = session->runs.find(aEnd.task);
   if (found == session->runs.end() || found->second.attempt != aEnd.attempt)
     return;
+  // A later incarnation may have listed the end of the run.
+  WorkerSession* listing =
+    found->second.endNumber ? SessionOf(found->second.endListedBy) : nullptr;
+  if (listing == nullptr)
+    listing = session;
   if (found->second.endNumber)
-    session->pendingEnds.erase(*found->second.endNumber);
+    listing->pendingEnds.erase(*found->second.endNumber);
   RemoveRun(*session, aEnd.task);
   isDispatchDue_ = true;
-  if (session->pendingEnds.empty())
-    session->nextRenewalAt = now_.steady;
-  TickSession(*session);
+  if (listing->pendingEnds.empty())
+    listing->nextRenewalAt = now_.steady;
+  TickSession(*listing);
 }
 
 void
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -84,18 +84,40 @@
       { "why", aReason } });
 }
 
+/// \returns the session of the worker that lists the end of a run, or of an
+/// earlier incarnation of it, to which the run is assigned; null if there is
+/// none. A later incarnation at the same address may have executed the start.
+WorkerSession*
+Scheduler::FindSessionOfEndedRun(WorkerSession& aListing, const ListedEnd& aEnd)
+{
+  const auto isAssignedTo = [&](const WorkerSession& aSession) {
+    const auto found = aSession.runs.find(aEnd.task);
+    return found != aSession.runs.end() &&
+           found->second.attempt == aEnd.attempt &&
+           found->second.stage != RunStage::Proposed;
+  };
+  if (isAssignedTo(aListing))
+    return &aListing;
+  const jobs::WorkerId& id = RecordOf(aListing).id;
+  for (auto& [number, earlier] : sessions_)
+    if (earlier.isSuperseded && RecordOf(earlier).id == id &&
+        isAssignedTo(earlier))
+      return &earlier;
+  return nullptr;
+}
+
 void
 Scheduler::ProcessListedEnds(WorkerSession& aSession, const WorkerReply& aReply)
 {
   for (const ListedEnd& end : aReply.ended) {
     aSession.lastListedEnd = std::max(aSession.lastListedEnd, end.number);
-    const auto found = aSession.runs.find(end.task);
-    if (found == aSession.runs.end() || found->second.attempt != end.attempt ||
-        found->second.stage == RunStage::Proposed)
+    WorkerSession* assigned = FindSessionOfEndedRun(aSession, end);
+    if (assigned == nullptr)
       continue;
-    Run& run = found->second;
+    Run& run = assigned->runs.at(end.task);
     aSession.pendingEnds.insert(end.number);
     run.endNumber = end.number;
+    run.endListedBy = aSession.number;
     if (run.stage == RunStage::Ending)
       continue;
     if (end.kind == ListedEndKind::Failed &&
@@ -107,7 +129,7 @@
       if (const jobs::Job* job = stateMachine_.Find(end.task.job))
         UpdateMeanRunTime(*job, run);
     }
-    EndRun(aSession,
+    EndRun(*assigned,
            end.task,
            run,
            ToRunOutcome(end.kind),
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -270,6 +270,42 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "a success on a later incarnation of the worker counts for the task")
+{
+  SetHandlingLag(Duration(1200));
+  const jobs::JobId job = Submit({ MakeStep(1) }, { .runTime = Duration(200) });
+  Run(Duration(15));
+  // The start reaches the new incarnation before its heartbeat is handled.
+  CrashWorker("w1", Duration(10));
+  Run(Duration(4000));
+  SetHandlingLag(Duration(0));
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(5000)));
+  Run(Duration(3000));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a new leader expects starts of its predecessor on a restarted worker")
+{
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration(2000) });
+  REQUIRE(RunUntil([&] { return QueryState(job) == JobProgress::Queued; },
+                   Duration(100)));
+  Run(Duration(5));
+  // The worker restarts just before the start, which the new incarnation
+  // executes. It registers, but the next leader can't ask it for its lists.
+  CrashWorker("w1", Duration(5));
+  Run(Duration(20));
+  REQUIRE(RunsOn("w1") == 1);
+  PartitionWorkerFromSuccessors("w1", Duration(1000));
+  ChangeLeader();
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(9000)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
