Scheduler: the longest lease bounds a worker that restarted at its address

A renewal that was meant for an earlier incarnation ends on the clock of that one, which may be far ahead: the next incarnation then holds the longest lease that workers grant, 10 s, and not the 4.5 s that the leader counts with. If it was cut off within that time, its runs were given up 5 s too early, and their tasks ran twice. A run of the earlier incarnation itself had the time that a call may take to be delivered, but not the lease that it brings.

Both bounds now have the longest lease, counted from the first list of the new incarnation or the start of a new leader. They matter only while such a worker doesn't answer.

"a lease meant for an earlier incarnation of a worker is waited for" failed before (two runs at once).

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -163,6 +163,7 @@
   void Renew(WorkerSession& aSession);
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void AllowForLongestLease(WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
   void OnStartReply(WorkerSession& aSession,
                     const PendingCall& aCall,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -102,6 +102,9 @@
   /// been registered, so no run of this one continues.
   bool isSuperseded = false;
   Time supersededAt;
+  /// Whether an earlier incarnation of the worker had the same address, so that
+  /// calls meant for that one may have been executed.
+  bool hasReusedAddress = false;
   Time lastHeartbeat;
   std::uint64_t lastHeartbeatSequence = 0;
   Time lastAnswer;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -348,8 +348,13 @@
   EndLostRuns(aSession, aCall, aReply);
   AdjustThrottling(aSession, aReply);
   EndRunsOfEarlierIncarnations(aSession, aReply);
-  if (aReply.ended.size() < kMaxListedEnds && !hasStrays)
+  if (aReply.ended.size() < kMaxListedEnds && !hasStrays) {
+    // Until this answer the worker may have executed renewals meant for an
+    // earlier incarnation.
+    if (!aSession.isReconciled && aSession.hasReusedAddress)
+      AllowForLongestLease(aSession);
     aSession.isReconciled = true;
+  }
   if (wasFailing)
     isDispatchDue_ = true;
   aSession.nextRenewalAt = aSession.pendingEnds.empty()
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -70,6 +70,10 @@
     session.supersededAt = now_.steady;
     const bool isSameAddress =
       isSameWorker && record.endpoint == latest.endpoint;
+    if (isSameAddress) {
+      sessions_.at(aWorker).hasReusedAddress = true;
+      AllowForLongestLease(sessions_.at(aWorker));
+    }
     for (auto& [task, run] : session.runs) {
       run.isStopRequested = true;
       run.nextCallAt = now_.steady;
@@ -85,6 +89,16 @@
   }
 }
 
+/// Extends the bound of the worker's lease for a renewal meant for an earlier
+/// incarnation: its time, on the clock of that one, may be far ahead of this
+/// one's, so that only the worker's own limit shortens the lease.
+void
+Scheduler::AllowForLongestLease(WorkerSession& aSession) const
+{
+  aSession.leaseExpiry = std::max(
+    aSession.leaseExpiry, now_.steady + LeaseExpiryBound(options_.maxLease));
+}
+
 void
 Scheduler::OnWorkerRetired(jobs::WorkerNumber aWorker)
 {
@@ -148,7 +162,8 @@
   const bool isAnswering = aSession.consecutiveFailedCalls == 0 &&
                            aSession.isReconciled && !aSession.isSuperseded;
   const Time expiry = aSession.isSuperseded
-                        ? aSession.supersededAt + kMaxDeliveryDelay
+                        ? aSession.supersededAt + kMaxDeliveryDelay +
+                            LeaseExpiryBound(options_.maxLease)
                         : aSession.leaseExpiry;
   if (isAnswering || expiry > now_.steady)
     return;
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -306,6 +306,34 @@
   CheckInvariants();
 }
 
+TEST_CASE("a lease meant for an earlier incarnation of a worker is waited for")
+{
+  SimulatedFleet fleet;
+  fleet.Run(Duration(200));
+  fleet.AddWorker("w1");
+  jobs::Step step = MakeStep(1);
+  step.isPersistent = true;
+  fleet.Submit({ step });
+  fleet.Run(Duration(15000));
+  REQUIRE(fleet.RunsOn("w1") == 1);
+  // The new incarnation executes renewals whose lease ends on the clock of the
+  // earlier one.
+  fleet.SetHandlingLag(Duration(500));
+  fleet.Run(Duration(600));
+  fleet.CrashWorker("w1", Duration(10));
+  fleet.Run(Duration(1000));
+  fleet.SetHandlingLag(Duration(0));
+  REQUIRE(
+    fleet.RunUntil([&] { return fleet.RunsOn("w1") == 1; }, Duration(3000)));
+  fleet.PartitionWorker("w1", Duration(20000));
+  fleet.Run(Duration(100));
+  fleet.AddWorker("w2");
+  fleet.Run(Duration(15000));
+  CHECK(fleet.TotalRuns() == 1);
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
@@ -647,6 +675,38 @@
   }
 }
 
+/// Delays the scheduler, or changes the leader while it is late.
+static void
+InjectRandomLateness(SimulatedFleet& aFleet,
+                     const std::vector<std::string>& aWorkers)
+{
+  const auto randomDuration = [&](std::uint64_t aLimit) {
+    return Duration(static_cast<std::int64_t>(aFleet.random() % aLimit));
+  };
+  switch (aFleet.random() % 14) {
+    case 0:
+    case 1:
+      aFleet.SetHandlingLag(randomDuration(4000));
+      break;
+    case 2:
+    case 3:
+      aFleet.SetHandlingLag(Duration(0));
+      break;
+    case 4:
+    case 5:
+      for (const std::string& worker : aWorkers)
+        if (aFleet.random() % 2 == 0)
+          aFleet.PartitionWorkerFromSuccessors(worker, randomDuration(9000));
+      aFleet.ChangeLeader(randomDuration(6000));
+      break;
+    case 6:
+      aFleet.RestartLeadership();
+      break;
+    default:
+      break;
+  }
+}
+
 /// Runs random jobs while \p aInjectFault, called before each job's share of
 /// time, injects faults; then checks that all jobs end.
 static void
@@ -708,3 +768,21 @@
     InjectRandomFault(fleet, aWorkers, aJobs);
   });
 }
+
+TEST_CASE("no invariant is violated by a late scheduler under random faults")
+{
+  const auto seeds = SeedRange();
+  const auto seed =
+    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
+  INFO("seed " << seed);
+  SimulatedFleet fleet(seed);
+  if (seed % 2 == 0)
+    fleet.SetWorkerClockRate(98);
+  fleet.Run(Duration(200));
+  RunUnderFaults(fleet,
+                 { .minCallDelay = Duration(200) },
+                 [&](const auto& aWorkers, const auto& aJobs) {
+                   InjectRandomFault(fleet, aWorkers, aJobs);
+                   InjectRandomLateness(fleet, aWorkers);
+                 });
+}
