Scheduler: a test for starts while answers are handled late

It shows the second effect of the worker's clock as an offset from the latest answer: with answers handled 2.5 s late, starts had a deadline in the past, and the second of two jobs didn't complete in 12 s.

--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -214,6 +214,21 @@
     FAIL_CHECK(violation);
 }
 
+TEST_CASE_METHOD(Fixture, "a scheduler that is late still starts tasks in time")
+{
+  SetHandlingLag(Duration(2500));
+  const auto measureRun = [&] {
+    const jobs::JobId job = Submit({ MakeStep(12) });
+    // The entries of the job and of its assignments are handled 2.5 s late, and
+    // so are the ends of its runs and their entry.
+    return ReachesState(job, JobProgress::Completed, Duration(12000));
+  };
+  CHECK(measureRun());
+  // The workers' clocks are now known from answers that were handled late.
+  CHECK(measureRun());
+  CheckInvariants();
+}
+
 TEST_CASE("a delayed heartbeat of an earlier incarnation does not change the "
           "clock of the next one")
 {
