--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -168,6 +168,7 @@
   void Renew(WorkerSession& aSession);
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void AllowForLongestLease(WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
   void OnStartReply(WorkerSession& aSession,
                     const PendingCall& aCall,
@@ -178,6 +179,8 @@
   void OnRenewReply(WorkerSession& aSession,
                     const PendingCall& aCall,
                     const WorkerReply& aReply);
+  WorkerSession* FindSessionOfEndedRun(WorkerSession& aListing,
+                                       const ListedEnd& aEnd);
   void ProcessListedEnds(WorkerSession& aSession, const WorkerReply& aReply);
   bool ProcessListedRuns(WorkerSession& aSession, const WorkerReply& aReply);
   void CheckProgress(WorkerSession& aSession,
@@ -295,6 +298,10 @@
   Outbox& outbox_;
   std::optional<FencingToken> fence_;
   Time leaderLeaseEnd_;
+  /// The fencing token that this host led with last.
+  std::optional<FencingToken> lastFence_;
+  /// Whether this host has led with the current fencing token before.
+  bool isFenceReused_ = false;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
   PoolIndex poolIndex_;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -30,6 +30,8 @@
   BecomeFollower();
   now_ = aNow;
   fence_ = aFence;
+  isFenceReused_ = lastFence_ == aFence;
+  lastFence_ = aFence;
   for (const auto& [number, worker] : stateMachine_.Workers()) {
     WorkerSession& session = sessions_[number];
     session.number = number;
@@ -68,12 +70,19 @@
         if (session == nullptr)
           continue;
         AddRun(*session, aJob, task, tasks[index].attempt);
+        // The previous leader may have sent a start that was not answered.
+        session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
+                                            .count = 1 };
         Run& run = session->runs.at(task);
         run.stage = RunStage::Starting;
         // A run missing from the first lists can no longer start: the worker
-        // rejects start requests with an older fencing token.
-        run.firstListingRenewal = 1;
-        run.isStartSent = true;
+        // rejects start requests with an older fencing token. It does not
+        // reject this host's own earlier ones if their token is the same, so
+        // the start is then sent again, with a later deadline than theirs.
+        if (!isFenceReused_) {
+          run.firstListingRenewal = 1;
+          run.isStartSent = true;
+        }
         run.isStopRequested = aJob.state != jobs::JobState::Live;
       }
     }
@@ -209,10 +218,14 @@
   WorkerSession* session = SessionOf(aAssignment.worker);
   if (session == nullptr)
     return;
-  const auto found = session->runs.find(aAssignment.task);
-  if (found == session->runs.end())
-    return;
-  Run& run = found->second;
+  // This host may have proposed the assignment before it lost and regained
+  // leadership, which discarded its record of the run.
+  if (session->runs.count(aAssignment.task) == 0)
+    AddRun(*session,
+           *stateMachine_.Find(aAssignment.task.job),
+           aAssignment.task,
+           aAssignment.attempt);
+  Run& run = session->runs.at(aAssignment.task);
   run.stage = RunStage::Starting;
   if (session->isSuperseded) {
     EndRun(*session,
@@ -252,13 +265,18 @@
   const auto found = session->runs.find(aEnd.task);
   if (found == session->runs.end() || found->second.attempt != aEnd.attempt)
     return;
+  // A later incarnation may have listed the end of the run.
+  WorkerSession* listing =
+    found->second.endNumber ? SessionOf(found->second.endListedBy) : nullptr;
+  if (listing == nullptr)
+    listing = session;
   if (found->second.endNumber)
-    session->pendingEnds.erase(*found->second.endNumber);
+    listing->pendingEnds.erase(*found->second.endNumber);
   RemoveRun(*session, aEnd.task);
   isDispatchDue_ = true;
-  if (session->pendingEnds.empty())
-    session->nextRenewalAt = now_.steady;
-  TickSession(*session);
+  if (listing->pendingEnds.empty())
+    listing->nextRenewalAt = now_.steady;
+  TickSession(*listing);
 }
 
 void
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -231,6 +231,21 @@
     FAIL_CHECK(violation);
 }
 
+TEST_CASE_METHOD(Fixture, "a scheduler that is late still starts tasks in time")
+{
+  SetHandlingLag(Duration(2500));
+  const auto measureRun = [&] {
+    const jobs::JobId job = Submit({ MakeStep(12) });
+    // The entries of the job and of its assignments are handled 2.5 s late, and
+    // so are the ends of its runs and their entry.
+    return ReachesState(job, JobProgress::Completed, Duration(12000));
+  };
+  CHECK(measureRun());
+  // The workers' clocks are now known from answers that were handled late.
+  CHECK(measureRun());
+  CheckInvariants();
+}
+
 TEST_CASE("a delayed heartbeat of an earlier incarnation does not change the "
           "clock of the next one")
 {
@@ -255,6 +270,102 @@
     FAIL_CHECK(violation);
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "a delayed start is not executed after leadership resumes in the same term")
+{
+  faults = { .delayedCallPercent = 100,
+             .minCallDelay = Duration(1000),
+             .maxCallDelay = Duration(1001) };
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration(3000) });
+  Run(Duration(40));
+  faults = {};
+  RestartLeadership();
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(9000)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "an assignment that commits after leadership resumes starts")
+{
+  const jobs::JobId job = Submit({ MakeStep(3) });
+  // The job is accepted, and its assignments are proposed but not committed.
+  REQUIRE(RunUntil([&] { return QueryState(job) == JobProgress::Queued; },
+                   Duration(100)));
+  Run(Duration(5));
+  REQUIRE(QueryState(job) == JobProgress::Queued);
+  RestartLeadership();
+  Run(Duration(10));
+  REQUIRE(QueryState(job) == JobProgress::Running);
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(5000)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a success on a later incarnation of the worker counts for the task")
+{
+  SetHandlingLag(Duration(1200));
+  const jobs::JobId job = Submit({ MakeStep(1) }, { .runTime = Duration(200) });
+  Run(Duration(15));
+  // The start reaches the new incarnation before its heartbeat is handled.
+  CrashWorker("w1", Duration(10));
+  Run(Duration(4000));
+  SetHandlingLag(Duration(0));
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(5000)));
+  Run(Duration(3000));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a new leader expects starts of its predecessor on a restarted worker")
+{
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration(2000) });
+  REQUIRE(RunUntil([&] { return QueryState(job) == JobProgress::Queued; },
+                   Duration(100)));
+  Run(Duration(5));
+  // The worker restarts just before the start, which the new incarnation
+  // executes. It registers, but the next leader can't ask it for its lists.
+  CrashWorker("w1", Duration(5));
+  Run(Duration(20));
+  REQUIRE(RunsOn("w1") == 1);
+  PartitionWorkerFromSuccessors("w1", Duration(1000));
+  ChangeLeader();
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(9000)));
+  CheckInvariants();
+}
+
+TEST_CASE("a lease meant for an earlier incarnation of a worker is waited for")
+{
+  SimulatedFleet fleet;
+  fleet.Run(Duration(200));
+  fleet.AddWorker("w1");
+  jobs::Step step = MakeStep(1);
+  step.isPersistent = true;
+  fleet.Submit({ step });
+  fleet.Run(Duration(15000));
+  REQUIRE(fleet.RunsOn("w1") == 1);
+  // The new incarnation executes renewals whose lease ends on the clock of the
+  // earlier one.
+  fleet.SetHandlingLag(Duration(500));
+  fleet.Run(Duration(600));
+  fleet.CrashWorker("w1", Duration(10));
+  fleet.Run(Duration(1000));
+  fleet.SetHandlingLag(Duration(0));
+  REQUIRE(
+    fleet.RunUntil([&] { return fleet.RunsOn("w1") == 1; }, Duration(3000)));
+  fleet.PartitionWorker("w1", Duration(20000));
+  fleet.Run(Duration(100));
+  fleet.AddWorker("w2");
+  fleet.Run(Duration(15000));
+  CHECK(fleet.TotalRuns() == 1);
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
@@ -596,6 +707,38 @@
   }
 }
 
+/// Delays the scheduler, or changes the leader while it is late.
+static void
+InjectRandomLateness(SimulatedFleet& aFleet,
+                     const std::vector<std::string>& aWorkers)
+{
+  const auto randomDuration = [&](std::uint64_t aLimit) {
+    return Duration(static_cast<std::int64_t>(aFleet.random() % aLimit));
+  };
+  switch (aFleet.random() % 14) {
+    case 0:
+    case 1:
+      aFleet.SetHandlingLag(randomDuration(4000));
+      break;
+    case 2:
+    case 3:
+      aFleet.SetHandlingLag(Duration(0));
+      break;
+    case 4:
+    case 5:
+      for (const std::string& worker : aWorkers)
+        if (aFleet.random() % 2 == 0)
+          aFleet.PartitionWorkerFromSuccessors(worker, randomDuration(9000));
+      aFleet.ChangeLeader(randomDuration(6000));
+      break;
+    case 6:
+      aFleet.RestartLeadership();
+      break;
+    default:
+      break;
+  }
+}
+
 /// Runs random jobs while \p aInjectFault, called before each job's share of
 /// time, injects faults; then checks that all jobs end.
 static void
@@ -657,3 +800,21 @@
     InjectRandomFault(fleet, aWorkers, aJobs);
   });
 }
+
+TEST_CASE("no invariant is violated by a late scheduler under random faults")
+{
+  const auto seeds = SeedRange();
+  const auto seed =
+    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
+  INFO("seed " << seed);
+  SimulatedFleet fleet(seed);
+  if (seed % 2 == 0)
+    fleet.SetWorkerClockRate(98);
+  fleet.Run(Duration(200));
+  RunUnderFaults(fleet,
+                 { .minCallDelay = Duration(200) },
+                 [&](const auto& aWorkers, const auto& aJobs) {
+                   InjectRandomFault(fleet, aWorkers, aJobs);
+                   InjectRandomLateness(fleet, aWorkers);
+                 });
+}
