Scheduler: ends on later incarnations are looked up by the worker's id

The search for the run of a listed end walked all sessions for each end that is listed again after its commit; the index of superseded workers answers it.

--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -98,10 +98,11 @@
   };
   if (isAssignedTo(aListing))
     return &aListing;
-  const jobs::WorkerId& id = RecordOf(aListing).id;
-  for (auto& [number, earlier] : sessions_)
-    if (earlier.isSuperseded && RecordOf(earlier).id == id &&
-        isAssignedTo(earlier))
+  const auto superseded = supersededWorkers_.find(RecordOf(aListing).id);
+  if (superseded == supersededWorkers_.end())
+    return nullptr;
+  for (const jobs::WorkerNumber number : superseded->second)
+    if (WorkerSession& earlier = sessions_.at(number); isAssignedTo(earlier))
       return &earlier;
   return nullptr;
 }
