Scheduler: a later incarnation is not sent the earlier one's acknowledgements

Ends are numbered anew in each incarnation. A renewal that acknowledged the ends of one incarnation could be executed by the next one at its address, before the leader knew of it. That one discarded its own ends with these numbers, among them the success of a run that was meant for the earlier one; the task was then taken for lost and started again.

Once a later incarnation has answered, the earlier one is called no more; the registration settles its runs. After a failed call a renewal acknowledges nothing until one is answered.

"a later incarnation keeps its ends while the earlier one's are acknowledged" failed before (a start after the acknowledged success).

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -102,6 +102,10 @@
   /// been registered, so no run of this one continues.
   bool isSuperseded = false;
   Time supersededAt;
+  /// A later incarnation has answered a call meant for this one. It is not
+  /// called until it has registered, since an acknowledgement of this one's
+  /// ends would make it discard its own.
+  bool hasLaterIncarnationAnswered = false;
   /// Whether an earlier incarnation of the worker had the same address, so that
   /// calls meant for that one may have been executed.
   bool hasReusedAddress = false;
@@ -130,7 +134,7 @@
   RunEndSequence lastListedEnd;
   /// Listed ends whose operations are not committed yet.
   std::set<RunEndSequence> pendingEnds;
-  /// The highest number acknowledged to the worker so far.
+  /// The highest number acknowledged to the worker since a call last failed.
   RunEndSequence lastAcknowledgedEnd;
 
   /// The host is being drained, so the worker gets no new runs.
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -152,9 +152,14 @@
       });
     wait = hasBestEffortRuns ? kThrottlingLongPollTimeout : kLongPollTimeout;
   }
+  // After a failed call a later incarnation may execute this one, and would
+  // take the numbers for those of its own ends.
+  const RunEndSequence acknowledged = aSession.consecutiveFailedCalls == 0
+                                        ? aSession.LastCommittedEnd()
+                                        : RunEndSequence(0);
   RenewLease request{ .leaseExpiry = std::nullopt,
                       .fence = FenceOf(aSession),
-                      .lastAcknowledgedEnd = aSession.LastCommittedEnd(),
+                      .lastAcknowledgedEnd = acknowledged,
                       .longPollTimeout = wait };
   if (extendsLease) {
     request.leaseExpiry = *clock + options_.lease;
@@ -164,7 +169,7 @@
   aSession.isRenewalInFlight = true;
   if (!aSession.isReconciled)
     aSession.nextRenewalAt = now_.steady + kReconcileInterval;
-  aSession.lastAcknowledgedEnd = aSession.LastCommittedEnd();
+  aSession.lastAcknowledgedEnd = acknowledged;
   ++aSession.renewalCount;
   Send(aSession,
        { .kind = CallKind::Renew,
@@ -193,6 +198,11 @@
   if (IsFromOtherIncarnation(*session, reply)) {
     // The reply says nothing about this incarnation: treat the call as
     // unanswered.
+    if (reply.incarnation &&
+        *reply.incarnation > RecordOf(*session).incarnation) {
+      session->hasLaterIncarnationAnswered = true;
+      AllowForLongestLease(*session);
+    }
     reply = WorkerReply();
     reply.id = aReply.id;
     reply.detail = "another life of the worker answered";
@@ -327,6 +337,7 @@
     aSession.isRenewalInFlight = false;
   if (aReply.answer != WorkerCallStatus::Done || !aReply.hasLists) {
     ++aSession.consecutiveFailedCalls;
+    aSession.lastAcknowledgedEnd = RunEndSequence(0);
     aSession.nextRenewalAt = now_.steady + kRetryInterval;
     if (aSession.consecutiveFailedCalls == 1)
       observe::Log(observe::LogLevel::Warning,
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -139,8 +139,8 @@
 void
 Scheduler::TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun)
 {
-  if (aSession.isSuperseded || aRun.isCallInFlight ||
-      aRun.nextCallAt > now_.steady)
+  if (aSession.isSuperseded || aSession.hasLaterIncarnationAnswered ||
+      aRun.isCallInFlight || aRun.nextCallAt > now_.steady)
     return;
   if (aRun.stage == RunStage::Proposed || aRun.stage == RunStage::Ending)
     return;
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -40,7 +40,7 @@
 bool
 WorkerSession::NeedsRenewal() const
 {
-  if (isSuperseded)
+  if (isSuperseded || hasLaterIncarnationAnswered)
     return false;
   if (!isReconciled || consecutiveFailedCalls > 0 ||
       LastCommittedEnd() > lastAcknowledgedEnd)
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -301,6 +301,25 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "a later incarnation keeps its ends while the earlier one's are acknowledged")
+{
+  const jobs::JobId first = Submit({ MakeStep(1) });
+  REQUIRE(ReachesState(first, JobProgress::Completed, Duration(2000)));
+  SetHandlingLag(Duration(1200));
+  const jobs::JobId job = Submit({ MakeStep(1) }, { .runTime = Duration(200) });
+  // The new incarnation executes the start and lists the run as done. Its
+  // answers are handled before the entry that registers it.
+  Run(Duration(2130));
+  CrashWorker("w1", Duration(10));
+  Run(Duration(4000));
+  SetHandlingLag(Duration(0));
+  CHECK(ReachesState(job, JobProgress::Completed, Duration(5000)));
+  Run(Duration(3000));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "a new leader expects starts of its predecessor on a restarted worker")
