--- a/packages/daemon/unittests/JournalFilterTest.cpp
+++ b/packages/daemon/unittests/JournalFilterTest.cpp
@@ -92,56 +92,61 @@
   return commands;
 }
 
-TEST_CASE("writes that queue for the disk become durable with one sync")
+/// Has a journal filter handle writes that wait in its ring.
+/// \returns the ids that it reported as durable.
+static std::vector<std::uint64_t>
+WriteQueued(const TemporaryFolder& aFolder,
+            std::vector<consensus::Persist> aWrites)
 {
   const BootClock clock;
-  const TemporaryFolder folder;
   storage::PosixFileSystem files;
+  storage::Recovered recovered;
+  const auto journal = OpenJournal(aFolder, files, recovered);
   ReportList reports;
-  {
-    storage::Recovered recovered;
-    const auto journal = OpenJournal(folder, files, recovered);
-    JournalFilter filter(*journal, reports);
-    pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
-                                        clock);
-    for (std::uint64_t number = 1; number <= 10; ++number)
-      REQUIRE(duty.TryPush(PersistEntry(number)));
-    duty.Start(filter);
-    duty.Stop();
-  }
-  // One report follows each sync.
-  REQUIRE(reports.durable == std::vector<std::uint64_t>{ 10 });
+  JournalFilter filter(*journal, reports);
+  pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
+                                      clock);
+  for (consensus::Persist& write : aWrites)
+    REQUIRE(duty.TryPush(std::move(write)));
+  duty.Start(filter);
+  duty.Stop();
+  return reports.durable;
+}
+
+static std::vector<std::string>
+ReadCommands(const TemporaryFolder& aFolder)
+{
+  storage::PosixFileSystem files;
   storage::Recovered recovered;
-  OpenJournal(folder, files, recovered);
-  REQUIRE(Commands(recovered).size() == 10);
-  REQUIRE(Commands(recovered).back() == "command 10");
+  OpenJournal(aFolder, files, recovered);
+  return Commands(recovered);
+}
+
+TEST_CASE("writes that queue for the disk become durable with one sync")
+{
+  const TemporaryFolder folder;
+  std::vector<consensus::Persist> writes;
+  for (std::uint64_t number = 1; number <= 10; ++number)
+    writes.push_back(PersistEntry(number));
+  // One report follows each sync.
+  REQUIRE(WriteQueued(folder, std::move(writes)) ==
+          std::vector<std::uint64_t>{ 10 });
+  const std::vector<std::string> commands = ReadCommands(folder);
+  REQUIRE(commands.size() == 10);
+  REQUIRE(commands.back() == "command 10");
 }
 
 TEST_CASE("a write that truncates the log is not merged with earlier ones")
 {
-  const BootClock clock;
   const TemporaryFolder folder;
-  storage::PosixFileSystem files;
-  ReportList reports;
-  {
-    storage::Recovered recovered;
-    const auto journal = OpenJournal(folder, files, recovered);
-    JournalFilter filter(*journal, reports);
-    pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
-                                        clock);
-    for (std::uint64_t number = 1; number <= 3; ++number)
-      REQUIRE(duty.TryPush(PersistEntry(number)));
-    consensus::Persist replaced = PersistEntry(2);
-    replaced.id = consensus::PersistId(4);
-    replaced.truncateFrom = state::LogIndex(2);
-    replaced.entries.front().command = "replaced";
-    REQUIRE(duty.TryPush(std::move(replaced)));
-    duty.Start(filter);
-    duty.Stop();
-  }
-  REQUIRE(reports.durable.back() == 4);
-  storage::Recovered recovered;
-  OpenJournal(folder, files, recovered);
-  REQUIRE(Commands(recovered) ==
+  std::vector<consensus::Persist> writes;
+  for (std::uint64_t number = 1; number <= 3; ++number)
+    writes.push_back(PersistEntry(number));
+  writes.push_back(PersistEntry(2));
+  writes.back().id = consensus::PersistId(4);
+  writes.back().truncateFrom = state::LogIndex(2);
+  writes.back().entries.front().command = "replaced";
+  REQUIRE(WriteQueued(folder, std::move(writes)).back() == 4);
+  REQUIRE(ReadCommands(folder) ==
           std::vector<std::string>{ "command 1", "replaced" });
 }
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -20,7 +20,7 @@
 /// How long after it was sent an order may still be carried out: by then the
 /// call has timed out and its connection has been reset.
 static constexpr Duration kMaxOrderTime = Duration(1500);
-/// Allowance beyond the move time before a host can be moved again: the network
+/// Margin beyond the move time before a host can be moved again: the network
 /// delay of the order and of its answer.
 static constexpr Duration kMoveMargin = Duration(100);
 
--- a/packages/schedule/lib/PermitCache.cpp
+++ b/packages/schedule/lib/PermitCache.cpp
@@ -15,7 +15,7 @@
 /// The minimum remaining validity of a permit: two log commits and the network
 /// latency to the worker.
 static constexpr Duration kPermitMargin = Duration(200);
-/// Allowance in the call timeout for queueing behind other calls at the
+/// Margin in the call timeout for queueing behind other calls at the
 /// adviser.
 static constexpr Duration kQueueingAllowance = Duration(1000);
 /// Delay before the next call after a failed one.
