--- a/packages/schedule/unittests/DispatchWorkTest.cpp
+++ b/packages/schedule/unittests/DispatchWorkTest.cpp
@@ -82,3 +82,52 @@
   REQUIRE(Work().rankedJobs - before.rankedJobs <=
           kEvents * kEventInterval * kRankedPerMilli + kLastPass);
 }
+
+TEST_CASE_METHOD(
+  FullFleet,
+  "jobs that lack a labelled worker don't each examine the fleet")
+{
+  for (std::uint64_t number = 0; number < kWorkers; ++number)
+    AddWorker("x" + std::to_string(number));
+  Run(Duration(1000));
+  for (std::uint64_t number = 0; number < kJobs; ++number)
+    Submit({ { .count = 1,
+               .request = { MilliCores(100), Mebibytes(1), {} },
+               .requiredLabel = "gpu" } });
+  Run(Duration(500));
+  const DispatchWork work = WorkDuring(Duration(2000));
+  REQUIRE(work.passes > 0);
+  REQUIRE(work.proposedRuns == 0);
+  REQUIRE(work.examinedWorkers <= work.passes * 4 * kWorkers);
+}
+
+TEST_CASE_METHOD(FullFleet,
+                 "gangs that find too little room don't each examine the fleet")
+{
+  AddWorker("x");
+  Run(Duration(1000));
+  const MilliCores all = kDefaultCapacity.processors;
+  for (std::uint64_t number = 0; number < kJobs; ++number)
+    Submit(
+      { { .count = 2, .request = { all, Mebibytes(1), {} }, .isGang = true } });
+  Run(Duration(500));
+  const DispatchWork work = WorkDuring(Duration(2000));
+  REQUIRE(work.passes > 0);
+  REQUIRE(work.proposedRuns == 0);
+  REQUIRE(work.examinedWorkers <= work.passes * 4 * kWorkers);
+}
+
+TEST_CASE_METHOD(
+  FullFleet,
+  "persistent jobs that find no place don't each examine the fleet")
+{
+  for (std::uint64_t number = 0; number < kJobs; ++number)
+    Submit({ { .count = 1,
+               .request = { MilliCores(100), Mebibytes(1), {} },
+               .isPersistent = true } });
+  Run(Duration(500));
+  const DispatchWork work = WorkDuring(Duration(2000));
+  REQUIRE(work.passes > 0);
+  REQUIRE(work.proposedRuns == 0);
+  REQUIRE(work.examinedWorkers <= work.passes * 4 * kWorkers);
+}
--- /dev/null
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -0,0 +1,343 @@
+#include "greengage/schedule/Controller.h"
+
+#include "SimulatedFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+namespace {
+
+constexpr Duration kStep(5);
+
+/// A controller with one worker. The test decides how each log entry ends, when
+/// leadership changes and until when the leader lease lasts.
+struct LeadershipFixture : ControllerSink
+{
+  struct Proposal
+  {
+    BatchId id;
+    std::string entry;
+  };
+
+  LeadershipFixture()
+    : controller({}, {}, reader, *this)
+  {
+    controller.BecomeLeader(FencingToken(1), Now());
+    Handle(ConfigurationPut{ .version = jobs::ConfigurationVersion(1),
+                             .text = "configuration" });
+    Run(Duration(50));
+    Handle(Beat());
+    Run(Duration(50));
+  }
+
+  bool Propose(BatchId aBatch, const std::string& aEntry) override
+  {
+    if (isLogFull)
+      return false;
+    proposals.push_back({ .id = aBatch, .entry = aEntry });
+    return true;
+  }
+  void Call(WorkerCall&& aCall) override { calls.push_back(std::move(aCall)); }
+  void Call(HostCall&& /*aCall*/) override {}
+  void Call(AdviceCall&& /*aCall*/) override {}
+  void Answer(CallerId /*aCaller*/, Reply&& /*aReply*/) override {}
+
+  ClockReading Now() const { return { .steady = now, .wall = now }; }
+
+  WorkerHeartbeat Beat()
+  {
+    return { .worker = { .id = jobs::WorkerId("w1"),
+                         .incarnation = jobs::Incarnation(1),
+                         .host = jobs::HostId("host-w1"),
+                         .endpoint = { "10.0.0.1", 8001 },
+                         .pool = PoolId("lines"),
+                         .rack = RackId("r1"),
+                         .capacity = SimulatedFleet::kDefaultCapacity },
+             .sequence = ++lastSequence,
+             .clock = now };
+  }
+
+  void Handle(schedule::Call aCall)
+  {
+    controller.Handle(
+      { .caller = CallerId(++lastCaller), .call = std::move(aCall) },
+      leaseEnd,
+      Now());
+  }
+
+  void HandleJobCall(QueueVerb aVerb)
+  {
+    Handle(QueueCall{
+      .verb = aVerb,
+      .hostName = "h",
+      .path = "/p/" + ToString(jobs::JobId(lastJob)),
+      .key = "key",
+      .job = jobs::JobDescription{
+        .payload = "x",
+        .steps = { { .count = 1,
+                     .request = { MilliCores(1000), Mebibytes(256), {} },
+                     .estimate = Duration(800) } } } });
+  }
+  void Submit()
+  {
+    ++lastJob;
+    HandleJobCall(QueueVerb::Submit);
+  }
+
+  void Apply(const Proposal& aProposal)
+  {
+    controller.Apply(aProposal.entry, leaseEnd, Now());
+    controller.OnBatchApplied(aProposal.id);
+  }
+
+  /// Advances the time. Unless \p aIsCommitting is unset, entries are committed
+  /// at once; calls to the worker are answered if \p isAnswering is set.
+  void Run(Duration aSpan, bool aIsCommitting = true)
+  {
+    for (const Time end = now + aSpan; now < end;) {
+      now = now + kStep;
+      controller.Tick(leaseEnd, Now());
+      // Otherwise the thread would not sleep.
+      REQUIRE(controller.NextTick());
+      REQUIRE(*controller.NextTick() > now);
+      while (aIsCommitting && !proposals.empty()) {
+        const Proposal proposal = std::move(proposals.front());
+        proposals.erase(proposals.begin());
+        Apply(proposal);
+      }
+      AnswerRenewals();
+    }
+  }
+
+  void AnswerRenewals()
+  {
+    if (!isAnswering)
+      return;
+    const std::vector<WorkerCall> all = calls;
+    for (; answered < all.size(); ++answered) {
+      if (!std::holds_alternative<RenewLease>(all[answered].request))
+        continue;
+      WorkerReply reply;
+      reply.id = all[answered].id;
+      reply.answer = WorkerCallStatus::Done;
+      reply.clock = now;
+      reply.incarnation = jobs::Incarnation(1);
+      reply.hasLists = true;
+      reply.running = running;
+      controller.On(reply, leaseEnd, Now());
+    }
+  }
+
+  /// The worker confirms the latest start, and lists the run from now on.
+  void ConfirmStart()
+  {
+    WorkerReply reply;
+    for (const WorkerCall& call : calls)
+      if (const auto* start = std::get_if<StartRun>(&call.request)) {
+        reply.id = call.id;
+        running = { { .task = start->task,
+                      .attempt = start->attempt,
+                      .checkpoint = {},
+                      .progressPercent = 50 } };
+      }
+    reply.answer = WorkerCallStatus::Done;
+    reply.clock = now;
+    reply.incarnation = jobs::Incarnation(1);
+    controller.On(reply, leaseEnd, Now());
+  }
+
+  /// Fails the calls that the worker has not answered.
+  void FailCalls()
+  {
+    for (const std::vector<WorkerCall> all = calls; answered < all.size();
+         ++answered) {
+      WorkerReply reply;
+      reply.id = all[answered].id;
+      controller.On(reply, leaseEnd, Now());
+    }
+  }
+
+  /// The host loses its leadership and leads again in \p aTerm before its
+  /// scheduling duty handles the loss of the entry on its way, if there is one.
+  /// \returns what the duty still proposes; the log takes it in \p aTerm.
+  std::vector<Proposal> ChangeTerms(FencingToken aTerm)
+  {
+    if (!proposals.empty())
+      controller.OnBatchUnknown(proposals.front().id);
+    proposals.clear();
+    Run(Duration(10), false);
+    std::vector<Proposal> late = std::exchange(proposals, {});
+    controller.BecomeFollower();
+    controller.BecomeLeader(aTerm, Now());
+    return late;
+  }
+
+  template<typename Request>
+  std::size_t CountCalls() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(calls.begin(), calls.end(), [](const WorkerCall& aCall) {
+        return std::holds_alternative<Request>(aCall.request);
+      }));
+  }
+
+  Time now{ 1000000 };
+  Time leaseEnd{ 1000000000 };
+  bool isLogFull = false;
+  bool isAnswering = true;
+  std::size_t answered = 0;
+  std::uint64_t lastSequence = 0;
+  std::uint64_t lastCaller = 0;
+  std::uint64_t lastJob = 0;
+  std::vector<Proposal> proposals;
+  std::vector<WorkerCall> calls;
+  /// What the worker lists as running.
+  std::vector<ListedRun> running;
+  SimulatedConfigurationReader reader;
+  Controller controller;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a start that the lapsed leader lease held back is sent later")
+{
+  Submit();
+  Run(kStep);
+  REQUIRE(CountCalls<StartRun>() == 0);
+  const Time former = std::exchange(leaseEnd, now);
+  Run(Duration(300));
+  REQUIRE(CountCalls<StartRun>() == 0);
+  leaseEnd = former;
+  Run(Duration(100));
+  CHECK(CountCalls<StartRun>() == 1);
+}
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a stop that the lapsed leader lease held back is sent later")
+{
+  Submit();
+  Run(Duration(100));
+  REQUIRE(CountCalls<StartRun>() == 1);
+  isAnswering = false;
+  ConfirmStart();
+  HandleJobCall(QueueVerb::Cancel);
+  const Time former = std::exchange(leaseEnd, now);
+  Run(Duration(300));
+  REQUIRE(CountCalls<StopRun>() == 0);
+  leaseEnd = former;
+  Run(Duration(100));
+  CHECK(CountCalls<StopRun>() == 1);
+}
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a full log delays proposals, and the controller waits for it")
+{
+  isLogFull = true;
+  Submit();
+  Run(Duration(300));
+  REQUIRE(proposals.empty());
+  isLogFull = false;
+  Run(Duration(100));
+  CHECK(CountCalls<StartRun>() == 1);
+}
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a task that a lost term assigned is started in the next one")
+{
+  const bool isEntryOnItsWay = GENERATE(true, false);
+  // The worker is not usable yet, so that the task waits.
+  controller.BecomeFollower();
+  controller.BecomeLeader(FencingToken(2), Now());
+  isAnswering = false;
+  Submit();
+  Run(Duration(50));
+  if (isEntryOnItsWay) {
+    Submit();
+    Run(kStep * 2, false);
+    REQUIRE(proposals.size() == 1);
+  }
+  isAnswering = true;
+  AnswerRenewals();
+  if (isEntryOnItsWay)
+    Run(Duration(50), false);
+  REQUIRE(proposals.size() == (isEntryOnItsWay ? 1 : 0));
+  REQUIRE(CountCalls<StartRun>() == 0);
+
+  for (const Proposal& proposal : ChangeTerms(FencingToken(4)))
+    Apply(proposal);
+  Run(Duration(5000));
+  CHECK(CountCalls<StartRun>() >= 1);
+}
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a run that a lost term gave up goes on in the next one")
+{
+  Submit();
+  Run(Duration(50));
+  REQUIRE(CountCalls<StartRun>() == 1);
+  ConfirmStart();
+  Run(Duration(100));
+  // The worker answers this host no more, and a further entry is on its way
+  // when its lease expires.
+  isAnswering = false;
+  FailCalls();
+  Submit();
+  for (int count = 0; count < 60; ++count) {
+    Run(Duration(100), false);
+    FailCalls();
+  }
+  REQUIRE(proposals.size() == 1);
+  const std::vector<Proposal> late = ChangeTerms(FencingToken(4));
+  // Another leader renewed the lease in the meantime.
+  isAnswering = true;
+  Run(Duration(200));
+  const std::size_t starts = CountCalls<StartRun>();
+  const auto startsOfFirst = [&] {
+    return std::count_if(
+      calls.begin(), calls.end(), [&](const WorkerCall& aCall) {
+        const auto* start = std::get_if<StartRun>(&aCall.request);
+        return start != nullptr && start->task == running.front().task;
+      });
+  };
+  const auto before = startsOfFirst();
+  for (const Proposal& proposal : late)
+    Apply(proposal);
+  Run(Duration(1000));
+  CAPTURE(starts, late.size());
+  CHECK(startsOfFirst() == before);
+}
+
+TEST_CASE_METHOD(
+  LeadershipFixture,
+  "what is handed in during a slow commit shares the next log entry")
+{
+  constexpr std::uint64_t kJobs = 1000;
+  constexpr Duration kCommitLatency(200);
+  const Time begin = now;
+  // One job each millisecond.
+  for (Duration age; controller.StateMachine().Jobs().size() < kJobs;) {
+    for (std::int64_t count = 0; count < kStep.Millis() && lastJob < kJobs;
+         ++count)
+      Submit();
+    Run(kStep, false);
+    age = proposals.empty() ? Duration(0) : age + kStep;
+    if (age < kCommitLatency)
+      continue;
+    age = Duration(0);
+    for (const Proposal& proposal : std::exchange(proposals, {}))
+      Apply(proposal);
+  }
+  // The last job waits for the end of one commit and for one more.
+  const Duration bound =
+    Duration(static_cast<std::int64_t>(kJobs)) + kCommitLatency * 2 + kStep * 4;
+  CHECK((now - begin).Millis() <= bound.Millis());
+}
