--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -52,13 +52,13 @@
 
   ClockReading Now() const { return { .steady = now, .wall = now }; }
 
-  WorkerHeartbeat Beat()
+  WorkerHeartbeat Beat(const char* aPool = "lines")
   {
     return { .worker = { .id = jobs::WorkerId("w1"),
                          .incarnation = jobs::Incarnation(1),
                          .host = jobs::HostId("host-w1"),
                          .endpoint = { "10.0.0.1", 8001 },
-                         .pool = PoolId("lines"),
+                         .pool = PoolId(aPool),
                          .rack = RackId("r1"),
                          .capacity = SimulatedFleet::kDefaultCapacity },
              .sequence = ++lastSequence,
@@ -341,3 +341,20 @@
     Duration(static_cast<std::int64_t>(kJobs)) + kCommitLatency * 2 + kStep * 4;
   CHECK((now - begin).Millis() <= bound.Millis());
 }
+
+TEST_CASE_METHOD(
+  LeadershipFixture,
+  "a worker that registers with another pool leaves its former one")
+{
+  Handle(Beat("spare"));
+  Run(Duration(50));
+  // The new leader takes the worker over in its present pool.
+  controller.BecomeFollower();
+  controller.BecomeLeader(FencingToken(2), Now());
+  Submit();
+  Run(Duration(300));
+  REQUIRE(CountCalls<StartRun>() == 0);
+  Handle(Beat("lines"));
+  Run(Duration(300));
+  CHECK(CountCalls<StartRun>() == 1);
+}
