--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -73,23 +73,25 @@
       Now());
   }
 
-  void HandleJobCall(QueueVerb aVerb)
+  void HandleJobCall(QueueVerb aVerb, jobs::Step aStep = SmallStep())
   {
-    Handle(QueueCall{
-      .verb = aVerb,
-      .hostName = "h",
-      .path = "/p/" + ToString(jobs::JobId(lastJob)),
-      .key = "key",
-      .job = jobs::JobDescription{
-        .payload = "x",
-        .steps = { { .count = 1,
-                     .request = { MilliCores(1000), Mebibytes(256), {} },
-                     .estimate = Duration(800) } } } });
+    Handle(QueueCall{ .verb = aVerb,
+                      .hostName = "h",
+                      .path = "/p/" + ToString(jobs::JobId(lastJob)),
+                      .key = "key",
+                      .job = jobs::JobDescription{
+                        .payload = "x", .steps = { std::move(aStep) } } });
   }
-  void Submit()
+  static jobs::Step SmallStep()
+  {
+    return { .count = 1,
+             .request = { MilliCores(1000), Mebibytes(256), {} },
+             .estimate = Duration(800) };
+  }
+  void Submit(jobs::Step aStep = SmallStep())
   {
     ++lastJob;
-    HandleJobCall(QueueVerb::Submit);
+    HandleJobCall(QueueVerb::Submit, std::move(aStep));
   }
 
   void Apply(const Proposal& aProposal)
@@ -358,3 +360,35 @@
   Run(Duration(300));
   CHECK(CountCalls<StartRun>() == 1);
 }
+
+TEST_CASE_METHOD(
+  LeadershipFixture,
+  "an assignment of a lost term does not exceed the worker's capacity")
+{
+  controller.BecomeFollower();
+  controller.BecomeLeader(FencingToken(2), Now());
+  isAnswering = false;
+  jobs::Step large{ .count = 1, .request = SimulatedFleet::kDefaultCapacity };
+  Submit(large);
+  Run(Duration(50));
+  isAnswering = true;
+  AnswerRenewals();
+  const std::vector<Proposal> late = ChangeTerms(FencingToken(4));
+  REQUIRE(late.size() == 1);
+  // Another leader accepted a job in between, which this one chooses for the
+  // worker before the assignment is committed.
+  large.isPersistent = true;
+  jobs::Operations accepted;
+  accepted.push_back(
+    jobs::AcceptJob{ .id = jobs::JobId(++lastJob),
+                     .queue = jobs::QueueId("plan"),
+                     .team = TeamId("caxias"),
+                     .at = now,
+                     .description = { .payload = "x", .steps = { large } } });
+  controller.Apply(jobs::Encode(accepted), leaseEnd, Now());
+  Run(Duration(50), false);
+  for (const Proposal& proposal : late)
+    Apply(proposal);
+  Run(Duration(500));
+  CHECK(CountCalls<StartRun>() == 1);
+}
