Log: a command of an earlier leadership is refused

What callers could see: a task run twice, or a worker filled beyond its capacity.

Cause: a host that loses and regains leadership while its scheduling duty is late still proposes what that duty decided on under the lost term, and the log took it in the new one. A run that the old term gave up was ended although the new leader's worker still listed it, so that its task was started again; an assignment of the old term was started without a look at the worker's capacity.

A proposal now carries the term it was decided on in, and the replica refuses it in another. The refusal of an earlier leadership's batch no longer resets the scheduler. An assignment that does commit without a record (the same term, resumed after a hand-over that failed) was never started: it is ended as lost and the task placed again.

--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -223,6 +223,9 @@
 {
   ProposalId id;
   std::string command;
+  /// The term in which the proposer decided on the command: it is refused in
+  /// any other. Unset if the command is valid in every term.
+  std::optional<Term> term = {};
 };
 
 /// Proposes to add or remove one voter. A new voter must have caught up first.
--- a/packages/consensus/lib/Replica.cpp
+++ b/packages/consensus/lib/Replica.cpp
@@ -135,7 +135,8 @@
 Replica::On(Propose&& aEvent)
 {
   std::optional<Refusal> refusal;
-  if (role_ != Role::Leader)
+  if (role_ != Role::Leader ||
+      aEvent.term.value_or(hardState_.term) != hardState_.term)
     refusal = Refusal::NotLeader;
   else if (transferTarget_)
     refusal = Refusal::Transferring;
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -202,10 +202,15 @@
 }
 
 bool
-ScheduleFilter::Propose(schedule::BatchId aBatch, const std::string& aEntry)
+ScheduleFilter::Propose(schedule::BatchId aBatch,
+                        jobs::FencingToken aFence,
+                        const std::string& aEntry)
 {
-  if (!outlets_.log.TryPush(consensus::Event(consensus::Propose{
-        .id = consensus::ProposalId(aBatch.Value()), .command = aEntry })))
+  // The number of a term is the fencing token of its leader.
+  if (!outlets_.log.TryPush(consensus::Event(
+        consensus::Propose{ .id = consensus::ProposalId(aBatch.Value()),
+                            .command = aEntry,
+                            .term = consensus::Term(aFence.Value()) })))
     return false;
   proposedAt_[aBatch] = now_;
   host_.metrics.Count("greengage_log_entries_total");
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -71,7 +71,9 @@
   schedule::ClockReading ClockReadingAt(Time aNow) const;
   Time LeaderLeaseEnd() const;
 
-  bool Propose(schedule::BatchId aBatch, const std::string& aEntry) override;
+  bool Propose(schedule::BatchId aBatch,
+               jobs::FencingToken aFence,
+               const std::string& aEntry) override;
   void Call(schedule::WorkerCall&& aCall) override;
   void Call(schedule::HostCall&& aCall) override;
   void Call(schedule::AdviceCall&& aCall) override;
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -35,9 +35,13 @@
 {
 public:
   virtual ~ControllerSink() = default;
-  /// Proposes a log entry. Returns false if the proposal queue is full; the
-  /// controller retries later.
-  virtual bool Propose(BatchId aBatch, const std::string& aEntry) = 0;
+  /// Proposes a log entry that was decided on with \p aFence as the leader's
+  /// fencing token. The log must refuse it if this host leads with another one:
+  /// a later leadership may have decided otherwise. Returns false if the
+  /// proposal queue is full; the controller retries later.
+  virtual bool Propose(BatchId aBatch,
+                       FencingToken aFence,
+                       const std::string& aEntry) = 0;
   virtual void Call(WorkerCall&& aCall) = 0;
   virtual void Call(HostCall&& aCall) = 0;
   virtual void Call(AdviceCall&& aCall) = 0;
@@ -134,6 +138,9 @@
   void FailBatch(BatchId aBatch, const Reply& aReply);
 
   ControllerSink& sink_;
+  FencingToken fence_;
+  /// The first batch that is proposed under the current leadership.
+  BatchId firstBatch_;
   jobs::JobStateMachine stateMachine_;
   Scheduler scheduler_;
   HostPlanner hostPlanner_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -51,6 +51,8 @@
 {
   BecomeFollower();
   now_ = aNow;
+  fence_ = aFence;
+  firstBatch_ = BatchId(lastBatchId_ + 1);
   scheduler_.BecomeLeader(aFence, aNow);
   hostPlanner_.BecomeLeader(aFence, aNow);
   nextTick_ = aNow.steady;
@@ -144,7 +146,7 @@
       CloseBatch();
     const BatchId id(lastBatchId_ + 1);
     Batch& batch = queuedBatches_.front();
-    if (!sink_.Propose(id, batch.entry))
+    if (!sink_.Propose(id, fence_, batch.entry))
       return;
     ++lastBatchId_;
     inFlightReplies_.emplace(id, std::move(batch.replies));
@@ -242,6 +244,9 @@
             Refused{ .reason = { ErrorKind::NoCapacity,
                                  "the log takes no entries from this host" },
                      .retryAfter = kRetryAfter });
+  // The state that an earlier leadership left behind is gone already.
+  if (aBatch < firstBatch_)
+    return;
   // The scheduler's state includes operations that are not in the log: reset
   // it.
   scheduler_.BecomeFollower();
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -219,14 +219,26 @@
   if (session == nullptr)
     return;
   // This host may have proposed the assignment before it lost and regained
-  // leadership, which discarded its record of the run.
-  if (session->runs.count(aAssignment.task) == 0)
+  // leadership, which discarded its record of the run. The run was never
+  // started, and the worker may have been filled since: place the task again.
+  const bool isFromEarlierLeadership =
+    session->runs.count(aAssignment.task) == 0;
+  if (isFromEarlierLeadership)
     AddRun(*session,
            *stateMachine_.Find(aAssignment.task.job),
            aAssignment.task,
            aAssignment.attempt);
   Run& run = session->runs.at(aAssignment.task);
   run.stage = RunStage::Starting;
+  if (isFromEarlierLeadership) {
+    EndRun(*session,
+           aAssignment.task,
+           run,
+           jobs::RunOutcome::Lost,
+           {},
+           "assigned before leadership was lost");
+    return;
+  }
   if (session->isSuperseded) {
     EndRun(*session,
            aAssignment.task,
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -24,6 +24,7 @@
   struct Proposal
   {
     BatchId id;
+    FencingToken fence;
     std::string entry;
   };
 
@@ -38,11 +39,13 @@
     Run(Duration(50));
   }
 
-  bool Propose(BatchId aBatch, const std::string& aEntry) override
+  bool Propose(BatchId aBatch,
+               FencingToken aFence,
+               const std::string& aEntry) override
   {
     if (isLogFull)
       return false;
-    proposals.push_back({ .id = aBatch, .entry = aEntry });
+    proposals.push_back({ .id = aBatch, .fence = aFence, .entry = aEntry });
     return true;
   }
   void Call(WorkerCall&& aCall) override { calls.push_back(std::move(aCall)); }
@@ -100,6 +103,16 @@
     controller.OnBatchApplied(aProposal.id);
   }
 
+  /// Ends a proposal as the log does: it refuses what was decided on under
+  /// another leadership.
+  void End(const Proposal& aProposal, FencingToken aCurrent)
+  {
+    if (aProposal.fence == aCurrent)
+      Apply(aProposal);
+    else
+      controller.OnBatchRefused(aProposal.id);
+  }
+
   /// Advances the time. Unless \p aIsCommitting is unset, entries are committed
   /// at once; calls to the worker are answered if \p isAnswering is set.
   void Run(Duration aSpan, bool aIsCommitting = true)
@@ -169,7 +182,7 @@
 
   /// The host loses its leadership and leads again in \p aTerm before its
   /// scheduling duty handles the loss of the entry on its way, if there is one.
-  /// \returns what the duty still proposes; the log takes it in \p aTerm.
+  /// \returns what the duty still proposes.
   std::vector<Proposal> ChangeTerms(FencingToken aTerm)
   {
     if (!proposals.empty())
@@ -311,11 +324,17 @@
       });
   };
   const auto before = startsOfFirst();
+  REQUIRE(!late.empty());
   for (const Proposal& proposal : late)
-    Apply(proposal);
+    End(proposal, FencingToken(4));
   Run(Duration(1000));
   CAPTURE(starts, late.size());
   CHECK(startsOfFirst() == before);
+  // The refusal of a former leadership's entry does not end this one.
+  running.clear();
+  Submit();
+  Run(Duration(1000));
+  CHECK(CountCalls<StartRun>() > starts);
 }
 
 TEST_CASE_METHOD(
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -43,7 +43,9 @@
   {
   }
 
-  bool Propose(BatchId aBatch, const std::string& aEntry) override
+  bool Propose(BatchId aBatch,
+               FencingToken /*aFence*/,
+               const std::string& aEntry) override
   {
     fleet.Propose(term, aBatch, aEntry);
     return true;
