Controller: an entry takes all that was handed in during a slow commit

The limit of 96 KiB an entry, with 512 bytes counted for an operation, is 192 operations; with one entry on its way that bounds the rate. The log takes entries of 4 MiB; the limit is now 1 MiB.

Test: "what is handed in during a slow commit shares the next log entry", 2,400 ms before, bound 1,420.

--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -18,8 +18,9 @@
 static constexpr Duration kPlanInterval = Duration(150);
 /// How often a follower samples the demand.
 static constexpr Duration kDemandSampleInterval = Duration(300);
-/// Size limit of one batch; the log accepts entries of up to 192 KiB.
-static constexpr std::size_t kMaxEntryBytes = 96 * 1024;
+/// Size limit of one batch; the log accepts entries of up to 4 MiB. What is
+/// handed in during a slow commit has to fit into the next entry.
+static constexpr std::size_t kMaxEntryBytes = 1024 * 1024;
 /// Upper bound for the encoded size of an operation and of one step of a job;
 /// the payload of a job and the text of a configuration come on top.
 static constexpr std::size_t kMaxOperationBytes = 512;
