--- a/packages/pipe/include/greengage/pipe/Duty.h
+++ b/packages/pipe/include/greengage/pipe/Duty.h
@@ -93,15 +93,20 @@
   /// Handles \p aMessage and the messages that wait behind it.
   void HandleBatch(Message& aMessage, Filter<Message>& aFilter)
   {
-    std::size_t count = 0;
-    do {
-      meter_.OnTaken();
-      aFilter.Accept(std::move(aMessage), clock_.Now());
-      FireTimer(aFilter);
-    } while (++count < kMaxBatch && ring_.TryPop(aMessage));
+    Handle(aMessage, aFilter);
+    for (std::size_t count = 1; count < kMaxBatch && ring_.TryPop(aMessage);
+         ++count)
+      Handle(aMessage, aFilter);
     aFilter.OnBatchEnd(clock_.Now());
   }
 
+  void Handle(Message& aMessage, Filter<Message>& aFilter)
+  {
+    meter_.OnTaken();
+    aFilter.Accept(std::move(aMessage), clock_.Now());
+    FireTimer(aFilter);
+  }
+
   void SampleLoad()
   {
     const Time now = clock_.Now();
