Scheduler: failed searches of labelled, ganged and persistent tasks are remembered

Found by the review in a test with 350 busy workers and 600 waiting jobs: the cost of a pass still grew with workers times jobs for jobs that lack a labelled worker, for gangs with room for some members only, and for persistent jobs without a worker to reserve capacity on.

Cause: only a search that found no worker with enough capacity at all was remembered, the rollback of a gang forgot it, and the search for capacity to reserve was never remembered. Passes were spaced by the jobs they ranked and not by the workers they examined.

A failed request is now kept by pool and label, and with the number of its tasks, so that it answers for larger gangs, too; a gang's rollback restores what was known before it; failed reservations are kept alike. Passes are spaced by both kinds of work.

--- a/packages/schedule/include/greengage/schedule/PoolIndex.h
+++ b/packages/schedule/include/greengage/schedule/PoolIndex.h
@@ -1,7 +1,6 @@
 /// \file
-/// The workers of each pool, and which resource requests found no worker with
-/// enough free capacity, so that placing a task examines only workers that may
-/// take it.
+/// The workers of each pool, and which resource requests found no worker, so
+/// that placing a task examines only workers that may take it.
 
 #ifndef GREENGAGE_SCHEDULE_POOLINDEX_H
 #define GREENGAGE_SCHEDULE_POOLINDEX_H
@@ -10,7 +9,10 @@
 #include "greengage/jobs/Job.h"
 #include "greengage/schedule/WorkerSession.h"
 
+#include <compare>
+#include <cstddef>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace greengage::schedule {
@@ -32,19 +34,46 @@
   std::map<jobs::WorkerNumber, PoolId> pools_;
 };
 
-/// Requests for which no worker of a pool has enough free capacity. Valid as
-/// long as no capacity of the pool is released.
+/// The workers that a step may run on, as far as its job's queue and its label
+/// tell.
+struct WorkerClass
+{
+  PoolId pool;
+  /// Empty if any worker of the pool is eligible.
+  std::string requiredLabel;
+
+  friend auto operator<=>(const WorkerClass&, const WorkerClass&) = default;
+};
+
+/// Requests for which the workers of a class have too little capacity. Valid as
+/// long as none is released.
 class UnplaceableRequests
 {
 public:
-  /// Whether \p aRequest is at least as large as one that was added.
-  bool Contains(const PoolId& aPool, const jobs::Resources& aRequest) const;
-  void Add(const PoolId& aPool, const jobs::Resources& aRequest);
+  /// Whether a request is known to fail: one for no more tasks, each of which
+  /// needs no more, was added for its class or for the whole pool.
+  bool Contains(const WorkerClass& aClass,
+                const jobs::Resources& aPerTask,
+                std::size_t aCount = 1) const;
+  /// Adds a request for \p aCount tasks at the same time.
+  void Add(const WorkerClass& aClass,
+           const jobs::Resources& aPerTask,
+           std::size_t aCount = 1);
   void Clear() { smallest_.clear(); }
 
 private:
-  /// By pool, the requests that are not at least as large as another one.
-  std::map<PoolId, std::vector<jobs::Resources>> smallest_;
+  struct Request
+  {
+    jobs::Resources perTask;
+    std::size_t count;
+  };
+
+  static bool IsAtLeast(const Request& aLeft, const Request& aRight);
+  bool ContainsExactClass(const WorkerClass& aClass,
+                          const Request& aRequest) const;
+
+  /// The requests that are not at least as large as another one.
+  std::map<WorkerClass, std::vector<Request>> smallest_;
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -269,6 +269,11 @@
                        jobs::WorkerNumber aExcluded);
   void CancelReservation(const TaskId& aTask);
   bool IsReservedCapacityFree(const TaskId& aTask);
+  static WorkerClass ClassOf(const Candidate& aCandidate,
+                             const jobs::Step& aStep);
+  static bool IsInClass(const jobs::WorkerRecord& aRecord,
+                        const Candidate& aCandidate,
+                        const jobs::Step& aStep);
   static bool IsEligible(const WorkerSession& aSession,
                          const jobs::WorkerRecord& aRecord,
                          const Candidate& aCandidate,
@@ -333,8 +338,11 @@
   /// Pools in which this dispatch pass has already reached the one task that
   /// may reserve capacity: the first that cannot be placed.
   std::set<PoolId> reservingPools_;
-  /// Requests that found no free capacity in this dispatch pass.
+  /// Requests that found too little free capacity in this dispatch pass.
   UnplaceableRequests unplaceable_;
+  /// Requests that found no worker to reserve capacity on, in this dispatch
+  /// pass or evacuation.
+  UnplaceableRequests unreservable_;
   PermitCache permitCache_;
   /// When a task to be moved last found no other worker with enough capacity,
   /// by pool.
--- a/packages/schedule/lib/PoolIndex.cpp
+++ b/packages/schedule/lib/PoolIndex.cpp
@@ -55,37 +55,55 @@
   return found == workers_.end() ? kNone : found->second;
 }
 
-/// Whether \p aLeft needs as much of each resource as \p aRight, or more.
-static bool
-IsAtLeast(const Resources& aLeft, const Resources& aRight)
+/// Whether \p aLeft needs as much of everything as \p aRight, or more.
+bool
+UnplaceableRequests::IsAtLeast(const Request& aLeft, const Request& aRight)
 {
-  return jobs::Fits(aRight, {}, aLeft);
+  return aLeft.count >= aRight.count &&
+         jobs::Fits(aRight.perTask, {}, aLeft.perTask);
 }
 
 bool
-UnplaceableRequests::Contains(const PoolId& aPool,
-                              const Resources& aRequest) const
+UnplaceableRequests::ContainsExactClass(const WorkerClass& aClass,
+                                        const Request& aRequest) const
 {
-  const auto found = smallest_.find(aPool);
+  const auto found = smallest_.find(aClass);
   return found != smallest_.end() &&
          std::any_of(found->second.begin(),
                      found->second.end(),
-                     [&](const Resources& aSmaller) {
+                     [&](const Request& aSmaller) {
                        return IsAtLeast(aRequest, aSmaller);
                      });
 }
 
+bool
+UnplaceableRequests::Contains(const WorkerClass& aClass,
+                              const Resources& aPerTask,
+                              std::size_t aCount) const
+{
+  const Request request{ .perTask = aPerTask, .count = aCount };
+  if (ContainsExactClass(aClass, request))
+    return true;
+  // What no worker of the pool can take, none of its labelled ones can.
+  return !aClass.requiredLabel.empty() &&
+         ContainsExactClass({ .pool = aClass.pool, .requiredLabel = {} },
+                            request);
+}
+
 void
-UnplaceableRequests::Add(const PoolId& aPool, const Resources& aRequest)
+UnplaceableRequests::Add(const WorkerClass& aClass,
+                         const Resources& aPerTask,
+                         std::size_t aCount)
 {
-  if (Contains(aPool, aRequest))
+  if (Contains(aClass, aPerTask, aCount))
     return;
-  std::vector<Resources>& smallest = smallest_[aPool];
+  const Request request{ .perTask = aPerTask, .count = aCount };
+  std::vector<Request>& smallest = smallest_[aClass];
   smallest.erase(std::remove_if(smallest.begin(),
                                 smallest.end(),
-                                [&](const Resources& aLarger) {
-                                  return IsAtLeast(aLarger, aRequest);
+                                [&](const Request& aLarger) {
+                                  return IsAtLeast(aLarger, request);
                                 }),
                  smallest.end());
-  smallest.push_back(aRequest);
+  smallest.push_back(request);
 }
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -12,10 +12,11 @@
 
 using jobs::Resources;
 
-/// Passes are spaced so that no more jobs are ranked in the mean: with many
-/// waiting jobs, a pass for each event would leave no time to handle the
-/// events.
-static constexpr std::int64_t kMaxRankedJobsPerMilli = 20;
+/// Passes are spaced so that no more jobs are ranked and workers examined in
+/// the mean: with many waiting jobs, a pass for each event would leave no time
+/// to handle the events.
+static constexpr std::uint64_t kMaxRankedJobsPerMilli = 20;
+static constexpr std::uint64_t kMaxExaminedWorkersPerMilli = 1000;
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -27,17 +28,21 @@
   CancelStaleReservations();
   reservingPools_.clear();
   unplaceable_.Clear();
+  unreservable_.Clear();
   const std::vector<Candidate> candidates = RankedCandidates();
   ++work_.passes;
   work_.rankedJobs += candidates.size();
-  earliestDispatch_ =
-    aNow.steady + Duration(static_cast<std::int64_t>(candidates.size()) /
-                           kMaxRankedJobsPerMilli);
+  const std::uint64_t examinedBefore = work_.examinedWorkers;
   for (const Candidate& candidate : candidates)
     DispatchJob(candidate);
   for (const Candidate& candidate : candidates)
     if (candidate.advicePolicy)
       PrefetchPermits(candidate);
+  const std::uint64_t pauseMillis = std::max(
+    candidates.size() / kMaxRankedJobsPerMilli,
+    (work_.examinedWorkers - examinedBefore) / kMaxExaminedWorkersPerMilli);
+  earliestDispatch_ =
+    aNow.steady + Duration(static_cast<std::int64_t>(pauseMillis));
 }
 
 void
@@ -154,6 +159,12 @@
 {
   const auto& tasks =
     aCandidate.job->occurrences.at(aFirst.occurrence).steps[aFirst.step].tasks;
+  const jobs::Step& step = aCandidate.job->description.steps[aFirst.step];
+  const WorkerClass workerClass = ClassOf(aCandidate, step);
+  const Resources allocation = AllocationFor(step);
+  if (unplaceable_.Contains(workerClass, allocation, tasks.size()))
+    return;
+  const UnplaceableRequests unplaceableBefore = unplaceable_;
   std::vector<std::pair<TaskId, jobs::WorkerNumber>> placed;
   TaskId task = aFirst;
   // All members get the same attempt number, one above the highest so far.
@@ -164,16 +175,20 @@
     const bool isUnassigned =
       tasks[task.index].phase == jobs::TaskPhase::Waiting &&
       proposedTasks_.count(task) == 0;
-    const jobs::Step& step = aCandidate.job->description.steps[task.step];
+    const bool mayPlace =
+      isUnassigned && IsWithinQuota(aCandidate.job->team, step.request);
     WorkerSession* session =
-      isUnassigned && IsWithinQuota(aCandidate.job->team, step.request)
-        ? ChooseWorker(aCandidate, task)
-        : nullptr;
+      mayPlace ? ChooseWorker(aCandidate, task) : nullptr;
     if (session == nullptr) {
       if (aCandidate.advicePolicy)
         RequestStepPermits(aCandidate, task);
       for (const auto& [member, worker] : placed)
         RemoveRun(sessions_.at(worker), member);
+      unplaceable_ = unplaceableBefore;
+      const bool isCapacityLacking =
+        mayPlace && step.maxPerWorker == 0 && !aCandidate.advicePolicy;
+      if (isCapacityLacking)
+        unplaceable_.Add(workerClass, allocation, placed.size() + 1);
       return;
     }
     AddRun(*session, *aCandidate.job, task, Attempt(latest.Value() + 1));
@@ -210,14 +225,29 @@
                       const TaskId& aTask)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  return IsInClass(aRecord, aCandidate, step) &&
+         (step.maxPerWorker == 0 ||
+          aSession.CountRunsOfStep(aTask) < step.maxPerWorker);
+}
+
+WorkerClass
+Scheduler::ClassOf(const Candidate& aCandidate, const jobs::Step& aStep)
+{
+  return { .pool = aCandidate.pool, .requiredLabel = aStep.requiredLabel };
+}
+
+/// Whether the worker takes new runs and belongs to the class of the step.
+bool
+Scheduler::IsInClass(const jobs::WorkerRecord& aRecord,
+                     const Candidate& aCandidate,
+                     const jobs::Step& aStep)
+{
   if (aRecord.pool != aCandidate.pool || aRecord.isDraining)
     return false;
-  const bool hasLabel = step.requiredLabel.empty() ||
-                        std::find(aRecord.labels.begin(),
-                                  aRecord.labels.end(),
-                                  step.requiredLabel) != aRecord.labels.end();
-  return hasLabel && (step.maxPerWorker == 0 ||
-                      aSession.CountRunsOfStep(aTask) < step.maxPerWorker);
+  return aStep.requiredLabel.empty() ||
+         std::find(aRecord.labels.begin(),
+                   aRecord.labels.end(),
+                   aStep.requiredLabel) != aRecord.labels.end();
 }
 
 /// \returns the preferred rack of a task: the rack with its data or, for a step
@@ -254,7 +284,8 @@
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const Resources allocation = AllocationFor(step);
-  if (unplaceable_.Contains(aCandidate.pool, allocation))
+  const WorkerClass workerClass = ClassOf(aCandidate, step);
+  if (unplaceable_.Contains(workerClass, allocation))
     return nullptr;
   const jobs::TaskState* state = stateMachine_.Find(aTask);
   const RackId rack = PreferredRack(aCandidate, aTask);
@@ -267,7 +298,8 @@
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
     if (!session.IsUsable(now_.steady) ||
-        !jobs::Fits(allocation, session.used, record.capacity))
+        !jobs::Fits(allocation, session.used, record.capacity) ||
+        !IsInClass(record, aCandidate, step))
       continue;
     hasCapacity = true;
     if (!IsEligible(session, record, aCandidate, aTask) ||
@@ -299,7 +331,7 @@
     }
   }
   if (!hasCapacity)
-    unplaceable_.Add(aCandidate.pool, allocation);
+    unplaceable_.Add(workerClass, allocation);
   return best;
 }
 
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -35,18 +35,25 @@
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const Resources allocation = AllocationFor(step);
+  const WorkerClass workerClass = ClassOf(aCandidate, step);
+  if (unreservable_.Contains(workerClass, allocation))
+    return false;
   WorkerSession* best = nullptr;
   std::int64_t bestFreeProcessors = 0;
+  bool hasCapacity = false;
   for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
     WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
-    if (session.number == aExcluded || session.reservationCount > 0 ||
-        !session.IsUsable(now_.steady) ||
-        !IsEligible(session, record, aCandidate, aTask) ||
-        !IsPermitted(record, aCandidate, aTask) ||
+    if (session.reservationCount > 0 || !session.IsUsable(now_.steady) ||
+        !IsInClass(record, aCandidate, step) ||
         !jobs::Fits(allocation, {}, record.capacity))
       continue;
+    hasCapacity = true;
+    if (session.number == aExcluded ||
+        !IsEligible(session, record, aCandidate, aTask) ||
+        !IsPermitted(record, aCandidate, aTask))
+      continue;
     const std::int64_t freeProcessors =
       (record.capacity.processors - session.used.processors).Count();
     if (best == nullptr || freeProcessors > bestFreeProcessors) {
@@ -54,6 +61,8 @@
       bestFreeProcessors = freeProcessors;
     }
   }
+  if (!hasCapacity)
+    unreservable_.Add(workerClass, allocation);
   if (best == nullptr)
     return false;
   best->used += allocation;
@@ -74,6 +83,7 @@
     session->used -= found->second.reserved;
     --session->reservationCount;
     unplaceable_.Clear();
+    unreservable_.Clear();
   }
   reservations_.erase(found);
 }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -285,6 +285,7 @@
   WorkerSession* session = SessionOf(aWorker);
   if (session == nullptr)
     return;
+  unreservable_.Clear();
   for (auto& [task, run] : session->runs) {
     if (!run.isPersistent || run.stage != RunStage::Running ||
         run.isStopRequested || !MayDisrupt(task) ||
