Scheduling duty: the leader lease counts only in its own term

What callers could see: two runs of a task at once.

The term is published with the end, and the duty counts the end only in the term that it leads in.

Test: "a late scheduler makes no calls with a later term's lease" failed before.

--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -34,6 +34,10 @@
   /// Until when no other host can lead the agreed log, on the boot clock in
   /// milliseconds; in the past while this host doesn't lead.
   std::atomic<std::int64_t> leaderUntil{ 0 };
+  /// The term that \ref leaderUntil belongs to. Written before it, so that a
+  /// reader that reads it afterwards never takes the end of a later term's
+  /// lease for that of its own.
+  std::atomic<std::uint64_t> leaderTerm{ 0 };
   observe::Metrics metrics;
 };
 
--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -100,6 +100,7 @@
 {
   // The actions may ask another host to take over, which ends the lease, so the
   // new end must be known first.
+  host_.leaderTerm.store(replica_.CurrentTerm().Value());
   host_.leaderUntil.store(replica_.LeaseExpiresAt().Millis());
   for (consensus::Action& action : aActions)
     std::visit([&](auto&& aKind) { Do(std::forward<decltype(aKind)>(aKind)); },
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -28,12 +28,15 @@
   return { .steady = aNow, .wall = wallClock_.Now() };
 }
 
-/// The consensus duty updates it without waiting for this duty, which may be
-/// late to handle the notice that another host leads.
+/// The end of the leader lease in the term that this duty leads in. The
+/// consensus duty updates it without waiting for this duty, which may be late
+/// to handle the notice that another host leads, or that this one leads in a
+/// later term.
 Time
 ScheduleFilter::LeaderLeaseEnd() const
 {
-  return Time(host_.leaderUntil.load());
+  const Time end(host_.leaderUntil.load());
+  return host_.leaderTerm.load() == leadingTerm_.Value() ? end : Time(0);
 }
 
 void
--- /dev/null
+++ b/packages/daemon/unittests/ScheduleFilterTest.cpp
@@ -0,0 +1,108 @@
+#include "../lib/filters/ScheduleFilter.h"
+
+#include "greengage/core/Clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::daemon::detail;
+
+namespace {
+
+template<typename Message>
+class ListPipe final : public pipe::Pipe<Message>
+{
+public:
+  bool TryPush(Message&& aMessage) override
+  {
+    return Push(std::move(aMessage));
+  }
+  bool Push(Message&& aMessage) override
+  {
+    list.push_back(std::move(aMessage));
+    return true;
+  }
+  std::vector<Message> list;
+};
+
+class EmptyReader final : public jobs::ConfigurationReader
+{
+public:
+  std::optional<jobs::Configuration> Read(std::string_view /*aText*/,
+                                          Error& /*aReason*/) const override
+  {
+    return jobs::Configuration{};
+  }
+};
+
+/// A schedule duty that leads in a term, with one registered worker.
+struct Fixture
+{
+  Fixture()
+    : host(EntryHostId("a"), AvailabilityZoneId("z"))
+    , filter({},
+             {},
+             reader,
+             host,
+             clock,
+             { .log = log,
+               .workers = workers,
+               .hosts = hosts,
+               .advice = advice,
+               .replies = replies })
+  {
+    PublishLease(5, Time(100000));
+    filter.Accept(Leadership{ .term = consensus::Term(5),
+                              .leader = EntryHostId("a"),
+                              .isReadyHere = true },
+                  Time(1000));
+    jobs::Operations operations;
+    operations.push_back(
+      jobs::RegisterWorker{ .worker = { .id = jobs::WorkerId("w1"),
+                                        .incarnation = jobs::Incarnation(1),
+                                        .host = jobs::HostId("h1"),
+                                        .endpoint = { "10.0.0.1", 8001 },
+                                        .pool = PoolId("lines") } });
+    filter.Accept(EntryCommitted{ .entry = jobs::Encode(operations) },
+                  Time(1000));
+  }
+
+  void PublishLease(std::uint64_t aTerm, Time aEnd)
+  {
+    host.leaderTerm.store(aTerm);
+    host.leaderUntil.store(aEnd.Millis());
+  }
+
+  ManualClock clock;
+  EmptyReader reader;
+  HostState host;
+  ListPipe<ConsensusInput> log;
+  ListPipe<schedule::WorkerCall> workers;
+  ListPipe<schedule::HostCall> hosts;
+  ListPipe<schedule::AdviceCall> advice;
+  ListPipe<CallReply> replies;
+  ScheduleFilter filter;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "a leader calls its workers during its lease")
+{
+  workers.list.clear();
+  filter.OnTimer(Time(2000));
+  REQUIRE_FALSE(workers.list.empty());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a late scheduler makes no calls with a later term's lease")
+{
+  // The host lost its leadership and regained it; the duty has handled neither
+  // notice.
+  PublishLease(7, Time(100000));
+  workers.list.clear();
+  filter.OnTimer(Time(2000));
+  REQUIRE(workers.list.empty());
+}
