--- a/packages/daemon/unittests/JournalFilterTest.cpp
+++ b/packages/daemon/unittests/JournalFilterTest.cpp
@@ -96,7 +96,7 @@
 /// \returns the ids that it reported as durable.
 static std::vector<std::uint64_t>
 WriteQueued(const TemporaryFolder& aFolder,
-            std::vector<consensus::Persist> aWrites)
+            const std::vector<consensus::Persist>& aWrites)
 {
   const BootClock clock;
   storage::PosixFileSystem files;
@@ -106,8 +106,8 @@
   JournalFilter filter(*journal, reports);
   pipe::Duty<consensus::Persist> duty({ .name = "journal", .capacity = 16 },
                                       clock);
-  for (consensus::Persist& write : aWrites)
-    REQUIRE(duty.TryPush(std::move(write)));
+  for (const consensus::Persist& write : aWrites)
+    REQUIRE(duty.TryPush(consensus::Persist(write)));
   duty.Start(filter);
   duty.Stop();
   return reports.durable;
@@ -129,8 +129,7 @@
   for (std::uint64_t number = 1; number <= 10; ++number)
     writes.push_back(PersistEntry(number));
   // One report follows each sync.
-  REQUIRE(WriteQueued(folder, std::move(writes)) ==
-          std::vector<std::uint64_t>{ 10 });
+  REQUIRE(WriteQueued(folder, writes) == std::vector<std::uint64_t>{ 10 });
   const std::vector<std::string> commands = ReadCommands(folder);
   REQUIRE(commands.size() == 10);
   REQUIRE(commands.back() == "command 10");
@@ -146,7 +145,7 @@
   writes.back().id = consensus::PersistId(4);
   writes.back().truncateFrom = state::LogIndex(2);
   writes.back().entries.front().command = "replaced";
-  REQUIRE(WriteQueued(folder, std::move(writes)).back() == 4);
+  REQUIRE(WriteQueued(folder, writes).back() == 4);
   REQUIRE(ReadCommands(folder) ==
           std::vector<std::string>{ "command 1", "replaced" });
 }
