Host planner: maintenance that is not recorded yet counts against its wave

Cause: once the provider had answered an order for maintenance, the host counted neither as draining nor, until its record was committed, as started. A planner pass in between took one host more. Passes also follow the commit of each order's intent, and since the log takes one entry at a time the record may wait for the entry before it, so that the window grew.

A host in transition whose latest wave is this one now counts, recorded or not.

--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -59,11 +59,11 @@
     if (found == hosts_.end())
       continue;
     const Host& host = found->second;
-    // An earlier leader may have ordered maintenance whose start is not
-    // recorded in the log.
-    const bool mayBeDown =
-      (aWave.startedHosts.count(id) != 0 && IsInTransition(host)) ||
-      !CanOrder(id);
+    // This or an earlier leader may have ordered maintenance whose start is not
+    // recorded in the log yet.
+    const bool isStarted =
+      aWave.startedHosts.count(id) != 0 || host.wave == aWave.plan.id;
+    const bool mayBeDown = (isStarted && IsInTransition(host)) || !CanOrder(id);
     active += mayBeDown || host.drainReason == DrainReason::Maintenance ? 1 : 0;
   }
   return active;
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -99,6 +99,19 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "hosts whose maintenance is not recorded yet count against the "
+  "limit of their wave")
+{
+  // The planner runs several times between the order and its record.
+  commitLatency = Duration(400);
+  StartWave(WaveHosts(), 2);
+  RunUntil([&] { return IsWaveCompleted(); }, Duration::Seconds(30));
+  CHECK(maxConcurrentMaintenance == 2);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a new leader continues a wave")
 {
   StartWave(WaveHosts(), 1);
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -253,7 +253,7 @@
                         BatchId aBatch,
                         const std::string& aEntry)
 {
-  ScheduleEvent(kCommitLatency, [this, aTerm, aBatch, aEntry] {
+  ScheduleEvent(commitLatency, [this, aTerm, aBatch, aEntry] {
     // Entries that are not committed when their leader is replaced are lost.
     if (aTerm != leaderTerm_)
       return;
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -123,6 +123,7 @@
   std::size_t LogEntryCount() const { return log_.size(); }
   /// The time from the proposal of an entry to its commit.
   static constexpr Duration kCommitLatency = Duration(10);
+  Duration commitLatency = kCommitLatency;
 
   /// Number of runs on \p aWorker.
   std::size_t RunsOn(const std::string& aWorker) const;
