--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstdlib>
 #include <functional>
 #include <string>
 #include <utility>
@@ -685,19 +684,6 @@
   fleet.CheckInvariants();
 }
 
-/// The range of seeds to run: 1 to 40, or the one that GREENGAGE_SEEDS gives as
-/// "FIRST" or "FIRST-LAST".
-static std::pair<std::uint64_t, std::uint64_t>
-SeedRange()
-{
-  const char* const text = std::getenv("GREENGAGE_SEEDS");
-  if (text == nullptr)
-    return { 1, 40 };
-  char* rest = nullptr;
-  const std::uint64_t first = std::strtoull(text, &rest, 10);
-  return { first, *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first };
-}
-
 /// Injects one random fault or, in most calls, none.
 static void
 InjectRandomFault(SimulatedFleet& aFleet,
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -3,6 +3,7 @@
 #include "greengage/observe/Log.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 using namespace greengage;
@@ -19,7 +20,6 @@
 static constexpr Duration kGangStartTimeout(3000);
 /// The factor by which runs take longer on a slow worker.
 static constexpr std::int64_t kSlowWorkerFactor = 50;
-static constexpr Duration kMaxLease = Duration::Seconds(10);
 /// Maximum delay of a call that FaultProbabilities::late delays.
 static constexpr Duration kMaxCallDelay(12000);
 static constexpr std::size_t kMaxViolations = 5;
@@ -27,6 +27,16 @@
 /// Runs of a cancelled job must have ended this long after the cancellation or
 /// the last effect of a fault, whichever is later.
 static constexpr Duration kMaxCancelDelay(3900);
+/// A persistent task must be running again this long after its last run if,
+/// throughout the end of that time, there is enough capacity.
+static constexpr Duration kMaxRestartTime(6000);
+static constexpr Duration kStartableTime(3000);
+/// Time after a fault of leaders or of the whole network in which tasks may
+/// wait.
+static constexpr Duration kRecoveryTime(7000);
+/// A worker counts as available once it has been reachable for this long, which
+/// covers a heartbeat interval.
+static constexpr Duration kContactTime(2000);
 
 /// A control host that schedules as the leader of one term.
 struct SimulatedFleet::Leader final : ControllerSink
@@ -34,7 +44,7 @@
   Leader(SimulatedFleet& aFleet, std::uint64_t aTerm)
     : fleet(aFleet)
     , term(aTerm)
-    , controller(SchedulerOptions{},
+    , controller(SchedulerOptions{ .maxLease = aFleet.maxLease_ },
                  HostPlannerOptions{ .isEnabled = aFleet.hasProvider_,
                                      .self = EntryHostId("leader"),
                                      .minOrderGap = kMinOrderInterval },
@@ -76,31 +86,36 @@
 };
 
 std::optional<jobs::Configuration>
-SimulatedConfigurationReader::Read(std::string_view /*aText*/,
+SimulatedConfigurationReader::Read(std::string_view aText,
                                    Error& /*aReason*/) const
 {
+  const bool hasQueues = aText != kNoQueues;
   jobs::Configuration configuration;
-  configuration.version = jobs::ConfigurationVersion(1);
+  configuration.version = jobs::ConfigurationVersion(hasQueues ? 1 : 2);
   configuration.pools = { { .id = PoolId("lines") },
                           { .id = PoolId("spare"), .isSpare = true } };
-  configuration.queues = { { .id = jobs::QueueId("plan"),
-                             .hostName = "h",
-                             .pathPrefix = "/p/",
-                             .pool = PoolId("lines"),
-                             .maxAttempts = maxAttempts,
-                             .stretch = 1.6,
-                             .objective = Duration(600),
-                             .timeout = Duration(3000),
-                             .advice = advice } };
+  if (hasQueues)
+    configuration.queues = { { .id = jobs::QueueId("plan"),
+                               .hostName = "h",
+                               .pathPrefix = "/p/",
+                               .pool = PoolId("lines"),
+                               .maxAttempts = maxAttempts,
+                               .stretch = 1.6,
+                               .objective = Duration(600),
+                               .timeout = Duration(3000),
+                               .advice = advice } };
   configuration.teams = {
     { .id = TeamId("caxias"), .keys = { "key" }, .quota = quota }
   };
   return configuration;
 }
 
-SimulatedFleet::SimulatedFleet(std::uint64_t aSeed, bool aHasProvider)
+SimulatedFleet::SimulatedFleet(std::uint64_t aSeed,
+                               bool aHasProvider,
+                               Duration aMaxLease)
   : random(aSeed)
   , hasProvider_(aHasProvider)
+  , maxLease_(aMaxLease)
 {
   observe::ConfigureLog({ .path = {}, .level = observe::LogLevel::Error });
   StartLeader();
@@ -122,16 +137,36 @@
   events_.emplace(now_ + aDelay, std::move(aEvent));
 }
 
-/// Starts a new leader, which applies the whole log first.
+/// \returns the leader of the next term, which has applied the whole log.
+std::unique_ptr<SimulatedFleet::Leader>
+SimulatedFleet::MakeLeader()
+{
+  auto leader = std::make_unique<Leader>(*this, ++leaderTerm_);
+  Error reason;
+  if (!snapshot_.empty() && !leader->controller.Restore(snapshot_, reason))
+    ReportViolation("the snapshot can't be read: " + Describe(reason));
+  for (const std::string& entry : log_)
+    leader->controller.Apply(entry, leader->leaseEnd, Now());
+  return leader;
+}
+
 void
 SimulatedFleet::StartLeader()
 {
-  leader_ = std::make_unique<Leader>(*this, ++leaderTerm_);
-  for (const std::string& entry : log_)
-    leader_->controller.Apply(entry, leader_->leaseEnd, Now());
+  RecordGeneralFault();
+  leader_ = MakeLeader();
   leader_->controller.BecomeLeader(FencingToken(leaderTerm_), Now());
 }
 
+void
+SimulatedFleet::RestartControlHosts()
+{
+  deposedLeaders_.clear();
+  snapshot_ = MakeLeader()->controller.Snapshot();
+  log_.clear();
+  StartLeader();
+}
+
 void
 SimulatedFleet::ChangeLeader(Duration aNoticeDelay)
 {
@@ -147,6 +182,7 @@
 void
 SimulatedFleet::RestartLeadership()
 {
+  RecordGeneralFault();
   leader_->controller.BecomeFollower();
   leader_->controller.BecomeLeader(FencingToken(leaderTerm_), Now());
 }
@@ -444,6 +480,9 @@
 {
   if (aTerm != leaderTerm_)
     return;
+  const auto submit = submitCalls_.find(aCaller);
+  if (submit != submitCalls_.end() && std::holds_alternative<Accepted>(aReply))
+    jobs_.at(submit->second).isAccepted = true;
   const auto cancel = cancelCalls_.find(aCaller);
   if (cancel != cancelCalls_.end() && std::holds_alternative<Accepted>(aReply))
     jobs_.at(cancel->second).cancelledAt = now_;
@@ -466,10 +505,13 @@
   const jobs::JobId id(++lastJob_);
   jobs_[id] = { .steps = aSteps,
                 .taskBehavior = aBehavior,
+                .isAccepted = false,
+                .isCancelRequested = false,
                 .cancelledAt = std::nullopt,
                 .acknowledgedFailures = {},
                 .acknowledgedSuccesses = {},
                 .succeeded = {} };
+  submitCalls_[CallerId(lastCaller_ + 1)] = id;
   Send(QueueCall{ .verb = QueueVerb::Submit,
                   .hostName = "h",
                   .path = "/p/" + ToString(id),
@@ -482,6 +524,7 @@
 void
 SimulatedFleet::Cancel(jobs::JobId aJob)
 {
+  jobs_.at(aJob).isCancelRequested = true;
   cancelCalls_[CallerId(lastCaller_ + 1)] = aJob;
   Send(QueueCall{ .verb = QueueVerb::Cancel,
                   .hostName = "h",
@@ -507,30 +550,40 @@
 void
 SimulatedFleet::AddWorker(const std::string& aId,
                           jobs::Resources aCapacity,
-                          const std::string& aRack)
+                          const std::string& aRack,
+                          std::vector<std::string> aLabels)
+{
+  StartWorker({ .id = jobs::WorkerId(aId),
+                .host = jobs::HostId("host-" + aId),
+                .pool = PoolId("lines"),
+                .rack = RackId(aRack),
+                .labels = std::move(aLabels),
+                .capacity = aCapacity });
+}
+
+/// Starts a worker, or a new incarnation of it, and sends its first heartbeat.
+void
+SimulatedFleet::StartWorker(jobs::WorkerRecord aRecord)
 {
-  SimulatedWorker& worker = workers_[aId];
-  const std::int64_t startedAtMillis = now_.Millis();
+  const std::string id = aRecord.id.Value();
+  SimulatedWorker& worker = workers_[id];
   // A restarted worker listens on the port of its previous incarnation.
   const std::uint16_t port =
     worker.record.endpoint.port != 0
       ? worker.record.endpoint.port
       : static_cast<std::uint16_t>(8000 + workers_.size());
   worker = {};
-  worker.record = { .id = jobs::WorkerId(aId),
-                    .incarnation = jobs::Incarnation(startedAtMillis),
-                    .host = jobs::HostId("host-" + aId),
-                    .endpoint = { "10.0.0.1", port },
-                    .pool = PoolId("lines"),
-                    .rack = RackId(aRack),
-                    .capacity = aCapacity };
+  worker.record = std::move(aRecord);
+  worker.record.incarnation = jobs::Incarnation(now_.Millis());
+  worker.record.endpoint = { "10.0.0.1", port };
+  worker.reachableSince = now_;
   worker.clockRate = clockRate_;
-  if (aId.find('-') == std::string::npos)
-    hosts_["host-" + aId] = { .pool = PoolId("lines"),
-                              .worker = aId,
-                              .unavailableUntil = {},
-                              .isInMaintenance = false,
-                              .maintenanceWaves = {} };
+  if (id.find('-') == std::string::npos)
+    hosts_[worker.record.host.Value()] = { .pool = PoolId("lines"),
+                                           .worker = id,
+                                           .unavailableUntil = {},
+                                           .isInMaintenance = false,
+                                           .maintenanceWaves = {} };
   SendHeartbeat(worker);
 }
 
@@ -538,7 +591,7 @@
 SimulatedFleet::SendHeartbeat(SimulatedWorker& aWorker)
 {
   aWorker.nextHeartbeat = now_ + kHeartbeatInterval;
-  if (!aWorker.isUp || IsPartitioned(aWorker, leaderTerm_))
+  if (!aWorker.isUp || AreHeartbeatsLost(aWorker))
     return;
   WorkerHeartbeat beat{ .worker = aWorker.record,
                         .sequence = ++aWorker.lastSequence,
@@ -557,7 +610,6 @@
 {
   ExtendFaultPeriod(aRestartAfter.value_or(Duration(0)));
   SimulatedWorker& worker = workers_.at(aId);
-  const jobs::Resources capacity = worker.record.capacity;
   worker.isUp = false;
   worker.runs.clear();
   for (const auto& [term, deferred] : worker.deferredRenewals)
@@ -570,7 +622,25 @@
   worker.deferredRenewals.clear();
   if (aRestartAfter)
     ScheduleEvent(*aRestartAfter,
-                  [this, aId, capacity] { AddWorker(aId, capacity); });
+                  [this, record = worker.record] { StartWorker(record); });
+}
+
+void
+SimulatedFleet::ReplaceWorker(const std::string& aId,
+                              const std::string& aNewId,
+                              Duration aAfter)
+{
+  CrashWorker(aId, std::nullopt);
+  jobs::WorkerRecord record = workers_.at(aId).record;
+  record.id = jobs::WorkerId(aNewId);
+  ScheduleEvent(aAfter, [this, record] { StartWorker(record); });
+}
+
+bool
+SimulatedFleet::IsUp(const std::string& aId) const
+{
+  const auto found = workers_.find(aId);
+  return found != workers_.end() && found->second.isUp;
 }
 
 void
@@ -590,6 +660,20 @@
   workers_.at(aId).firstPartitionedTerm = leaderTerm_ + 1;
 }
 
+void
+SimulatedFleet::BlockCalls(const std::string& aId, Duration aSpan)
+{
+  ExtendFaultPeriod(aSpan);
+  callsBlockedUntil_[aId] = now_ + aSpan;
+}
+
+void
+SimulatedFleet::BlockHeartbeats(const std::string& aId, Duration aSpan)
+{
+  ExtendFaultPeriod(aSpan);
+  heartbeatsBlockedUntil_[aId] = now_ + aSpan;
+}
+
 /// \returns the time on the worker's own clock, which starts with it.
 Time
 SimulatedFleet::ClockOf(const SimulatedWorker& aWorker) const
@@ -607,6 +691,26 @@
          aTerm >= aWorker.firstPartitionedTerm;
 }
 
+/// Whether calls of the leader of \p aTerm arrive at the worker.
+bool
+SimulatedFleet::IsReachable(const SimulatedWorker& aWorker,
+                            std::uint64_t aTerm) const
+{
+  const auto blocked = callsBlockedUntil_.find(aWorker.record.id.Value());
+  const bool isBlocked =
+    blocked != callsBlockedUntil_.end() && blocked->second > now_;
+  return aWorker.isUp && !isBlocked && !IsPartitioned(aWorker, aTerm);
+}
+
+bool
+SimulatedFleet::AreHeartbeatsLost(const SimulatedWorker& aWorker) const
+{
+  const auto blocked = heartbeatsBlockedUntil_.find(aWorker.record.id.Value());
+  const bool isBlocked =
+    blocked != heartbeatsBlockedUntil_.end() && blocked->second > now_;
+  return isBlocked || IsPartitioned(aWorker, leaderTerm_);
+}
+
 void
 SimulatedFleet::Call(std::uint64_t aTerm, WorkerCall&& aCall)
 {
@@ -658,8 +762,8 @@
                             bool aIsReplyDelivered)
 {
   const auto found = workers_.find(aCall.worker.Value());
-  const bool isReachable = found != workers_.end() && found->second.isUp &&
-                           !IsPartitioned(found->second, aTerm) &&
+  const bool isReachable = found != workers_.end() &&
+                           IsReachable(found->second, aTerm) &&
                            found->second.record.endpoint == aCall.endpoint;
   if (!isReachable) {
     if (!aIsReplyDelivered)
@@ -746,7 +850,7 @@
   if (aRenew.leaseExpiry)
     aWorker.leaseEnd =
       std::max(aWorker.leaseEnd,
-               std::min(*aRenew.leaseExpiry, ClockOf(aWorker) + kMaxLease));
+               std::min(*aRenew.leaseExpiry, ClockOf(aWorker) + maxLease_));
 }
 
 /// The part of its run time that a run has completed, in percent; always 100
@@ -805,7 +909,7 @@
   }
   aWorker.leaseEnd =
     std::max(aWorker.leaseEnd,
-             std::min(aStart.startDeadline, ClockOf(aWorker) + kMaxLease));
+             std::min(aStart.startDeadline, ClockOf(aWorker) + maxLease_));
   const auto highest = aWorker.highestAttempts.find(aStart.task);
   if (highest != aWorker.highestAttempts.end() &&
       aStart.attempt <= highest->second) {
@@ -903,6 +1007,8 @@
 {
   TickGangs();
   for (auto& [id, worker] : workers_) {
+    if (!IsReachable(worker, leaderTerm_) || AreHeartbeatsLost(worker))
+      worker.reachableSince = now_;
     if (!worker.isUp)
       continue;
     const bool hasExpired = worker.leaseEnd <= ClockOf(worker);
@@ -937,7 +1043,7 @@
     }
     WorkerReply reply;
     reply.id = deferred.first.id;
-    if (!IsPartitioned(aWorker, term)) {
+    if (IsReachable(aWorker, term)) {
       reply.answer = WorkerCallStatus::Done;
       reply.clock = ClockOf(aWorker);
       reply.incarnation = aWorker.record.incarnation;
@@ -1008,6 +1114,10 @@
     leader_->handlingLag > Duration(0) || !leader_->messages.empty();
   if (faults.delayedCallPercent > 0 || faults.lostReplyPercent > 0 || isLate)
     ExtendFaultPeriod(kMaxCallDelay);
+  if (faults.delayedCallPercent > 0 || faults.lostReplyPercent > 0 || isLate ||
+      isProviderUnresponsive)
+    RecordGeneralFault();
+  CheckPersistentTasks();
   jobs::Resources total;
   for (const auto& [id, worker] : workers_) {
     if (!worker.isUp)
@@ -1038,6 +1148,112 @@
     ReportViolation("the running tasks of the team exceed its quota");
 }
 
+/// Number of further runs of a task's step that fit on the worker.
+std::size_t
+SimulatedFleet::FreeSlots(const SimulatedWorker& aWorker,
+                          const TaskId& aTask) const
+{
+  const jobs::Step& step = *FindStep(aTask);
+  const auto& labels = aWorker.record.labels;
+  const bool hasLabel =
+    step.requiredLabel.empty() ||
+    std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+  const bool isAvailable = aWorker.isUp &&
+                           aWorker.reachableSince + kContactTime <= now_ &&
+                           !aWorker.record.isDraining && hasLabel;
+  if (!isAvailable)
+    return 0;
+  const auto requestOf = [](const jobs::Step& aStep) {
+    jobs::Resources request = aStep.request;
+    if (aStep.usesIdleProcessors)
+      request.processors = {};
+    return request;
+  };
+  jobs::Resources used;
+  std::size_t runsOfStep = 0;
+  for (const auto& [task, run] : aWorker.runs) {
+    used += requestOf(*FindStep(task));
+    runsOfStep += jobs::StepOf(task) == jobs::StepOf(aTask) ? 1 : 0;
+  }
+  std::size_t slots = 0;
+  while (jobs::Fits(requestOf(step), used, aWorker.record.capacity) &&
+         (step.maxPerWorker == 0 || runsOfStep + slots < step.maxPerWorker) &&
+         slots < 2) {
+    used += requestOf(step);
+    ++slots;
+  }
+  return slots;
+}
+
+/// Whether there is capacity for two further runs of the task's step, on
+/// workers and within half of the team's quota.
+bool
+SimulatedFleet::HasCapacityForTwo(const TaskId& aTask) const
+{
+  jobs::Resources charged;
+  std::size_t slots = 0;
+  for (const auto& [id, worker] : workers_) {
+    slots += FreeSlots(worker, aTask);
+    for (const auto& [task, run] : worker.runs)
+      if (worker.isUp)
+        charged += FindStep(task)->request;
+  }
+  const auto isUnderHalf = [](auto aUsed, auto aLimit) {
+    return aLimit.Count() == 0 || aUsed + aUsed < aLimit;
+  };
+  return slots >= 2 &&
+         isUnderHalf(charged.processors, reader.quota.processors) &&
+         isUnderHalf(charged.memory, reader.quota.memory);
+}
+
+bool
+SimulatedFleet::IsRunning(const TaskId& aTask) const
+{
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& aItem) {
+    return aItem.second.isUp && aItem.second.runs.count(aTask) != 0;
+  });
+}
+
+/// Checks that the task runs again in time after its last run.
+void
+SimulatedFleet::CheckPersistentTask(const TaskId& aTask)
+{
+  const auto [position, isFirst] = persistentTasks_.try_emplace(
+    aTask, PersistentTask{ .lastRunAt = now_, .startableSince = now_ });
+  PersistentTask& task = position->second;
+  if (IsRunning(aTask))
+    task = { .lastRunAt = now_, .startableSince = now_ };
+  if (!HasCapacityForTwo(aTask))
+    task.startableSince = now_;
+  if (task.lastRunAt + kMaxRestartTime > now_ ||
+      task.startableSince + kStartableTime > now_ ||
+      lastGeneralFaultAt_ + kRecoveryTime > now_)
+    return;
+  const jobs::TaskState* state = leader_->controller.StateMachine().Find(aTask);
+  const bool isAssigned =
+    state != nullptr && state->phase == jobs::TaskPhase::Assigned;
+  ReportViolation(ToString(aTask) + (isAssigned ? ", assigned," : "") +
+                  " has not run for " +
+                  std::to_string((now_ - task.lastRunAt).Millis()) +
+                  " ms although there is capacity");
+  task.startableSince = now_;
+}
+
+void
+SimulatedFleet::CheckPersistentTasks()
+{
+  for (const auto& [id, job] : jobs_) {
+    if (!job.isAccepted || job.isCancelRequested)
+      continue;
+    TaskId task{ .job = id };
+    for (task.step = 0; task.step < job.steps.size(); ++task.step)
+      for (task.index = 0; task.index < job.steps[task.step].count;
+           ++task.index)
+        if (job.steps[task.step].isPersistent)
+          CheckPersistentTask(task);
+  }
+}
+
 std::size_t
 SimulatedFleet::RunsOn(const std::string& aWorker) const
 {
@@ -1053,14 +1269,29 @@
   return count;
 }
 
+std::size_t
+SimulatedFleet::RunCountOf(jobs::JobId aJob) const
+{
+  std::size_t count = 0;
+  for (const auto& [id, worker] : workers_)
+    for (const auto& [task, run] : worker.runs)
+      count += worker.isUp && task.job == aJob ? 1 : 0;
+  return count;
+}
+
 bool
 SimulatedFleet::HasRun(jobs::JobId aJob) const
 {
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& aItem) {
-    return aItem.second.isUp && std::any_of(aItem.second.runs.begin(),
-                                            aItem.second.runs.end(),
-                                            [&](const auto& aRun) {
-                                              return aRun.first.job == aJob;
-                                            });
-  });
+  return RunCountOf(aJob) > 0;
+}
+
+std::pair<std::uint64_t, std::uint64_t>
+greengage::schedule::SeedRange()
+{
+  const char* const text = std::getenv("GREENGAGE_SEEDS");
+  if (text == nullptr)
+    return { 1, 40 };
+  char* rest = nullptr;
+  const std::uint64_t first = std::strtoull(text, &rest, 10);
+  return { first, *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first };
 }
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -18,13 +18,17 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace greengage::schedule {
 
-/// Returns a fixed configuration for any text: queue "plan" on pool "lines",
-/// and a pool of spare hosts. Tests set the attempt limit, quota and placement
-/// policy.
+/// The text of a configuration without queues.
+inline constexpr const char* kNoQueues = "no queues";
+
+/// Returns a fixed configuration for any text but \ref kNoQueues: queue "plan"
+/// on pool "lines", and a pool of spare hosts. Tests set the attempt limit,
+/// quota and placement policy.
 class SimulatedConfigurationReader final : public jobs::ConfigurationReader
 {
 public:
@@ -62,7 +66,10 @@
 {
 public:
   /// \param aHasProvider whether a host provider moves and maintains hosts.
-  explicit SimulatedFleet(std::uint64_t aSeed = 1, bool aHasProvider = false);
+  /// \param aMaxLease the longest lease that workers grant.
+  explicit SimulatedFleet(std::uint64_t aSeed = 1,
+                          bool aHasProvider = false,
+                          Duration aMaxLease = Duration::Seconds(10));
   virtual ~SimulatedFleet();
 
   /// Advances the simulated time by \p aSpan.
@@ -75,7 +82,8 @@
   /// and sends its first heartbeat.
   void AddWorker(const std::string& aId,
                  jobs::Resources aCapacity = kDefaultCapacity,
-                 const std::string& aRack = "r1");
+                 const std::string& aRack = "r1",
+                 std::vector<std::string> aLabels = {});
   /// Adds a host to the spare pool; no worker runs on it.
   void AddSpareHost(const std::string& aName);
   /// The pool of a host according to the provider.
@@ -87,9 +95,21 @@
   /// after that time with the same id as a new incarnation.
   void CrashWorker(const std::string& aId,
                    std::optional<Duration> aRestartAfter);
+  /// Stops the worker without notice. After \p aAfter, worker \p aNewId starts
+  /// on its host.
+  void ReplaceWorker(const std::string& aId,
+                     const std::string& aNewId,
+                     Duration aAfter);
+  bool IsUp(const std::string& aId) const;
   /// Partitions the worker for \p aSpan: calls to it, its deferred replies and
   /// its heartbeats are lost.
   void PartitionWorker(const std::string& aId, Duration aSpan);
+  /// Drops calls to the worker for \p aSpan, also after a restart; its
+  /// heartbeats arrive.
+  void BlockCalls(const std::string& aId, Duration aSpan);
+  /// Drops the worker's heartbeats for \p aSpan, also after a restart; calls to
+  /// it arrive.
+  void BlockHeartbeats(const std::string& aId, Duration aSpan);
   /// Partitions the worker for \p aSpan from all leaders but the current and
   /// earlier ones.
   void PartitionWorkerFromSuccessors(const std::string& aId, Duration aSpan);
@@ -97,6 +117,9 @@
   /// old one handles the notice of it after \p aNoticeDelay; its leader lease
   /// ends at once.
   void ChangeLeader(Duration aNoticeDelay = Duration(0));
+  /// Restarts all control hosts: the next leader has only what the log and its
+  /// snapshot hold.
+  void RestartControlHosts();
   /// Ends and renews the leadership of the leader within its term.
   void RestartLeadership();
   /// From now on the leader handles each message but clients' calls \p aLag
@@ -129,6 +152,8 @@
   std::size_t RunsOn(const std::string& aWorker) const;
   /// Number of runs on all workers that are up.
   std::size_t TotalRuns() const;
+  /// Number of runs of the job on all workers that are up.
+  std::size_t RunCountOf(jobs::JobId aJob) const;
   /// Whether any run of the job is on a worker that is up.
   bool HasRun(jobs::JobId aJob) const;
 
@@ -173,6 +198,8 @@
     jobs::WorkerRecord record;
     bool isUp = true;
     Time partitionedUntil;
+    /// Since when calls and heartbeats have arrived.
+    Time reachableSince;
     /// The first leader that the partition concerns.
     std::uint64_t firstPartitionedTerm = 0;
     /// The rate of the worker's clock in percent of the simulated time.
@@ -199,6 +226,8 @@
   {
     std::vector<jobs::Step> steps;
     TaskBehavior taskBehavior;
+    bool isAccepted = false;
+    bool isCancelRequested = false;
     std::optional<Time> cancelledAt;
     std::map<TaskId, std::uint32_t> acknowledgedFailures;
     /// Tasks whose success the leader has acknowledged.
@@ -226,6 +255,15 @@
     std::set<jobs::WaveId> maintenanceWaves;
   };
 
+  /// A task of a persistent step, for the check that it is restarted in time.
+  struct PersistentTask
+  {
+    /// When it was last seen running or, if it never was, was accepted.
+    Time lastRunAt;
+    /// Since when it has had no run although there was capacity for two.
+    Time startableSince;
+  };
+
   struct Leader;
 
   void Propose(std::uint64_t aTerm, BatchId aBatch, const std::string& aEntry);
@@ -241,9 +279,13 @@
   void TickLeaders();
   Time ClockOf(const SimulatedWorker& aWorker) const;
   bool IsPartitioned(const SimulatedWorker& aWorker, std::uint64_t aTerm) const;
+  bool IsReachable(const SimulatedWorker& aWorker, std::uint64_t aTerm) const;
+  bool AreHeartbeatsLost(const SimulatedWorker& aWorker) const;
   ClockReading Now() const;
   void ScheduleEvent(Duration aDelay, std::function<void()> aEvent);
+  std::unique_ptr<Leader> MakeLeader();
   void StartLeader();
+  void StartWorker(jobs::WorkerRecord aRecord);
   void SendHeartbeat(SimulatedWorker& aWorker);
   void DeliverCall(const WorkerCall& aCall,
                    std::uint64_t aTerm,
@@ -268,6 +310,13 @@
                    const StartRun& aStart) const;
   void CheckStart(const SimulatedWorker& aWorker, const StartRun& aStart);
   void CheckInvariants();
+  void CheckPersistentTasks();
+  void CheckPersistentTask(const TaskId& aTask);
+  std::size_t FreeSlots(const SimulatedWorker& aWorker,
+                        const TaskId& aTask) const;
+  bool HasCapacityForTwo(const TaskId& aTask) const;
+  bool IsRunning(const TaskId& aTask) const;
+  void RecordGeneralFault() { lastGeneralFaultAt_ = now_; }
   std::uint32_t ProgressPercent(const TaskId& aTask,
                                 const SimulatedRun& aRun) const;
   void TickGangs();
@@ -281,6 +330,9 @@
 
   Time now_{ 1000000 };
   std::multimap<Time, std::function<void()>> events_;
+  /// The state before the first entry of the log; empty if that is the first
+  /// entry ever.
+  std::string snapshot_;
   std::vector<std::string> log_;
   std::unique_ptr<Leader> leader_;
   /// Replaced leaders that have not handled the notice of it.
@@ -301,13 +353,26 @@
   std::map<HostId, LastOrder> lastOrders_;
   std::map<jobs::JobId, SimulatedJob> jobs_;
   std::optional<Reply> lastReply_;
+  std::map<CallerId, jobs::JobId> submitCalls_;
   std::map<CallerId, jobs::JobId> cancelCalls_;
   std::map<std::string, SimulatedPermit> permits_;
   Time adviserIdleAt_;
+  Duration maxLease_;
+  /// Until when calls to workers and heartbeats of workers are dropped.
+  std::map<std::string, Time> callsBlockedUntil_;
+  std::map<std::string, Time> heartbeatsBlockedUntil_;
+  std::map<TaskId, PersistentTask> persistentTasks_;
   /// The latest time at which an injected fault may still have an effect.
   Time faultsEndAt_;
+  /// The latest time of a fault that concerns leaders or the whole network.
+  Time lastGeneralFaultAt_;
 };
 
+/// The first and the last seed to run: 1 and 40, or those that GREENGAGE_SEEDS
+/// gives as "FIRST" or "FIRST-LAST".
+std::pair<std::uint64_t, std::uint64_t>
+SeedRange();
+
 } // namespace greengage::schedule
 
 #endif // GREENGAGE_SCHEDULE_UNITTESTS_SIMULATEDFLEET_H
