Scheduler: a task with a reservation starts wherever there is capacity

What callers saw: a persistent task stayed without a run although other workers of its pool had enough free capacity.

Cause: while a task had a reservation whose capacity was not free, no other worker was considered for it. The reservation lasts 4 s, and in a full pool a new one follows at once, so capacity released elsewhere was left unused for up to 4 s.

Change: until the reserved capacity is free, the task is also placed on any other worker that has enough; its reservation is then cancelled. A waiting task has no run, so this can't start a task twice.

--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -125,11 +125,15 @@
       session != nullptr &&
       IsEligible(*session, RecordOf(*session), aCandidate, aTask) &&
       IsPermitted(RecordOf(*session), aCandidate, aTask);
-    if (isEligible && !IsReservedCapacityFree(aTask))
-      return PlacementResult::Reserved;
-    CancelReservation(aTask);
-    if (!isEligible)
+    if (isEligible && !IsReservedCapacityFree(aTask)) {
+      // Another worker may have had enough capacity released sooner.
+      session = ChooseWorker(aCandidate, aTask);
+      if (session == nullptr)
+        return PlacementResult::Reserved;
+    } else if (!isEligible) {
       session = nullptr;
+    }
+    CancelReservation(aTask);
   }
   if (session == nullptr)
     session = ChooseWorker(aCandidate, aTask);
