Scheduler: no reservation on workers that persistent runs keep full

What callers saw: a persistent task stayed without a run, for good, although a worker of its pool had enough free capacity.

Cause: a reservation was made on any worker whose whole capacity is large enough, the one with the most free processors first, even if persistent runs, which don't end by themselves, hold what the task lacks, such as memory. It never became free, was renewed every 4 s, and counted as used meanwhile, so that smaller tasks were kept off the capacity that the worker really had.

Change: sessions keep the resources of their persistent runs, and capacity is reserved only where the task fits beside these. Starts are decided as before, so no task can be started twice.

Test: "no capacity is reserved on workers that persistent tasks keep full" failed before (the small task had no run in 10 s) and passes.

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -97,6 +97,8 @@
   std::map<TaskId, Run> runs;
   /// Resources of the runs and of the reservations on this worker.
   jobs::Resources used;
+  /// Resources of the persistent runs, which don't end by themselves.
+  jobs::Resources usedByPersistentRuns;
   std::uint32_t reservationCount = 0;
   std::map<TaskId, UnansweredStarts> unansweredStarts;
 
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -355,6 +355,8 @@
   run.isMovable = !step.isPersistent && !step.isGang;
   run.targetLatency = step.targetLatency;
   aSession.used += run.allocated;
+  if (run.isPersistent)
+    aSession.usedByPersistentRuns += run.allocated;
   quotaUsage_[run.team] += run.quotaCharge;
   run.attempt = aAttempt;
   if (stateMachine_.Find(aTask)->phase == jobs::TaskPhase::Waiting)
@@ -366,6 +368,8 @@
 {
   const auto found = aSession.runs.find(aTask);
   aSession.used -= found->second.allocated;
+  if (found->second.isPersistent)
+    aSession.usedByPersistentRuns -= found->second.allocated;
   quotaUsage_[found->second.team] -= found->second.quotaCharge;
   aSession.runs.erase(found);
   proposedTasks_.erase(aTask);
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -27,7 +27,9 @@
 }
 
 /// Reserves capacity for a task on the eligible worker with the most free
-/// processors, which is expected to have enough first.
+/// processors, which is expected to have enough first. A worker that persistent
+/// runs keep too full for the task is not considered: the reservation would
+/// only keep other tasks off it.
 bool
 Scheduler::ReserveCapacity(const Candidate& aCandidate,
                            const TaskId& aTask,
@@ -47,7 +49,7 @@
     ++work_.examinedWorkers;
     if (session.reservationCount > 0 || !session.IsUsable(now_.steady) ||
         !IsInClass(record, aCandidate, step) ||
-        !jobs::Fits(allocation, {}, record.capacity))
+        !jobs::Fits(allocation, session.usedByPersistentRuns, record.capacity))
       continue;
     hasCapacity = true;
     if (session.number == aExcluded ||
