Scheduler: logs persistent tasks that have no run, and counts them

What callers saw: accepted persistent tasks had no run for 21 s and 41 s although there was capacity for them. The leader's log tells how a run ended, but not why the task had no other: whether it was assigned, where capacity was reserved for it, or what kept each worker from taking it.

The gauge greengage_persistent_tasks_idle has the number of such tasks. No decision of the scheduler changes.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -89,10 +89,23 @@
   const schedule::ClockReading now = ClockReadingAt(aNow);
   controller_.Tick(LeaderLeaseEnd(), now);
   ReportUnsent(now);
+  ReportIdleTasks();
   if (controller_.GetScheduler().IsLeading() && aNow >= nextWorkReport_)
     ReportWork();
 }
 
+void
+ScheduleFilter::ReportIdleTasks()
+{
+  const std::size_t count =
+    controller_.GetScheduler().IdlePersistentTaskCount();
+  if (count == reportedIdleTasks_)
+    return;
+  reportedIdleTasks_ = count;
+  host_.metrics.Set("greengage_persistent_tasks_idle",
+                    static_cast<double>(count));
+}
+
 void
 ScheduleFilter::ReportWork()
 {
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -65,6 +65,7 @@
   void On(Leadership&& aLeadership, schedule::ClockReading aNow);
   void On(ProposalEnded&& aEnd, schedule::ClockReading aNow);
   /// Logs the work of dispatch since the last report.
+  void ReportIdleTasks();
   void ReportWork();
   /// Reports calls that found no room as not sent.
   void ReportUnsent(schedule::ClockReading aNow);
@@ -87,6 +88,7 @@
   Time now_;
   Time nextWorkReport_;
   schedule::DispatchWork reportedWork_;
+  std::optional<std::size_t> reportedIdleTasks_;
   /// When entries that are not committed yet were proposed.
   std::map<schedule::BatchId, Time> proposedAt_;
   /// Calls to workers that found no room.
--- a/packages/daemon/unittests/ScheduleFilterTest.cpp
+++ b/packages/daemon/unittests/ScheduleFilterTest.cpp
@@ -106,3 +106,10 @@
   filter.OnTimer(Time(2000));
   REQUIRE(workers.list.empty());
 }
+
+TEST_CASE_METHOD(Fixture, "a leader exports the number of idle tasks")
+{
+  filter.OnTimer(Time(2000));
+  REQUIRE(host.metrics.Serialize().find("greengage_persistent_tasks_idle 0") !=
+          std::string::npos);
+}
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -93,6 +94,9 @@
   std::optional<Time> NextDispatch() const;
   const DispatchWork& Work() const { return work_; }
   std::size_t LiveJobCount() const { return liveJobs_.size(); }
+  /// \returns the number of persistent tasks that had had no run for at least
+  /// 5 s when they were last checked, which is once a second.
+  std::size_t IdlePersistentTaskCount() const { return idlePersistentTasks_; }
 
   /// \returns the session of a worker, or null.
   const WorkerSession* FindSession(jobs::WorkerNumber aWorker) const;
@@ -294,6 +298,33 @@
   RackId PreferredRack(const Candidate& aCandidate, const TaskId& aTask) const;
   void ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask);
   void RemoveRun(WorkerSession& aSession, const TaskId& aTask);
+  // Reports on tasks without a run are implemented in SchedulerReport.cpp.
+  struct IdleTask
+  {
+    Time since;
+    Time nextReport;
+  };
+  /// Numbers of workers by what keeps each from taking a task.
+  struct PlacementObstacles
+  {
+    std::uint32_t cordoned = 0;
+    /// Silent, suspended or not reconciled.
+    std::uint32_t unusable = 0;
+    /// Draining or without the required label.
+    std::uint32_t outOfClass = 0;
+    std::uint32_t atStepLimit = 0;
+    std::uint32_t full = 0;
+    std::uint32_t notPermitted = 0;
+    /// No obstacle is known.
+    std::uint32_t suitable = 0;
+  };
+  bool IsRunning(const TaskId& aTask, const jobs::TaskState& aState) const;
+  std::vector<TaskId> FindIdlePersistentTasks() const;
+  PlacementObstacles CountObstacles(const Candidate& aCandidate,
+                                    const TaskId& aTask) const;
+  std::string DescribeIdleTask(const TaskId& aTask) const;
+  void LogIdleTask(const TaskId& aTask, Duration aIdleTime) const;
+  void ReportIdlePersistentTasks();
   void UpdateUnstartedJobs(const jobs::Job& aJob);
   void StopRunOfEndedJob(const TaskId& aTask, jobs::WorkerNumber aWorker);
   void ForgetExpiredJobs();
@@ -352,6 +383,10 @@
   Time earliestDispatch_;
   Time nextRetentionScan_;
   Time nextDispatchAt_;
+  /// The persistent tasks without a run, as last checked.
+  std::map<TaskId, IdleTask> idleTasks_;
+  std::size_t idlePersistentTasks_ = 0;
+  Time nextIdleCheck_;
   mutable DispatchWork work_;
 };
 
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -103,6 +103,8 @@
   reservations_.clear();
   permitCache_.Clear();
   lastShortageAt_.clear();
+  idleTasks_.clear();
+  idlePersistentTasks_ = 0;
   isDispatchDue_ = false;
 }
 
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -310,6 +310,7 @@
   for (auto& [number, session] : sessions_)
     TickSession(session);
   ForgetExpiredJobs();
+  ReportIdlePersistentTasks();
   // No event marks that an occurrence has come due or a suspension has ended,
   // so dispatch also runs periodically.
   if (!liveJobs_.empty() && now_.steady >= nextDispatchAt_) {
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -251,6 +251,12 @@
   return leader_->controller.GetScheduler().Work();
 }
 
+std::size_t
+SimulatedFleet::IdlePersistentTaskCount() const
+{
+  return leader_->controller.GetScheduler().IdlePersistentTaskCount();
+}
+
 /// Records that a fault may have effects for another \p aSpan.
 void
 SimulatedFleet::ExtendFaultPeriod(Duration aSpan)
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -141,6 +141,8 @@
 
   /// The dispatch work of the current leader since it started.
   const DispatchWork& Work() const;
+  /// The number of persistent tasks that the current leader reports as idle.
+  std::size_t IdlePersistentTaskCount() const;
 
   /// Number of entries in the replicated log.
   std::size_t LogEntryCount() const { return log_.size(); }
