Scheduler: runs of a worker whose later incarnation has answered come to an end

What callers saw: a persistent task stayed assigned, without a run, to a worker that had restarted and was lost again.

Cause: once a later incarnation had answered a call meant for an earlier one, no call was made until it registered. If it was lost before that, and the answer was that to a start, no call had failed, so the worker counted as answering and its runs never ended. The worker could also be given new runs meanwhile.

Change: the answer ends the earlier incarnation's runs, as a registration does, except those whose start may be executed by the later one: it listens at the same address, so the earlier one is gone with all it ran, and no start of these runs is still on its way. The other runs end when no call that was sent can be executed any more and the longest lease since has expired: a call that timed out may be executed for 15 s, and a call that is executed late grants up to the longest lease. A worker in this state gets no new runs.

--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -64,8 +64,9 @@
   void On(SnapshotWanted&& aWish, schedule::ClockReading aNow);
   void On(Leadership&& aLeadership, schedule::ClockReading aNow);
   void On(ProposalEnded&& aEnd, schedule::ClockReading aNow);
-  /// Logs the work of dispatch since the last report.
+  /// Exports the number of idle persistent tasks if it has changed.
   void ReportIdleTasks();
+  /// Logs the work of dispatch since the last report.
   void ReportWork();
   /// Reports calls that found no room as not sent.
   void ReportUnsent(schedule::ClockReading aNow);
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -173,6 +173,7 @@
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
   void AllowForLongestLease(WorkerSession& aSession) const;
+  Time LeaseExpiryOf(const WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
   void OnStartReply(WorkerSession& aSession,
                     const PendingCall& aCall,
@@ -204,6 +205,7 @@
   bool IsFromOtherIncarnation(const WorkerSession& aSession,
                               const WorkerReply& aReply) const;
   FencingToken FenceOf(const WorkerSession& aSession) const;
+  void OnLaterIncarnationAnswered(WorkerSession& aSession);
   void EndRunsOfEarlierIncarnations(const WorkerSession& aSession,
                                     const WorkerReply& aReply);
   void RecoverRuns(const jobs::Job& aJob);
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -109,10 +109,10 @@
   /// been registered, so no run of this one continues.
   bool isSuperseded = false;
   Time supersededAt;
-  /// A later incarnation has answered a call meant for this one. It is not
-  /// called until it has registered, since an acknowledgement of this one's
+  /// When a later incarnation last answered a call meant for this one. It is
+  /// not called until it has registered, since an acknowledgement of this one's
   /// ends would make it discard its own.
-  bool hasLaterIncarnationAnswered = false;
+  std::optional<Time> laterIncarnationAnsweredAt;
   /// Whether an earlier incarnation of the worker had the same address, so that
   /// calls meant for that one may have been executed.
   bool hasReusedAddress = false;
@@ -120,6 +120,10 @@
   std::uint64_t lastHeartbeatSequence = 0;
   Time lastAnswer;
   std::uint32_t consecutiveFailedCalls = 0;
+  /// Number of calls without a reply or timeout yet.
+  std::uint32_t pendingCallCount = 0;
+  /// When the latest call that timed out was sent; it may still be executed.
+  std::optional<Time> lastUnansweredCallAt;
   /// The worker's clock, as stated in an answer or a heartbeat that was handled
   /// at a time on the local steady clock.
   struct StatedClock
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -40,6 +40,7 @@
     poolIndex_.Put(worker.pool, session);
     // The previous leader may have renewed the lease up to now.
     session.leaseExpiry = aNow.steady + LeaseExpiryBound(options_.lease);
+    session.lastUnansweredCallAt = aNow.steady;
   }
   OnConfigurationChanged();
   for (const auto& [id, job] : stateMachine_.Jobs())
@@ -241,7 +242,7 @@
            "assigned before leadership was lost");
     return;
   }
-  if (session->isSuperseded) {
+  if (session->isSuperseded || session->laterIncarnationAnsweredAt) {
     EndRun(*session,
            aAssignment.task,
            run,
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -57,6 +57,7 @@
   aPending.worker = aSession.number;
   aPending.sentAt = now_.steady;
   pendingCalls_.emplace(id, aPending);
+  ++aSession.pendingCallCount;
   outbox_.Call({ .id = id,
                  .worker = record.id,
                  .endpoint = record.endpoint,
@@ -194,16 +195,18 @@
   WorkerSession* session = SessionOf(call.worker);
   if (session == nullptr)
     return;
+  --session->pendingCallCount;
+  if (aReply.answer == WorkerCallStatus::NoAnswer)
+    session->lastUnansweredCallAt = std::max(
+      session->lastUnansweredCallAt.value_or(call.sentAt), call.sentAt);
   // The reply of another incarnation says nothing about this one: the call is
   // treated as unanswered.
   const bool isFromOther = IsFromOtherIncarnation(*session, aReply);
   WorkerReply unanswered;
   if (isFromOther) {
     if (aReply.incarnation &&
-        *aReply.incarnation > RecordOf(*session).incarnation) {
-      session->hasLaterIncarnationAnswered = true;
-      AllowForLongestLease(*session);
-    }
+        *aReply.incarnation > RecordOf(*session).incarnation)
+      OnLaterIncarnationAnswered(*session);
     unanswered.id = aReply.id;
     unanswered.detail = "another life of the worker answered";
   }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -146,7 +146,7 @@
 void
 Scheduler::TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun)
 {
-  if (aSession.isSuperseded || aSession.hasLaterIncarnationAnswered ||
+  if (aSession.isSuperseded || aSession.laterIncarnationAnsweredAt ||
       aRun.isCallInFlight || aRun.nextCallAt > now_.steady)
     return;
   if (aRun.stage == RunStage::Proposed || aRun.stage == RunStage::Ending)
@@ -163,16 +163,47 @@
     SendStart(aSession, aTask, aRun);
 }
 
+/// Ends the runs of an incarnation of which a later one has answered, except
+/// those that the later one may have started. It may be lost before it
+/// registers.
+void
+Scheduler::OnLaterIncarnationAnswered(WorkerSession& aSession)
+{
+  aSession.laterIncarnationAnsweredAt = now_.steady;
+  AllowForLongestLease(aSession);
+  for (auto& [task, run] : aSession.runs)
+    if (run.stage != RunStage::Proposed && !aSession.HasUnansweredStart(task))
+      EndRun(
+        aSession, task, run, jobs::RunOutcome::Lost, {}, "worker restarted");
+}
+
+/// \returns the time by which all runs of the session have ended unless its
+/// lease is renewed, including those that a later incarnation has started.
+Time
+Scheduler::LeaseExpiryOf(const WorkerSession& aSession) const
+{
+  const Duration longestLease = LeaseExpiryBound(options_.maxLease);
+  if (aSession.isSuperseded)
+    return aSession.supersededAt + kMaxDeliveryDelay + longestLease;
+  if (!aSession.laterIncarnationAnsweredAt)
+    return aSession.leaseExpiry;
+  // Each call that the later incarnation executes may grant its longest lease.
+  Time lastExecution = *aSession.laterIncarnationAnsweredAt;
+  if (aSession.pendingCallCount > 0)
+    lastExecution = now_.steady;
+  if (aSession.lastUnansweredCallAt)
+    lastExecution = std::max(
+      lastExecution, *aSession.lastUnansweredCallAt + kMaxDeliveryDelay);
+  return lastExecution + longestLease;
+}
+
 void
 Scheduler::ExpireLease(WorkerSession& aSession)
 {
   const bool isAnswering = aSession.consecutiveFailedCalls == 0 &&
-                           aSession.isReconciled && !aSession.isSuperseded;
-  const Time expiry = aSession.isSuperseded
-                        ? aSession.supersededAt + kMaxDeliveryDelay +
-                            LeaseExpiryBound(options_.maxLease)
-                        : aSession.leaseExpiry;
-  if (isAnswering || expiry > now_.steady)
+                           aSession.isReconciled && !aSession.isSuperseded &&
+                           !aSession.laterIncarnationAnsweredAt;
+  if (isAnswering || LeaseExpiryOf(aSession) > now_.steady)
     return;
   for (auto& [task, run] : aSession.runs)
     if (run.stage == RunStage::Starting || run.stage == RunStage::Running)
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -40,7 +40,7 @@
 bool
 WorkerSession::NeedsRenewal() const
 {
-  if (isSuperseded || hasLaterIncarnationAnswered)
+  if (isSuperseded || laterIncarnationAnsweredAt)
     return false;
   if (!isReconciled || consecutiveFailedCalls > 0 ||
       LastCommittedEnd() > lastAcknowledgedEnd)
@@ -54,8 +54,8 @@
 WorkerSession::IsUsable(Time aNow) const
 {
   const Time lastContact = std::max(lastHeartbeat, lastAnswer);
-  return isReconciled && !isSuperseded && !isCordoned &&
-         consecutiveFailedCalls == 0 && statedClock &&
+  return isReconciled && !isSuperseded && !laterIncarnationAnsweredAt &&
+         !isCordoned && consecutiveFailedCalls == 0 && statedClock &&
          lastContact + kMaxUsableSilence > aNow && suspendedUntil <= aNow;
 }
 
