Scheduler: starts that can't be executed any more don't hold up a restart

What callers saw: after a change of leader, persistent tasks of a worker that restarted and was lost again stayed without a run for 21 s.

Cause: a new leader counts each run that it takes over as a start that may still be on its way, and never ceased to. The runs of a restarted worker whose start may still be executed by the new incarnation wait for its lists, or for the delivery time and the longest lease, 21.4 s, if it doesn't answer.

Change: the time of the last such start is kept, for a run that was taken over that of the change of leader, before which the predecessor's lease had ended. When the incarnation answers a call that was sent after the delivery time of 15 s, the start is forgotten: it can't be executed after that, and before that no later incarnation existed that could have executed it. So no task is started while an earlier run of it may go on. Within 15 s of a change of leader the wait is as before.

Test: "persistent tasks that a new leader has taken over restart if their worker restarts and is lost again" failed before (no run for 9 s and more) and passes.

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -86,6 +86,8 @@
 {
   Attempt attempt;
   std::uint32_t count = 0;
+  /// When the last of them was sent, at the latest.
+  Time lastSentAt;
 };
 
 /// The leader's volatile state for one incarnation of a worker.
@@ -164,6 +166,10 @@
   {
     return unansweredStarts.count(aTask) != 0;
   }
+  /// Forgets the unanswered starts that can't be executed any more, given that
+  /// this incarnation has answered a call that was sent at \p aSentAt. No later
+  /// incarnation can have executed them before that.
+  void DropExpiredStarts(Time aSentAt);
   /// The number up to which all listed ends are committed, so that the worker
   /// may discard them.
   RunEndSequence LastCommittedEnd() const;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -73,7 +73,8 @@
         AddRun(*session, aJob, task, tasks[index].attempt);
         // The previous leader may have sent a start that was not answered.
         session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
-                                            .count = 1 };
+                                            .count = 1,
+                                            .lastSentAt = now_.steady };
         Run& run = session->runs.at(task);
         run.stage = RunStage::Starting;
         // A run missing from the first lists can no longer start: the worker
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -83,8 +83,9 @@
   aRun.isCallInFlight = true;
   UnansweredStarts& starts = aSession.unansweredStarts[aTask];
   if (starts.attempt != aRun.attempt)
-    starts = { .attempt = aRun.attempt, .count = 0 };
+    starts = { .attempt = aRun.attempt, .count = 0, .lastSentAt = {} };
   ++starts.count;
+  starts.lastSentAt = now_.steady;
   const auto& checkpoints =
     job->occurrences.at(aTask.occurrence).steps[aTask.step].checkpoints;
   const bool isGang = job->description.steps[aTask.step].isGang;
@@ -217,6 +218,8 @@
     session->lastAnswer = aNow.steady;
     if (reply.clock)
       session->UpdateClock(*reply.clock, aNow.steady);
+    if (reply.incarnation == RecordOf(*session).incarnation)
+      session->DropExpiredStarts(call.sentAt);
   }
   if (reply.refusal == RefusalReason::Fenced)
     observe::Log(observe::LogLevel::Warning,
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -11,9 +11,6 @@
 using namespace greengage::schedule;
 using namespace greengage::schedule::detail;
 
-/// How long an unanswered call may still be executed after it was sent: 12 s on
-/// the users' platform, plus a margin.
-static constexpr Duration kMaxDeliveryDelay = Duration::Seconds(15);
 /// Interval of dispatch passes when no event has triggered one.
 static constexpr Duration kDispatchInterval = Duration(100);
 /// A worker that has been silent for this long is removed from the registry.
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -3,6 +3,7 @@
 #include "SchedulerBounds.h"
 
 #include <algorithm>
+#include <iterator>
 
 using namespace greengage;
 using namespace greengage::schedule;
@@ -37,6 +38,15 @@
     statedClock = { .clock = aClock, .handledAt = aNow };
 }
 
+void
+WorkerSession::DropExpiredStarts(Time aSentAt)
+{
+  for (auto it = unansweredStarts.begin(); it != unansweredStarts.end();) {
+    const bool isExpired = it->second.lastSentAt + kMaxDeliveryDelay <= aSentAt;
+    it = isExpired ? unansweredStarts.erase(it) : std::next(it);
+  }
+}
+
 bool
 WorkerSession::NeedsRenewal() const
 {
