Scheduler: a worker that doesn't answer isn't given persistent tasks

What callers saw: a persistent task stayed without a run for 10 s and more although there was capacity: it was assigned to one worker after another that could not be called.

Cause: an idle worker gets no calls, so that it counts as usable while its heartbeats arrive, even if calls to it are lost. The start then gets no answer, and the task can't be placed elsewhere before the lease has expired, 4.9 s later. The next worker, again an idle one, may be no better.

Change: a worker that has answered no call for 1.5 s is called first, with a renewal, and gets the persistent task only once it has answered. Meanwhile the next pass calls the next worker. This costs one more call for a start on an idle worker; other tasks start as before. Fewer starts are sent, and none sooner than before the lease of an earlier run has expired, so no task can be started twice by this.

"a persistent task restarts if an unregistered incarnation has answered its start and is lost" sends its start to a worker that has answered lately, since another one would now be called first.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -254,6 +254,8 @@
     Placed,
     /// The task has a reservation whose capacity is not free yet.
     Reserved,
+    /// The worker to take the task is called first, to see whether it answers.
+    ContactingWorker,
     /// No worker can take the task, and no capacity was reserved for it.
     NoWorker,
     OverQuota,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -186,6 +186,9 @@
   bool NeedsRenewal() const;
   /// Whether the worker is responsive at \p aNow and may be assigned new runs.
   bool IsUsable(Time aNow) const;
+  /// Whether a call has been answered lately. An idle worker gets no calls, so
+  /// that its heartbeats may arrive while calls to it are lost.
+  bool HasRecentAnswer(Time aNow) const;
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
   bool HasLatencySensitiveRun() const;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -373,7 +373,8 @@
       AllowForLongestLease(aSession);
     aSession.isReconciled = true;
   }
-  if (wasFailing)
+  // An idle worker is only called so that it may take a task.
+  if (wasFailing || aSession.runs.empty())
     isDispatchDue_ = true;
   aSession.nextRenewalAt = aSession.pendingEnds.empty()
                              ? now_.steady
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -142,6 +142,12 @@
       aMayReserve && ReserveCapacity(aCandidate, aTask, jobs::WorkerNumber(0));
     return isReserved ? PlacementResult::Reserved : PlacementResult::NoWorker;
   }
+  // A start that gets no answer keeps the task from other workers until the
+  // lease has expired.
+  if (step.isPersistent && !session->HasRecentAnswer(now_.steady)) {
+    Renew(*session);
+    return PlacementResult::ContactingWorker;
+  }
   const Attempt latest = stateMachine_.Find(aTask)->attempt;
   AddRun(*session, *aCandidate.job, aTask, Attempt(latest.Value() + 1));
   ProposeAssignment(*session, aTask);
@@ -306,7 +312,10 @@
         !IsInClass(record, aCandidate, step))
       continue;
     hasCapacity = true;
-    if (!IsEligible(session, record, aCandidate, aTask) ||
+    const bool isContactPending = step.isPersistent &&
+                                  session.isRenewalInFlight &&
+                                  !session.HasRecentAnswer(now_.steady);
+    if (isContactPending || !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
     const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -13,6 +13,9 @@
 /// heartbeat intervals of 1.5 s.
 static constexpr Duration kMaxUsableSilence = Duration(3200);
 
+/// A worker with runs answers a renewal at least once a second.
+static constexpr Duration kMaxAnswerAge = Duration(1500);
+
 RunEndSequence
 WorkerSession::LastCommittedEnd() const
 {
@@ -69,6 +72,12 @@
          lastContact + kMaxUsableSilence > aNow && suspendedUntil <= aNow;
 }
 
+bool
+WorkerSession::HasRecentAnswer(Time aNow) const
+{
+  return lastAnswer + kMaxAnswerAge > aNow;
+}
+
 std::uint32_t
 WorkerSession::CountRunsOfStep(const TaskId& aTask) const
 {
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -87,6 +87,9 @@
 {
   AddWorkers({ "w1", "w2", "w3" });
   Run(Duration::Seconds(8));
+  // The worker has answered a call shortly before.
+  Submit({ MakeShortStep(1) }, { .runTime = Duration(100) });
+  Run(Duration(500));
   BlockHeartbeats("w1", kLong);
   CrashWorker("w1", Duration(50));
   Run(Duration(200));
