Host planner: failing tests of hosts that get no tasks after a repeated order

What callers saw: an accepted persistent task had no run for 19 s and 30 s although workers of its pool were up and empty.

The simulated provider can lose its answers, and answers a move that is done already without doing it again, as the platform's pages say.

--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -13,6 +13,8 @@
 static constexpr Duration kNetworkLatency(1);
 static constexpr Duration kHeartbeatInterval(1500);
 static constexpr Duration kHostMoveTime(1500);
+/// How long the leader waits for the provider's answer.
+static constexpr Duration kHostCallTimeout(1500);
 static constexpr Duration kHostMaintenanceTime(2000);
 /// Minimum time between orders of different leaders for the same host.
 static constexpr Duration kMinOrderInterval(3000);
@@ -327,8 +329,12 @@
     if (reply.answer == HostCallStatus::Done)
       host.maintenanceWaves.insert(upkeep->wave);
   }
+  if (losesProviderAnswers)
+    reply = {};
   reply.id = aCall.id;
-  ScheduleEvent(kNetworkLatency, [this, reply, aTerm] {
+  const Duration delay =
+    losesProviderAnswers ? kHostCallTimeout : kNetworkLatency;
+  ScheduleEvent(delay, [this, reply, aTerm] {
     Deliver(aTerm, [this, reply](Leader& aLeader) {
       aLeader.controller.On(reply, Now());
     });
@@ -426,6 +432,8 @@
   SimulatedHost& host = hosts_.at(aHost.Value());
   if (host.unavailableUntil > now_)
     return HostCallStatus::Busy;
+  if (!aIsMaintenance && host.pool == aPool)
+    return HostCallStatus::Done;
   if (!host.worker.empty()) {
     const SimulatedWorker& worker = workers_.at(host.worker);
     for (const auto& [task, run] : worker.runs)
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -169,6 +169,8 @@
   std::size_t maxConcurrentMaintenance = 0;
   /// The provider neither executes nor answers calls.
   bool isProviderUnresponsive = false;
+  /// The provider executes calls, but its answers are lost.
+  bool losesProviderAnswers = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers for which the adviser gives no permits.
