Job state: the pools of removed queues survive a restart

What callers saw: nothing yet; found while reading and shown by the test. A persistent task of a queue that was removed from the configuration stayed without a run for good once its worker was lost after a restart of the control hosts.

Cause: a process knew a queue's pool only from configurations that it had applied itself.

Change: the job state machine keeps the latest configured pool of each queue.

Test: "a persistent task of a removed queue restarts after all control hosts have restarted" failed before and passes.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -139,6 +139,10 @@
   /// The source text of the current configuration.
   const std::string& ConfigurationText() const { return configurationText_; }
 
+  /// The latest configured pool of each queue, also of those that are not in
+  /// the current configuration any more: these may still have jobs.
+  const std::map<QueueId, PoolId>& QueuePools() const { return queuePools_; }
+
   const std::unordered_map<JobId, Job>& Jobs() const { return jobs_; }
   const Job* Find(JobId aJob) const;
   const TaskState* Find(const TaskId& aTask) const;
@@ -176,6 +180,7 @@
                       JobStateObserver& aObserver);
   void ApplyOperation(RecordOrderIntent&& aOperation,
                       JobStateObserver& aObserver);
+  void RecordQueuePools();
   TaskState* FindTask(const TaskId& aTask);
   void EndJob(Job& aJob,
               JobState aState,
@@ -189,6 +194,7 @@
   const ConfigurationReader& reader_;
   std::optional<Configuration> configuration_;
   std::string configurationText_;
+  std::map<QueueId, PoolId> queuePools_;
   std::unordered_map<JobId, Job> jobs_;
   std::map<WorkerNumber, WorkerRecord> workers_;
   std::map<WorkerId, WorkerNumber> workerNumbers_;
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -90,9 +90,17 @@
     return;
   configuration_ = std::move(configuration);
   configurationText_ = std::move(aOperation.text);
+  RecordQueuePools();
   aObserver.OnConfigurationChanged();
 }
 
+void
+JobStateMachine::RecordQueuePools()
+{
+  for (const Queue& queue : configuration_->queues)
+    queuePools_[queue.id] = queue.pool;
+}
+
 static Occurrence
 MakeOccurrence(const JobDescription& aJob)
 {
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -114,12 +114,16 @@
   Cbor orders = Cbor::array();
   for (const auto& [host, count] : orderIntentCounts_)
     orders.push_back(Cbor::array({ host.Value(), count }));
+  Cbor queuePools = Cbor::array();
+  for (const auto& [queue, pool] : queuePools_)
+    queuePools.push_back(Cbor::array({ queue.Value(), pool.Value() }));
   return SerializeCbor(Cbor::array({ configurationText_,
                                      std::move(jobs),
                                      lastWorkerNumber_,
                                      std::move(workers),
                                      std::move(waves),
-                                     std::move(orders) }));
+                                     std::move(orders),
+                                     std::move(queuePools) }));
 }
 
 bool
@@ -158,8 +162,17 @@
     for (const Cbor& item : value.at(5))
       restored.orderIntentCounts_.emplace(item.at(0).get<std::string>(),
                                           item.at(1).get<std::uint64_t>());
+    // Snapshots of earlier versions end here.
+    constexpr std::size_t kQueuePools = 6;
+    if (value.size() > kQueuePools)
+      for (const Cbor& item : value.at(kQueuePools))
+        restored.queuePools_.emplace(item.at(0).get<std::string>(),
+                                     item.at(1).get<std::string>());
+    if (restored.configuration_)
+      restored.RecordQueuePools();
     configuration_ = std::move(restored.configuration_);
     configurationText_ = std::move(restored.configurationText_);
+    queuePools_ = std::move(restored.queuePools_);
     jobs_ = std::move(restored.jobs_);
     workers_ = std::move(restored.workers_);
     workerNumbers_ = std::move(restored.workerNumbers_);
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -76,7 +76,7 @@
   /// treated as possibly running until the lists of its worker show otherwise.
   void BecomeLeader(FencingToken aFence, ClockReading aNow);
   /// Called when this host loses leadership. Discards the state of workers and
-  /// jobs but keeps the learned run times and the pools of queues.
+  /// jobs but keeps the learned run times.
   void BecomeFollower();
   bool IsLeading() const { return fence_.has_value(); }
 
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -118,14 +118,13 @@
   quotas_.clear();
   if (const jobs::Configuration* configuration =
         stateMachine_.CurrentConfiguration()) {
-    for (const jobs::Queue& queue : configuration->queues) {
-      QueueState& state = queues_[queue.id];
-      state.configured = &queue;
-      state.pool = queue.pool;
-    }
+    for (const jobs::Queue& queue : configuration->queues)
+      queues_[queue.id].configured = &queue;
     for (const jobs::Team& team : configuration->teams)
       quotas_[team.id] = team.quota;
   }
+  for (const auto& [queue, pool] : stateMachine_.QueuePools())
+    queues_[queue].pool = pool;
   isDispatchDue_ = IsLeading();
 }
 
