Host planner: a worker that outlives an order takes tasks again

What callers saw: accepted persistent tasks had no run for 19 s and 30 s although workers of their pools were up and empty.

Cause: the provider answers a repeated order as completed if an earlier transmission, or an earlier leader's order that was not recorded, has been carried out. By then the host's next worker may have registered. The planner drains it, repeats the order, and takes it for the worker that the order has ended. Nothing refers to the worker from then on, so that its cordon stays until it restarts or the leader changes, while the pool's balance goes on counting the host.

Evidence: the three cases of RepeatedOrderTest failed before (one host of three or four took no task).

Change: a worker that sends heartbeats later than 1 s after the order was answered has not been ended by it. The planner takes it for the host's worker again, and sets its cordon by whether the host is being drained.

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -100,8 +100,10 @@
     /// The highest registered worker number when the latest order was sent.
     jobs::WorkerNumber lastWorkerAtOrder;
     /// Workers of the host up to this number were ended by its latest completed
-    /// order.
+    /// order, except one that has been heard from since.
     jobs::WorkerNumber lastEndedWorker;
+    /// When the latest order was answered as completed.
+    Time orderCompletedAt;
     /// The provider has listed the host as down.
     bool isDown = false;
   };
@@ -125,6 +127,8 @@
   void HandleOrderReply(const HostId& aId,
                         Host& aHost,
                         const HostReply& aReply);
+  static bool HasOutlivedOrder(const Host& aHost,
+                               const WorkerSession& aSession);
   void UpdateFromWorkers();
   void PlanWaves();
   std::vector<HostId> RemainingHosts(const jobs::Wave& aWave) const;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -23,6 +23,8 @@
 /// Margin beyond the move time before a host can be moved again: the network
 /// delay of the order and of its answer.
 static constexpr Duration kMoveMargin = Duration(100);
+/// How long a heartbeat may be on its way: its sender gives it up after 1 s.
+static constexpr Duration kMaxHeartbeatDelay = Duration::Seconds(1);
 
 HostPlanner::HostPlanner(HostPlannerOptions aOptions,
                          const jobs::JobStateMachine& aStateMachine,
@@ -213,6 +215,7 @@
         aHost.pool = aHost.target;
       aHost.drainReason = DrainReason::None;
       aHost.lastEndedWorker = aHost.lastWorkerAtOrder;
+      aHost.orderCompletedAt = now_.steady;
       aHost.worker.reset();
       // No worker registers from the spare pool, so only the move is awaited.
       aHost.transitionUntil =
@@ -274,6 +277,16 @@
            now_.steady;
 }
 
+/// Whether a worker that was registered when the host's latest order was sent
+/// is still up. The provider also answers that an order is completed if it
+/// carried out an earlier transmission, or the order of an earlier leader,
+/// which the host's current worker has followed.
+bool
+HostPlanner::HasOutlivedOrder(const Host& aHost, const WorkerSession& aSession)
+{
+  return aSession.lastHeartbeat > aHost.orderCompletedAt + kMaxHeartbeatDelay;
+}
+
 /// Updates the hosts from the workers registered in the job state machine.
 void
 HostPlanner::UpdateFromWorkers()
@@ -296,8 +309,9 @@
         current->second.incarnation >= record.incarnation)
       continue;
     // The worker that the host's latest order ended may still be registered.
-    if (number <= host.lastEndedWorker)
+    if (number <= host.lastEndedWorker && !HasOutlivedOrder(host, *session))
       continue;
+    scheduler_.Cordon(number, host.drainReason != DrainReason::None);
     host.worker = number;
     host.pool = record.pool;
     host.isDown = false;
