Scheduler: a new leader knows which starts have been confirmed

What callers saw: after a change of leader, persistent tasks of a worker that restarted and was lost again within 15 s stayed without a run for 21 s.

Cause: a new leader doesn't know whether a start of its predecessor is still on its way to the worker's address, where the next incarnation would execute it, and so expected that of every run it took over. If the next incarnation registers but doesn't answer, each of these runs waits for the delivery time of a call and the longest lease, 21.4 s; a further change of leader starts that time again.

Change: once a worker has confirmed the start of a persistent run, and each request for it has been answered or is past its delivery time, the leader records that in the log. A later leader expects no start of such a run, and a leadership that resumes in the same term sends none again. The record is written under the same condition that lets the leader itself end the run at once when the worker restarts, and only the leader that has assigned a run sends its start, so no task is started while an earlier run of it may go on. Other tasks get no record; it would double their share of the log.

A host with earlier code can't read such entries.

Tests: "persistent tasks restart if their worker restarts and is lost again shortly after a change of leader" failed before (no run for 6.5 s and more) and passes.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -48,6 +48,9 @@
   Attempt attempt;
   /// The worker that the latest attempt was assigned to.
   WorkerNumber worker;
+  /// The worker has confirmed the start of the latest attempt, and no start
+  /// request of it can be executed any more.
+  bool isStartConfirmed = false;
 };
 
 /// The state of one step in one occurrence of a job.
@@ -181,6 +184,7 @@
   void ApplyOperation(RecordOrderIntent&& aOperation,
                       JobStateObserver& aObserver);
   void RecordQueuePools();
+  void ApplyOperation(ConfirmStart&& aOperation, JobStateObserver& aObserver);
   TaskState* FindTask(const TaskId& aTask);
   void EndJob(Job& aJob,
               JobState aState,
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -141,6 +141,14 @@
   HostId host;
 };
 
+/// Records that the worker has confirmed the start of a run, and that no start
+/// request of the attempt can be executed any more.
+struct ConfirmStart
+{
+  TaskId task;
+  Attempt attempt;
+};
+
 using Operation = std::variant<PutConfiguration,
                                AcceptJob,
                                CancelJob,
@@ -151,7 +159,8 @@
                                RetireWorker,
                                StartWave,
                                BeginMaintenance,
-                               RecordOrderIntent>;
+                               RecordOrderIntent,
+                               ConfirmStart>;
 using Operations = std::vector<Operation>;
 
 /// Encodes \p aOperations as one log entry.
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -204,6 +204,7 @@
   task->phase = TaskPhase::Assigned;
   task->attempt = aOperation.attempt;
   task->worker = aOperation.worker;
+  task->isStartConfirmed = false;
   ++job->assignedTasks;
   job->wasEverAssigned = true;
   --job->occurrences.at(aOperation.task.occurrence)
@@ -382,3 +383,13 @@
 {
   ++orderIntentCounts_[std::move(aOperation.host)];
 }
+
+void
+JobStateMachine::ApplyOperation(ConfirmStart&& aOperation,
+                                JobStateObserver& /*aObserver*/)
+{
+  TaskState* task = FindTask(aOperation.task);
+  if (task != nullptr && task->phase == TaskPhase::Assigned &&
+      task->attempt == aOperation.attempt)
+    task->isStartConfirmed = true;
+}
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -16,7 +16,8 @@
     tasks.push_back(Cbor::array({ task.phase,
                                   task.failures,
                                   task.attempt.Value(),
-                                  task.worker.Value() }));
+                                  task.worker.Value(),
+                                  task.isStartConfirmed }));
   Cbor checkpoints = Cbor::array();
   for (const auto& [index, text] : aStep.checkpoints)
     checkpoints.push_back(Cbor::array({ index, text }));
@@ -32,7 +33,10 @@
                           .failures = item.at(1).get<std::uint32_t>(),
                           .attempt = Attempt(item.at(2).get<std::uint32_t>()),
                           .worker =
-                            WorkerNumber(item.at(3).get<std::uint32_t>()) };
+                            WorkerNumber(item.at(3).get<std::uint32_t>()),
+                          // Snapshots of earlier versions lack the field.
+                          .isStartConfirmed =
+                            item.size() > 4 && item.at(4).get<bool>() };
     step.waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
     step.doneTasks += task.phase == TaskPhase::Done ? 1 : 0;
     step.tasks.push_back(task);
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -25,6 +25,7 @@
   StartWave = 9,
   BeginMaintenance = 10,
   RecordOrderIntent = 11,
+  ConfirmStart = 12,
 };
 
 } // namespace
@@ -115,6 +116,14 @@
     { OperationCode::RecordOrderIntent, aOperation.host.Value() });
 }
 
+static Cbor
+OperationToCbor(const ConfirmStart& aOperation)
+{
+  return Cbor::array({ OperationCode::ConfirmStart,
+                       ToCbor(aOperation.task),
+                       aOperation.attempt.Value() });
+}
+
 std::string
 greengage::jobs::Encode(const Operations& aOperations)
 {
@@ -183,6 +192,10 @@
                                .host = HostId(textAt(2)) };
     case OperationCode::RecordOrderIntent:
       return RecordOrderIntent{ .host = HostId(textAt(1)) };
+    case OperationCode::ConfirmStart:
+      return ConfirmStart{ .task = TaskIdFromCbor(aValue.at(1)),
+                           .attempt =
+                             Attempt(aValue.at(2).get<std::uint32_t>()) };
   }
   return std::nullopt;
 }
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -172,6 +172,7 @@
   void Renew(WorkerSession& aSession);
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void RecordConfirmedStarts(WorkerSession& aSession);
   void AllowForLongestLease(WorkerSession& aSession) const;
   Time LeaseExpiryOf(const WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -61,6 +61,8 @@
   bool isCallInFlight = false;
   /// Whether a start request may have reached the worker.
   bool isStartSent = false;
+  /// Whether the confirmation of the start is recorded or proposed.
+  bool isStartRecorded = false;
   /// Earliest time of the next start or stop request.
   Time nextCallAt;
   /// The latest time, on the worker's clock, at which the run may start.
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -71,17 +71,20 @@
         if (session == nullptr)
           continue;
         AddRun(*session, aJob, task, tasks[index].attempt);
+        const bool isStartConfirmed = tasks[index].isStartConfirmed;
         // The previous leader may have sent a start that was not answered.
-        session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
-                                            .count = 1,
-                                            .lastSentAt = now_.steady };
+        if (!isStartConfirmed)
+          session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
+                                              .count = 1,
+                                              .lastSentAt = now_.steady };
         Run& run = session->runs.at(task);
+        run.isStartRecorded = isStartConfirmed;
         run.stage = RunStage::Starting;
         // A run missing from the first lists can no longer start: the worker
         // rejects start requests with an older fencing token. It does not
         // reject this host's own earlier ones if their token is the same, so
         // the start is then sent again, with a later deadline than theirs.
-        if (!isFenceReused_) {
+        if (!isFenceReused_ || isStartConfirmed) {
           run.firstListingRenewal = 1;
           run.isStartSent = true;
         }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -130,6 +130,7 @@
 {
   for (auto& [task, run] : aSession.runs)
     TickRun(aSession, task, run);
+  RecordConfirmedStarts(aSession);
   // Until the worker's lists have been processed, the renewal is repeated
   // without waiting for an answer, because the first call that arrives raises
   // the worker's fencing token.
@@ -140,6 +141,21 @@
   ExpireLease(aSession);
 }
 
+/// Records the confirmed starts of persistent runs, so that a later leader need
+/// not expect these starts on another incarnation of the worker. Other runs end
+/// too soon to be worth a record.
+void
+Scheduler::RecordConfirmedStarts(WorkerSession& aSession)
+{
+  for (auto& [task, run] : aSession.runs) {
+    if (!run.isPersistent || run.isStartRecorded ||
+        run.stage != RunStage::Running || aSession.HasUnansweredStart(task))
+      continue;
+    run.isStartRecorded = true;
+    outbox_.Propose(jobs::ConfirmStart{ .task = task, .attempt = run.attempt });
+  }
+}
+
 void
 Scheduler::TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun)
 {
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -123,6 +123,27 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "persistent tasks restart if their worker restarts and is lost "
+  "again shortly after a change of leader")
+{
+  AddWorkers({ "w1", "w2", "w3", "w4" });
+  const jobs::JobId job = Submit({ MakePersistentStep(2) });
+  Run(Duration::Seconds(8));
+  ChangeLeader();
+  Run(Duration(500));
+  REQUIRE(RunCountOf(job) == 2);
+  REQUIRE(RunsOn("w1") == 1);
+  BlockCalls("w1", kLong);
+  CrashWorker("w1", Duration(50));
+  Run(Duration::Seconds(1));
+  CrashWorker("w1", std::nullopt);
+  Run(Duration::Seconds(8));
+  CHECK(RunCountOf(job) == 2);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture,
                  "a task with a reservation starts on another worker that has "
                  "enough capacity")
