--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -53,6 +53,26 @@
   bool isStartConfirmed = false;
 };
 
+/// A job fails once the crashes under one of its tasks add up to this. A crash
+/// counts twice if the start of the task was confirmed before: otherwise it may
+/// never have reached the worker.
+inline constexpr std::size_t kCrashScoreLimit = 5;
+/// A task's crashes are forgotten if none is added for this long.
+inline constexpr Duration kCrashMemory = Duration::Seconds(3600);
+
+/// The worker crashes recorded for a task.
+struct TaskCrashes
+{
+  /// The attempts that ended with a crash, and whether their start had been
+  /// confirmed.
+  std::map<Attempt, bool> attempts;
+  /// The leader's wall clock time.
+  Time latestAt;
+
+  /// Compared with kCrashScoreLimit.
+  std::size_t Score() const;
+};
+
 /// The state of one step in one occurrence of a job.
 struct StepState
 {
@@ -61,6 +81,8 @@
   std::uint32_t doneTasks = 0;
   /// The latest checkpoint of each task, by task index.
   std::map<std::uint32_t, std::string> checkpoints;
+  /// By task index, for tasks under which a worker has crashed.
+  std::map<std::uint32_t, TaskCrashes> crashes;
 };
 
 /// One execution of all steps of a job.
@@ -112,6 +134,11 @@
   /// the attempt was not newer, or the worker is not registered.
   virtual void OnAssignmentRejected(const AssignTask& /*aAssignment*/) {}
   virtual void OnRunEnded(const EndRun& /*aEnd*/, WorkerNumber /*aWorker*/) {}
+  /// The crash was added to \p aCrashes, those of its task.
+  virtual void OnCrashRecorded(const RecordCrash& /*aCrash*/,
+                               const TaskCrashes& /*aCrashes*/)
+  {
+  }
   virtual void OnWorkerRegistered(WorkerNumber /*aWorker*/) {}
   virtual void OnWorkerRetired(WorkerNumber /*aWorker*/) {}
 };
@@ -149,6 +176,8 @@
   const std::unordered_map<JobId, Job>& Jobs() const { return jobs_; }
   const Job* Find(JobId aJob) const;
   const TaskState* Find(const TaskId& aTask) const;
+  /// The task's crashes; null if none is recorded.
+  const TaskCrashes* FindCrashes(const TaskId& aTask) const;
   /// The registered workers, by number.
   const std::map<WorkerNumber, WorkerRecord>& Workers() const
   {
@@ -185,6 +214,7 @@
                       JobStateObserver& aObserver);
   void RecordQueuePools();
   void ApplyOperation(ConfirmStart&& aOperation, JobStateObserver& aObserver);
+  void ApplyOperation(RecordCrash&& aOperation, JobStateObserver& aObserver);
   TaskState* FindTask(const TaskId& aTask);
   void EndJob(Job& aJob,
               JobState aState,
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -149,6 +149,19 @@
   Attempt attempt;
 };
 
+/// Records that a worker crashed under an attempt of a task. Counts once for
+/// each attempt, whether the task is still assigned to that worker or not.
+struct RecordCrash
+{
+  TaskId task;
+  Attempt attempt;
+  /// Whether the worker was known to have started the attempt. If not, the
+  /// start may never have reached it.
+  bool isStartConfirmed = false;
+  /// The leader's wall clock time.
+  Time at;
+};
+
 using Operation = std::variant<PutConfiguration,
                                AcceptJob,
                                CancelJob,
@@ -160,7 +173,8 @@
                                StartWave,
                                BeginMaintenance,
                                RecordOrderIntent,
-                               ConfirmStart>;
+                               ConfirmStart,
+                               RecordCrash>;
 using Operations = std::vector<Operation>;
 
 /// Encodes \p aOperations as one log entry.
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -60,6 +60,31 @@
   return const_cast<JobStateMachine*>(this)->FindTask(aTask);
 }
 
+std::size_t
+TaskCrashes::Score() const
+{
+  const auto confirmed =
+    std::count_if(attempts.begin(), attempts.end(), [](const auto& aItem) {
+      return aItem.second;
+    });
+  return attempts.size() + static_cast<std::size_t>(confirmed);
+}
+
+const TaskCrashes*
+JobStateMachine::FindCrashes(const TaskId& aTask) const
+{
+  const Job* job = Find(aTask.job);
+  if (job == nullptr)
+    return nullptr;
+  const auto occurrence = job->occurrences.find(aTask.occurrence);
+  if (occurrence == job->occurrences.end() ||
+      aTask.step >= occurrence->second.steps.size())
+    return nullptr;
+  const auto& crashes = occurrence->second.steps[aTask.step].crashes;
+  const auto found = crashes.find(aTask.index);
+  return found == crashes.end() ? nullptr : &found->second;
+}
+
 std::optional<WorkerNumber>
 JobStateMachine::FindWorkerNumber(const WorkerId& aWorker) const
 {
@@ -295,6 +320,7 @@
   if (aOperation.outcome == RunOutcome::Succeeded && !isPersistent) {
     task->phase = TaskPhase::Done;
     step.checkpoints.erase(aOperation.task.index);
+    step.crashes.erase(aOperation.task.index);
     CompleteTask(job, aOperation.task);
   } else {
     task->phase = TaskPhase::Waiting;
@@ -393,3 +419,29 @@
       task->attempt == aOperation.attempt)
     task->isStartConfirmed = true;
 }
+
+void
+JobStateMachine::ApplyOperation(RecordCrash&& aOperation,
+                                JobStateObserver& aObserver)
+{
+  const TaskState* task = FindTask(aOperation.task);
+  if (task == nullptr || task->phase == TaskPhase::Done ||
+      aOperation.attempt > task->attempt)
+    return;
+  Job& job = jobs_.at(aOperation.task.job);
+  if (job.state != JobState::Live)
+    return;
+  TaskCrashes& crashes = job.occurrences.at(aOperation.task.occurrence)
+                           .steps[aOperation.task.step]
+                           .crashes[aOperation.task.index];
+  if (crashes.latestAt + kCrashMemory < aOperation.at)
+    crashes.attempts.clear();
+  if (!crashes.attempts
+         .try_emplace(aOperation.attempt, aOperation.isStartConfirmed)
+         .second)
+    return;
+  crashes.latestAt = std::max(crashes.latestAt, aOperation.at);
+  aObserver.OnCrashRecorded(aOperation, crashes);
+  if (crashes.Score() >= kCrashScoreLimit)
+    EndJob(job, JobState::Failed, aOperation.at, aObserver);
+}
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -21,7 +21,16 @@
   Cbor checkpoints = Cbor::array();
   for (const auto& [index, text] : aStep.checkpoints)
     checkpoints.push_back(Cbor::array({ index, text }));
-  return Cbor::array({ std::move(tasks), std::move(checkpoints) });
+  Cbor crashes = Cbor::array();
+  for (const auto& [index, record] : aStep.crashes) {
+    Cbor attempts = Cbor::array();
+    for (const auto& [attempt, isStartConfirmed] : record.attempts)
+      attempts.push_back(Cbor::array({ attempt.Value(), isStartConfirmed }));
+    crashes.push_back(
+      Cbor::array({ index, std::move(attempts), record.latestAt.Millis() }));
+  }
+  return Cbor::array(
+    { std::move(tasks), std::move(checkpoints), std::move(crashes) });
 }
 
 static StepState
@@ -44,6 +53,17 @@
   for (const Cbor& item : aValue.at(1))
     step.checkpoints.emplace(item.at(0).get<std::uint32_t>(),
                              item.at(1).get<std::string>());
+  // Snapshots of earlier versions have no crashes.
+  constexpr std::size_t kCrashesIndex = 2;
+  if (aValue.size() <= kCrashesIndex)
+    return step;
+  for (const Cbor& item : aValue.at(kCrashesIndex)) {
+    TaskCrashes& crashes = step.crashes[item.at(0).get<std::uint32_t>()];
+    for (const Cbor& attempt : item.at(1))
+      crashes.attempts.emplace(attempt.at(0).get<std::uint32_t>(),
+                               attempt.at(1).get<bool>());
+    crashes.latestAt = Time(item.at(2).get<std::int64_t>());
+  }
   return step;
 }
 
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -26,6 +26,7 @@
   BeginMaintenance = 10,
   RecordOrderIntent = 11,
   ConfirmStart = 12,
+  RecordCrash = 13,
 };
 
 } // namespace
@@ -124,6 +125,16 @@
                        aOperation.attempt.Value() });
 }
 
+static Cbor
+OperationToCbor(const RecordCrash& aOperation)
+{
+  return Cbor::array({ OperationCode::RecordCrash,
+                       ToCbor(aOperation.task),
+                       aOperation.attempt.Value(),
+                       aOperation.isStartConfirmed,
+                       aOperation.at.Millis() });
+}
+
 std::string
 greengage::jobs::Encode(const Operations& aOperations)
 {
@@ -196,6 +207,11 @@
       return ConfirmStart{ .task = TaskIdFromCbor(aValue.at(1)),
                            .attempt =
                              Attempt(aValue.at(2).get<std::uint32_t>()) };
+    case OperationCode::RecordCrash:
+      return RecordCrash{ .task = TaskIdFromCbor(aValue.at(1)),
+                          .attempt = Attempt(aValue.at(2).get<std::uint32_t>()),
+                          .isStartConfirmed = aValue.at(3).get<bool>(),
+                          .at = timeAt(4) };
   }
   return std::nullopt;
 }
--- a/packages/jobs/unittests/JobStateMachineTest.cpp
+++ b/packages/jobs/unittests/JobStateMachineTest.cpp
@@ -97,6 +97,17 @@
                     .at = Time(2000) } });
   }
 
+  void ApplyCrash(TaskId aTask,
+                  std::uint32_t aAttempt,
+                  Time aAt,
+                  bool aIsStartConfirmed = true)
+  {
+    Apply({ RecordCrash{ .task = aTask,
+                         .attempt = Attempt(aAttempt),
+                         .isStartConfirmed = aIsStartConfirmed,
+                         .at = aAt } });
+  }
+
   StubConfigurationReader reader;
   JobStateMachine machine{ reader };
   RecordingObserver recorder;
@@ -316,6 +327,102 @@
   CHECK(restored.Snapshot() == machine.Snapshot());
 }
 
+TEST_CASE("a decoded crash equals the encoded one")
+{
+  Error reason;
+  const RecordCrash crash{ .task = Fixture::Task(1, 7),
+                           .attempt = Attempt(3),
+                           .isStartConfirmed = true,
+                           .at = Time(2000) };
+  const auto decoded = Decode(Encode({ crash }), reason);
+  REQUIRE(decoded.has_value());
+  const auto& read = std::get<RecordCrash>(decoded->front());
+  CHECK(read.task == Fixture::Task(1, 7));
+  CHECK(read.attempt == Attempt(3));
+  CHECK(read.isStartConfirmed);
+  CHECK(read.at == Time(2000));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a job fails once three workers have crashed under one task")
+{
+  Apply({ TwoStepJob() });
+  for (const std::uint32_t attempt : { 1U, 2U, 3U }) {
+    CHECK(machine.Find(kJob)->state == JobState::Live);
+    Assign(Task(0, 0), attempt);
+    // One crash of an attempt may be reported by several leaders, before or
+    // after the end of the run.
+    ApplyCrash(Task(0, 0), attempt, Time(2000));
+    ApplyEndRun(Task(0, 0), attempt, RunOutcome::Lost);
+    ApplyCrash(Task(0, 0), attempt, Time(2000));
+  }
+  CHECK(machine.Find(kJob)->state == JobState::Failed);
+  CHECK(recorder.endStates == std::vector{ JobState::Failed });
+}
+
+TEST_CASE_METHOD(Fixture, "a crash counts half if the start was not confirmed")
+{
+  Apply({ TwoStepJob() });
+  for (const std::uint32_t attempt : { 1U, 2U, 3U, 4U }) {
+    CHECK(machine.Find(kJob)->state == JobState::Live);
+    Assign(Task(0, 0), attempt);
+    ApplyCrash(Task(0, 0), attempt, Time(2000), attempt == 1);
+    ApplyEndRun(Task(0, 0), attempt, RunOutcome::Lost);
+  }
+  CHECK(machine.Find(kJob)->state == JobState::Failed);
+}
+
+TEST_CASE_METHOD(Fixture, "crashes under different tasks are not added up")
+{
+  Apply({ TwoStepJob() });
+  for (const std::uint32_t attempt : { 1U, 2U })
+    for (const std::uint32_t index : { 0U, 1U }) {
+      Assign(Task(0, index), attempt);
+      ApplyCrash(Task(0, index), attempt, Time(2000));
+      ApplyEndRun(Task(0, index), attempt, RunOutcome::Lost);
+    }
+  CHECK(machine.Find(kJob)->state == JobState::Live);
+}
+
+TEST_CASE_METHOD(Fixture, "crashes are forgotten after a time without any")
+{
+  Apply({ TwoStepJob() });
+  Time at(2000);
+  for (const std::uint32_t attempt : { 1U, 2U, 3U, 4U }) {
+    Assign(Task(0, 0), attempt);
+    ApplyCrash(Task(0, 0), attempt, at);
+    ApplyEndRun(Task(0, 0), attempt, RunOutcome::Lost);
+    at = at + kCrashMemory + Duration(1);
+  }
+  CHECK(machine.Find(kJob)->state == JobState::Live);
+  CHECK(machine.FindCrashes(Task(0, 0))->attempts.size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a crash of an attempt that never began is ignored")
+{
+  Apply({ TwoStepJob() });
+  ApplyCrash(Task(0, 0), 1, Time(2000));
+  ApplyCrash(Task(1, 5), 1, Time(2000));
+  CHECK(machine.FindCrashes(Task(0, 0)) == nullptr);
+}
+
+TEST_CASE_METHOD(Fixture, "a restored snapshot counts crashes on")
+{
+  Apply({ TwoStepJob() });
+  for (const std::uint32_t attempt : { 1U, 2U }) {
+    Assign(Task(0, 1), attempt);
+    ApplyCrash(Task(0, 1), attempt, Time(2000));
+    ApplyEndRun(Task(0, 1), attempt, RunOutcome::Lost);
+  }
+  Error reason;
+  const std::string snapshot = machine.Snapshot();
+  REQUIRE(machine.Restore(snapshot, reason));
+  CHECK(machine.Snapshot() == snapshot);
+  Assign(Task(0, 1), 3);
+  ApplyCrash(Task(0, 1), 3, Time(2000));
+  CHECK(machine.Find(kJob)->state == JobState::Failed);
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "a recurring job completes once all of its occurrences are done")
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -123,6 +123,8 @@
   void OnAssignmentRejected(const jobs::AssignTask& aAssignment) override;
   void OnRunEnded(const jobs::EndRun& aEnd,
                   jobs::WorkerNumber aWorker) override;
+  void OnCrashRecorded(const jobs::RecordCrash& aCrash,
+                       const jobs::TaskCrashes& aCrashes) override;
   void OnWorkerRegistered(jobs::WorkerNumber aWorker) override;
   void OnWorkerRetired(jobs::WorkerNumber aWorker) override;
 
@@ -203,6 +205,8 @@
               std::string aCheckpoint,
               const char* aReason);
   void SupersedeEarlierIncarnations(jobs::WorkerNumber aWorker);
+  void ChargeCrash(WorkerSession& aSession);
+  static void NoteCrashSuspects(WorkerSession& aSession);
   bool IsFromOtherIncarnation(const WorkerSession& aSession,
                               const WorkerReply& aReply) const;
   FencingToken FenceOf(const WorkerSession& aSession) const;
@@ -257,6 +261,8 @@
     Reserved,
     /// The worker to take the task is called first, to see whether it answers.
     ContactingWorker,
+    /// The task may crash its worker and waits for one without others that may.
+    Isolated,
     /// No worker can take the task, and no capacity was reserved for it.
     NoWorker,
     OverQuota,
@@ -294,6 +300,8 @@
   void PrefetchPermits(const Candidate& aCandidate);
   void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
   WorkerSession* ChooseWorker(const Candidate& aCandidate, const TaskId& aTask);
+  bool IsCrashSuspect(const TaskId& aTask) const;
+  bool MustBeIsolated(const TaskId& aTask) const;
   bool IsWithinQuota(const TeamId& aTeam,
                      const jobs::Resources& aRequest) const;
   void AddRun(WorkerSession& aSession,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace greengage::schedule {
 
@@ -45,6 +46,10 @@
   /// When the worker confirmed the start; zero if it has not, or if the run is
   /// known only from the worker's list.
   Time confirmedAt;
+  /// When the run was first known to be running; zero before.
+  Time runningSince;
+  /// A worker has crashed under an earlier attempt of the task.
+  bool isCrashSuspect = false;
   /// The progress last listed by the worker, 0 to 100. A persistent task
   /// reaches 100, its full speed, when its startup is complete.
   std::uint32_t progressPercent = 0;
@@ -63,6 +68,9 @@
   bool isStartSent = false;
   /// Whether the confirmation of the start is recorded or proposed.
   bool isStartRecorded = false;
+  /// When a start request was first sent, or when this leader took the run over
+  /// from the previous one, which may have sent it.
+  Time startSentAt;
   /// Earliest time of the next start or stop request.
   Time nextCallAt;
   /// The latest time, on the worker's clock, at which the run may start.
@@ -92,6 +100,14 @@
   Time lastSentAt;
 };
 
+/// A run that may have crashed its worker, if the worker has crashed.
+struct CrashSuspect
+{
+  TaskId task;
+  Attempt attempt;
+  bool isStartConfirmed = false;
+};
+
 /// The leader's volatile state for one incarnation of a worker.
 struct WorkerSession
 {
@@ -99,12 +115,17 @@
   /// The worker's record in the job state machine, which outlives the session.
   const jobs::WorkerRecord* record = nullptr;
   std::map<TaskId, Run> runs;
+  /// Number of runs whose task has had a crash.
+  std::uint32_t crashSuspectCount = 0;
   /// Resources of the runs and of the reservations on this worker.
   jobs::Resources used;
   /// Resources of the persistent runs, which don't end by themselves.
   jobs::Resources usedByPersistentRuns;
   std::uint32_t reservationCount = 0;
   std::map<TaskId, UnansweredStarts> unansweredStarts;
+  /// Charged with a crash if a later incarnation shows that the worker crashed.
+  /// Holds runs whose lease has expired before that.
+  std::vector<CrashSuspect> crashSuspects;
 
   /// Whether the worker's complete lists have been processed under the current
   /// fencing token and contained no unknown runs.
@@ -194,6 +215,14 @@
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
   bool HasLatencySensitiveRun() const;
+  /// Whether the run started so shortly before the worker was last heard of
+  /// that it may have crashed the worker.
+  bool MayHaveCrashedWorker(const TaskId& aTask, const Run& aRun) const;
+  /// Whether the worker may still crash because of the recent start of a run.
+  bool HasRecentStart(Time aNow) const;
+  /// Whether the worker may still crash because of the recent start of a task
+  /// of another job that already had a crash.
+  bool HasRecentSuspect(jobs::JobId aExceptOf, Time aNow) const;
   bool HasPersistentRun() const;
 };
 
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -80,6 +80,7 @@
         Run& run = session->runs.at(task);
         run.isStartRecorded = isStartConfirmed;
         run.stage = RunStage::Starting;
+        run.startSentAt = now_.steady;
         // A run missing from the first lists can no longer start: the worker
         // rejects start requests with an older fencing token. It does not
         // reject this host's own earlier ones if their token is the same, so
@@ -177,12 +178,54 @@
   isDispatchDue_ = true;
 }
 
+/// Logs which tasks made the job fail.
+static void
+LogFailure(const jobs::Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences)
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const jobs::StepState& state = occurrence.steps[step];
+      for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+        const auto found = state.crashes.find(index);
+        const std::size_t crashes =
+          found == state.crashes.end() ? 0 : found->second.attempts.size();
+        const std::uint32_t failures = state.tasks[index].failures;
+        if (failures == 0 && crashes == 0)
+          continue;
+        const TaskId task{
+          .job = aJob.id, .occurrence = number, .step = step, .index = index
+        };
+        observe::Log(observe::LogLevel::Warning,
+                     "job-failed",
+                     { { "job", ToString(aJob.id) },
+                       { "task", ToString(task) },
+                       { "failures", std::to_string(failures) },
+                       { "crashes", std::to_string(crashes) } });
+      }
+    }
+}
+
+void
+Scheduler::OnCrashRecorded(const jobs::RecordCrash& aCrash,
+                           const jobs::TaskCrashes& aCrashes)
+{
+  if (!IsLeading())
+    return;
+  observe::Log(observe::LogLevel::Info,
+               "crash-recorded",
+               { { "task", ToString(aCrash.task) },
+                 { "attempt", std::to_string(aCrash.attempt.Value()) },
+                 { "crashes", std::to_string(aCrashes.attempts.size()) } });
+}
+
 void
 Scheduler::OnJobEnded(const jobs::Job& aJob)
 {
   if (!IsLeading())
     return;
   liveJobs_.erase(aJob.id);
+  if (aJob.state == jobs::JobState::Failed)
+    LogFailure(aJob);
   permitCache_.DropJob(aJob.id);
   UpdateUnstartedJobs(aJob);
   // A proposed assignment is rejected once the job has ended, so only the
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -75,6 +75,7 @@
   if (!aRun.isStartSent) {
     aRun.startDeadline = *clock + kStartValidity;
     aRun.isStartSent = true;
+    aRun.startSentAt = now_.steady;
     // A start request also grants a lease until the start deadline; the next
     // renewal extends it.
     aSession.leaseExpiry = std::max(
@@ -212,8 +213,10 @@
     unanswered.detail = "another life of the worker answered";
   }
   const WorkerReply& reply = isFromOther ? unanswered : aReply;
+  // Another worker at the address shows that this one is gone.
   const bool hasAnswered = reply.answer != WorkerCallStatus::NotSent &&
-                           reply.answer != WorkerCallStatus::NoAnswer;
+                           reply.answer != WorkerCallStatus::NoAnswer &&
+                           reply.answer != WorkerCallStatus::OtherWorker;
   if (hasAnswered) {
     session->lastAnswer = aNow.steady;
     if (reply.clock)
@@ -288,6 +291,7 @@
     case WorkerCallStatus::Done:
       run.stage = RunStage::Running;
       run.confirmedAt = now_.steady;
+      run.runningSince = now_.steady;
       run.firstListingRenewal = aSession.renewalCount + 1;
       if (!aSession.isRenewalInFlight)
         aSession.nextRenewalAt = now_.steady;
@@ -361,6 +365,7 @@
   const bool wasFailing =
     aSession.consecutiveFailedCalls > 0 || !aSession.isReconciled;
   aSession.consecutiveFailedCalls = 0;
+  aSession.crashSuspects.clear();
   ProcessListedEnds(aSession, aReply);
   const bool hasStrays = ProcessListedRuns(aSession, aReply);
   EndLostRuns(aSession, aCall, aReply);
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -17,6 +17,8 @@
 /// to handle the events.
 static constexpr std::uint64_t kMaxRankedJobsPerMilli = 20;
 static constexpr std::uint64_t kMaxExaminedWorkersPerMilli = 1000;
+/// How long after its latest crash a task may wait for isolation.
+static constexpr Duration kMaxIsolationWait = Duration(2000);
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -98,6 +100,12 @@
     const bool isPlaced = result == PlacementResult::Placed;
     if (!isPlaced && aCandidate.advicePolicy)
       RequestStepPermits(aCandidate, task);
+    // Neither the other tasks of the step nor reservations have to wait.
+    if (result == PlacementResult::Isolated) {
+      if (mayReserve && !step.isPersistent)
+        reservingPools_.erase(aCandidate.pool);
+      continue;
+    }
     if (!isPlaced && !step.isPersistent)
       return;
     isWorkerLacking = result == PlacementResult::NoWorker ||
@@ -137,6 +145,9 @@
   }
   if (session == nullptr)
     session = ChooseWorker(aCandidate, aTask);
+  if (session == nullptr && MustBeIsolated(aTask) &&
+      !unplaceable_.Contains(ClassOf(aCandidate, step), AllocationFor(step)))
+    return PlacementResult::Isolated;
   if (session == nullptr) {
     const bool isReserved =
       aMayReserve && ReserveCapacity(aCandidate, aTask, jobs::WorkerNumber(0));
@@ -195,8 +206,9 @@
       for (const auto& [member, worker] : placed)
         RemoveRun(sessions_.at(worker), member);
       unplaceable_ = unplaceableBefore;
-      const bool isCapacityLacking =
-        mayPlace && step.maxPerWorker == 0 && !aCandidate.advicePolicy;
+      const bool isCapacityLacking = mayPlace && step.maxPerWorker == 0 &&
+                                     !aCandidate.advicePolicy &&
+                                     !MustBeIsolated(task);
       if (isCapacityLacking)
         unplaceable_.Add(workerClass, allocation, placed.size() + 1);
       return;
@@ -289,6 +301,23 @@
   return best == freeProcessors.end() ? RackId() : best->first;
 }
 
+/// Whether a worker has crashed under the task.
+bool
+Scheduler::IsCrashSuspect(const TaskId& aTask) const
+{
+  return stateMachine_.FindCrashes(aTask) != nullptr;
+}
+
+/// Whether the task must not start beside one of another job that may crash the
+/// worker, so that a further crash tells which of them caused it.
+bool
+Scheduler::MustBeIsolated(const TaskId& aTask) const
+{
+  const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
+  return crashes != nullptr &&
+         now_.wall < crashes->latestAt + kMaxIsolationWait;
+}
+
 WorkerSession*
 Scheduler::ChooseWorker(const Candidate& aCandidate, const TaskId& aTask)
 {
@@ -299,10 +328,13 @@
     return nullptr;
   const jobs::TaskState* state = stateMachine_.Find(aTask);
   const RackId rack = PreferredRack(aCandidate, aTask);
+  const bool isSuspect = IsCrashSuspect(aTask);
+  const bool mustBeIsolated = MustBeIsolated(aTask);
   WorkerSession* best = nullptr;
   bool hasCapacity = false;
   // Compared lexicographically; the highest rank wins.
-  std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t> bestRank;
+  std::tuple<bool, bool, bool, bool, bool, bool, std::int64_t, std::int64_t>
+    bestRank;
   for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
     WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
@@ -318,6 +350,16 @@
     if (isContactPending || !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
+    const bool isBesideSuspect =
+      session.HasRecentSuspect(aTask.job, now_.steady);
+    if (isBesideSuspect && mustBeIsolated)
+      continue;
+    // A suspect goes where a crash tells and costs the least.
+    const bool sparesRecentStarts =
+      !isSuspect || !session.HasRecentStart(now_.steady);
+    const bool sparesPersistentRuns = !isSuspect || !session.HasPersistentRun();
+    const std::int64_t freeProcessors =
+      (record.capacity.processors - session.used.processors).Count();
     const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
     const bool differsFromLastWorker = state == nullptr ||
                                        state->attempt == Attempt(0) ||
@@ -331,13 +373,14 @@
       step.isPersistent ? session.CountRunsOfStep(aTask) : 0;
     const bool avoidsInterference =
       !step.usesIdleProcessors || !session.HasLatencySensitiveRun();
-    const std::tuple rank(
-      isOnPreferredRack,
-      differsFromLastWorker,
-      avoidsInterference,
-      step.isPersistent ? hasSameKind : false,
-      -runsOfStep,
-      (session.used.processors - record.capacity.processors).Count());
+    const std::tuple rank(!isBesideSuspect && sparesPersistentRuns,
+                          sparesRecentStarts,
+                          isOnPreferredRack,
+                          differsFromLastWorker,
+                          avoidsInterference,
+                          step.isPersistent ? hasSameKind : false,
+                          -runsOfStep,
+                          isSuspect ? freeProcessors : -freeProcessors);
     if (best == nullptr || rank > bestRank) {
       best = &session;
       bestRank = rank;
@@ -363,6 +406,8 @@
   run.isPersistent = step.isPersistent;
   run.isMovable = !step.isPersistent && !step.isGang;
   run.targetLatency = step.targetLatency;
+  run.isCrashSuspect = IsCrashSuspect(aTask);
+  aSession.crashSuspectCount += run.isCrashSuspect ? 1 : 0;
   aSession.used += run.allocated;
   if (run.isPersistent)
     aSession.usedByPersistentRuns += run.allocated;
@@ -379,6 +424,7 @@
   aSession.used -= found->second.allocated;
   if (found->second.isPersistent)
     aSession.usedByPersistentRuns -= found->second.allocated;
+  aSession.crashSuspectCount -= found->second.isCrashSuspect ? 1 : 0;
   quotaUsage_[found->second.team] -= found->second.quotaCharge;
   aSession.runs.erase(found);
   proposedTasks_.erase(aTask);
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -206,6 +206,7 @@
     if (run.stage != RunStage::Starting)
       continue;
     run.stage = RunStage::Running;
+    run.runningSince = now_.steady;
     if (!run.isStopRequested)
       run.firstListingRenewal = aSession.renewalCount;
   }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -60,6 +60,7 @@
     if ((!isSameWorker && !isSameHost) ||
         record.incarnation >= latest.incarnation)
       continue;
+    ChargeCrash(session);
     session.isSuperseded = true;
     session.supersededAt = now_.steady;
     supersededWorkers_[record.id].insert(number);
@@ -85,6 +86,48 @@
   }
 }
 
+/// Records a crash for the runs that may have crashed a worker whose later
+/// incarnation has registered or answered. A host is ordered from the provider
+/// only once it has no runs, so that no run is charged for its move or
+/// maintenance.
+void
+Scheduler::ChargeCrash(WorkerSession& aSession)
+{
+  if (RecordOf(aSession).isDraining)
+    return;
+  const auto charge = [&](const CrashSuspect& aRun) {
+    observe::Log(
+      observe::LogLevel::Warning,
+      "worker-crashed-under-task",
+      { { "task", ToString(aRun.task) },
+        { "attempt", std::to_string(aRun.attempt.Value()) },
+        { "worker", RecordOf(aSession).id.Value() },
+        { "host", RecordOf(aSession).host.Value() },
+        { "start_confirmed", aRun.isStartConfirmed ? "yes" : "no" } });
+    outbox_.Propose(
+      jobs::RecordCrash{ .task = aRun.task,
+                         .attempt = aRun.attempt,
+                         .isStartConfirmed = aRun.isStartConfirmed,
+                         .at = now_.wall });
+  };
+  NoteCrashSuspects(aSession);
+  for (const CrashSuspect& suspect : aSession.crashSuspects)
+    charge(suspect);
+  aSession.crashSuspects.clear();
+}
+
+/// Notes the runs that may have crashed the worker, if it has crashed.
+void
+Scheduler::NoteCrashSuspects(WorkerSession& aSession)
+{
+  for (const auto& [task, run] : aSession.runs)
+    if (aSession.MayHaveCrashedWorker(task, run))
+      aSession.crashSuspects.push_back(
+        { .task = task,
+          .attempt = run.attempt,
+          .isStartConfirmed = run.stage == RunStage::Running });
+}
+
 /// Extends the bound of the worker's lease for a renewal meant for an earlier
 /// incarnation: its time, on the clock of that one, may be far ahead of this
 /// one's, so that only the worker's own limit shortens the lease.
@@ -182,6 +225,7 @@
 void
 Scheduler::OnLaterIncarnationAnswered(WorkerSession& aSession)
 {
+  ChargeCrash(aSession);
   aSession.laterIncarnationAnsweredAt = now_.steady;
   AllowForLongestLease(aSession);
   for (auto& [task, run] : aSession.runs)
@@ -218,6 +262,8 @@
                            !aSession.laterIncarnationAnsweredAt;
   if (isAnswering || LeaseExpiryOf(aSession) > now_.steady)
     return;
+  if (!aSession.isSuperseded)
+    NoteCrashSuspects(aSession);
   for (auto& [task, run] : aSession.runs)
     if (run.stage == RunStage::Starting || run.stage == RunStage::Running)
       EndRun(aSession, task, run, jobs::RunOutcome::Lost, {}, "lease expired");
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -12,6 +12,9 @@
 /// A worker that has been silent for longer gets no new runs. Covers two
 /// heartbeat intervals of 1.5 s.
 static constexpr Duration kMaxUsableSilence = Duration(3200);
+/// A worker that crashes later after the start of a run crashed for another
+/// reason.
+static constexpr Duration kCrashSuspicionTime = Duration(1000);
 
 /// A worker with runs answers a renewal at least once a second.
 static constexpr Duration kMaxAnswerAge = Duration(1500);
@@ -103,6 +106,46 @@
   });
 }
 
+bool
+WorkerSession::MayHaveCrashedWorker(const TaskId& aTask, const Run& aRun) const
+{
+  const bool mayHaveStarted =
+    aRun.stage == RunStage::Running ||
+    (aRun.stage == RunStage::Starting && HasUnansweredStart(aTask));
+  const Time startedAt =
+    aRun.stage == RunStage::Running ? aRun.runningSince : aRun.startSentAt;
+  return mayHaveStarted &&
+         startedAt + kCrashSuspicionTime >= std::max(lastHeartbeat, lastAnswer);
+}
+
+/// Whether the run has not been running long enough to be safe for its worker.
+static bool
+IsRecentStart(const Run& aRun, Time aNow)
+{
+  return aRun.stage != RunStage::Ending &&
+         (aRun.runningSince == Time(0) ||
+          aRun.runningSince + kCrashSuspicionTime > aNow);
+}
+
+bool
+WorkerSession::HasRecentStart(Time aNow) const
+{
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& aItem) {
+    return IsRecentStart(aItem.second, aNow);
+  });
+}
+
+bool
+WorkerSession::HasRecentSuspect(jobs::JobId aExceptOf, Time aNow) const
+{
+  if (crashSuspectCount == 0)
+    return false;
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& aItem) {
+    return aItem.second.isCrashSuspect && aItem.first.job != aExceptOf &&
+           IsRecentStart(aItem.second, aNow);
+  });
+}
+
 bool
 WorkerSession::HasPersistentRun() const
 {
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -411,3 +411,27 @@
   Run(Duration(500));
   CHECK(CountCalls<StartRun>() == 1);
 }
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "an answer from the next worker at the address does not hide "
+                 "the crash of the one before")
+{
+  Submit();
+  Run(Duration(100));
+  ConfirmStart();
+  isAnswering = false;
+  Run(Duration(3000));
+  for (const std::vector<WorkerCall> all = calls; answered < all.size();
+       ++answered) {
+    WorkerReply reply;
+    reply.id = all[answered].id;
+    reply.answer = WorkerCallStatus::OtherWorker;
+    controller.On(reply, leaseEnd, Now());
+  }
+  WorkerHeartbeat next = Beat();
+  next.worker.id = jobs::WorkerId("w2");
+  next.worker.incarnation = jobs::Incarnation(2);
+  Handle(next);
+  Run(Duration(50));
+  CHECK(controller.StateMachine().FindCrashes(running.front().task) != nullptr);
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -25,6 +25,10 @@
 /// Maximum delay of a call that FaultProbabilities::late delays.
 static constexpr Duration kMaxCallDelay(12000);
 static constexpr std::size_t kMaxViolations = 5;
+/// A task that crashes its workers may be started this many times more after
+/// this many crashes.
+static constexpr std::uint32_t kMaxToleratedCrashes = 3;
+static constexpr std::uint32_t kMaxStartsAfterCrashes = 2;
 static constexpr Duration kFarFuture = Duration::Seconds(1000000);
 /// Runs of a cancelled job must have ended this long after the cancellation or
 /// the last effect of a fault, whichever is later.
@@ -442,7 +446,7 @@
           std::string(aHost.Value())
             .append(" was moved or maintained while running persistent task ")
             .append(ToString(task)));
-    CrashWorker(host.worker, std::nullopt);
+    StopWorker(workers_.at(host.worker));
     host.worker.clear();
   }
   host.pool = aPool;
@@ -523,6 +527,9 @@
                 .isCancelRequested = false,
                 .cancelledAt = std::nullopt,
                 .acknowledgedFailures = {},
+                .failures = {},
+                .crashes = {},
+                .startsAfterCrashes = {},
                 .acknowledgedSuccesses = {},
                 .succeeded = {} };
   submitCalls_[CallerId(lastCaller_ + 1)] = id;
@@ -565,10 +572,11 @@
 SimulatedFleet::AddWorker(const std::string& aId,
                           jobs::Resources aCapacity,
                           const std::string& aRack,
-                          std::vector<std::string> aLabels)
+                          std::vector<std::string> aLabels,
+                          const std::string& aHost)
 {
   StartWorker({ .id = jobs::WorkerId(aId),
-                .host = jobs::HostId("host-" + aId),
+                .host = jobs::HostId(aHost.empty() ? "host-" + aId : aHost),
                 .pool = PoolId("lines"),
                 .rack = RackId(aRack),
                 .labels = std::move(aLabels),
@@ -581,6 +589,7 @@
 {
   const std::string id = aRecord.id.Value();
   SimulatedWorker& worker = workers_[id];
+  RecordCrash(worker);
   // A restarted worker listens on the port of its previous incarnation.
   const std::uint16_t port =
     worker.record.endpoint.port != 0
@@ -624,19 +633,86 @@
 {
   ExtendFaultPeriod(aRestartAfter.value_or(Duration(0)));
   SimulatedWorker& worker = workers_.at(aId);
-  worker.isUp = false;
-  worker.runs.clear();
-  for (const auto& [term, deferred] : worker.deferredRenewals)
+  RecordCrash(worker);
+  StopWorker(worker);
+  if (aRestartAfter)
+    ScheduleEvent(*aRestartAfter,
+                  [this, record = worker.record] { StartWorker(record); });
+}
+
+void
+SimulatedFleet::RecordCrash(const SimulatedWorker& aWorker)
+{
+  for (const auto& [task, run] : aWorker.runs)
+    ++jobs_.at(task.job).crashes[task];
+}
+
+void
+SimulatedFleet::StopWorker(SimulatedWorker& aWorker)
+{
+  aWorker.isUp = false;
+  aWorker.runs.clear();
+  for (const auto& [term, deferred] : aWorker.deferredRenewals)
     ScheduleEvent(deferred.first.timeout,
                   [this, call = deferred.first.id, leader = term] {
                     WorkerReply reply;
                     reply.id = call;
                     DeliverReply(reply, leader);
                   });
-  worker.deferredRenewals.clear();
-  if (aRestartAfter)
-    ScheduleEvent(*aRestartAfter,
-                  [this, record = worker.record] { StartWorker(record); });
+  aWorker.deferredRenewals.clear();
+}
+
+void
+SimulatedFleet::ReclaimWorker(const std::string& aId, Duration aNotice)
+{
+  ExtendFaultPeriod(aNotice);
+  SimulatedWorker& worker = workers_.at(aId);
+  worker.record.isDraining = true;
+  SendHeartbeat(worker);
+  ScheduleEvent(aNotice, [this, aId] { StopWorker(workers_.at(aId)); });
+}
+
+/// Crashes the worker that runs this attempt of the task, if any.
+void
+SimulatedFleet::CrashWorkerOf(const TaskId& aTask, Attempt aAttempt)
+{
+  const Duration restartDelay = jobs_.at(aTask.job).taskBehavior.restartDelay;
+  for (auto& [id, worker] : workers_) {
+    const auto run = worker.runs.find(aTask);
+    if (run == worker.runs.end() || run->second.attempt != aAttempt)
+      continue;
+    CrashWorker(id, restartDelay);
+    return;
+  }
+}
+
+std::uint32_t
+SimulatedFleet::CountCrashes(const TaskId& aTask) const
+{
+  const auto& crashes = jobs_.at(aTask.job).crashes;
+  const auto found = crashes.find(aTask);
+  return found == crashes.end() ? 0 : found->second;
+}
+
+static std::uint32_t
+MaxCount(const std::map<TaskId, std::uint32_t>& aCounts)
+{
+  std::uint32_t count = 0;
+  for (const auto& [task, taskCount] : aCounts)
+    count = std::max(count, taskCount);
+  return count;
+}
+
+std::uint32_t
+SimulatedFleet::MaxCrashes(jobs::JobId aJob) const
+{
+  return MaxCount(jobs_.at(aJob).crashes);
+}
+
+std::uint32_t
+SimulatedFleet::MaxFailures(jobs::JobId aJob) const
+{
+  return MaxCount(jobs_.at(aJob).failures);
 }
 
 void
@@ -936,6 +1012,7 @@
     return;
   }
   CheckStart(aWorker, aStart);
+  CheckCrashLimit(aStart);
   const SimulatedJob& job = jobs_.at(aStart.task.job);
   const jobs::Step& step = *FindStep(aStart.task);
   // TickGangs sets the end of a gang's runs once all members have started.
@@ -949,6 +1026,11 @@
     .willFail = aStart.attempt.Value() <= job.taskBehavior.failures,
     .startedAt = now_
   };
+  if (job.taskBehavior.crashesWorkerAfter && aStart.task.index == 0)
+    ScheduleEvent(*job.taskBehavior.crashesWorkerAfter,
+                  [this, task = aStart.task, attempt = aStart.attempt] {
+                    CrashWorkerOf(task, attempt);
+                  });
 }
 
 void
@@ -971,6 +1053,8 @@
   aWorker.highestAttempts[aTask] = run.attempt;
   if (aKind == ListedEndKind::Done)
     jobs_.at(aTask.job).succeeded.insert(aTask);
+  if (aKind == ListedEndKind::Failed)
+    ++jobs_.at(aTask.job).failures[aTask];
   aWorker.endTimes[RunEndSequence(aWorker.lastEndNumber + 1)] = now_;
   aWorker.unacknowledgedEnds.push_back(
     { .number = RunEndSequence(++aWorker.lastEndNumber),
@@ -1076,6 +1160,21 @@
                          std::move(aDescription));
 }
 
+/// Checks that a task is given up that crashes the workers that start it.
+void
+SimulatedFleet::CheckCrashLimit(const StartRun& aStart)
+{
+  SimulatedJob& job = jobs_.at(aStart.task.job);
+  const bool crashesWorker =
+    job.taskBehavior.crashesWorkerAfter && aStart.task.index == 0;
+  if (!crashesWorker || CountCrashes(aStart.task) < kMaxToleratedCrashes)
+    return;
+  if (++job.startsAfterCrashes[aStart.task] > kMaxStartsAfterCrashes)
+    ReportViolation(ToString(aStart.task) +
+                    " started again after it had crashed " +
+                    std::to_string(CountCrashes(aStart.task)) + " workers");
+}
+
 /// Checks the invariants that apply when a worker starts a run.
 void
 SimulatedFleet::CheckStart(const SimulatedWorker& aWorker,
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -45,6 +45,11 @@
   Duration runTime = Duration(800);
   /// Attempts up to this number fail; later ones succeed.
   std::uint32_t failures = 0;
+  /// If set, each run of the first task of a step crashes its worker this long
+  /// after its start.
+  std::optional<Duration> crashesWorkerAfter = {};
+  /// How long a worker that the task has crashed takes to restart.
+  Duration restartDelay = Duration(3000);
 };
 
 /// Injected faults, as probabilities of 0 to 100 percent for each call to a
@@ -79,11 +84,13 @@
   bool RunUntil(const std::function<bool()>& aIsDone, Duration aSpan);
 
   /// Adds a worker to the pool "lines", or restarts it as a new incarnation,
-  /// and sends its first heartbeat.
+  /// and sends its first heartbeat. By default, each worker has a host of its
+  /// own.
   void AddWorker(const std::string& aId,
                  jobs::Resources aCapacity = kDefaultCapacity,
                  const std::string& aRack = "r1",
-                 std::vector<std::string> aLabels = {});
+                 std::vector<std::string> aLabels = {},
+                 const std::string& aHost = {});
   /// Adds a host to the spare pool; no worker runs on it.
   void AddSpareHost(const std::string& aName);
   /// The pool of a host according to the provider.
@@ -101,6 +108,9 @@
                      const std::string& aNewId,
                      Duration aAfter);
   bool IsUp(const std::string& aId) const;
+  /// Announces the worker's departure; it stops without being restarted once
+  /// \p aNotice has passed.
+  void ReclaimWorker(const std::string& aId, Duration aNotice);
   /// Partitions the worker for \p aSpan: calls to it, its deferred replies and
   /// its heartbeats are lost.
   void PartitionWorker(const std::string& aId, Duration aSpan);
@@ -134,6 +144,11 @@
   void Cancel(jobs::JobId aJob);
   /// The state that a client's query of the job returns.
   std::optional<JobProgress> QueryState(jobs::JobId aJob);
+  /// Number of workers that have crashed while the task ran on them.
+  std::uint32_t CountCrashes(const TaskId& aTask) const;
+  /// The largest number of crashes and of listed failures of a task of the job.
+  std::uint32_t MaxCrashes(jobs::JobId aJob) const;
+  std::uint32_t MaxFailures(jobs::JobId aJob) const;
   /// The reply to the latest call made with Send; null until it is answered.
   const Reply* LastReply() const { return lastReply_ ? &*lastReply_ : nullptr; }
   /// Passes a client's or worker's call to the controller.
@@ -234,6 +249,11 @@
     bool isCancelRequested = false;
     std::optional<Time> cancelledAt;
     std::map<TaskId, std::uint32_t> acknowledgedFailures;
+    std::map<TaskId, std::uint32_t> failures;
+    /// Number of workers that crashed while the task ran on them.
+    std::map<TaskId, std::uint32_t> crashes;
+    /// Number of starts of a task after kMaxToleratedCrashes crashes.
+    std::map<TaskId, std::uint32_t> startsAfterCrashes;
     /// Tasks whose success the leader has acknowledged.
     std::set<TaskId> acknowledgedSuccesses;
     /// Tasks that have succeeded, acknowledged or not.
@@ -301,6 +321,10 @@
                    const StartRun& aStart,
                    WorkerReply& aReply);
   void HandleStop(SimulatedWorker& aWorker, const StopRun& aStop);
+  void RecordCrash(const SimulatedWorker& aWorker);
+  void StopWorker(SimulatedWorker& aWorker);
+  void CrashWorkerOf(const TaskId& aTask, Attempt aAttempt);
+  void CheckCrashLimit(const StartRun& aStart);
   void HandleRenewal(SimulatedWorker& aWorker, const RenewLease& aRenew);
   void FillLists(const SimulatedWorker& aWorker, WorkerReply& aReply) const;
   void EndRun(SimulatedWorker& aWorker,
--- /dev/null
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -0,0 +1,243 @@
+#include "SimulatedFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+namespace {
+
+const TaskBehavior kCrashing{ .crashesWorkerAfter = Duration(10) };
+/// Time for three crashes and restarts, and for the delays between them.
+constexpr Duration kGiveUpTime = Duration::Seconds(20);
+
+jobs::Step
+MakeStep(std::uint32_t aCount)
+{
+  return { .count = aCount,
+           .request = { MilliCores(500), Mebibytes(256), {} },
+           .estimate = Duration(800) };
+}
+
+jobs::Step
+MakePersistentStep()
+{
+  jobs::Step step = MakeStep(1);
+  step.isPersistent = true;
+  return step;
+}
+
+/// An idle fleet of five registered workers.
+struct Fixture : SimulatedFleet
+{
+  Fixture()
+  {
+    Run(Duration(200));
+    for (const std::string& id : workerIds)
+      AddWorker(id);
+    Run(Duration(500));
+  }
+  bool ReachesState(jobs::JobId aJob, JobProgress aState, Duration aSpan)
+  {
+    return RunUntil([&] { return QueryState(aJob) == aState; }, aSpan);
+  }
+  std::string WorkerOf(jobs::JobId aJob)
+  {
+    REQUIRE(RunUntil([&] { return HasRun(aJob); }, Duration::Seconds(12)));
+    for (const std::string& id : workerIds)
+      if (RunsOn(id) > 0)
+        return id;
+    return {};
+  }
+  void CheckInvariants()
+  {
+    for (const std::string& violation : violations)
+      FAIL_CHECK(violation);
+  }
+
+  const std::vector<std::string> workerIds{ "w1", "w2", "w3", "w4", "w5" };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture,
+                 "a task that crashes each worker that starts it is given up")
+{
+  const Duration crashesAfter = GENERATE(Duration(10), Duration(600));
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .crashesWorkerAfter = crashesAfter });
+  CHECK(ReachesState(job, JobProgress::Failed, kGiveUpTime));
+  Run(Duration::Seconds(10));
+  CHECK(MaxCrashes(job) == 3);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a persistent task that crashes its workers is given up")
+{
+  const jobs::JobId job = Submit({ MakePersistentStep() }, kCrashing);
+  CHECK(ReachesState(job, JobProgress::Failed, kGiveUpTime));
+  CHECK(MaxCrashes(job) == 3);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a gang with a task that crashes its workers is given up")
+{
+  jobs::Step gang = MakeStep(4);
+  gang.isGang = true;
+  const jobs::JobId job = Submit({ gang }, kCrashing);
+  CHECK(ReachesState(job, JobProgress::Failed, kGiveUpTime));
+  CHECK(MaxCrashes(job) == 3);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "tasks that run beside one that crashes its workers complete")
+{
+  std::vector<jobs::JobId> neighbors;
+  neighbors.reserve(5);
+  for (int count = 0; count < 4; ++count)
+    neighbors.push_back(Submit({ MakeStep(3) }, { .runTime = Duration(1500) }));
+  neighbors.push_back(Submit({ MakePersistentStep() }));
+  const std::vector<jobs::JobId> crashing{ Submit({ MakeStep(4) }, kCrashing),
+                                           Submit({ MakeStep(1) }, kCrashing) };
+  for (const jobs::JobId job : crashing)
+    CHECK(ReachesState(job, JobProgress::Failed, kGiveUpTime));
+  const jobs::JobId service = neighbors.back();
+  CHECK(QueryState(service) == JobProgress::Running);
+  neighbors.pop_back();
+  for (const jobs::JobId job : neighbors)
+    CHECK(ReachesState(job, JobProgress::Completed, Duration::Seconds(10)));
+  CHECK(RunUntil([&] { return HasRun(service); }, Duration::Seconds(4)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture, "the crashes under a task are counted across leaders")
+{
+  const jobs::JobId job = Submit({ MakeStep(1) }, kCrashing);
+  for (const std::uint32_t crashes : { 1U, 2U }) {
+    REQUIRE(RunUntil([&] { return MaxCrashes(job) == crashes; }, kGiveUpTime));
+    // Before the crashed worker has restarted.
+    Run(Duration(500));
+    ChangeLeader();
+  }
+  CHECK(ReachesState(job, JobProgress::Failed, kGiveUpTime));
+  // The new leaders don't know whether the first two starts were confirmed.
+  CHECK(MaxCrashes(job) <= 4);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a worker that restarts after the lease of its runs has expired has crashed")
+{
+  const jobs::JobId job = Submit(
+    { MakeStep(1) },
+    { .crashesWorkerAfter = Duration(10), .restartDelay = Duration(7000) });
+  CHECK(ReachesState(job, JobProgress::Failed, Duration::Seconds(40)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a new worker on the host of an earlier one shows its crash")
+{
+  const jobs::JobId job = Submit({ MakeStep(1) });
+  for (const char* suffix : { "-b", "-c", "-d" }) {
+    REQUIRE(QueryState(job) != JobProgress::Failed);
+    const std::string worker = WorkerOf(job);
+    CrashWorker(worker, std::nullopt);
+    Run(Duration(3000));
+    AddWorker(worker + suffix, kDefaultCapacity, "r1", {}, "host-" + worker);
+    Run(Duration(30));
+  }
+  CHECK(QueryState(job) == JobProgress::Failed);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture, "a partition of a worker is not a crash")
+{
+  const jobs::JobId job = Submit({ MakePersistentStep() });
+  for (int count = 0; count < 3; ++count) {
+    PartitionWorker(WorkerOf(job), Duration(8000));
+    Run(Duration(9000));
+  }
+  CHECK(QueryState(job) == JobProgress::Running);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture, "an announced departure of a worker is not a crash")
+{
+  const jobs::JobId job = Submit({ MakePersistentStep() });
+  for (int count = 0; count < 3; ++count) {
+    const std::string worker = WorkerOf(job);
+    ReclaimWorker(worker, Duration(100));
+    Run(Duration(3000));
+    AddWorker(worker);
+    Run(Duration(100));
+  }
+  CHECK(QueryState(job) == JobProgress::Running);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a task that has run for long is not blamed for a crash")
+{
+  const jobs::JobId job = Submit({ MakePersistentStep() });
+  for (int count = 0; count < 4; ++count) {
+    const std::string worker = WorkerOf(job);
+    Run(Duration(5000));
+    CrashWorker(worker, Duration(3000));
+    Run(Duration(100));
+  }
+  CHECK(QueryState(job) == JobProgress::Running);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "tasks with a crash run although few workers are left")
+{
+  for (const char* id : { "w2", "w3", "w4", "w5" })
+    CrashWorker(id, std::nullopt);
+  Run(Duration(4000));
+  std::vector<jobs::JobId> jobs;
+  jobs.reserve(6);
+  for (int count = 0; count < 6; ++count)
+    jobs.push_back(Submit({ MakeStep(1) }));
+  Run(Duration(100));
+  REQUIRE(RunsOn("w1") == 6);
+  CrashWorker("w1", Duration(3000));
+  Run(Duration(3200));
+  for (const jobs::JobId job : jobs)
+    CHECK(RunUntil(
+      [&] { return HasRun(job) || QueryState(job) == JobProgress::Completed; },
+      Duration(2500)));
+  for (const jobs::JobId job : jobs)
+    CHECK(ReachesState(job, JobProgress::Completed, Duration::Seconds(6)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a task with a crash does not hold up the others of its step")
+{
+  for (const char* id : { "w2", "w3", "w4", "w5" })
+    CrashWorker(id, std::nullopt);
+  Run(Duration(4000));
+  // The worker has room for eight tasks, so four of the second job wait.
+  const jobs::JobId first =
+    Submit({ MakeStep(1) }, { .runTime = Duration(3000) });
+  const jobs::JobId second = Submit({ MakeStep(11) });
+  Run(Duration(100));
+  REQUIRE(RunsOn("w1") == 8);
+  CrashWorker("w1", Duration(3000));
+  Run(Duration(3000));
+  CHECK(RunUntil([&] { return RunsOn("w1") == 5; }, Duration(300)));
+  CHECK(HasRun(first));
+  CHECK(ReachesState(first, JobProgress::Completed, Duration::Seconds(6)));
+  CHECK(ReachesState(second, JobProgress::Completed, Duration::Seconds(6)));
+  CheckInvariants();
+}
