Simulated fleet: capacities that change, delayed heartbeats

A worker's capacity may now shrink and grow while it runs. The simulation changes it, states it in the next heartbeat, and can delay heartbeats so that later ones overtake them, also across a change of leader.

The check "is assigned more than its capacity" is replaced where a capacity has changed: runs stay on a worker whose capacity shrinks, so that state is allowed. CheckCapacity takes its place and judges each start: a start may not bring the worker over its capacity, and the larger capacity from before a shrinkage counts only for starts sent within contact time (3 s) and one heartbeat (1.5 s) of it. Workers of constant capacity keep the old check as it was, and each of their starts is checked as well.

--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -24,6 +24,10 @@
 static constexpr std::int64_t kSlowWorkerFactor = 50;
 /// Maximum delay of a call that FaultProbabilities::late delays.
 static constexpr Duration kMaxCallDelay(12000);
+/// How long after a worker's capacity has shrunk a start may still rely on the
+/// larger one: the time in which the heartbeat that states the smaller one
+/// becomes known.
+static constexpr Duration kShrinkNotice = Duration(3000) + kHeartbeatInterval;
 static constexpr std::size_t kMaxViolations = 5;
 /// A task that crashes its workers may be started this many times more after
 /// this many crashes.
@@ -611,20 +615,57 @@
 }
 
 void
-SimulatedFleet::SendHeartbeat(SimulatedWorker& aWorker)
+SimulatedFleet::SendHeartbeat(SimulatedWorker& aWorker, Duration aDelay)
 {
   aWorker.nextHeartbeat = now_ + kHeartbeatInterval;
   if (!aWorker.isUp || AreHeartbeatsLost(aWorker))
     return;
-  WorkerHeartbeat beat{ .worker = aWorker.record,
-                        .sequence = ++aWorker.lastSequence,
-                        .clock = ClockOf(aWorker) };
-  Deliver(leaderTerm_, [this, beat = std::move(beat)](Leader& aLeader) {
-    aLeader.controller.Handle(
-      { .caller = CallerId(++lastCaller_), .call = beat },
-      aLeader.leaseEnd,
-      Now());
-  });
+  const WorkerHeartbeat beat{ .worker = aWorker.record,
+                              .sequence = ++aWorker.lastSequence,
+                              .clock = ClockOf(aWorker) };
+  const auto deliver = [this, beat] {
+    Deliver(leaderTerm_, [this, beat](Leader& aLeader) {
+      aLeader.controller.Handle(
+        { .caller = CallerId(++lastCaller_), .call = beat },
+        aLeader.leaseEnd,
+        Now());
+    });
+  };
+  if (aDelay > Duration(0))
+    ScheduleEvent(aDelay, deliver);
+  else
+    deliver();
+}
+
+/// Sends the heartbeat that is due.
+void
+SimulatedFleet::SendDueHeartbeat(SimulatedWorker& aWorker)
+{
+  Duration delay;
+  if (faults.delayedHeartbeatPercent > 0 &&
+      static_cast<int>(random() % 100) < faults.delayedHeartbeatPercent)
+    delay =
+      faults.minHeartbeatDelay +
+      Duration(static_cast<std::int64_t>(
+        random() %
+        static_cast<std::uint64_t>(
+          (faults.maxHeartbeatDelay - faults.minHeartbeatDelay).Millis())));
+  SendHeartbeat(aWorker, delay);
+}
+
+void
+SimulatedFleet::SendDelayedHeartbeat(const std::string& aId, Duration aDelay)
+{
+  SendHeartbeat(workers_.at(aId), aDelay);
+}
+
+void
+SimulatedFleet::SetCapacity(const std::string& aId, jobs::Resources aCapacity)
+{
+  SimulatedWorker& worker = workers_.at(aId);
+  worker.earlierCapacities.push_back(
+    { .capacity = worker.record.capacity, .replacedAt = now_ });
+  worker.record.capacity = aCapacity;
 }
 
 void
@@ -873,7 +914,7 @@
   // to refuse it.
   if (aSentAt < startedAt && worker.highestFence == FencingToken(0))
     return;
-  auto reply = ExecuteCall(worker, aCall);
+  auto reply = ExecuteCall(worker, aCall, aSentAt);
   if (!aIsReplyDelivered)
     return;
   if (reply) {
@@ -890,7 +931,9 @@
 /// \returns nothing for a lease renewal whose reply is deferred until a run
 /// ends.
 std::optional<WorkerReply>
-SimulatedFleet::ExecuteCall(SimulatedWorker& aWorker, const WorkerCall& aCall)
+SimulatedFleet::ExecuteCall(SimulatedWorker& aWorker,
+                            const WorkerCall& aCall,
+                            Time aSentAt)
 {
   WorkerReply reply;
   reply.id = aCall.id;
@@ -906,7 +949,7 @@
   }
   aWorker.highestFence = fence;
   if (const auto* start = std::get_if<StartRun>(&aCall.request))
-    HandleStart(aWorker, *start, reply);
+    HandleStart(aWorker, *start, aSentAt, reply);
   if (const auto* stop = std::get_if<StopRun>(&aCall.request))
     HandleStop(aWorker, *stop);
   if (const auto* renew = std::get_if<RenewLease>(&aCall.request)) {
@@ -983,6 +1026,7 @@
 void
 SimulatedFleet::HandleStart(SimulatedWorker& aWorker,
                             const StartRun& aStart,
+                            Time aSentAt,
                             WorkerReply& aReply)
 {
   const auto refuse = [&](RefusalReason aReason) {
@@ -1011,7 +1055,7 @@
     refuse(RefusalReason::NotPermitted);
     return;
   }
-  CheckStart(aWorker, aStart);
+  CheckStart(aWorker, aStart, aSentAt);
   CheckCrashLimit(aStart);
   const SimulatedJob& job = jobs_.at(aStart.task.job);
   const jobs::Step& step = *FindStep(aStart.task);
@@ -1124,7 +1168,7 @@
       EndRun(worker, task, kind);
     SendDueReplies(worker);
     if (worker.nextHeartbeat <= now_)
-      SendHeartbeat(worker);
+      SendDueHeartbeat(worker);
   }
 }
 
@@ -1178,7 +1222,8 @@
 /// Checks the invariants that apply when a worker starts a run.
 void
 SimulatedFleet::CheckStart(const SimulatedWorker& aWorker,
-                           const StartRun& aStart)
+                           const StartRun& aStart,
+                           Time aSentAt)
 {
   const std::string run = ToString(aStart.task) + " attempt " +
                           std::to_string(aStart.attempt.Value()) + " on " +
@@ -1217,6 +1262,49 @@
     if (runsOfStep >= step.maxPerWorker)
       ReportViolation(run + " exceeds its step's limit of tasks on one worker");
   }
+  CheckCapacity(aWorker, aStart, aSentAt);
+}
+
+/// Checks that the run to be started fits into the worker's capacity or, if
+/// that has shrunk too shortly before \p aSentAt to be known, into the larger
+/// one.
+void
+SimulatedFleet::CheckCapacity(const SimulatedWorker& aWorker,
+                              const StartRun& aStart,
+                              Time aSentAt)
+{
+  const jobs::Step& step = *FindStep(aStart.task);
+  jobs::Resources request = step.request;
+  if (step.usesIdleProcessors)
+    request.processors = {};
+  const jobs::Resources allocated = AllocatedOn(aWorker);
+  const bool fits =
+    jobs::Fits(request, allocated, aWorker.record.capacity) ||
+    std::any_of(aWorker.earlierCapacities.begin(),
+                aWorker.earlierCapacities.end(),
+                [&](const EarlierCapacity& aEarlier) {
+                  return aEarlier.replacedAt + kShrinkNotice > aSentAt &&
+                         jobs::Fits(request, allocated, aEarlier.capacity);
+                });
+  if (!fits)
+    ReportViolation(ToString(aStart.task) + " attempt " +
+                    std::to_string(aStart.attempt.Value()) + " on " +
+                    aWorker.record.id.Value() +
+                    " exceeds the worker's capacity");
+}
+
+/// The resources allocated to the runs on the worker.
+jobs::Resources
+SimulatedFleet::AllocatedOn(const SimulatedWorker& aWorker) const
+{
+  jobs::Resources allocated;
+  for (const auto& [task, run] : aWorker.runs) {
+    jobs::Resources request = FindStep(task)->request;
+    if (FindStep(task)->usesIdleProcessors)
+      request.processors = {};
+    allocated += request;
+  }
+  return allocated;
 }
 
 /// Checks the invariants that apply at any time.
@@ -1235,13 +1323,8 @@
   for (const auto& [id, worker] : workers_) {
     if (!worker.isUp)
       continue;
-    jobs::Resources used;
     for (const auto& [task, run] : worker.runs) {
-      jobs::Resources request = FindStep(task)->request;
-      total += request;
-      if (FindStep(task)->usesIdleProcessors)
-        request.processors = {};
-      used += request;
+      total += FindStep(task)->request;
       const SimulatedJob& job = jobs_.at(task.job);
       const Time countedFrom =
         std::max(job.cancelledAt.value_or(now_), faultsEndAt_);
@@ -1250,7 +1333,10 @@
           ToString(task) +
           " is still running after the time limit for cancelled jobs");
     }
-    if (!jobs::Fits({}, used, worker.record.capacity))
+    // Runs stay on a worker whose capacity shrinks; CheckCapacity checks the
+    // starts on it.
+    if (worker.earlierCapacities.empty() &&
+        !jobs::Fits({}, AllocatedOn(worker), worker.record.capacity))
       ReportViolation(id + " is assigned more than its capacity");
   }
   const auto isOver = [](auto aUsed, auto aLimit) {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -53,7 +53,7 @@
 };
 
 /// Injected faults, as probabilities of 0 to 100 percent for each call to a
-/// worker.
+/// worker or each heartbeat.
 struct FaultProbabilities
 {
   /// The call is executed, but its reply is lost.
@@ -63,6 +63,12 @@
   int delayedCallPercent = 0;
   Duration minCallDelay = Duration(2000);
   Duration maxCallDelay = Duration(12000);
+  /// The heartbeat arrives between \p minHeartbeatDelay and
+  /// \p maxHeartbeatDelay after it was sent, and may be overtaken by later
+  /// ones.
+  int delayedHeartbeatPercent = 0;
+  Duration minHeartbeatDelay = Duration(0);
+  Duration maxHeartbeatDelay = Duration(8000);
 };
 
 /// The simulated environment of a leading controller and of deposed ones that
@@ -111,6 +117,10 @@
   /// Announces the worker's departure; it stops without being restarted once
   /// \p aNotice has passed.
   void ReclaimWorker(const std::string& aId, Duration aNotice);
+  /// Changes the capacity of a running worker, which its next heartbeat states.
+  void SetCapacity(const std::string& aId, jobs::Resources aCapacity);
+  /// Has the worker send a heartbeat that arrives after \p aDelay.
+  void SendDelayedHeartbeat(const std::string& aId, Duration aDelay);
   /// Partitions the worker for \p aSpan: calls to it, its deferred replies and
   /// its heartbeats are lost.
   void PartitionWorker(const std::string& aId, Duration aSpan);
@@ -211,10 +221,17 @@
     bool willFail = false;
     Time startedAt;
   };
+  struct EarlierCapacity
+  {
+    jobs::Resources capacity;
+    Time replacedAt;
+  };
   /// A simulated worker: its protocol state and its runs.
   struct SimulatedWorker
   {
     jobs::WorkerRecord record;
+    /// The capacities that this incarnation has had before its current one.
+    std::vector<EarlierCapacity> earlierCapacities;
     bool isUp = true;
     Time partitionedUntil;
     /// Since when calls and heartbeats have arrived.
@@ -310,15 +327,18 @@
   std::unique_ptr<Leader> MakeLeader();
   void StartLeader();
   void StartWorker(jobs::WorkerRecord aRecord);
-  void SendHeartbeat(SimulatedWorker& aWorker);
+  void SendHeartbeat(SimulatedWorker& aWorker, Duration aDelay = Duration(0));
+  void SendDueHeartbeat(SimulatedWorker& aWorker);
   void DeliverCall(const WorkerCall& aCall,
                    std::uint64_t aTerm,
                    Time aSentAt,
                    bool aIsReplyDelivered);
   std::optional<WorkerReply> ExecuteCall(SimulatedWorker& aWorker,
-                                         const WorkerCall& aCall);
+                                         const WorkerCall& aCall,
+                                         Time aSentAt);
   void HandleStart(SimulatedWorker& aWorker,
                    const StartRun& aStart,
+                   Time aSentAt,
                    WorkerReply& aReply);
   void HandleStop(SimulatedWorker& aWorker, const StopRun& aStop);
   void RecordCrash(const SimulatedWorker& aWorker);
@@ -336,7 +356,13 @@
   void SendDueReplies(SimulatedWorker& aWorker);
   bool IsPermitted(const SimulatedWorker& aWorker,
                    const StartRun& aStart) const;
-  void CheckStart(const SimulatedWorker& aWorker, const StartRun& aStart);
+  void CheckStart(const SimulatedWorker& aWorker,
+                  const StartRun& aStart,
+                  Time aSentAt);
+  void CheckCapacity(const SimulatedWorker& aWorker,
+                     const StartRun& aStart,
+                     Time aSentAt);
+  jobs::Resources AllocatedOn(const SimulatedWorker& aWorker) const;
   void CheckInvariants();
   void CheckPersistentTasks();
   void CheckPersistentTask(const TaskId& aTask);
