Scheduler: a delayed heartbeat does not restore a shrunk capacity

Callers' tasks were started on a worker that had no room left: a heartbeat that was overtaken by a later one of the same incarnation re-registered the capacity from before a shrinkage, and placement believed it until the next heartbeat.

Cause: the controller compared only incarnations, and the sequence was used only for the worker's clock. A heartbeat may be delayed by seconds, so each incarnation's heartbeats have an order that the leader has to keep.

A heartbeat that was handled after a later one is acknowledged and otherwise ignored; a host that leads again still knows the latest ones. Placement and reservations use the capacity of the latest heartbeat instead of the registered one, so that a slow commit doesn't delay it. No stored data changes.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -80,9 +80,13 @@
   void BecomeFollower();
   bool IsLeading() const { return fence_.has_value(); }
 
-  /// Handles a heartbeat of a worker that is registered in the job state
-  /// machine.
+  /// Handles a worker's heartbeat. That of an incarnation that is not
+  /// registered in the job state machine yet takes effect with its
+  /// registration.
   void OnHeartbeat(const WorkerHeartbeat& aBeat, Time aNow);
+  /// Whether a later heartbeat of the same incarnation or one of a later
+  /// incarnation has been handled before.
+  bool IsOutdated(const WorkerHeartbeat& aBeat) const;
   void On(const WorkerReply& aReply, ClockReading aNow);
   void On(const AdviceReply& aReply, ClockReading aNow);
   /// Processes timeouts. Must be called every few tens of milliseconds.
@@ -204,6 +208,7 @@
               jobs::RunOutcome aOutcome,
               std::string aCheckpoint,
               const char* aReason);
+  void AdoptCapacity(WorkerSession& aSession) const;
   void SupersedeEarlierIncarnations(jobs::WorkerNumber aWorker);
   void ChargeCrash(WorkerSession& aSession);
   static void NoteCrashSuspects(WorkerSession& aSession);
@@ -353,6 +358,9 @@
   bool isFenceReused_ = false;
   ClockReading now_;
   std::map<jobs::WorkerNumber, WorkerSession> sessions_;
+  /// The latest heartbeat of each worker that this host has handled as a
+  /// leader.
+  std::map<jobs::WorkerId, WorkerHeartbeat> latestHeartbeats_;
   PoolIndex poolIndex_;
   std::map<jobs::WorkerId, std::set<jobs::WorkerNumber>> supersededWorkers_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -142,7 +142,9 @@
   /// calls meant for that one may have been executed.
   bool hasReusedAddress = false;
   Time lastHeartbeat;
-  std::uint64_t lastHeartbeatSequence = 0;
+  /// The capacity in the worker's latest heartbeat, which its record may not
+  /// show yet.
+  jobs::Resources capacity;
   Time lastAnswer;
   std::uint32_t consecutiveFailedCalls = 0;
   /// Number of calls without a reply or timeout yet.
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -451,15 +451,18 @@
 void
 Controller::Serve(CallerId aCaller, WorkerHeartbeat&& aCall)
 {
+  if (scheduler_.IsOutdated(aCall)) {
+    sink_.Answer(aCaller, HeartbeatAccepted{});
+    return;
+  }
   const auto number = stateMachine_.FindWorkerNumber(aCall.worker.id);
   if (number) {
     const jobs::WorkerRecord& registered = stateMachine_.Workers().at(*number);
-    const bool isStale = aCall.worker.incarnation < registered.incarnation;
-    // A delayed heartbeat can't revoke the draining state that a later one of
-    // the same incarnation has set.
+    // A heartbeat that the last leader handled out of order can't revoke the
+    // draining state that a later one of the same incarnation has set.
     jobs::WorkerRecord updated = aCall.worker;
     updated.isDraining = updated.isDraining || registered.isDraining;
-    if (isStale || updated == registered) {
+    if (updated == registered) {
       scheduler_.OnHeartbeat(aCall, now_.steady);
       sink_.Answer(aCaller, HeartbeatAccepted{});
       return;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -37,6 +37,7 @@
     session.number = number;
     session.record = &worker;
     session.lastHeartbeat = aNow.steady;
+    AdoptCapacity(session);
     poolIndex_.Put(worker.pool, session);
     // The previous leader may have renewed the lease up to now.
     session.leaseExpiry = aNow.steady + LeaseExpiryBound(options_.lease);
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -291,7 +291,7 @@
     if (session.IsUsable(now_.steady) &&
         IsEligible(session, record, aCandidate, aTask))
       freeProcessors[record.rack] +=
-        (record.capacity.processors - session.used.processors).Count();
+        (session.capacity.processors - session.used.processors).Count();
   }
   const auto best = std::max_element(freeProcessors.begin(),
                                      freeProcessors.end(),
@@ -340,7 +340,7 @@
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
     if (!session.IsUsable(now_.steady) ||
-        !jobs::Fits(allocation, session.used, record.capacity) ||
+        !jobs::Fits(allocation, session.used, session.capacity) ||
         !IsInClass(record, aCandidate, step))
       continue;
     hasCapacity = true;
@@ -359,7 +359,7 @@
       !isSuspect || !session.HasRecentStart(now_.steady);
     const bool sparesPersistentRuns = !isSuspect || !session.HasPersistentRun();
     const std::int64_t freeProcessors =
-      (record.capacity.processors - session.used.processors).Count();
+      (session.capacity.processors - session.used.processors).Count();
     const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
     const bool differsFromLastWorker = state == nullptr ||
                                        state->attempt == Attempt(0) ||
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -23,7 +23,7 @@
   const Reservation& reservation = reservations_.at(aTask);
   const WorkerSession* session = SessionOf(reservation.worker);
   return session != nullptr && session->IsUsable(now_.steady) &&
-         jobs::Fits({}, session->used, RecordOf(*session).capacity);
+         jobs::Fits({}, session->used, session->capacity);
 }
 
 /// Reserves capacity for a task on the eligible worker with the most free
@@ -49,7 +49,7 @@
     ++work_.examinedWorkers;
     if (session.reservationCount > 0 || !session.IsUsable(now_.steady) ||
         !IsInClass(record, aCandidate, step) ||
-        !jobs::Fits(allocation, session.usedByPersistentRuns, record.capacity))
+        !jobs::Fits(allocation, session.usedByPersistentRuns, session.capacity))
       continue;
     hasCapacity = true;
     if (session.number == aExcluded ||
@@ -57,7 +57,7 @@
         !IsPermitted(record, aCandidate, aTask))
       continue;
     const std::int64_t freeProcessors =
-      (record.capacity.processors - session.used.processors).Count();
+      (session.capacity.processors - session.used.processors).Count();
     if (best == nullptr || freeProcessors > bestFreeProcessors) {
       best = &session;
       bestFreeProcessors = freeProcessors;
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -5,6 +5,7 @@
 #include "greengage/observe/Log.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 using namespace greengage;
@@ -38,6 +39,7 @@
   isDispatchDue_ = true;
   if (!isNew)
     return;
+  AdoptCapacity(session);
   session.leaseExpiry = now_.steady;
   permitCache_.ExpirePermits(RecordOf(session).id);
   SupersedeEarlierIncarnations(aWorker);
@@ -141,6 +143,9 @@
 void
 Scheduler::OnWorkerRetired(jobs::WorkerNumber aWorker)
 {
+  std::erase_if(latestHeartbeats_, [&](const auto& aItem) {
+    return !stateMachine_.FindWorkerNumber(aItem.first);
+  });
   const auto found = sessions_.find(aWorker);
   if (found == sessions_.end())
     return;
@@ -152,20 +157,50 @@
   sessions_.erase(found);
 }
 
+bool
+Scheduler::IsOutdated(const WorkerHeartbeat& aBeat) const
+{
+  const auto number = stateMachine_.FindWorkerNumber(aBeat.worker.id);
+  if (number && aBeat.worker.incarnation <
+                  stateMachine_.Workers().at(*number).incarnation)
+    return true;
+  const auto latest = latestHeartbeats_.find(aBeat.worker.id);
+  return latest != latestHeartbeats_.end() &&
+         std::tie(aBeat.worker.incarnation, aBeat.sequence) <
+           std::tie(latest->second.worker.incarnation, latest->second.sequence);
+}
+
 void
 Scheduler::OnHeartbeat(const WorkerHeartbeat& aBeat, Time aNow)
 {
+  if (IsOutdated(aBeat))
+    return;
+  latestHeartbeats_.insert_or_assign(aBeat.worker.id, aBeat);
   const auto number = stateMachine_.FindWorkerNumber(aBeat.worker.id);
   WorkerSession* session = number ? SessionOf(*number) : nullptr;
-  // A delayed heartbeat of an earlier incarnation says nothing about this one.
   if (session == nullptr ||
-      RecordOf(*session).incarnation != aBeat.worker.incarnation ||
-      aBeat.sequence < session->lastHeartbeatSequence)
+      RecordOf(*session).incarnation != aBeat.worker.incarnation)
     return;
-  session->lastHeartbeatSequence = aBeat.sequence;
   session->lastHeartbeat = aNow;
   if (aBeat.clock)
     session->UpdateClock(*aBeat.clock, aNow);
+  const jobs::Resources previous = session->capacity;
+  AdoptCapacity(*session);
+  isDispatchDue_ = isDispatchDue_ || session->capacity != previous;
+}
+
+/// Takes the capacity from the worker's latest heartbeat. Until one has been
+/// handled, the capacity is the registered one.
+void
+Scheduler::AdoptCapacity(WorkerSession& aSession) const
+{
+  const jobs::WorkerRecord& record = RecordOf(aSession);
+  const auto latest = latestHeartbeats_.find(record.id);
+  const bool hasHeartbeat =
+    latest != latestHeartbeats_.end() &&
+    latest->second.worker.incarnation == record.incarnation;
+  aSession.capacity =
+    hasHeartbeat ? latest->second.worker.capacity : record.capacity;
 }
 
 void
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -384,6 +384,42 @@
     FAIL_CHECK(violation);
 }
 
+namespace {
+
+constexpr jobs::Resources kShrunkCapacity{ MilliCores(1000),
+                                           Mebibytes(2048),
+                                           Accelerators(0) };
+
+/// A fleet of one registered worker.
+struct SingleWorkerFixture : SimulatedFleet
+{
+  SingleWorkerFixture()
+  {
+    Run(Duration(200));
+    AddWorker("w1");
+    Run(Duration(500));
+  }
+  void CheckInvariants()
+  {
+    for (const std::string& violation : violations)
+      FAIL_CHECK(violation);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SingleWorkerFixture,
+                 "a delayed heartbeat does not restore a shrunk capacity")
+{
+  SendDelayedHeartbeat("w1", Duration(5200));
+  SetCapacity("w1", kShrunkCapacity);
+  Run(Duration(5210));
+  Submit({ MakeStep(4) }, { .runTime = Duration(3000) });
+  Run(Duration(100));
+  CHECK(RunsOn("w1") == 1);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
