Scheduler: a capacity is relied on only while the worker states it

Callers' tasks were started on a worker that had no room left: its heartbeats were missing, or a new leader had not heard one yet, while it answered calls. The leader relied on the last capacity that it knew for as long as the worker answered anything.

Cause: a worker counts as usable by its last sign of life of any kind, but only a heartbeat states the capacity. A delayed heartbeat is a sign of life of the time when it was sent, not when it arrives.

A worker is usable only while the latest heartbeat that this host has handled is less than 4 s old by the worker's own clock.

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -145,6 +145,9 @@
   /// The capacity in the worker's latest heartbeat, which its record may not
   /// show yet.
   jobs::Resources capacity;
+  /// The worker's clock when it stated \ref capacity; null if this host has
+  /// handled no heartbeat of it.
+  std::optional<Time> capacityStatedAt;
   Time lastAnswer;
   std::uint32_t consecutiveFailedCalls = 0;
   /// Number of calls without a reply or timeout yet.
@@ -209,6 +212,9 @@
   /// Whether a call is needed to extend the lease, to get the worker's lists or
   /// to acknowledge ended runs.
   bool NeedsRenewal() const;
+  /// Whether the worker has stated its capacity recently enough for a run to
+  /// start on it at \p aNow.
+  bool IsCapacityCurrent(Time aNow) const;
   /// Whether the worker is responsive at \p aNow and may be assigned new runs.
   bool IsUsable(Time aNow) const;
   /// Whether a call has been answered lately. An idle worker gets no calls, so
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -201,6 +201,8 @@
     latest->second.worker.incarnation == record.incarnation;
   aSession.capacity =
     hasHeartbeat ? latest->second.worker.capacity : record.capacity;
+  if (hasHeartbeat)
+    aSession.capacityStatedAt = latest->second.clock;
 }
 
 void
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -15,6 +15,10 @@
 /// A worker that crashes later after the start of a run crashed for another
 /// reason.
 static constexpr Duration kCrashSuspicionTime = Duration(1000);
+/// How long a stated capacity is relied on. A smaller one counts 4.5 s after
+/// the shrinkage: 3 s for contact with the leader, and a heartbeat interval.
+/// The rest is for the start to reach the worker.
+static constexpr Duration kMaxCapacityAge = Duration(4000);
 
 /// A worker with runs answers a renewal at least once a second.
 static constexpr Duration kMaxAnswerAge = Duration(1500);
@@ -66,12 +70,21 @@
   });
 }
 
+bool
+WorkerSession::IsCapacityCurrent(Time aNow) const
+{
+  const auto clock = WorkerClockAt(aNow);
+  return clock && capacityStatedAt &&
+         *capacityStatedAt + kMaxCapacityAge > *clock;
+}
+
 bool
 WorkerSession::IsUsable(Time aNow) const
 {
   const Time lastContact = std::max(lastHeartbeat, lastAnswer);
   return isReconciled && !isSuperseded && !laterIncarnationAnsweredAt &&
-         !isCordoned && consecutiveFailedCalls == 0 && statedClock &&
+         !isCordoned && consecutiveFailedCalls == 0 &&
+         IsCapacityCurrent(aNow) &&
          lastContact + kMaxUsableSilence > aNow && suspendedUntil <= aNow;
 }
 
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -420,6 +420,44 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  SingleWorkerFixture,
+  "a delayed heartbeat does not restore a shrunk capacity for a new leader")
+{
+  SendDelayedHeartbeat("w1", Duration(5200));
+  SetCapacity("w1", kShrunkCapacity);
+  Run(Duration(5150));
+  ChangeLeader();
+  Run(Duration(60));
+  Submit({ MakeStep(4) }, { .runTime = Duration(3000) });
+  Run(Duration(100));
+  CHECK(RunsOn("w1") == 0);
+  // The next heartbeat states the shrunk capacity.
+  Run(Duration(1000));
+  CHECK(RunsOn("w1") == 1);
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(SingleWorkerFixture,
+                 "a worker whose heartbeats are missing gets no new runs")
+{
+  jobs::Step step = MakeStep(1);
+  step.isPersistent = true;
+  Submit({ step });
+  Run(Duration(200));
+  REQUIRE(RunsOn("w1") == 1);
+  // The worker still answers lease renewals.
+  faults.delayedHeartbeatPercent = 100;
+  faults.minHeartbeatDelay = Duration(20000);
+  faults.maxHeartbeatDelay = Duration(20001);
+  SetCapacity("w1", kShrunkCapacity);
+  Run(Duration(6000));
+  Submit({ MakeStep(3) });
+  Run(Duration(1000));
+  CHECK(RunsOn("w1") == 1);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -314,6 +314,7 @@
   const std::vector<Proposal> late = ChangeTerms(FencingToken(4));
   // Another leader renewed the lease in the meantime.
   isAnswering = true;
+  Handle(Beat());
   Run(Duration(200));
   const std::size_t starts = CountCalls<StartRun>();
   const auto startsOfFirst = [&] {
