Scheduler: an assignment is not started on a worker that lacks room for it

Callers' tasks were started on a worker whose capacity had shrunk between their placement and their start: while an assignment is committed, and while a lapsed leader lease holds the start back, nothing looked at the capacity again.

Cause: the capacity was checked only at placement. Any time may pass until the first start request is sent.

Each start request is now checked before it is sent: the runs that may be on the worker and this one have to fit into a current capacity. A run that was never sent is given up, so that its task is placed again; one that may have reached the worker is not sent again, and the lists show whether it runs.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -171,6 +171,7 @@
             WorkerRequest aRequest,
             Duration aTimeout);
   void SendStart(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void WithholdStart(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
   void SendStop(WorkerSession& aSession,
                 const TaskId& aTask,
                 Attempt aAttempt,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -215,6 +215,9 @@
   /// Whether the worker has stated its capacity recently enough for a run to
   /// start on it at \p aNow.
   bool IsCapacityCurrent(Time aNow) const;
+  /// Whether the worker's capacity has room at \p aNow for the start of the
+  /// task's run, beside all runs that may be on the worker.
+  bool HasRoomToStart(const TaskId& aTask, Time aNow) const;
   /// Whether the worker is responsive at \p aNow and may be assigned new runs.
   bool IsUsable(Time aNow) const;
   /// Whether a call has been answered lately. An idle worker gets no calls, so
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -72,6 +72,10 @@
   const jobs::Job* job = stateMachine_.Find(aTask.job);
   if (!clock || job == nullptr || !HoldsLeaderLease())
     return;
+  if (!aSession.HasRoomToStart(aTask, now_.steady)) {
+    WithholdStart(aSession, aTask, aRun);
+    return;
+  }
   if (!aRun.isStartSent) {
     aRun.startDeadline = *clock + kStartValidity;
     aRun.isStartSent = true;
@@ -114,6 +118,28 @@
        kCallTimeout);
 }
 
+/// Gives up a run whose worker lacks the capacity for it, unless an earlier
+/// start request may have been executed: the worker's lists show that.
+void
+Scheduler::WithholdStart(WorkerSession& aSession,
+                         const TaskId& aTask,
+                         Run& aRun)
+{
+  if (!aSession.HasUnansweredStart(aTask)) {
+    EndRun(aSession,
+           aTask,
+           aRun,
+           jobs::RunOutcome::Lost,
+           {},
+           "worker's capacity shrank before the start");
+    return;
+  }
+  // A start of an earlier leadership may still arrive. The worker has not
+  // listed it, so that a stop ends no run but rules that out.
+  if (!aRun.isStartSent && aSession.isReconciled)
+    aRun.isStopRequested = true;
+}
+
 void
 Scheduler::SendStop(WorkerSession& aSession,
                     const TaskId& aTask,
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -78,6 +78,17 @@
          *capacityStatedAt + kMaxCapacityAge > *clock;
 }
 
+bool
+WorkerSession::HasRoomToStart(const TaskId& aTask, Time aNow) const
+{
+  jobs::Resources allocated;
+  for (const auto& [task, run] : runs)
+    if (task != aTask && (run.isStartSent || HasUnansweredStart(task)))
+      allocated += run.allocated;
+  return IsCapacityCurrent(aNow) &&
+         jobs::Fits(runs.at(aTask).allocated, allocated, capacity);
+}
+
 bool
 WorkerSession::IsUsable(Time aNow) const
 {
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -458,6 +458,21 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(SingleWorkerFixture,
+                 "an assignment committed after its worker's capacity shrank "
+                 "is not started there")
+{
+  commitLatency = Duration(3000);
+  const jobs::JobId job =
+    Submit({ MakeStep(1, 3000) }, { .runTime = Duration(5000) });
+  Run(Duration(3100));
+  REQUIRE(QueryState(job) == JobProgress::Queued);
+  SetCapacity("w1", kShrunkCapacity);
+  Run(Duration(5000));
+  CHECK(RunsOn("w1") == 0);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
