Scheduler: a reservation ends when its worker's capacity shrinks below it

A persistent task waited for seconds although another worker had room for it: its capacity was reserved on a worker whose capacity then shrank to less than the task needs, and a task with a reservation is placed nowhere else until the reservation expires after 4 s.

Cause: a reservation was dropped only when its worker became unusable.

It is now dropped as well once the worker's whole capacity is too small.

"a reservation on a worker whose capacity shrank is dropped" failed before: the task wasn't started within 2.5 s.

--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -99,7 +99,8 @@
     const WorkerSession* session = SessionOf(reservation.worker);
     if (reservation.expiresAt <= now_.steady || job == nullptr ||
         job->state != jobs::JobState::Live || session == nullptr ||
-        !session->IsUsable(now_.steady))
+        !session->IsUsable(now_.steady) ||
+        !jobs::Fits(reservation.reserved, {}, session->capacity))
       stale.push_back(task);
   }
   for (const TaskId& task : stale)
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -473,6 +473,25 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a reservation on a worker whose capacity shrank is dropped")
+{
+  Submit({ MakeStep(3, 3000) }, { .runTime = Duration(1500) });
+  Run(Duration(200));
+  REQUIRE(TotalRuns() == 3);
+  jobs::Step large = MakeStep(1, 4000);
+  large.isPersistent = true;
+  const jobs::JobId service = Submit({ large });
+  Run(Duration(200));
+  for (const char* id : { "w1", "w2" })
+    SetCapacity(id, kShrunkCapacity);
+  // The capacity of the third worker is free when its run ends, which is within
+  // the time of a heartbeat and of the rest of the run.
+  CHECK(RunUntil([&] { return HasRun(service); }, Duration(2500)));
+  CHECK(RunsOn("w3") == 1);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
