Scheduler tests: random cases with capacities that shrink and grow

Where capacities don't change, the cases are the same as before: a change to the same capacity has no effect.

A persistent task that waits for a shrunk worker starts with the heartbeat that states the larger capacity; it did so before, too.

--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -492,6 +492,22 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(SingleWorkerFixture,
+                 "a waiting persistent task starts when the capacity of its "
+                 "worker grows again")
+{
+  SetCapacity("w1", kShrunkCapacity);
+  Run(Duration(2000));
+  jobs::Step step = MakeStep(1, 3000);
+  step.isPersistent = true;
+  const jobs::JobId service = Submit({ step });
+  Run(Duration(6000));
+  REQUIRE_FALSE(HasRun(service));
+  SetCapacity("w1", kDefaultCapacity);
+  CHECK(RunUntil([&] { return HasRun(service); }, Duration(1700)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a persistent task is restarted in a full pool")
 {
   jobs::Step persistent = MakeStep(1, 3000);
@@ -820,6 +836,26 @@
   }
 }
 
+/// Changes the capacity of a worker or, in most calls, does nothing.
+static void
+ChangeRandomCapacity(SimulatedFleet& aFleet,
+                     const std::vector<std::string>& aWorkers)
+{
+  constexpr std::int64_t kMaxQuarters = 4;
+  if (aFleet.random() % 3 != 0)
+    return;
+  const std::string& worker = aWorkers[aFleet.random() % (aWorkers.size() - 1)];
+  const auto randomQuarters = [&] {
+    return 1 + static_cast<std::int64_t>(aFleet.random() % kMaxQuarters);
+  };
+  jobs::Resources capacity = SimulatedFleet::kDefaultCapacity;
+  capacity.processors =
+    MilliCores(capacity.processors.Count() * randomQuarters() / kMaxQuarters);
+  capacity.memory =
+    Mebibytes(capacity.memory.Count() * randomQuarters() / kMaxQuarters);
+  aFleet.SetCapacity(worker, capacity);
+}
+
 /// Delays the scheduler, or changes the leader while it is late.
 static void
 InjectRandomLateness(SimulatedFleet& aFleet,
@@ -853,9 +889,10 @@
 }
 
 /// Runs random jobs while \p aInjectFault, called before each job's share of
-/// time, injects faults; then checks that all jobs end, and that those fail
-/// that have cause to. One in \p aJobsPerCrashing jobs, or none if that is 0,
-/// has a task that crashes its workers.
+/// time, injects faults; then restores the workers' capacities and checks that
+/// all jobs end, and that those fail that have cause to. One in
+/// \p aJobsPerCrashing jobs, or none if that is 0, has a task that crashes its
+/// workers.
 static void
 RunUnderFaults(
   SimulatedFleet& aFleet,
@@ -901,6 +938,8 @@
   }
   aFleet.faults = {};
   aFleet.SetHandlingLag(Duration(0));
+  for (const std::string& id : workers)
+    aFleet.SetCapacity(id, SimulatedFleet::kDefaultCapacity);
   const auto hasEnded = [&](jobs::JobId aJob) {
     const auto state = aFleet.QueryState(aJob);
     return state != JobProgress::Queued && state != JobProgress::Running;
@@ -973,3 +1012,20 @@
     },
     kJobsPerCrashing);
 }
+
+TEST_CASE("no start exceeds a capacity that shrinks and grows under random "
+          "faults")
+{
+  const auto seeds = SeedRange();
+  const auto seed =
+    GENERATE_COPY(range<std::uint64_t>(seeds.first, seeds.second + 1));
+  INFO("seed " << seed);
+  SimulatedFleet fleet(seed);
+  fleet.Run(Duration(200));
+  RunUnderFaults(fleet,
+                 { .delayedHeartbeatPercent = 20 },
+                 [&](const auto& aWorkers, const auto& aJobs) {
+                   InjectRandomFault(fleet, aWorkers, aJobs);
+                   ChangeRandomCapacity(fleet, aWorkers);
+                 });
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -663,6 +663,8 @@
 SimulatedFleet::SetCapacity(const std::string& aId, jobs::Resources aCapacity)
 {
   SimulatedWorker& worker = workers_.at(aId);
+  if (worker.record.capacity == aCapacity)
+    return;
   worker.earlierCapacities.push_back(
     { .capacity = worker.record.capacity, .replacedAt = now_ });
   worker.record.capacity = aCapacity;
