Jobs: a result that is listed after its run was given up counts

Cause: a leader that can't reach a worker gives its run up when the lease bound has passed, and records it as lost. When the worker can be reached again, it lists the success, which belongs to no run of the leader's record any more. The leader acknowledged it as the end of an unknown run, so that the worker discarded the only trace of it, and placed the waiting task again. The class: an acknowledgement of something that was not recorded.

Change: the state machine keeps whether the latest attempt was given up without a result. A success or failure that is listed for that attempt counts as long as the task has not been assigned again, and is acknowledged only once it is committed.

Evidence: "a task whose success is listed after its run was given up does not run again" failed before (2 starts, job still live).

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -51,6 +51,9 @@
   /// The worker has confirmed the start of the latest attempt, and no start
   /// request of it can be executed any more.
   bool isStartConfirmed = false;
+  /// The latest attempt was given up without a result. Its worker may still
+  /// list one.
+  bool isResultUnknown = false;
 };
 
 /// A job fails once the crashes under one of its tasks add up to this. A crash
@@ -241,6 +244,15 @@
 std::uint32_t
 OccurrenceCount(const Job& aJob);
 
+/// Whether \p aOutcome is the result of the task's latest attempt, which was
+/// given up before its worker listed the result. It counts if the task has not
+/// been assigned again.
+bool
+IsLateResult(const TaskState& aTask,
+             const Step& aStep,
+             Attempt aAttempt,
+             RunOutcome aOutcome);
+
 /// Whether all steps that \p aStep depends on are done in \p aOccurrence.
 bool
 AreDependenciesDone(const Job& aJob,
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -73,8 +73,9 @@
   Lost,
 };
 
-/// Records the end of a run. Committed before the worker is allowed to discard
-/// its record of the end.
+/// Records the end of a run, or the result of a run that was given up as lost
+/// and whose task has not been assigned again. Committed before the worker is
+/// allowed to discard its record of the end.
 struct EndRun
 {
   TaskId task;
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -158,6 +158,19 @@
     });
 }
 
+bool
+greengage::jobs::IsLateResult(const TaskState& aTask,
+                              const Step& aStep,
+                              Attempt aAttempt,
+                              RunOutcome aOutcome)
+{
+  // The result of one member of a gang concerns all members, which may have
+  // been assigned again. A persistent task has no result.
+  return aTask.phase == TaskPhase::Waiting && aTask.isResultUnknown &&
+         aTask.attempt == aAttempt && aOutcome != RunOutcome::Lost &&
+         !aStep.isGang && !aStep.isPersistent;
+}
+
 void
 JobStateMachine::ApplyOperation(AcceptJob&& aOperation,
                                 JobStateObserver& aObserver)
@@ -230,6 +243,7 @@
   task->attempt = aOperation.attempt;
   task->worker = aOperation.worker;
   task->isStartConfirmed = false;
+  task->isResultUnknown = false;
   ++job->assignedTasks;
   job->wasEverAssigned = true;
   --job->occurrences.at(aOperation.task.occurrence)
@@ -305,28 +319,34 @@
                                 JobStateObserver& aObserver)
 {
   TaskState* task = FindTask(aOperation.task);
-  if (task == nullptr || task->phase != TaskPhase::Assigned ||
-      task->attempt != aOperation.attempt)
+  if (task == nullptr || task->attempt != aOperation.attempt)
     return;
   Job& job = jobs_.at(aOperation.task.job);
+  const Step& description = job.description.steps[aOperation.task.step];
+  const bool isAssigned = task->phase == TaskPhase::Assigned;
+  if (!isAssigned &&
+      !IsLateResult(*task, description, aOperation.attempt, aOperation.outcome))
+    return;
   StepState& step =
     job.occurrences.at(aOperation.task.occurrence).steps[aOperation.task.step];
-  const Step& description = job.description.steps[aOperation.task.step];
   const bool isPersistent = description.isPersistent;
   const WorkerNumber worker = task->worker;
-  --job.assignedTasks;
+  if (isAssigned) {
+    task->phase = TaskPhase::Waiting;
+    --job.assignedTasks;
+    ++step.waitingTasks;
+  }
+  task->isResultUnknown = aOperation.outcome == RunOutcome::Lost;
   if (!aOperation.checkpoint.empty())
     step.checkpoints[aOperation.task.index] = std::move(aOperation.checkpoint);
   if (aOperation.outcome == RunOutcome::Succeeded && !isPersistent) {
     task->phase = TaskPhase::Done;
+    --step.waitingTasks;
     step.checkpoints.erase(aOperation.task.index);
     step.crashes.erase(aOperation.task.index);
     CompleteTask(job, aOperation.task);
-  } else {
-    task->phase = TaskPhase::Waiting;
-    ++step.waitingTasks;
-    if (aOperation.outcome == RunOutcome::Failed)
-      ++task->failures;
+  } else if (aOperation.outcome == RunOutcome::Failed) {
+    ++task->failures;
   }
   const bool hasFailed =
     !isPersistent &&
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -17,7 +17,8 @@
                                   task.failures,
                                   task.attempt.Value(),
                                   task.worker.Value(),
-                                  task.isStartConfirmed }));
+                                  task.isStartConfirmed,
+                                  task.isResultUnknown }));
   Cbor checkpoints = Cbor::array();
   for (const auto& [index, text] : aStep.checkpoints)
     checkpoints.push_back(Cbor::array({ index, text }));
@@ -38,14 +39,15 @@
 {
   StepState step;
   for (const Cbor& item : aValue.at(0)) {
-    const TaskState task{ .phase = item.at(0).get<TaskPhase>(),
-                          .failures = item.at(1).get<std::uint32_t>(),
-                          .attempt = Attempt(item.at(2).get<std::uint32_t>()),
-                          .worker =
-                            WorkerNumber(item.at(3).get<std::uint32_t>()),
-                          // Snapshots of earlier versions lack the field.
-                          .isStartConfirmed =
-                            item.size() > 4 && item.at(4).get<bool>() };
+    const TaskState task{
+      .phase = item.at(0).get<TaskPhase>(),
+      .failures = item.at(1).get<std::uint32_t>(),
+      .attempt = Attempt(item.at(2).get<std::uint32_t>()),
+      .worker = WorkerNumber(item.at(3).get<std::uint32_t>()),
+      // Snapshots of earlier versions lack the fields.
+      .isStartConfirmed = item.size() > 4 && item.at(4).get<bool>(),
+      .isResultUnknown = item.size() > 5 && item.at(5).get<bool>()
+    };
     step.waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
     step.doneTasks += task.phase == TaskPhase::Done ? 1 : 0;
     step.tasks.push_back(task);
--- a/packages/jobs/unittests/JobStateMachineTest.cpp
+++ b/packages/jobs/unittests/JobStateMachineTest.cpp
@@ -440,3 +440,49 @@
   }
   CHECK(machine.Find(kJob)->state == JobState::Completed);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "a result that is listed after its run was given up counts "
+                 "until the task is assigned again")
+{
+  Apply({ TwoStepJob() });
+  const TaskId first = Task(0, 0);
+  const TaskId second = Task(0, 1);
+  const Job& job = *machine.Find(kJob);
+  for (const TaskId& task : { first, second }) {
+    Assign(task, 1);
+    ApplyEndRun(task, 1, RunOutcome::Lost);
+  }
+  const auto outcome = GENERATE(RunOutcome::Succeeded, RunOutcome::Failed);
+  const bool isSuccess = outcome == RunOutcome::Succeeded;
+
+  SECTION("once, also after a snapshot")
+  {
+    Error reason;
+    REQUIRE(machine.Restore(machine.Snapshot(), reason));
+    ApplyEndRun(first, 1, outcome);
+    ApplyEndRun(first, 1, outcome);
+    const TaskState& task = *machine.Find(first);
+    CHECK((task.phase == TaskPhase::Done) == isSuccess);
+    CHECK(task.failures == (isSuccess ? 0 : 1));
+    const StepState& step = machine.Find(kJob)->occurrences.at(0).steps[0];
+    CHECK(step.doneTasks == (isSuccess ? 1 : 0));
+    CHECK(step.waitingTasks == (isSuccess ? 1 : 2));
+  }
+  SECTION("not once it is assigned again")
+  {
+    Assign(first, 2);
+    ApplyEndRun(first, 1, outcome);
+    CHECK(machine.Find(first)->phase == TaskPhase::Assigned);
+    CHECK(machine.Find(first)->failures == 0);
+  }
+  SECTION("and completes its job")
+  {
+    ApplyEndRun(first, 1, RunOutcome::Succeeded);
+    ApplyEndRun(second, 1, RunOutcome::Succeeded);
+    Assign(Task(1, 0), 1);
+    ApplyEndRun(Task(1, 0), 1, RunOutcome::Lost);
+    ApplyEndRun(Task(1, 0), 1, RunOutcome::Succeeded);
+    CHECK(job.state == JobState::Completed);
+  }
+}
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -194,6 +194,7 @@
                     const WorkerReply& aReply);
   WorkerSession* FindSessionOfEndedRun(WorkerSession& aListing,
                                        const ListedEnd& aEnd);
+  void ProcessLateEnd(WorkerSession& aSession, const ListedEnd& aEnd);
   void ProcessListedEnds(WorkerSession& aSession, const WorkerReply& aReply);
   bool ProcessListedRuns(WorkerSession& aSession, const WorkerReply& aReply);
   void CheckProgress(WorkerSession& aSession,
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -107,14 +107,49 @@
   return nullptr;
 }
 
+/// Handles the listed end of a run that is not assigned any more. If it is the
+/// result of a run that was given up, the task must not run again: the worker
+/// may discard the end only once the result is committed.
+void
+Scheduler::ProcessLateEnd(WorkerSession& aSession, const ListedEnd& aEnd)
+{
+  const jobs::Job* job = stateMachine_.Find(aEnd.task.job);
+  const jobs::TaskState* task = stateMachine_.Find(aEnd.task);
+  const jobs::RunOutcome outcome = ToRunOutcome(aEnd.kind);
+  const bool isResult =
+    task != nullptr && job->state == jobs::JobState::Live &&
+    proposedTasks_.count(aEnd.task) == 0 &&
+    jobs::IsLateResult(
+      *task, job->description.steps[aEnd.task.step], aEnd.attempt, outcome);
+  if (!isResult) {
+    aSession.pendingEnds.erase(aEnd.number);
+    return;
+  }
+  if (!aSession.pendingEnds.insert(aEnd.number).second)
+    return;
+  observe::Log(observe::LogLevel::Info,
+               "late-result",
+               { { "task", ToString(aEnd.task) },
+                 { "attempt", std::to_string(aEnd.attempt.Value()) },
+                 { "worker", RecordOf(aSession).id.Value() },
+                 { "why", EndDescription(aEnd.kind) } });
+  outbox_.Propose(jobs::EndRun{ .task = aEnd.task,
+                                .attempt = aEnd.attempt,
+                                .outcome = outcome,
+                                .checkpoint = aEnd.checkpoint,
+                                .at = now_.wall });
+}
+
 void
 Scheduler::ProcessListedEnds(WorkerSession& aSession, const WorkerReply& aReply)
 {
   for (const ListedEnd& end : aReply.ended) {
     aSession.lastListedEnd = std::max(aSession.lastListedEnd, end.number);
     WorkerSession* assigned = FindSessionOfEndedRun(aSession, end);
-    if (assigned == nullptr)
+    if (assigned == nullptr) {
+      ProcessLateEnd(aSession, end);
       continue;
+    }
     Run& run = assigned->runs.at(end.task);
     aSession.pendingEnds.insert(end.number);
     run.endNumber = end.number;
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -62,7 +62,7 @@
 {
   if (isSuperseded || laterIncarnationAnsweredAt)
     return false;
-  if (!isReconciled || consecutiveFailedCalls > 0 ||
+  if (!isReconciled || consecutiveFailedCalls > 0 || !pendingEnds.empty() ||
       LastCommittedEnd() > lastAcknowledgedEnd)
     return true;
   return std::any_of(runs.begin(), runs.end(), [](const auto& aItem) {
@@ -95,8 +95,8 @@
   const Time lastContact = std::max(lastHeartbeat, lastAnswer);
   return isReconciled && !isSuperseded && !laterIncarnationAnsweredAt &&
          !isCordoned && consecutiveFailedCalls == 0 &&
-         IsCapacityCurrent(aNow) &&
-         lastContact + kMaxUsableSilence > aNow && suspendedUntil <= aNow;
+         IsCapacityCurrent(aNow) && lastContact + kMaxUsableSilence > aNow &&
+         suspendedUntil <= aNow;
 }
 
 bool
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -918,19 +918,25 @@
       MakeStep(static_cast<std::uint32_t>(1 + randomBelow(3)));
     second.dependencies = { 0 };
     second.maxPerWorker = static_cast<std::uint32_t>(randomBelow(3));
-    jobs.push_back(aFleet.Submit(
-      { MakeStep(static_cast<std::uint32_t>(1 + randomBelow(4)),
-                 static_cast<std::int64_t>(500 + randomBelow(2500))),
-        second },
-      { .runTime = Duration(static_cast<std::int64_t>(200 + randomBelow(1500))),
-        .failures = static_cast<std::uint32_t>(randomBelow(5) == 0 ? 1 : 0) }));
+    // Drawn one by one, since the order in which arguments are evaluated
+    // differs between machines.
+    const TaskBehavior behavior{
+      .runTime = Duration(static_cast<std::int64_t>(200 + randomBelow(1500))),
+      .failures = static_cast<std::uint32_t>(randomBelow(5) == 0 ? 1 : 0)
+    };
+    const auto processors = static_cast<std::int64_t>(500 + randomBelow(2500));
+    const auto count = static_cast<std::uint32_t>(1 + randomBelow(4));
+    jobs.push_back(
+      aFleet.Submit({ MakeStep(count, processors), second }, behavior));
     if (aJobsPerCrashing > 0 && randomBelow(aJobsPerCrashing) == 0) {
+      const TaskBehavior crash{
+        .crashesWorkerAfter =
+          Duration(static_cast<std::int64_t>(5 + randomBelow(300))),
+        .restartDelay =
+          Duration(static_cast<std::int64_t>(2000 + randomBelow(5000)))
+      };
       crashing.push_back(aFleet.Submit(
-        { MakeStep(static_cast<std::uint32_t>(1 + randomBelow(4))) },
-        { .crashesWorkerAfter =
-            Duration(static_cast<std::int64_t>(5 + randomBelow(300))),
-          .restartDelay =
-            Duration(static_cast<std::int64_t>(2000 + randomBelow(5000))) }));
+        { MakeStep(static_cast<std::uint32_t>(1 + randomBelow(4))) }, crash));
       jobs.push_back(crashing.back());
     }
     aInjectFault(workers, jobs);
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -147,6 +147,7 @@
       reply.incarnation = jobs::Incarnation(1);
       reply.hasLists = true;
       reply.running = running;
+      reply.ended = ended;
       controller.On(reply, leaseEnd, Now());
     }
   }
@@ -169,6 +170,17 @@
     controller.On(reply, leaseEnd, Now());
   }
 
+  /// The worker lists the end of its run from now on.
+  void EndRun(ListedEndKind aKind)
+  {
+    ended = { { .number = jobs::RunEndSequence(1),
+                .task = running.front().task,
+                .attempt = running.front().attempt,
+                .kind = aKind,
+                .checkpoint = {} } };
+    running.clear();
+  }
+
   /// Fails the calls that the worker has not answered.
   void FailCalls()
   {
@@ -216,6 +228,8 @@
   std::vector<WorkerCall> calls;
   /// What the worker lists as running.
   std::vector<ListedRun> running;
+  /// What the worker lists as ended.
+  std::vector<ListedEnd> ended;
   SimulatedConfigurationReader reader;
   Controller controller;
 };
@@ -436,3 +450,27 @@
   Run(Duration(50));
   CHECK(controller.StateMachine().FindCrashes(running.front().task) != nullptr);
 }
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "a task whose success is listed after its run was given up "
+                 "does not run again")
+{
+  Submit();
+  Run(Duration(50));
+  ConfirmStart();
+  // The worker can't be reached until its lease has expired.
+  isAnswering = false;
+  for (const Time end = now + Duration::Seconds(6); now < end;) {
+    Run(Duration(100));
+    FailCalls();
+  }
+  REQUIRE(CountCalls<StartRun>() == 1);
+  EndRun(ListedEndKind::Done);
+  isAnswering = true;
+  Handle(Beat());
+  Run(Duration::Seconds(2));
+  CHECK(CountCalls<StartRun>() == 1);
+  const jobs::Job* job = controller.StateMachine().Find(jobs::JobId(lastJob));
+  REQUIRE(job != nullptr);
+  CHECK(job->state == jobs::JobState::Completed);
+}
