Scheduler: a task that may crash its worker waits before it joins persistent runs

What callers saw, in the model: a persistent task had no run for 6 s. It was lost with a crashed worker, and its next run was lost again when a task of the same crash was placed on its new worker.

Cause: a task under which a worker has crashed preferred workers without persistent runs, but took one with them as soon as no other was free of suspects.

Change: for the 2 s for which such a task may wait to be apart from other suspects, it isn't placed beside persistent runs either.

Test: "tasks that run beside one that crashes its workers complete" failed since the simulated fleet checks that persistent tasks restart in time, and passes.

--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -309,7 +309,8 @@
 }
 
 /// Whether the task must not start beside one of another job that may crash the
-/// worker, so that a further crash tells which of them caused it.
+/// worker, so that a further crash tells which of them caused it, nor beside
+/// persistent runs, which would be lost with the worker.
 bool
 Scheduler::MustBeIsolated(const TaskId& aTask) const
 {
@@ -352,12 +353,12 @@
       continue;
     const bool isBesideSuspect =
       session.HasRecentSuspect(aTask.job, now_.steady);
-    if (isBesideSuspect && mustBeIsolated)
-      continue;
     // A suspect goes where a crash tells and costs the least.
     const bool sparesRecentStarts =
       !isSuspect || !session.HasRecentStart(now_.steady);
     const bool sparesPersistentRuns = !isSuspect || !session.HasPersistentRun();
+    if (mustBeIsolated && (isBesideSuspect || !sparesPersistentRuns))
+      continue;
     const std::int64_t freeProcessors =
       (session.capacity.processors - session.used.processors).Count();
     const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
