Host planner: pools that lack a worker for a persistent task get a host first

What callers saw: an accepted persistent task had no run for 20 s while the hosts that its pool lacked went to another pool.

Cause: the planner fills the pools in the order of what they lack. A pool whose hosts all run the task's step lacks one host, so it comes last, and a pool in its burst takes all hosts as long as the burst lasts.

Evidence: HostDemandTest failed before (no host for the task, both spare hosts for the other pool).

Change: before other demand, each pool with a persistent task that waits for a worker gets one host, unless one is on its way.

Result: the test passes.

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -140,6 +140,7 @@
                    const std::map<PoolId, PoolBalance>& aBalance,
                    bool aIsUrgent) const;
   void PlanMoves();
+  void AddHostsForPersistentTasks(std::map<PoolId, PoolBalance>& aBalance);
   std::int64_t RequiredProcessors(const PoolId& aPool,
                                   const PoolDemand& aDemand) const;
   void SampleDemand();
--- a/packages/schedule/lib/HostPlans.cpp
+++ b/packages/schedule/lib/HostPlans.cpp
@@ -267,6 +267,7 @@
 {
   std::map<PoolId, PoolBalance> balance = ComputeBalance();
   LogBalance(balance);
+  AddHostsForPersistentTasks(balance);
   std::vector<PoolId> underprovisioned;
   for (const auto& [pool, state] : balance)
     if (state.capacity < state.requiredCapacity || state.hostCount < kMinHosts)
@@ -283,6 +284,23 @@
   ReleaseSurplusHosts(balance);
 }
 
+/// Adds one host to each pool with a persistent task that waits for one, before
+/// other demand can take all hosts.
+void
+HostPlanner::AddHostsForPersistentTasks(std::map<PoolId, PoolBalance>& aBalance)
+{
+  for (const PoolId& pool : poolsLackingRoom_) {
+    const auto found = aBalance.find(pool);
+    if (found == aBalance.end() || found->second.hasIncomingHost)
+      continue;
+    PoolBalance& state = found->second;
+    const std::int64_t required = state.requiredCapacity;
+    state.requiredCapacity = state.capacity + 1;
+    FillPool(pool, aBalance);
+    state.requiredCapacity = required;
+  }
+}
+
 /// The hosts that satisfy \p aPredicate, sorted by their number of runs: hosts
 /// with few runs drain soonest.
 template<typename Predicate>
