Host planner: a pool's capacity is what its workers state

A pool whose workers' capacity had shrunk got no further hosts, so that callers' tasks waited: its balance still counted the capacity from the provider's list.

Cause: the list names a host's capacity, while only the worker's heartbeat shows that it has shrunk or grown while the worker runs.

The capacity of a host with a worker is now that of the worker's latest heartbeat; the list counts for hosts without one.

"a pool whose workers' capacity shrinks gets hosts" failed before: with 20 cores in demand and 6 left, no host of four spare ones was added.

--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -141,7 +141,9 @@
   for (const ListedHost& listed : aReply.hosts) {
     listedHosts_.insert(listed.host);
     Host& host = hosts_[listed.host];
-    host.capacity = listed.capacity;
+    // What a worker states is more recent than the list.
+    if (!host.worker)
+      host.capacity = listed.capacity;
     host.isDown = listed.state == ListedHostState::Down;
     // The order of an earlier leader may still be in progress.
     const bool hasOrderInProgress = listed.state == ListedHostState::Moving ||
@@ -300,8 +302,10 @@
     if (found == hosts_.end() || session == nullptr || session->isSuperseded)
       continue;
     Host& host = found->second;
-    if (host.worker == number)
+    if (host.worker == number) {
+      host.capacity = session->capacity;
       continue;
+    }
     const auto current = host.worker
                            ? stateMachine_.Workers().find(*host.worker)
                            : stateMachine_.Workers().end();
@@ -313,6 +317,7 @@
       continue;
     scheduler_.Cordon(number, host.drainReason != DrainReason::None);
     host.worker = number;
+    host.capacity = session->capacity;
     host.pool = record.pool;
     host.isDown = false;
     host.transitionUntil = now_.steady;
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -112,6 +112,23 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture, "a pool whose workers' capacity shrinks gets hosts")
+{
+  constexpr jobs::Resources kShrunkCapacity{ MilliCores(1000),
+                                             Mebibytes(2048),
+                                             Accelerators(0) };
+  jobs::Step step = MakeStep(20);
+  step.isPersistent = true;
+  Submit({ step });
+  Run(Duration(3000));
+  REQUIRE(TotalRuns() == 20);
+  REQUIRE(HostsInMainPool() == 6);
+  for (const char* id : { "w1", "w2", "w3", "w4", "w5", "w6" })
+    SetCapacity(id, kShrunkCapacity);
+  CHECK(RunUntil([&] { return HostsInMainPool() == 10; }, Duration(4000)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "a new leader continues a wave")
 {
   StartWave(WaveHosts(), 1);
