Load: the report says why a request failed

A request without a response, or with an unknown outcome, was only counted, so a failed case of the system tests did not tell a reset connection from a timeout or from an error of the entry host. The report now holds the request's id, the entry host, the number of sends and the error, and the rolling restart shows them.

No behaviour of the load or of the entry hosts changes.

--- a/packages/load/include/greengage/load/Load.h
+++ b/packages/load/include/greengage/load/Load.h
@@ -71,6 +71,9 @@
   std::size_t crossed = 0;
   /// The ids of the requests that were not run.
   std::vector<std::string> notRunIds;
+  /// For each request whose outcome is unknown or that got no response: its id,
+  /// the entry host that it was sent to last, and the error.
+  std::vector<std::string> failures;
   /// Milliseconds from the first sending to the whole answer, answered requests
   /// only.
   std::vector<double> latencies;
--- a/packages/load/lib/Load.cpp
+++ b/packages/load/lib/Load.cpp
@@ -99,7 +99,7 @@
       SendAgain(aResult.id, found->second);
       return;
     }
-    Count(found->second, outcome, body);
+    Count(found->second, outcome, body, aResult);
     waiting_.erase(found);
     if (sent_ >= total_ && waiting_.empty())
       done_.set_value();
@@ -179,17 +179,18 @@
     return report_[options_.teams[aTeam].name];
   }
 
-  void Count(const Sent& aSent, const std::string& aOutcome, const json& aBody)
+  void Count(const Sent& aSent,
+             const std::string& aOutcome,
+             const json& aBody,
+             const http::ClientResult& aResult)
   {
     TeamReport& report = ReportOf(aSent.team);
     if (aOutcome == "answered")
       CountAnswer(aSent, aBody, report);
     else if (aOutcome == "not-run")
       CountNotRun(aSent, report);
-    else if (aOutcome == "unknown")
-      ++report.unknown;
     else
-      ++report.noResponse;
+      CountFailure(aOutcome, aSent, aBody, aResult, report);
     Note(aOutcome.empty() ? "no-response" : aOutcome.c_str(), aSent);
   }
 
@@ -199,6 +200,23 @@
     aReport.notRunIds.push_back(aSent.id);
   }
 
+  void CountFailure(const std::string& aOutcome,
+                    const Sent& aSent,
+                    const json& aBody,
+                    const http::ClientResult& aResult,
+                    TeamReport& aReport) const
+  {
+    const bool isUnknown = aOutcome == "unknown";
+    ++(isUnknown ? aReport.unknown : aReport.noResponse);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - aSent.at);
+    aReport.failures.push_back(
+      aSent.id + " at " + ToString(options_.entryHosts[aSent.entryHost]) +
+      " after " + std::to_string(age.count()) + " ms and " +
+      std::to_string(aSent.sends) +
+      " sends: " + (isUnknown ? aBody.value("detail", "") : aResult.reason));
+  }
+
   static void CountAnswer(const Sent& aSent,
                           const json& aBody,
                           TeamReport& aReport)
--- a/unittests/system/ShutdownTest.cpp
+++ b/unittests/system/ShutdownTest.cpp
@@ -83,7 +83,8 @@
             counts.answered,
             counts.notRun,
             counts.unknown,
-            counts.noResponse);
+            counts.noResponse,
+            counts.failures);
     CHECK(counts.answered == counts.sent);
     CHECK(counts.crossed == 0);
   }
