HTTP server: a draining server answers requests on their way

What callers saw: a rolling restart of the entry hosts lost single requests, "connection reset by peer" or "end of stream" on a new connection, though the request had never been read and could have been sent again.

Cause: Drain() closed the listening socket, which resets the connections that the kernel has accepted and the server has not, and closed every connection that waited for a request, also those accepted a moment ago or with unread bytes. A request that was half read was not waited for. The later the thread of the ports runs, the more requests are hit.

Change: the server accepts what is pending before it closes the listening socket, and waits up to 500 ms for requests on connections that have not had a response or have unread bytes. What it reads while it drains is answered 503, "not-run", "shutting-down" at once, since the filters behind it have stopped or are about to. Kept connections without unread bytes are closed as before. All ports of both daemons use this server; they stop up to 500 ms later if a silent connection is open.

Connections that complete their handshake between the last accept and the close can still be reset.

--- a/packages/http/include/greengage/http/Server.h
+++ b/packages/http/include/greengage/http/Server.h
@@ -66,8 +66,9 @@
   void Retire();
 
   /// Closes the listening socket and ends each connection after the response
-  /// it waits for. The future is ready once all those responses have been
-  /// written. Safe from any thread.
+  /// it waits for. A request that is read from now on, also on a connection
+  /// that was not accepted yet, is answered 503. The future is ready once all
+  /// those responses have been written. Safe from any thread.
   std::future<void> Drain();
 
 private:
--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -29,6 +29,8 @@
 static constexpr std::int64_t kMillisPerSecond = 1000;
 /// How long a client may take to read its response.
 static constexpr std::chrono::seconds kWriteTimeout(30);
+/// How long a draining server waits for requests that it has not read whole.
+static constexpr std::chrono::milliseconds kDrainReadTimeout(500);
 
 static std::string
 ErrorBody(ErrorKind aKind, const std::string& aDetail)
@@ -99,6 +101,7 @@
     , context_(aDuty.Context())
     , acceptor_(context_)
     , acceptTimer_(context_)
+    , drainTimer_(context_)
     , responses_(
         aDuty,
         RingCapacity(aOptions.maxConnections),
@@ -109,6 +112,8 @@
   bool Listen(Error& aReason);
   void Accept();
   void AcceptLater();
+  void AcceptPending();
+  void Serve(tcp::socket&& aSocket);
   void Drain(std::promise<void>&& aDone);
   /// Breaks the cycles between this object and the sessions that wait.
   void DropSessions() { waiting_.clear(); }
@@ -117,6 +122,12 @@
   void SessionEnded() { --connections_; }
   void IdleBegins(Session* aSession) { idle_.insert(aSession); }
   void IdleEnded(Session* aSession) { idle_.erase(aSession); }
+  void ReadBegins() { ++reading_; }
+  void ReadEnded()
+  {
+    --reading_;
+    CheckDrained();
+  }
   void WriteBegins() { ++writing_; }
   void WriteEnded()
   {
@@ -126,6 +137,7 @@
 
   const ServerOptions& Options() const { return options_; }
   bool IsRetiring() const { return retiring_; }
+  bool IsDraining() const { return draining_; }
   void Retire() { retiring_ = true; }
   pipe::Pipe<HttpRequest>& Next() { return next_; }
   pipe::Pipe<HttpResponse>& Responses() { return responses_; }
@@ -142,6 +154,7 @@
     return capacity;
   }
 
+  void EndDrainReads();
   void CheckDrained();
 
   ServerOptions options_;
@@ -149,16 +162,21 @@
   asio::io_context& context_;
   tcp::acceptor acceptor_;
   asio::steady_timer acceptTimer_;
+  asio::steady_timer drainTimer_;
   pipe::IoPipe<HttpResponse> responses_;
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   std::uint64_t lastExchange_ = 0;
   std::size_t connections_ = 0;
+  /// Connections whose next request has not been read whole.
+  std::size_t reading_ = 0;
   std::size_t writing_ = 0;
   /// Connections that wait for a request.
   std::set<Session*> idle_;
   std::optional<std::promise<void>> drained_;
   bool retiring_ = false;
-  bool closing_ = false;
+  bool draining_ = false;
+  /// A draining server waits for requests that it has not read whole.
+  bool awaitsReads_ = true;
 };
 
 /// One connection.
@@ -177,6 +195,7 @@
 
   void Read()
   {
+    server_->ReadBegins();
     parser_.emplace();
     parser_->header_limit(server_->Options().maxHeaderBytes);
     parser_->body_limit(server_->Options().maxBodyBytes);
@@ -197,6 +216,13 @@
       });
   }
 
+  /// Whether the last response has been sent and nothing has come since.
+  bool IsBetweenRequests()
+  {
+    beast::error_code ignored;
+    return hasResponded_ && stream_.socket().available(ignored) == 0;
+  }
+
   /// Ends a connection that waits for a request.
   void Close() { stream_.close(); }
 
@@ -218,8 +244,11 @@
 
   void OnFirstBytes(beast::error_code aError)
   {
-    if (aError)
-      return; // The client left, or was idle for too long.
+    if (aError) {
+      // The client left, or was idle for too long.
+      server_->ReadEnded();
+      return;
+    }
     stream_.expires_never();
     StartReadTimer();
     auto self = shared_from_this();
@@ -229,6 +258,7 @@
                       [self](beast::error_code aResult, std::size_t) {
                         self->readTimer_.cancel();
                         self->OnRead(aResult);
+                        self->server_->ReadEnded();
                       });
   }
 
@@ -257,6 +287,11 @@
         Refuse(std::move(*refusal));
       return;
     }
+    if (server_->IsDraining()) {
+      Refuse(
+        RefusalOf(503, ErrorKind::ShuttingDown, "entry host is shutting down"));
+      return;
+    }
     auto message = parser_->release();
     keepAlive_ = message.keep_alive();
     HttpRequest request;
@@ -282,6 +317,7 @@
   void Write(HttpResponse&& aResponse, bool aKeepAlive)
   {
     server_->WriteBegins();
+    hasResponded_ = true;
     response_ = ToBeast(std::move(aResponse), aKeepAlive);
     stream_.expires_after(kWriteTimeout);
     auto self = shared_from_this();
@@ -330,6 +366,7 @@
   std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
   bhttp::response<bhttp::string_body> response_;
   bool keepAlive_ = true;
+  bool hasResponded_ = false;
 };
 
 bool
@@ -346,33 +383,55 @@
 {
   auto self = shared_from_this();
   acceptor_.async_accept([self](beast::error_code aError, tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted || self->closing_)
+    if (!aError)
+      self->Serve(std::move(aSocket));
+    if (self->draining_ || aError == asio::error::operation_aborted)
       return;
-    if (aError) {
+    if (aError)
       self->AcceptLater();
-      return;
-    }
-    beast::error_code ignored;
-    aSocket.set_option(tcp::no_delay(true), ignored);
-    const bool isFull = self->connections_ >= self->options_.maxConnections;
-    ++self->connections_;
-    auto session = std::make_shared<Session>(std::move(aSocket), self);
-    if (isFull)
-      session->Refuse(
-        RefusalOf(503, ErrorKind::Overloaded, "too many connections"));
     else
-      session->Read();
-    self->Accept();
+      self->Accept();
   });
 }
 
+/// Accepts what the kernel has connected already: closing the listening socket
+/// would reset it.
+void
+ServerImpl::AcceptPending()
+{
+  beast::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (!error)
+      Serve(std::move(socket));
+  }
+}
+
+void
+ServerImpl::Serve(tcp::socket&& aSocket)
+{
+  beast::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  const bool isFull = connections_ >= options_.maxConnections;
+  ++connections_;
+  auto session =
+    std::make_shared<Session>(std::move(aSocket), shared_from_this());
+  if (isFull)
+    session->Refuse(
+      RefusalOf(503, ErrorKind::Overloaded, "too many connections"));
+  else
+    session->Read();
+}
+
 void
 ServerImpl::AcceptLater()
 {
   auto self = shared_from_this();
   acceptTimer_.expires_after(ToChrono(pipe::kAcceptRetryDelay));
   acceptTimer_.async_wait([self](beast::error_code aError) {
-    if (!aError && !self->closing_)
+    if (!aError && !self->draining_)
       self->Accept();
   });
 }
@@ -381,20 +440,41 @@
 ServerImpl::Drain(std::promise<void>&& aDone)
 {
   retiring_ = true;
-  closing_ = true;
+  draining_ = true;
+  drained_ = std::move(aDone);
+  AcceptPending();
   beast::error_code ignored;
   acceptor_.close(ignored);
+  for (Session* session : idle_)
+    if (session->IsBetweenRequests())
+      session->Close();
+  auto self = shared_from_this();
+  drainTimer_.expires_after(kDrainReadTimeout);
+  drainTimer_.async_wait([self](beast::error_code aError) {
+    if (!aError)
+      self->EndDrainReads();
+  });
+  // Behind the handler of a connection that was accepted before.
+  asio::post(context_, [self] { self->CheckDrained(); });
+}
+
+/// Gives up on the connections without a whole request.
+void
+ServerImpl::EndDrainReads()
+{
+  awaitsReads_ = false;
   for (Session* session : idle_)
     session->Close();
-  drained_ = std::move(aDone);
   CheckDrained();
 }
 
 void
 ServerImpl::CheckDrained()
 {
-  if (!drained_ || !waiting_.empty() || writing_ > 0)
+  if (!drained_ || !waiting_.empty() || writing_ > 0 ||
+      (awaitsReads_ && reading_ > 0))
     return;
+  drainTimer_.cancel();
   drained_->set_value();
   drained_.reset();
 }
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -15,6 +16,7 @@
 
 #include <chrono>
 #include <ctime>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -101,6 +103,20 @@
     server.Responses().Push(std::move(response));
   }
 
+  /// Drains the server while it has seen nothing of what was sent since the
+  /// call of \p aSend began.
+  template<typename Send>
+  std::future<void> DrainBehind(Send aSend)
+  {
+    std::promise<void> sent;
+    asio::post(duty.Context(),
+               [done = sent.get_future().share()] { done.wait(); });
+    aSend();
+    auto drained = server.Drain();
+    sent.set_value();
+    return drained;
+  }
+
   asio::io_context context;
   std::uint16_t port = support::FreePort();
   RingPipe<HttpRequest> requests{ 4 };
@@ -322,6 +338,73 @@
           std::future_status::ready);
 }
 
+static void
+RequireRefusedByShutdown(const std::string& aResponse)
+{
+  CAPTURE(aResponse);
+  REQUIRE(aResponse.find("HTTP/1.1 503") == 0);
+  REQUIRE(aResponse.find("Connection: close") != std::string::npos);
+  REQUIRE(aResponse.find("\"not-run\"") != std::string::npos);
+  REQUIRE(aResponse.find("\"shutting-down\"") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "draining answers a request on a connection not yet accepted")
+{
+  asio::ip::tcp::socket socket(context);
+  DrainBehind([&] {
+    socket = Connect();
+    asio::write(socket, asio::buffer(kGet));
+  });
+  RequireRefusedByShutdown(ReadAll(socket));
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "draining answers a request that comes after its connection")
+{
+  asio::ip::tcp::socket socket(context);
+  auto drained = DrainBehind([&] { socket = Connect(); });
+  REQUIRE(drained.wait_for(std::chrono::milliseconds(50)) ==
+          std::future_status::timeout);
+  asio::write(socket, asio::buffer(kGet));
+  RequireRefusedByShutdown(ReadAll(socket));
+  REQUIRE(drained.wait_for(std::chrono::seconds(5)) ==
+          std::future_status::ready);
+}
+
+TEST_CASE_METHOD(ServerFixture, "draining waits for the rest of a request")
+{
+  const std::size_t half = kGet.size() / 2;
+  auto socket = Connect();
+  auto drained = DrainBehind(
+    [&] { asio::write(socket, asio::buffer(kGet.substr(0, half))); });
+  REQUIRE(drained.wait_for(std::chrono::milliseconds(50)) ==
+          std::future_status::timeout);
+  asio::write(socket, asio::buffer(kGet.substr(half)));
+  RequireRefusedByShutdown(ReadAll(socket));
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "draining answers a request that a kept connection brought")
+{
+  const std::string keepAlive = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(keepAlive));
+  Answer(requests.Take(), "first");
+  std::string first;
+  asio::read_until(socket, asio::dynamic_buffer(first), "first");
+  DrainBehind([&] { asio::write(socket, asio::buffer(keepAlive)); });
+  RequireRefusedByShutdown(ReadAll(socket));
+}
+
+TEST_CASE_METHOD(ServerFixture, "draining ends without silent connections")
+{
+  auto socket = Connect();
+  REQUIRE(server.Drain().wait_for(std::chrono::seconds(5)) ==
+          std::future_status::ready);
+  REQUIRE(ReadAll(socket).empty());
+}
+
 namespace {
 
 /// A client with its results.
