Scheduler: tasks that one more crash would fail wait longer to be placed apart

Cause: in a full pool a task with a crash waits for capacity until its 2 s of isolation are over. Once a worker returns, all such tasks start there together, and the next crash is charged to all of them again.

Change: if one more crash may fail its job, a task waits up to 10 s, and no task of another job starts beside it until it has run for a second.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -74,6 +74,8 @@
 
   /// Compared with kCrashScoreLimit.
   std::size_t Score() const;
+  /// Whether one more crash may make the job fail.
+  bool IsNextDecisive() const;
 };
 
 /// The state of one step in one occurrence of a job.
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -70,6 +70,13 @@
   return attempts.size() + static_cast<std::size_t>(confirmed);
 }
 
+bool
+TaskCrashes::IsNextDecisive() const
+{
+  constexpr std::size_t kMaxScorePerCrash = 2;
+  return Score() + kMaxScorePerCrash >= kCrashScoreLimit;
+}
+
 const TaskCrashes*
 JobStateMachine::FindCrashes(const TaskId& aTask) const
 {
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -50,6 +50,8 @@
   Time runningSince;
   /// A worker has crashed under an earlier attempt of the task.
   bool isCrashSuspect = false;
+  /// A crash of the worker may make the job fail.
+  bool isCrashDecisive = false;
   /// The progress last listed by the worker, 0 to 100. A persistent task
   /// reaches 100, its full speed, when its startup is complete.
   std::uint32_t progressPercent = 0;
@@ -234,6 +236,8 @@
   /// Whether the worker may still crash because of the recent start of a task
   /// of another job that already had a crash.
   bool HasRecentSuspect(jobs::JobId aExceptOf, Time aNow) const;
+  /// The same for a task whose job a crash may make fail.
+  bool HasRecentDecisiveRun(jobs::JobId aExceptOf, Time aNow) const;
   bool HasPersistentRun() const;
 };
 
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -17,8 +17,10 @@
 /// to handle the events.
 static constexpr std::uint64_t kMaxRankedJobsPerMilli = 20;
 static constexpr std::uint64_t kMaxExaminedWorkersPerMilli = 1000;
-/// How long after its latest crash a task may wait for isolation.
+/// How long after its latest crash a task may wait for isolation, and how long
+/// if one more crash may make its job fail.
 static constexpr Duration kMaxIsolationWait = Duration(2000);
+static constexpr Duration kMaxDecisiveIsolationWait = Duration(10000);
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -315,8 +317,11 @@
 Scheduler::MustBeIsolated(const TaskId& aTask) const
 {
   const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
-  return crashes != nullptr &&
-         now_.wall < crashes->latestAt + kMaxIsolationWait;
+  if (crashes == nullptr)
+    return false;
+  const Duration maxWait =
+    crashes->IsNextDecisive() ? kMaxDecisiveIsolationWait : kMaxIsolationWait;
+  return now_.wall < crashes->latestAt + maxWait;
 }
 
 WorkerSession*
@@ -353,6 +358,8 @@
       continue;
     const bool isBesideSuspect =
       session.HasRecentSuspect(aTask.job, now_.steady);
+    if (isBesideSuspect && session.HasRecentDecisiveRun(aTask.job, now_.steady))
+      continue;
     // A suspect goes where a crash tells and costs the least.
     const bool sparesRecentStarts =
       !isSuspect || !session.HasRecentStart(now_.steady);
@@ -407,7 +414,9 @@
   run.isPersistent = step.isPersistent;
   run.isMovable = !step.isPersistent && !step.isGang;
   run.targetLatency = step.targetLatency;
-  run.isCrashSuspect = IsCrashSuspect(aTask);
+  const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
+  run.isCrashSuspect = crashes != nullptr;
+  run.isCrashDecisive = crashes != nullptr && crashes->IsNextDecisive();
   aSession.crashSuspectCount += run.isCrashSuspect ? 1 : 0;
   aSession.used += run.allocated;
   if (run.isPersistent)
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -170,6 +170,17 @@
   });
 }
 
+bool
+WorkerSession::HasRecentDecisiveRun(jobs::JobId aExceptOf, Time aNow) const
+{
+  if (crashSuspectCount == 0)
+    return false;
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& aItem) {
+    return aItem.second.isCrashDecisive && aItem.first.job != aExceptOf &&
+           IsRecentStart(aItem.second, aNow);
+  });
+}
+
 bool
 WorkerSession::HasPersistentRun() const
 {
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -241,3 +241,27 @@
   CHECK(ReachesState(second, JobProgress::Completed, Duration::Seconds(6)));
   CheckInvariants();
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "only tasks that crash their workers are given up in a full "
+                 "pool")
+{
+  std::vector<jobs::JobId> innocent;
+  std::vector<jobs::JobId> crashing;
+  constexpr int kRounds = 40;
+  innocent.reserve(kRounds * 3);
+  crashing.reserve(kRounds);
+  for (int round = 0; round < kRounds; ++round) {
+    for (int count = 0; count < 3; ++count)
+      innocent.push_back(
+        Submit({ MakeStep(4) }, { .runTime = Duration(1200) }));
+    if (round % 8 == 0)
+      crashing.push_back(Submit({ MakeStep(3) }, kCrashing));
+    Run(Duration(250));
+  }
+  for (const jobs::JobId job : innocent)
+    CHECK(ReachesState(job, JobProgress::Completed, Duration::Seconds(60)));
+  for (const jobs::JobId job : crashing)
+    CHECK(ReachesState(job, JobProgress::Failed, Duration::Seconds(60)));
+  CheckInvariants();
+}
