Simulated fleet: a task may wait while a start may still be executed

The unanswered request may be executed by the new incarnation seconds after it was sent, and then holds the longest lease, so that the task must not start elsewhere before: that a task never runs twice goes before its restart.

The check now allows this case only: the task's latest unanswered start was sent to an incarnation that has been followed by another one, and its delivery time plus the longest lease have not passed. A task that is started on unreachable workers is still a violation.

--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -47,6 +47,9 @@
 /// A worker counts as available once it has been reachable for this long, which
 /// covers a heartbeat interval.
 static constexpr Duration kContactTime(2000);
+/// How long after it was sent a call without an answer may be executed, with a
+/// margin for slow clocks.
+static constexpr Duration kMaxExecutionDelay(15500);
 
 /// A control host that schedules as the leader of one term.
 struct SimulatedFleet::Leader final : ControllerSink
@@ -852,6 +855,16 @@
     return static_cast<int>(random() % 100) < aPercent;
   };
   const auto call = std::make_shared<WorkerCall>(std::move(aCall));
+  if (const auto* start = std::get_if<StartRun>(&call->request)) {
+    const auto worker = workers_.find(call->worker.Value());
+    if (worker != workers_.end())
+      pendingStarts_[{ aTerm, call->id }] = {
+        start->task,
+        { .worker = worker->first,
+          .incarnation = worker->second.record.incarnation,
+          .sentAt = now_ }
+      };
+  }
   const auto scheduleTimeout = [this, call, term](Duration aAfter) {
     ScheduleEvent(aAfter, [this, call, term] {
       WorkerReply reply;
@@ -883,6 +896,13 @@
 void
 SimulatedFleet::DeliverReply(const WorkerReply& aReply, std::uint64_t aTerm)
 {
+  if (const auto start = pendingStarts_.find({ aTerm, aReply.id });
+      start != pendingStarts_.end()) {
+    const auto& [task, sent] = start->second;
+    if (aReply.answer == WorkerCallStatus::NoAnswer)
+      unansweredStarts_[task] = sent;
+    pendingStarts_.erase(start);
+  }
   Deliver(aTerm, [this, aReply](Leader& aLeader) {
     aLeader.controller.On(aReply, aLeader.leaseEnd, Now());
   });
@@ -1415,6 +1435,20 @@
   });
 }
 
+/// Whether a start request of the task may be executed by a later incarnation
+/// of the worker that it was sent to, which may then run the task until its
+/// lease expires.
+bool
+SimulatedFleet::MayStillStart(const TaskId& aTask) const
+{
+  const auto found = unansweredStarts_.find(aTask);
+  if (found == unansweredStarts_.end())
+    return false;
+  const UnansweredStart& start = found->second;
+  return workers_.at(start.worker).record.incarnation != start.incarnation &&
+         start.sentAt + kMaxExecutionDelay + maxLease_ > now_;
+}
+
 /// Checks that the task runs again in time after its last run.
 void
 SimulatedFleet::CheckPersistentTask(const TaskId& aTask)
@@ -1424,7 +1458,7 @@
   PersistentTask& task = position->second;
   if (IsRunning(aTask))
     task = { .lastRunAt = now_, .startableSince = now_ };
-  if (!HasCapacityForTwo(aTask))
+  if (!HasCapacityForTwo(aTask) || MayStillStart(aTask))
     task.startableSince = now_;
   if (task.lastRunAt + kMaxRestartTime > now_ ||
       task.startableSince + kStartableTime > now_ ||
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -305,6 +305,14 @@
     Time startableSince;
   };
 
+  /// A start request that has got no answer.
+  struct UnansweredStart
+  {
+    std::string worker;
+    jobs::Incarnation incarnation;
+    Time sentAt;
+  };
+
   struct Leader;
 
   void Propose(std::uint64_t aTerm, BatchId aBatch, const std::string& aEntry);
@@ -370,6 +378,7 @@
                         const TaskId& aTask) const;
   bool HasCapacityForTwo(const TaskId& aTask) const;
   bool IsRunning(const TaskId& aTask) const;
+  bool MayStillStart(const TaskId& aTask) const;
   void RecordGeneralFault() { lastGeneralFaultAt_ = now_; }
   std::uint32_t ProgressPercent(const TaskId& aTask,
                                 const SimulatedRun& aRun) const;
@@ -416,6 +425,12 @@
   std::map<std::string, Time> callsBlockedUntil_;
   std::map<std::string, Time> heartbeatsBlockedUntil_;
   std::map<TaskId, PersistentTask> persistentTasks_;
+  /// By the term of the leader, whose call ids are its own, and the call.
+  std::map<std::pair<std::uint64_t, WorkerCallId>,
+           std::pair<TaskId, UnansweredStart>>
+    pendingStarts_;
+  /// The latest one of each task.
+  std::map<TaskId, UnansweredStart> unansweredStarts_;
   /// The latest time at which an injected fault may still have an effect.
   Time faultsEndAt_;
   /// The latest time of a fault that concerns leaders or the whole network.
