Host planner: a worker has outlived an order if it answers a call

What callers saw, in the model: a wave had two hosts in maintenance although its limit is one.

Cause: a worker counted as having outlived an order, and its host as back from maintenance, if a heartbeat was handled later than 1 s after the order was answered. A heartbeat can be longer on its way, or wait for a busy leader.

Change: the worker is called once such a heartbeat arrives, and has outlived the order once it has answered a call that was sent after the order was answered.

Test: "a heartbeat delayed beyond its worker's maintenance does not end the maintenance" failed before for delays of 1.3, 1.6 and 1.9 s (two hosts at a time) and passes. The cases of RepeatedOrderTest pass as before.

--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -100,7 +100,7 @@
     /// The highest registered worker number when the latest order was sent.
     jobs::WorkerNumber lastWorkerAtOrder;
     /// Workers of the host up to this number were ended by its latest completed
-    /// order, except one that has been heard from since.
+    /// order, except one that has answered a call since.
     jobs::WorkerNumber lastEndedWorker;
     /// When the latest order was answered as completed.
     Time orderCompletedAt;
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -104,6 +104,8 @@
 
   /// \returns the session of a worker, or null.
   const WorkerSession* FindSession(jobs::WorkerNumber aWorker) const;
+  /// Calls the worker, to see whether it is up, unless a call is on its way.
+  void Contact(jobs::WorkerNumber aWorker);
   /// Stops or resumes the assignment of new runs to the worker.
   void Cordon(jobs::WorkerNumber aWorker, bool aIsCordoned);
   /// Moves persistent runs off the worker, within the limits on unavailable
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -151,6 +151,8 @@
   /// handled no heartbeat of it.
   std::optional<Time> capacityStatedAt;
   Time lastAnswer;
+  /// When the latest of the answered calls was sent.
+  Time lastAnsweredCallSentAt;
   std::uint32_t consecutiveFailedCalls = 0;
   /// Number of calls without a reply or timeout yet.
   std::uint32_t pendingCallCount = 0;
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -23,8 +23,6 @@
 /// Margin beyond the move time before a host can be moved again: the network
 /// delay of the order and of its answer.
 static constexpr Duration kMoveMargin = Duration(100);
-/// How long a heartbeat may be on its way: its sender gives it up after 1 s.
-static constexpr Duration kMaxHeartbeatDelay = Duration::Seconds(1);
 
 HostPlanner::HostPlanner(HostPlannerOptions aOptions,
                          const jobs::JobStateMachine& aStateMachine,
@@ -286,7 +284,7 @@
 bool
 HostPlanner::HasOutlivedOrder(const Host& aHost, const WorkerSession& aSession)
 {
-  return aSession.lastHeartbeat > aHost.orderCompletedAt + kMaxHeartbeatDelay;
+  return aSession.lastAnsweredCallSentAt > aHost.orderCompletedAt;
 }
 
 /// Updates the hosts from the workers registered in the job state machine.
@@ -313,8 +311,12 @@
         current->second.incarnation >= record.incarnation)
       continue;
     // The worker that the host's latest order ended may still be registered.
-    if (number <= host.lastEndedWorker && !HasOutlivedOrder(host, *session))
+    if (number <= host.lastEndedWorker && !HasOutlivedOrder(host, *session)) {
+      // A heartbeat may have been on its way since before the order.
+      if (session->lastHeartbeat > host.orderCompletedAt)
+        scheduler_.Contact(number);
       continue;
+    }
     scheduler_.Cordon(number, host.drainReason != DrainReason::None);
     host.worker = number;
     host.capacity = session->capacity;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -245,6 +245,8 @@
                            reply.answer != WorkerCallStatus::OtherWorker;
   if (hasAnswered) {
     session->lastAnswer = aNow.steady;
+    session->lastAnsweredCallSentAt =
+      std::max(session->lastAnsweredCallSentAt, call.sentAt);
     if (reply.clock)
       session->UpdateClock(*reply.clock, aNow.steady);
     if (reply.incarnation == RecordOf(*session).incarnation)
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -344,6 +344,15 @@
   return found == sessions_.end() ? nullptr : &found->second;
 }
 
+void
+Scheduler::Contact(jobs::WorkerNumber aWorker)
+{
+  WorkerSession* session = SessionOf(aWorker);
+  if (session != nullptr && !session->isRenewalInFlight &&
+      !session->isSuperseded && !session->laterIncarnationAnsweredAt)
+    Renew(*session);
+}
+
 void
 Scheduler::Cordon(jobs::WorkerNumber aWorker, bool aIsCordoned)
 {
--- a/packages/schedule/unittests/RepeatedOrderTest.cpp
+++ b/packages/schedule/unittests/RepeatedOrderTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include <string>
 #include <variant>
 
@@ -103,3 +105,31 @@
   Run(Duration::Seconds(3));
   REQUIRE(TotalRuns() == kHosts + 1);
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "a heartbeat delayed beyond its worker's maintenance does not "
+                 "end the maintenance")
+{
+  const Duration delay =
+    GENERATE(Duration(100), Duration(1300), Duration(1600), Duration(1900));
+  Send(WaveStart{ .id = jobs::WaveId(1),
+                  .hosts = { jobs::HostId("host-w1"),
+                             jobs::HostId("host-w2"),
+                             jobs::HostId("host-w3") },
+                  .maxConcurrentHosts = 1,
+                  .timeLimit = Duration::Seconds(30) });
+  const auto isOrdered = [&] {
+    return std::any_of(
+      hostCalls.begin(), hostCalls.end(), [](const HostCall& aCall) {
+        return std::holds_alternative<MaintainHost>(aCall.request);
+      });
+  };
+  for (Duration elapsed; !isOrdered() && elapsed < Duration::Seconds(1);
+       elapsed = elapsed + Duration(10)) {
+    for (const char* id : { "w1", "w2", "w3" })
+      SendDelayedHeartbeat(id, delay);
+    Run(Duration(10));
+  }
+  Run(Duration::Seconds(25));
+  CHECK(maxConcurrentMaintenance == 1);
+}
