--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -265,3 +265,57 @@
     CHECK(ReachesState(job, JobProgress::Failed, Duration::Seconds(60)));
   CheckInvariants();
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "a task is given up whose crashed workers restart only after "
+                 "they were retired")
+{
+  for (int number = 6; number < 14; ++number)
+    AddWorker("w" + std::to_string(number));
+  Run(Duration(500));
+  const jobs::JobId job = Submit(
+    { MakeStep(1) },
+    { .crashesWorkerAfter = Duration(10), .restartDelay = Duration(14000) });
+  CHECK(ReachesState(job, JobProgress::Failed, Duration::Seconds(60)));
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "crashes beside changes of leader are not charged to runs that "
+  "have gone on for long")
+{
+  constexpr std::size_t kJobs = 30;
+  std::vector<jobs::JobId> jobs;
+  jobs.reserve(kJobs);
+  for (std::size_t count = 0; count < kJobs; ++count)
+    jobs.push_back(
+      Submit({ MakeStep(1) }, { .runTime = Duration::Seconds(60) }));
+  for (int round = 0; round < 6; ++round) {
+    CHECK(
+      RunUntil([&] { return TotalRuns() == kJobs; }, Duration::Seconds(20)));
+    Run(Duration::Seconds(5));
+    for (const std::string& id : workerIds)
+      CrashWorker(id, Duration(1000));
+    RestartControlHosts();
+  }
+  Run(Duration::Seconds(20));
+  for (const jobs::JobId job : jobs)
+    CHECK(QueryState(job) != JobProgress::Failed);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a persistent task that crashes its workers restarts in time "
+                 "until it is given up")
+{
+  jobs::Step spread = MakePersistentStep();
+  spread.count = 5;
+  spread.maxPerWorker = 1;
+  Submit({ spread });
+  Run(Duration::Seconds(2));
+  Submit(
+    { MakePersistentStep() },
+    { .crashesWorkerAfter = Duration(300), .restartDelay = Duration(2000) });
+  Run(Duration::Seconds(40));
+  CheckInvariants();
+}
