ConsensusStage: takes the file system from its options

Tests of full disks need a file system of their own under a whole stage. Without one the files of this machine are used, as before; no behaviour changes.

--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -78,11 +78,13 @@
 ConsensusStage::OpenJournal(consensus::DurableState& aState, Error& aReason)
 {
   storage::Recovered recovered;
+  storage::FileSystem& files =
+    options_.files != nullptr ? *options_.files : posixFiles_;
   journal_ = storage::Journal::Open(
     { .folder = options_.dataFolder,
       .host = options_.self,
       .newFolderId = storage::FolderId(NewIncarnation()) },
-    files_,
+    files,
     recovered,
     aReason);
   if (!journal_ || !ToDurableState(recovered, aState, aReason))
--- a/packages/daemon/lib/ConsensusStage.h
+++ b/packages/daemon/lib/ConsensusStage.h
@@ -43,6 +43,9 @@
   bool mayBootstrap = true;
   /// Empty on a host without a disk.
   std::string dataFolder;
+  /// Holds the data folder; the files of this machine if null. Must outlive the
+  /// stage.
+  storage::FileSystem* files = nullptr;
   /// Bytes of one command, and of one message between replicas.
   std::size_t maxEntryBytes = 192 * 1024;
 };
@@ -83,7 +86,7 @@
   pipe::Pipe<peer::PeerSend>& peers_;
   pipe::Pipe<ProposalEnded>& proposals_;
   pipe::Pipe<Leadership>* leadership_;
-  storage::PosixFileSystem files_;
+  storage::PosixFileSystem posixFiles_;
   consensus::Incarnation incarnation_;
   std::unique_ptr<storage::Journal> journal_;
   std::optional<consensus::Replica> replica_;
--- a/packages/storage/include/greengage/storage/FileSystem.h
+++ b/packages/storage/include/greengage/storage/FileSystem.h
@@ -73,7 +73,7 @@
 };
 
 /// The files of this machine.
-class PosixFileSystem final : public FileSystem
+class PosixFileSystem : public FileSystem
 {
 public:
   bool MakeFolder(const std::string& aFolder, Error& aReason) override;
