--- a/packages/daemon/unittests/ConsensusStageTest.cpp
+++ b/packages/daemon/unittests/ConsensusStageTest.cpp
@@ -1,12 +1,15 @@
 #include "../lib/ConsensusStage.h"
 #include "../lib/sources/PeerSource.h"
 
+#include "FullDisk.h"
+
 #include "greengage/peer/Links.h"
 #include "greengage/pipe/IoDuty.h"
 #include "greengage/support/FreePort.h"
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <chrono>
 #include <condition_variable>
 #include <filesystem>
@@ -155,18 +158,21 @@
   Host(const Addresses& aHosts,
        std::size_t aSelf,
        const std::set<EntryHostId>& aVoters,
-       const std::string& aFolder)
+       const std::string& aFolder,
+       storage::FileSystem& aFiles)
     : state(aHosts[aSelf].id, AvailabilityZoneId("z"))
     , source_(dispatch_, once_, &slot_)
     , links_(duty_, LinkOptionsOf(aHosts, aSelf), clock_, source_)
     , watch(links_.Outbox(), state)
-    , stage(
-        { .self = aHosts[aSelf].id, .voters = aVoters, .dataFolder = aFolder },
-        clock_,
-        machine,
-        state,
-        watch,
-        outcomes)
+    , stage({ .self = aHosts[aSelf].id,
+              .voters = aVoters,
+              .dataFolder = aFolder,
+              .files = &aFiles },
+            clock_,
+            machine,
+            state,
+            watch,
+            outcomes)
   {
     Error reason;
     slot_.stage = &stage;
@@ -236,7 +242,7 @@
   {
     const bool hasDisk = aHost != kDiskless;
     hosts[aHost] = std::make_unique<Host>(
-      addresses_, aHost, voters_, hasDisk ? FolderOf(aHost) : "");
+      addresses_, aHost, voters_, hasDisk ? FolderOf(aHost) : "", disks[aHost]);
   }
   std::string FolderOf(std::size_t aHost) const
   {
@@ -285,6 +291,8 @@
   }
 
   static constexpr std::size_t kDiskless = 3;
+  /// They outlive the hosts.
+  std::array<test::FullDisk, 4> disks;
   std::map<std::size_t, std::unique_ptr<Host>> hosts;
   std::string list;
 
@@ -370,3 +378,41 @@
   fleet.list = agreed;
   fleet.CheckAll();
 }
+
+/// Fills the disk of a host for as long as it takes to refuse a write.
+static void
+FillDiskForOneWrite(Fleet& aFleet, std::size_t aHost, const char* aCommand)
+{
+  test::FullDisk& disk = aFleet.disks[aHost];
+  const std::size_t refused = disk.refusedWrites;
+  disk.isFull = true;
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (disk.refusedWrites == refused &&
+         std::chrono::steady_clock::now() < end)
+    for (auto& [at, host] : aFleet.hosts)
+      host->Propose(aCommand);
+  REQUIRE(disk.refusedWrites > refused);
+  disk.isFull = false;
+}
+
+TEST_CASE("control hosts whose disks were full in turn elect a leader again")
+{
+  Fleet fleet;
+  const std::size_t leader = fleet.Commit("one");
+  FillDiskForOneWrite(fleet, (leader + 1) % 3, "two");
+  FillDiskForOneWrite(fleet, leader, "three");
+  // Some of the commands above were committed.
+  ProposalEnded ended{ .id = {}, .end = consensus::ProposalUnknown{} };
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!std::holds_alternative<ProposalApplied>(ended.end) &&
+         std::chrono::steady_clock::now() < end)
+    for (std::size_t at = 0; at < Fleet::kDiskless; ++at) {
+      ended = fleet.hosts[at]->Propose("four");
+      if (std::holds_alternative<ProposalApplied>(ended.end)) {
+        fleet.list = fleet.hosts[at]->machine.Snapshot();
+        break;
+      }
+    }
+  REQUIRE(std::holds_alternative<ProposalApplied>(ended.end));
+  fleet.CheckAll();
+}
