--- a/packages/api/lib/Encode.cpp
+++ b/packages/api/lib/Encode.cpp
@@ -53,6 +53,7 @@
     case ErrorKind::DataCorrupt:
     case ErrorKind::DataLocked:
     case ErrorKind::StorageFailed:
+    case ErrorKind::StorageFull:
     case ErrorKind::Internal:
       break;
   }
--- a/packages/core/include/greengage/core/Error.h
+++ b/packages/core/include/greengage/core/Error.h
@@ -38,6 +38,7 @@
   DataCorrupt,
   DataLocked,
   StorageFailed,
+  StorageFull,
   Internal,
 };
 
--- a/packages/core/lib/Error.cpp
+++ b/packages/core/lib/Error.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 // In the order of the enumerators, so that a kind is its own index.
-static constexpr std::array<KindText, 24> kKindTexts = { {
+static constexpr std::array<KindText, 25> kKindTexts = { {
   { ErrorKind::None, "none", "nothing to do" },
   { ErrorKind::Malformed, "malformed", "correct the input and send it again" },
   { ErrorKind::TooLarge, "too-large", "send less or raise the limit" },
@@ -68,7 +68,10 @@
     "stop the other process or name another data folder" },
   { ErrorKind::StorageFailed,
     "storage-failed",
-    "check the disk and its free space, then restart" },
+    "check the disk; the host goes on once it can be written again" },
+  { ErrorKind::StorageFull,
+    "storage-full",
+    "free disk space; the host goes on by itself" },
   { ErrorKind::Internal, "internal", "report the log lines around it" },
 } };
 
--- a/packages/daemon/lib/HostState.h
+++ b/packages/daemon/lib/HostState.h
@@ -26,6 +26,8 @@
   const AvailabilityZoneId availabilityZone;
   /// Whether the ports are open and no shutdown has begun.
   std::atomic<bool> isReady{ false };
+  /// Whether this host's replica of the agreed log, if it has one, takes part.
+  std::atomic<bool> isLogHealthy{ true };
   /// Whether a version of the agreed state has reached the request path.
   std::atomic<bool> hasState{ false };
   /// Whether the records of request ids are whole again, or can't be had soon.
--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -32,7 +32,7 @@
 ConsensusFilter::OnTimer(Time aNow)
 {
   nextTick_ = aNow + kTickInterval;
-  if (hasFailed_)
+  if (IsSilent())
     return;
   consensus::Actions actions;
   replica_.Tick(aNow, actions);
@@ -43,7 +43,7 @@
 ConsensusFilter::On(consensus::Event&& aEvent, Time aNow)
 {
   // Without its journal this replica is silent, and the others go on.
-  if (hasFailed_) {
+  if (IsSilent()) {
     if (const auto* propose = std::get_if<consensus::Propose>(&aEvent))
       Do(consensus::ProposalRefused{ .id = propose->id,
                                      .leader = std::nullopt });
@@ -58,11 +58,25 @@
 ConsensusFilter::On(JournalFailed&& /*aEvent*/, Time aNow)
 {
   On(consensus::Event(consensus::StepDown{}), aNow);
-  hasFailed_ = true;
-  host_.isReady = false;
+  hasJournalFailed_ = true;
+  UpdateHealth();
   EndHandOver();
 }
 
+void
+ConsensusFilter::On(JournalRepaired&& /*aEvent*/, Time /*aNow*/)
+{
+  hasJournalFailed_ = false;
+  UpdateHealth();
+}
+
+void
+ConsensusFilter::UpdateHealth()
+{
+  host_.isLogHealthy = !IsSilent();
+  host_.metrics.Set("greengage_journal_failed", hasJournalFailed_ ? 1 : 0);
+}
+
 void
 ConsensusFilter::On(HandOver&& aEvent, Time aNow)
 {
@@ -75,7 +89,7 @@
 ConsensusFilter::EndHandOver()
 {
   const bool isLeader = replica_.CurrentRole() == consensus::Role::Leader;
-  if (!handOver_ || (isLeader && !hasFailed_))
+  if (!handOver_ || (isLeader && !IsSilent()))
     return;
   handOver_->set_value();
   handOver_.reset();
@@ -173,8 +187,8 @@
   observe::Log(observe::LogLevel::Error,
                "snapshot-refused",
                { { "reason", Describe(reason) } });
-  hasFailed_ = true;
-  host_.isReady = false;
+  isSnapshotRefused_ = true;
+  UpdateHealth();
 }
 
 void
--- a/packages/daemon/lib/filters/ConsensusFilter.h
+++ b/packages/daemon/lib/filters/ConsensusFilter.h
@@ -47,6 +47,7 @@
 private:
   void On(consensus::Event&& aEvent, Time aNow);
   void On(JournalFailed&& aEvent, Time aNow);
+  void On(JournalRepaired&& aEvent, Time aNow);
   void On(HandOver&& aEvent, Time aNow);
   void CarryOut(consensus::Actions&& aActions, Time aNow);
   void Do(consensus::Send&& aAction);
@@ -59,6 +60,9 @@
   void Do(consensus::LeaderChanged&& aAction);
   /// Reports the voters of the committed configuration at \p aIndex.
   void ReportVoters(consensus::LogIndex aIndex);
+  /// Whether this replica takes no part in the log.
+  bool IsSilent() const { return hasJournalFailed_ || isSnapshotRefused_; }
+  void UpdateHealth();
   /// Keeps the promise of a planned stop once this replica doesn't lead.
   void EndHandOver();
   void PublishLeadership();
@@ -71,7 +75,8 @@
   std::deque<consensus::Event> followUps_;
   std::shared_ptr<std::promise<void>> handOver_;
   Leadership published_;
-  bool hasFailed_ = false;
+  bool hasJournalFailed_ = false;
+  bool isSnapshotRefused_ = false;
   Time nextTick_;
 };
 
--- a/packages/daemon/lib/filters/ConsensusMessages.h
+++ b/packages/daemon/lib/filters/ConsensusMessages.h
@@ -15,10 +15,15 @@
 
 namespace greengage::daemon::detail {
 
-/// The journal can't be written any more: this replica promises nothing new.
+/// The journal can't be written: until it is repaired, this replica promises
+/// nothing new.
 struct JournalFailed
 {};
 
+/// The journal takes writes again, and has those that it refused.
+struct JournalRepaired
+{};
+
 /// A planned stop: hand leadership over, then keep the promise.
 struct HandOver
 {
@@ -26,7 +31,8 @@
 };
 
 /// Anything that reaches the duty of the agreed log.
-using ConsensusInput = std::variant<consensus::Event, JournalFailed, HandOver>;
+using ConsensusInput =
+  std::variant<consensus::Event, JournalFailed, JournalRepaired, HandOver>;
 
 /// A proposal was committed and this is the state machine's result.
 struct ProposalApplied
--- a/packages/daemon/lib/filters/JournalFilter.cpp
+++ b/packages/daemon/lib/filters/JournalFilter.cpp
@@ -10,7 +10,9 @@
 using namespace greengage;
 using namespace greengage::daemon::detail;
 
-static constexpr Duration kRetryInterval = Duration(5);
+static constexpr Duration kReportRetryInterval = Duration(5);
+/// How often a write that failed is tried again.
+static constexpr Duration kRepairInterval = Duration(250);
 /// Size above which pending writes are written without waiting for more.
 static constexpr std::size_t kMaxPendingBytes = 256 * 1024;
 
@@ -66,47 +68,123 @@
 JournalFilter::Accept(consensus::Persist&& aPersist, Time aNow)
 {
   storage::Batch batch = ToBatch(aPersist);
-  if (pending_ && !CanMerge(*pending_, batch))
+  const bool canMerge =
+    !pending_.empty() && !failedAt_ && CanMerge(pending_.back().batch, batch);
+  if (!pending_.empty() && !canMerge)
     WritePending(aNow);
   for (const storage::Record& record : batch.records)
     pendingBytes_ += record.payload.size();
-  if (pending_)
-    Merge(*pending_, std::move(batch));
-  else
-    pending_ = std::move(batch);
-  pendingId_ = aPersist.id;
+  if (canMerge) {
+    Merge(pending_.back().batch, std::move(batch));
+    pending_.back().id = aPersist.id;
+  } else {
+    pending_.push_back({ .batch = std::move(batch), .id = aPersist.id });
+  }
   if (pendingBytes_ >= kMaxPendingBytes)
     WritePending(aNow);
 }
 
+std::optional<Time>
+JournalFilter::NextTimer() const
+{
+  if (repairAt_ && reportAt_)
+    return std::min(*repairAt_, *reportAt_);
+  return repairAt_ ? repairAt_ : reportAt_;
+}
+
+void
+JournalFilter::OnTimer(Time aNow)
+{
+  if (repairAt_ && aNow >= *repairAt_)
+    TryRepair(aNow);
+  else
+    Report(aNow);
+}
+
 void
 JournalFilter::WritePending(Time aNow)
 {
-  if (!pending_)
+  if (pending_.empty() || journal_.HasFailed())
     return;
-  const storage::Batch batch = std::move(*pending_);
-  pending_.reset();
-  pendingBytes_ = 0;
+  Error reason;
+  while (!pending_.empty() && journal_.Write(pending_.front().batch, reason))
+    OnWritten(aNow);
   if (journal_.HasFailed())
-    return;
+    OnFailed(reason, aNow);
+  Report(aNow);
+}
+
+void
+JournalFilter::TryRepair(Time aNow)
+{
   Error reason;
-  if (journal_.Write(batch, reason))
-    durable_ = pendingId_;
+  if (journal_.Repair(reason))
+    WritePending(aNow);
   else
-    observe::Log(observe::LogLevel::Error,
-                 "journal-failed",
-                 { { "reason", Describe(reason) } });
-  Report(aNow);
+    repairAt_ = aNow + kRepairInterval;
+}
+
+void
+JournalFilter::OnWritten(Time aNow)
+{
+  durable_ = pending_.front().id;
+  pending_.pop_front();
+  pendingBytes_ = 0;
+  repairAt_.reset();
+  if (!failedAt_)
+    return;
+  observe::Log(observe::LogLevel::Info,
+               "journal-repaired",
+               { { "after_ms", std::to_string((aNow - *failedAt_).Millis()) },
+                 { "waiting", std::to_string(pending_.size()) } });
+  failedAt_.reset();
+}
+
+void
+JournalFilter::OnFailed(const Error& aReason, Time aNow)
+{
+  repairAt_ = aNow + kRepairInterval;
+  if (failedAt_)
+    return;
+  failedAt_ = aNow;
+  observe::Log(observe::LogLevel::Error,
+               "journal-failed",
+               { { "reason", Describe(aReason) } });
 }
 
 void
 JournalFilter::Report(Time aNow)
 {
-  ConsensusInput report =
-    consensus::Event(consensus::Persisted{ .id = durable_ });
-  if (journal_.HasFailed())
-    report = JournalFailed{};
-  retryAt_.reset();
+  reportAt_.reset();
+  if (!ReportFailure() || !ReportDurable())
+    reportAt_ = aNow + kReportRetryInterval;
+}
+
+/// Reports whether the journal has failed, if that is news. False if there is
+/// no room.
+bool
+JournalFilter::ReportFailure()
+{
+  if (isFailureReported_ == failedAt_.has_value())
+    return true;
+  ConsensusInput report = JournalFailed{};
+  if (!failedAt_)
+    report = JournalRepaired{};
   if (!reports_.TryPush(std::move(report)))
-    retryAt_ = aNow + kRetryInterval;
+    return false;
+  isFailureReported_ = failedAt_.has_value();
+  return true;
+}
+
+/// Reports what is durable, if that is news. False if there is no room.
+bool
+JournalFilter::ReportDurable()
+{
+  if (failedAt_ || durable_ == reportedDurable_)
+    return true;
+  if (!reports_.TryPush(
+        consensus::Event(consensus::Persisted{ .id = durable_ })))
+    return false;
+  reportedDurable_ = durable_;
+  return true;
 }
--- a/packages/daemon/lib/filters/JournalFilter.h
+++ b/packages/daemon/lib/filters/JournalFilter.h
@@ -12,13 +12,16 @@
 #include "greengage/storage/Journal.h"
 
 #include <cstddef>
+#include <deque>
 #include <optional>
 
 namespace greengage::daemon::detail {
 
 /// Writes and syncs, and reports what is durable. Writes that queue while the
-/// disk is busy share the next sync. It never waits for room in front of the
-/// replica, which waits for room in front of the journal.
+/// disk is busy share the next sync. A write that fails, for example because
+/// the disk is full, is tried again until it succeeds. The filter never waits
+/// for room in front of the replica, which waits for room in front of the
+/// journal.
 class JournalFilter final : public pipe::Filter<consensus::Persist>
 {
 public:
@@ -26,22 +29,40 @@
                 pipe::Pipe<ConsensusInput>& aReports);
   void Accept(consensus::Persist&& aPersist, Time aNow) override;
   void OnBatchEnd(Time aNow) override { WritePending(aNow); }
-  std::optional<Time> NextTimer() const override { return retryAt_; }
-  void OnTimer(Time aNow) override { Report(aNow); }
+  std::optional<Time> NextTimer() const override;
+  void OnTimer(Time aNow) override;
 
 private:
+  /// Writes that become durable together.
+  struct PendingWrite
+  {
+    storage::Batch batch;
+    /// The latest write in the batch.
+    consensus::PersistId id;
+  };
+
   void WritePending(Time aNow);
+  void TryRepair(Time aNow);
+  void OnWritten(Time aNow);
+  void OnFailed(const Error& aReason, Time aNow);
   void Report(Time aNow);
+  bool ReportFailure();
+  bool ReportDurable();
 
   storage::Journal& journal_;
   pipe::Pipe<ConsensusInput>& reports_;
   consensus::PersistId durable_;
-  /// The merged writes that are not written yet, and the id of the latest.
-  std::optional<storage::Batch> pending_;
-  consensus::PersistId pendingId_;
+  consensus::PersistId reportedDurable_;
+  /// What is not written yet, in order. More than one only after a failure.
+  std::deque<PendingWrite> pending_;
   std::size_t pendingBytes_ = 0;
+  /// Since when the first pending write has failed, if it has.
+  std::optional<Time> failedAt_;
+  bool isFailureReported_ = false;
+  /// When to try the first pending write again.
+  std::optional<Time> repairAt_;
   /// When to report again what found no room.
-  std::optional<Time> retryAt_;
+  std::optional<Time> reportAt_;
 };
 
 } // namespace greengage::daemon::detail
--- a/packages/daemon/lib/filters/OperateFilter.h
+++ b/packages/daemon/lib/filters/OperateFilter.h
@@ -29,7 +29,8 @@
   bool Administer(OperatorCall& aCall);
   bool IsReady() const
   {
-    return host_.isReady && host_.hasState && host_.hasRecords;
+    return host_.isReady && host_.isLogHealthy && host_.hasState &&
+           host_.hasRecords;
   }
   api::TextReply Probe(api::ProbeKind aKind) const;
   api::TextReply Status() const;
--- a/packages/daemon/unittests/ConsensusStageTest.cpp
+++ b/packages/daemon/unittests/ConsensusStageTest.cpp
@@ -358,17 +358,16 @@
 {
   Fleet fleet;
   const std::size_t leader = fleet.Commit("one");
-  fleet.hosts[leader]->state.isReady = true;
   std::filesystem::remove_all(fleet.FolderOf(leader));
   // The leader's own write fails; the others may have it.
   const ProposalEnded ended = fleet.hosts[leader]->Propose("two");
   CHECK(ended.id == consensus::ProposalId(1));
   CHECK_FALSE(std::holds_alternative<consensus::ProposalRefused>(ended.end));
   const auto end = std::chrono::steady_clock::now() + kPatience;
-  while (fleet.hosts[leader]->state.isReady &&
+  while (fleet.hosts[leader]->state.isLogHealthy &&
          std::chrono::steady_clock::now() < end)
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  CHECK_FALSE(fleet.hosts[leader]->state.isReady);
+  CHECK_FALSE(fleet.hosts[leader]->state.isLogHealthy);
   const ProposalEnded refused = fleet.hosts[leader]->Propose("three");
   CHECK(std::holds_alternative<consensus::ProposalRefused>(refused.end));
   fleet.hosts.erase(leader);
--- a/packages/daemon/unittests/JournalFilterTest.cpp
+++ b/packages/daemon/unittests/JournalFilterTest.cpp
@@ -1,5 +1,7 @@
 #include "../lib/filters/JournalFilter.h"
 
+#include "FullDisk.h"
+
 #include "greengage/pipe/Duty.h"
 #include "greengage/wire/LogRecord.h"
 
@@ -20,17 +22,22 @@
 class ReportList final : public pipe::Pipe<ConsensusInput>
 {
 public:
-  bool TryPush(ConsensusInput&& aInput) override
+  bool Push(ConsensusInput&& aInput) override
   {
-    return Push(std::move(aInput));
+    return TryPush(std::move(aInput));
   }
-  bool Push(ConsensusInput&& aInput) override
+  bool TryPush(ConsensusInput&& aInput) override
   {
-    const auto& event = std::get<consensus::Event>(aInput);
-    durable.push_back(std::get<consensus::Persisted>(event).id.Value());
+    if (isFull)
+      return false;
+    inputs.push_back(std::move(aInput));
+    if (const auto* event = std::get_if<consensus::Event>(&inputs.back()))
+      durable.push_back(std::get<consensus::Persisted>(*event).id.Value());
     return true;
   }
+  std::vector<ConsensusInput> inputs;
   std::vector<std::uint64_t> durable;
+  bool isFull = false;
 };
 
 struct TemporaryFolder
@@ -149,3 +156,51 @@
   REQUIRE(ReadCommands(folder) ==
           std::vector<std::string>{ "command 1", "replaced" });
 }
+
+TEST_CASE("writes that a full disk refused become durable once it has room")
+{
+  const TemporaryFolder folder;
+  test::FullDisk disk;
+  storage::Recovered recovered;
+  auto journal = OpenJournal(folder, disk, recovered);
+  ReportList reports;
+  JournalFilter filter(*journal, reports);
+  const auto write = [&](const consensus::Persist& aPersist, Time aNow) {
+    filter.Accept(consensus::Persist(aPersist), aNow);
+    filter.OnBatchEnd(aNow);
+  };
+  Time now(1000);
+  write(PersistEntry(1), now);
+  disk.isFull = true;
+  write(PersistEntry(2), now);
+  REQUIRE(reports.inputs.size() == 2);
+  CHECK(std::holds_alternative<JournalFailed>(reports.inputs.back()));
+  // What was on its way to the journal waits behind the refused write.
+  consensus::Persist replaced = PersistEntry(2);
+  replaced.id = consensus::PersistId(3);
+  replaced.truncateFrom = state::LogIndex(2);
+  replaced.entries.front().command = "replaced";
+  write(replaced, now);
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    REQUIRE(filter.NextTimer());
+    now = *filter.NextTimer();
+    filter.OnTimer(now);
+  }
+  CHECK(reports.inputs.size() == 2);
+  CHECK(disk.refusedWrites == 4);
+
+  disk.isFull = false;
+  now = *filter.NextTimer();
+  reports.isFull = true;
+  filter.OnTimer(now);
+  reports.isFull = false;
+  REQUIRE(filter.NextTimer());
+  filter.OnTimer(*filter.NextTimer());
+  REQUIRE(reports.inputs.size() == 4);
+  CHECK(std::holds_alternative<JournalRepaired>(reports.inputs[2]));
+  CHECK(reports.durable == std::vector<std::uint64_t>{ 1, 3 });
+  CHECK_FALSE(filter.NextTimer());
+  journal.reset();
+  CHECK(ReadCommands(folder) ==
+        std::vector<std::string>{ "command 1", "replaced" });
+}
--- a/packages/storage/include/greengage/storage/FileSystem.h
+++ b/packages/storage/include/greengage/storage/FileSystem.h
@@ -16,8 +16,9 @@
 
 namespace greengage::storage {
 
-/// A file that is only appended to. Errors are StorageFailed; after one the
-/// file's content is not known.
+/// A file that is only appended to. Errors are StorageFull if the disk has no
+/// space left, StorageFailed otherwise; after one the file's content is not
+/// known.
 class File
 {
 public:
@@ -37,8 +38,8 @@
   virtual ~FileLock() = default;
 };
 
-/// Operations on whole files. All fail with StorageFailed unless said
-/// otherwise.
+/// Operations on whole files. All fail with StorageFull if the disk has no
+/// space left and with StorageFailed otherwise, unless said differently.
 class FileSystem
 {
 public:
--- a/packages/storage/include/greengage/storage/Journal.h
+++ b/packages/storage/include/greengage/storage/Journal.h
@@ -87,19 +87,26 @@
   /// \returns nothing with DataLocked if another process has it open,
   /// DataCorrupt if anything but an unfinished last batch is damaged,
   /// Unsupported for another format version, InvalidSetting for the folder of
-  /// another host, StorageFailed if a file can't be read or written.
+  /// another host, StorageFull or StorageFailed if a file can't be read or
+  /// written.
   static std::unique_ptr<Journal> Open(JournalOptions aOptions,
                                        FileSystem& aFiles,
                                        Recovered& aRecovered,
                                        Error& aReason);
 
-  /// Makes \p aBatch durable. After a failure with StorageFailed the batch may
-  /// or may not survive, and all further writes are refused: only a new start
-  /// can tell.
+  /// Makes \p aBatch durable. After a failure with StorageFull or StorageFailed
+  /// the batch may or may not survive a new start, and all further writes are
+  /// refused until Repair succeeds.
   bool Write(const Batch& aBatch, Error& aReason);
 
   bool HasFailed() const { return hasFailed_; }
 
+  /// Prepares a journal whose write failed for the next one, which must be the
+  /// same batch again: cuts off what the failed write may have left.
+  /// \returns false with StorageFull or StorageFailed while the disk does not
+  /// allow it, DataCorrupt if the folder was replaced.
+  bool Repair(Error& aReason);
+
 private:
   Journal(JournalOptions aOptions, FileSystem& aFiles);
 
@@ -137,17 +144,24 @@
   bool AppendFrame(const std::string& aBody, Error& aReason);
   bool StartSegment(Error& aReason);
   bool RemoveSuperseded(Error& aReason);
+  bool RemoveFormerSnapshots(Error& aReason);
 
   JournalOptions options_;
   FileSystem& files_;
+  FolderId folderId_;
   std::unique_ptr<FileLock> lock_;
   std::unique_ptr<File> segment_;
   std::uint64_t segmentNumber_ = 0;
+  /// Bytes of the segment's header and of the frames that were synced.
   std::uint64_t segmentSize_ = 0;
+  /// Nothing may be added to the segment: the next one may exist in part.
+  bool isSegmentDue_ = false;
   /// The largest record index of each segment that is there.
   std::map<std::uint64_t, RecordIndex> lastIndexes_;
   std::optional<std::string> state_;
   std::optional<RecordIndex> snapshotIndex_;
+  /// Snapshots that are still to be removed.
+  std::vector<RecordIndex> formerSnapshots_;
   /// The latest snapshot that the journal files speak of.
   std::optional<RecordIndex> notedSnapshot_;
   bool hasFailed_ = false;
--- a/packages/storage/lib/Journal.cpp
+++ b/packages/storage/lib/Journal.cpp
@@ -38,6 +38,7 @@
   const bool isOpen = hasIdentity
                         ? journal->Recover(*names, aRecovered, aReason)
                         : journal->Create(*names, aRecovered, aReason);
+  journal->folderId_ = aRecovered.folderId;
   return isOpen ? std::move(journal) : nullptr;
 }
 
@@ -88,9 +89,36 @@
   return !hasFailed_;
 }
 
+bool
+Journal::Repair(Error& aReason)
+{
+  if (!hasFailed_)
+    return true;
+  Recovered found;
+  if (!ReadIdentity(found, aReason))
+    return false;
+  if (found.folderId != folderId_) {
+    aReason = { ErrorKind::DataCorrupt, options_.folder + " was replaced" };
+    return false;
+  }
+  // After a failed sync the file may show bytes that are not on the disk.
+  const std::string path = PathOf(NameOf(kSegmentName, segmentNumber_));
+  segment_.reset();
+  if (!files_.Truncate(path, segmentSize_, aReason))
+    return false;
+  segment_ = files_.Open(path, false, aReason);
+  hasFailed_ = !segment_;
+  return !hasFailed_;
+}
+
+/// Can be repeated after a failure: the last frame is the last step, and the
+/// steps before it may be taken twice.
 bool
 Journal::WriteBatch(const Batch& aBatch, Error& aReason)
 {
+  const bool isFull = segmentSize_ >= options_.segmentBytes;
+  if ((isSegmentDue_ || isFull) && !StartSegment(aReason))
+    return false;
   std::string body;
   if (aBatch.truncateFrom)
     AddOperation(
@@ -108,13 +136,13 @@
     RecordIndex& last = lastIndexes_[segmentNumber_];
     last = std::max(last, record.index);
   }
-  if (aBatch.state) {
+  if (aBatch.state)
     AddOperation(body, Operation::State, 0, *aBatch.state);
-    state_ = aBatch.state;
-  }
   if (!body.empty() && !AppendFrame(body, aReason))
     return false;
-  return segmentSize_ < options_.segmentBytes || StartSegment(aReason);
+  if (aBatch.state)
+    state_ = aBatch.state;
+  return true;
 }
 
 bool
@@ -124,13 +152,11 @@
   const std::string name = NameOf(kSnapshotName, index);
   if (!WriteWhole(name, MakeWhole(index, aSnapshot.data), aReason))
     return false;
-  const std::optional<RecordIndex> former = snapshotIndex_;
+  if (snapshotIndex_ && *snapshotIndex_ != aSnapshot.index)
+    formerSnapshots_.push_back(*snapshotIndex_);
   snapshotIndex_ = aSnapshot.index;
-  if (!StartSegment(aReason) || !RemoveSuperseded(aReason))
-    return false;
-  const bool hasFormer = former && *former != aSnapshot.index;
-  return !hasFormer ||
-         files_.Remove(PathOf(NameOf(kSnapshotName, former->Value())), aReason);
+  return StartSegment(aReason) && RemoveSuperseded(aReason) &&
+         RemoveFormerSnapshots(aReason);
 }
 
 bool
@@ -149,29 +175,39 @@
 Journal::AppendFrame(const std::string& aBody, Error& aReason)
 {
   const std::string frame = MakeFrame(aBody);
+  if (!segment_->Append(frame, aReason) || !segment_->Sync(aReason))
+    return false;
   segmentSize_ += frame.size();
-  return segment_->Append(frame, aReason) && segment_->Sync(aReason);
+  return true;
 }
 
 bool
 Journal::StartSegment(Error& aReason)
 {
-  ++segmentNumber_;
-  const std::string path = PathOf(NameOf(kSegmentName, segmentNumber_));
-  segment_ = files_.Open(path, true, aReason);
-  const std::string header = MakeSegmentHeader(segmentNumber_);
-  if (!segment_ || !segment_->Append(header, aReason) ||
-      !segment_->Sync(aReason) || !files_.SyncFolder(options_.folder, aReason))
+  isSegmentDue_ = true;
+  const std::uint64_t number = segmentNumber_ + 1;
+  const std::string path = PathOf(NameOf(kSegmentName, number));
+  std::unique_ptr<File> segment = files_.Open(path, true, aReason);
+  const std::string header = MakeSegmentHeader(number);
+  if (!segment || !segment->Append(header, aReason) ||
+      !segment->Sync(aReason) || !files_.SyncFolder(options_.folder, aReason))
     return false;
-  segmentSize_ = header.size();
-  lastIndexes_[segmentNumber_] = RecordIndex(0);
   // A segment stands without those before it.
   std::string body;
   if (snapshotIndex_)
     AddOperation(body, Operation::Snapshot, snapshotIndex_->Value(), {});
   if (state_)
     AddOperation(body, Operation::State, 0, *state_);
-  return body.empty() || AppendFrame(body, aReason);
+  const std::string frame = body.empty() ? std::string() : MakeFrame(body);
+  if (!frame.empty() &&
+      (!segment->Append(frame, aReason) || !segment->Sync(aReason)))
+    return false;
+  segment_ = std::move(segment);
+  segmentNumber_ = number;
+  segmentSize_ = header.size() + frame.size();
+  lastIndexes_[number] = RecordIndex(0);
+  isSegmentDue_ = false;
+  return true;
 }
 
 bool
@@ -189,4 +225,16 @@
   return true;
 }
 
+bool
+Journal::RemoveFormerSnapshots(Error& aReason)
+{
+  while (!formerSnapshots_.empty()) {
+    const std::uint64_t index = formerSnapshots_.back().Value();
+    if (!files_.Remove(PathOf(NameOf(kSnapshotName, index)), aReason))
+      return false;
+    formerSnapshots_.pop_back();
+  }
+  return true;
+}
+
 } // namespace greengage::storage
--- a/packages/storage/lib/PosixFileSystem.cpp
+++ b/packages/storage/lib/PosixFileSystem.cpp
@@ -45,9 +45,11 @@
 bool
 FailSystem(Error& aReason, const std::string& aWhat, const std::string& aPath)
 {
-  const std::string cause = std::generic_category().message(errno);
-  aReason = { ErrorKind::StorageFailed,
-              "can't " + aWhat + " " + aPath + ": " + cause };
+  const int error = errno;
+  const bool isFull = error == ENOSPC || error == EDQUOT;
+  aReason = { isFull ? ErrorKind::StorageFull : ErrorKind::StorageFailed,
+              "can't " + aWhat + " " + aPath + ": " +
+                std::generic_category().message(error) };
   return false;
 }
 
--- a/packages/storage/unittests/JournalTest.cpp
+++ b/packages/storage/unittests/JournalTest.cpp
@@ -330,6 +330,112 @@
   }
 }
 
+/// Writes \p aBatch to a disk that fails now and then, and repairs the journal
+/// until the batch is written.
+static void
+WriteThroughFaults(Journal& aJournal,
+                   MemoryFileSystem& aFiles,
+                   const Batch& aBatch,
+                   std::mt19937_64& aRandom)
+{
+  Error reason;
+  if (aRandom() % 3 == 0)
+    aFiles.failingOperation = aFiles.operations + aRandom() % 8;
+  if (aRandom() % 3 == 0)
+    aFiles.bytesLeft = aRandom() % 120;
+  const std::uint64_t fullAttempts = aRandom() % 6;
+  for (std::uint64_t attempt = 0; !aJournal.Write(aBatch, reason); ++attempt) {
+    REQUIRE(attempt < 20);
+    REQUIRE(reason.kind == ErrorKind::StorageFailed);
+    while (!aJournal.Repair(reason))
+      REQUIRE(reason.kind == ErrorKind::StorageFailed);
+    if (attempt >= fullAttempts)
+      aFiles.bytesLeft = std::numeric_limits<std::size_t>::max();
+  }
+  aFiles.bytesLeft = std::numeric_limits<std::size_t>::max();
+}
+
+TEST_CASE("a journal whose disk was full for a while takes writes again")
+{
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    Model model;
+    for (int start = 0; start < 3; ++start) {
+      auto journal = Journal::Open(Options(300), files, recovered, reason);
+      INFO(reason.detail);
+      REQUIRE(journal);
+      REQUIRE(model.Equals(recovered));
+      for (int count = 0; count < 12; ++count) {
+        const Batch batch = DrawBatch(model, random);
+        WriteThroughFaults(*journal, files, batch, random);
+        model.Apply(batch);
+      }
+      journal.reset();
+      files.Crash(random);
+    }
+  }
+}
+
+TEST_CASE("a power loss while the disk is full loses no batch that counted")
+{
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    Model model;
+    auto journal = Journal::Open(Options(300), files, recovered, reason);
+    for (int count = 0; count < 8; ++count) {
+      const Batch batch = DrawBatch(model, random);
+      REQUIRE(journal->Write(batch, reason));
+      model.Apply(batch);
+    }
+    const Batch batch = DrawBatch(model, random);
+    files.bytesLeft = random() % 120;
+    bool isWritten = journal->Write(batch, reason);
+    for (int attempt = 0; attempt < 3 && !isWritten; ++attempt) {
+      REQUIRE(journal->Repair(reason));
+      isWritten = journal->Write(batch, reason);
+    }
+    const std::vector<Model> stages = StagesOf(model, batch);
+    journal.reset();
+    files.Crash(random);
+    journal = Journal::Open(Options(300), files, recovered, reason);
+    INFO(reason.detail);
+    REQUIRE(journal);
+    Allowed(isWritten ? std::vector<Model>{ stages.back() } : stages,
+            recovered);
+  }
+}
+
+TEST_CASE("a journal is not repaired in a folder that was replaced")
+{
+  MemoryFileSystem files;
+  Error reason;
+  Recovered recovered;
+  auto journal = Journal::Open(Options(), files, recovered, reason);
+  files.bytesLeft = 0;
+  CHECK_FALSE(journal->Write({ .records = { MakeRecord(1) } }, reason));
+  files.bytesLeft = std::numeric_limits<std::size_t>::max();
+  files.Erase("data/identity");
+  CHECK_FALSE(journal->Repair(reason));
+  JournalOptions other = Options();
+  other.folder = "other";
+  other.newFolderId = FolderId(8);
+  MemoryFileSystem otherFiles;
+  REQUIRE(Journal::Open(other, otherFiles, recovered, reason));
+  auto file = files.Open("data/identity", true, reason);
+  REQUIRE(file->Append(otherFiles.Content("other/identity"), reason));
+  CHECK_FALSE(journal->Repair(reason));
+  CHECK(reason.kind == ErrorKind::DataCorrupt);
+  CHECK_FALSE(journal->Write({ .records = { MakeRecord(1) } }, reason));
+}
+
 TEST_CASE("a data folder is for one process and one host")
 {
   MemoryFileSystem files;
