--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -2,7 +2,9 @@
 
 #include "greengage/observe/Log.h"
 
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace greengage;
 using namespace greengage::daemon::detail;
@@ -32,16 +34,65 @@
 ConsensusFilter::OnTimer(Time aNow)
 {
   nextTick_ = aNow + kTickInterval;
-  if (IsSilent())
+  if (!IsSilent()) {
+    consensus::Actions actions;
+    replica_.Tick(aNow, actions);
+    CarryOut(std::move(actions), aNow);
+  }
+  ReportMissingLeader(aNow);
+}
+
+static const char*
+RoleName(consensus::Role aRole)
+{
+  switch (aRole) {
+    case consensus::Role::Follower:
+      return "follower";
+    case consensus::Role::PreCandidate:
+      return "pre-candidate";
+    case consensus::Role::Candidate:
+      return "candidate";
+    case consensus::Role::Leader:
+      break;
+  }
+  return "leader";
+}
+
+static std::string
+Join(const std::vector<EntryHostId>& aHosts)
+{
+  std::string list;
+  for (const EntryHostId& host : aHosts)
+    list += (list.empty() ? "" : ",") + host.Value();
+  return list;
+}
+
+void
+ConsensusFilter::ReportMissingLeader(Time aNow)
+{
+  const bool wasKnown = missingLeader_.IsLeaderKnown();
+  const auto report = missingLeader_.Update(replica_, aNow);
+  const bool isKnown = missingLeader_.IsLeaderKnown();
+  if (isKnown != wasKnown)
+    host_.metrics.Set("greengage_leader_known", isKnown ? 1 : 0);
+  if (!report)
     return;
-  consensus::Actions actions;
-  replica_.Tick(aNow, actions);
-  CarryOut(std::move(actions), aNow);
+  observe::Log(observe::LogLevel::Warning,
+               "no-leader",
+               { { "for_ms", std::to_string(report->lasted.Millis()) },
+                 { "term", std::to_string(report->term.Value()) },
+                 { "role", RoleName(report->role) },
+                 { "journal", hasJournalFailed_ ? "failed" : "ok" },
+                 { "last_index", std::to_string(report->lastIndex.Value()) },
+                 { "voters", Join(report->voters) },
+                 { "heard", Join(report->heard) } });
 }
 
 void
 ConsensusFilter::On(consensus::Event&& aEvent, Time aNow)
 {
+  if (const auto* received = std::get_if<consensus::Receive>(&aEvent))
+    missingLeader_.OnHeard(received->from.host, aNow);
   // Without its journal this replica is silent, and the others go on.
   if (IsSilent()) {
     if (const auto* propose = std::get_if<consensus::Propose>(&aEvent))
@@ -167,14 +218,14 @@
 ConsensusFilter::ReportVoters(consensus::LogIndex aIndex)
 {
   host_.metrics.Set("greengage_agreed_voter", replica_.IsVoter() ? 1 : 0);
-  std::string voters;
+  std::vector<EntryHostId> voters;
   for (const consensus::ReplicaId& voter :
        replica_.CurrentLog().VotersAt(aIndex))
-    voters += (voters.empty() ? "" : ",") + voter.host.Value();
-  observe::Log(
-    observe::LogLevel::Info,
-    "voters-changed",
-    { { "index", std::to_string(aIndex.Value()) }, { "voters", voters } });
+    voters.push_back(voter.host);
+  observe::Log(observe::LogLevel::Info,
+               "voters-changed",
+               { { "index", std::to_string(aIndex.Value()) },
+                 { "voters", Join(voters) } });
 }
 
 void
--- a/packages/daemon/lib/filters/ConsensusFilter.h
+++ b/packages/daemon/lib/filters/ConsensusFilter.h
@@ -7,6 +7,7 @@
 
 #include "../HostState.h"
 #include "ConsensusMessages.h"
+#include "MissingLeaderReport.h"
 
 #include "greengage/consensus/Replica.h"
 #include "greengage/peer/Links.h"
@@ -63,6 +64,7 @@
   /// Whether this replica takes no part in the log.
   bool IsSilent() const { return hasJournalFailed_ || isSnapshotRefused_; }
   void UpdateHealth();
+  void ReportMissingLeader(Time aNow);
   /// Keeps the promise of a planned stop once this replica doesn't lead.
   void EndHandOver();
   void PublishLeadership();
@@ -75,6 +77,7 @@
   std::deque<consensus::Event> followUps_;
   std::shared_ptr<std::promise<void>> handOver_;
   Leadership published_;
+  MissingLeaderReport missingLeader_;
   bool hasJournalFailed_ = false;
   bool isSnapshotRefused_ = false;
   Time nextTick_;
--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -2,6 +2,7 @@
 
 #include "greengage/observe/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace greengage;
@@ -123,11 +124,20 @@
       { "ranked_jobs", since(work.rankedJobs, reportedWork_.rankedJobs) },
       { "examined_workers",
         since(work.examinedWorkers, reportedWork_.examinedWorkers) },
-      { "proposed_runs",
-        since(work.proposedRuns, reportedWork_.proposedRuns) } });
+      { "proposed_runs", since(work.proposedRuns, reportedWork_.proposedRuns) },
+      { "uncommitted_ms", std::to_string(OldestProposalAge().Millis()) } });
   reportedWork_ = work;
 }
 
+Duration
+ScheduleFilter::OldestProposalAge() const
+{
+  Time oldest = now_;
+  for (const auto& [batch, proposedAt] : proposedAt_)
+    oldest = std::min(oldest, proposedAt);
+  return now_ - oldest;
+}
+
 void
 ScheduleFilter::On(schedule::IncomingCall&& aCall, schedule::ClockReading aNow)
 {
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -68,6 +68,8 @@
   void ReportIdleTasks();
   /// Logs the work of dispatch since the last report.
   void ReportWork();
+  /// How long the oldest proposal has been waiting for its commit.
+  Duration OldestProposalAge() const;
   /// Reports calls that found no room as not sent.
   void ReportUnsent(schedule::ClockReading aNow);
   schedule::ClockReading ClockReadingAt(Time aNow) const;
