--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -2,7 +2,9 @@
 
 #include "greengage/observe/Log.h"
 
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace greengage;
 using namespace greengage::daemon::detail;
@@ -32,18 +34,67 @@
 ConsensusFilter::OnTimer(Time aNow)
 {
   nextTick_ = aNow + kTickInterval;
-  if (hasFailed_)
+  if (!IsSilent()) {
+    consensus::Actions actions;
+    replica_.Tick(aNow, actions);
+    CarryOut(std::move(actions), aNow);
+  }
+  ReportMissingLeader(aNow);
+}
+
+static const char*
+RoleName(consensus::Role aRole)
+{
+  switch (aRole) {
+    case consensus::Role::Follower:
+      return "follower";
+    case consensus::Role::PreCandidate:
+      return "pre-candidate";
+    case consensus::Role::Candidate:
+      return "candidate";
+    case consensus::Role::Leader:
+      break;
+  }
+  return "leader";
+}
+
+static std::string
+Join(const std::vector<EntryHostId>& aHosts)
+{
+  std::string list;
+  for (const EntryHostId& host : aHosts)
+    list += (list.empty() ? "" : ",") + host.Value();
+  return list;
+}
+
+void
+ConsensusFilter::ReportMissingLeader(Time aNow)
+{
+  const bool wasKnown = missingLeader_.IsLeaderKnown();
+  const auto report = missingLeader_.Update(replica_, aNow);
+  const bool isKnown = missingLeader_.IsLeaderKnown();
+  if (isKnown != wasKnown)
+    host_.metrics.Set("greengage_leader_known", isKnown ? 1 : 0);
+  if (!report)
     return;
-  consensus::Actions actions;
-  replica_.Tick(aNow, actions);
-  CarryOut(std::move(actions), aNow);
+  observe::Log(observe::LogLevel::Warning,
+               "no-leader",
+               { { "for_ms", std::to_string(report->lasted.Millis()) },
+                 { "term", std::to_string(report->term.Value()) },
+                 { "role", RoleName(report->role) },
+                 { "journal", hasJournalFailed_ ? "failed" : "ok" },
+                 { "last_index", std::to_string(report->lastIndex.Value()) },
+                 { "voters", Join(report->voters) },
+                 { "heard", Join(report->heard) } });
 }
 
 void
 ConsensusFilter::On(consensus::Event&& aEvent, Time aNow)
 {
+  if (const auto* received = std::get_if<consensus::Receive>(&aEvent))
+    missingLeader_.OnHeard(received->from.host, aNow);
   // Without its journal this replica is silent, and the others go on.
-  if (hasFailed_) {
+  if (IsSilent()) {
     if (const auto* propose = std::get_if<consensus::Propose>(&aEvent))
       Do(consensus::ProposalRefused{ .id = propose->id,
                                      .leader = std::nullopt });
@@ -58,11 +109,25 @@
 ConsensusFilter::On(JournalFailed&& /*aEvent*/, Time aNow)
 {
   On(consensus::Event(consensus::StepDown{}), aNow);
-  hasFailed_ = true;
-  host_.isReady = false;
+  hasJournalFailed_ = true;
+  UpdateHealth();
   EndHandOver();
 }
 
+void
+ConsensusFilter::On(JournalRepaired&& /*aEvent*/, Time /*aNow*/)
+{
+  hasJournalFailed_ = false;
+  UpdateHealth();
+}
+
+void
+ConsensusFilter::UpdateHealth()
+{
+  host_.isLogHealthy = !IsSilent();
+  host_.metrics.Set("greengage_journal_failed", hasJournalFailed_ ? 1 : 0);
+}
+
 void
 ConsensusFilter::On(HandOver&& aEvent, Time aNow)
 {
@@ -75,7 +140,7 @@
 ConsensusFilter::EndHandOver()
 {
   const bool isLeader = replica_.CurrentRole() == consensus::Role::Leader;
-  if (!handOver_ || (isLeader && !hasFailed_))
+  if (!handOver_ || (isLeader && !IsSilent()))
     return;
   handOver_->set_value();
   handOver_.reset();
@@ -153,14 +218,14 @@
 ConsensusFilter::ReportVoters(consensus::LogIndex aIndex)
 {
   host_.metrics.Set("greengage_agreed_voter", replica_.IsVoter() ? 1 : 0);
-  std::string voters;
+  std::vector<EntryHostId> voters;
   for (const consensus::ReplicaId& voter :
        replica_.CurrentLog().VotersAt(aIndex))
-    voters += (voters.empty() ? "" : ",") + voter.host.Value();
-  observe::Log(
-    observe::LogLevel::Info,
-    "voters-changed",
-    { { "index", std::to_string(aIndex.Value()) }, { "voters", voters } });
+    voters.push_back(voter.host);
+  observe::Log(observe::LogLevel::Info,
+               "voters-changed",
+               { { "index", std::to_string(aIndex.Value()) },
+                 { "voters", Join(voters) } });
 }
 
 void
@@ -173,8 +238,8 @@
   observe::Log(observe::LogLevel::Error,
                "snapshot-refused",
                { { "reason", Describe(reason) } });
-  hasFailed_ = true;
-  host_.isReady = false;
+  isSnapshotRefused_ = true;
+  UpdateHealth();
 }
 
 void
