--- a/packages/storage/unittests/JournalTest.cpp
+++ b/packages/storage/unittests/JournalTest.cpp
@@ -502,3 +502,251 @@
     journal->Write({ .records = { MakeRecord(kRecords + 1) } }, reason));
   CHECK(reason.kind == ErrorKind::StorageFailed);
 }
+
+namespace {
+
+/// Files of this machine whose operations on a folder or on one payload fail.
+class FaultyFileSystem final : public PosixFileSystem
+{
+public:
+  static constexpr std::size_t kNever = std::numeric_limits<std::size_t>::max();
+
+  std::unique_ptr<File> Open(const std::string& aPath,
+                             bool aIsNew,
+                             Error& aReason) override
+  {
+    auto file = PosixFileSystem::Open(aPath, aIsNew, aReason);
+    if (!file)
+      return nullptr;
+    return std::make_unique<FaultyFile>(*this, std::move(file));
+  }
+  bool SyncFolder(const std::string& aFolder, Error& aReason) override
+  {
+    if (folderSyncs++ != failingFolderSync)
+      return PosixFileSystem::SyncFolder(aFolder, aReason);
+    aReason = { ErrorKind::StorageFailed, "injected" };
+    return false;
+  }
+
+  /// The folder sync of this number, counted from 0, fails.
+  std::size_t failingFolderSync = kNever;
+  std::size_t folderSyncs = 0;
+  /// What holds this text finds no room; nothing if empty.
+  std::string refusedText;
+
+private:
+  class FaultyFile final : public File
+  {
+  public:
+    FaultyFile(FaultyFileSystem& aFiles, std::unique_ptr<File> aFile)
+      : files_(aFiles)
+      , file_(std::move(aFile))
+    {
+    }
+    bool Append(std::string_view aBytes, Error& aReason) override
+    {
+      if (files_.refusedText.empty() ||
+          aBytes.find(files_.refusedText) == std::string_view::npos)
+        return file_->Append(aBytes, aReason);
+      aReason = { ErrorKind::StorageFull, "no space left on device" };
+      return false;
+    }
+    bool Sync(Error& aReason) override { return file_->Sync(aReason); }
+
+  private:
+    FaultyFileSystem& files_;
+    std::unique_ptr<File> file_;
+  };
+};
+
+/// A journal of 20 records in several segments, in a folder of this machine.
+class RealJournal
+{
+public:
+  RealJournal()
+  {
+    options_.folder = folder;
+    std::filesystem::remove_all(folder);
+    Open();
+    for (std::uint64_t index = 1; index <= 20; ++index)
+      REQUIRE(journal->Write({ .records = { MakeRecord(index) } }, reason));
+  }
+  ~RealJournal()
+  {
+    journal.reset();
+    std::filesystem::remove_all(folder);
+  }
+  RealJournal(const RealJournal&) = delete;
+  RealJournal& operator=(const RealJournal&) = delete;
+
+  void Open()
+  {
+    journal.reset();
+    journal = Journal::Open(options_, files, recovered, reason);
+    INFO(reason.detail);
+    REQUIRE(journal);
+  }
+  /// \returns whether the batch is written within \p aAttempts.
+  bool Write(const Batch& aBatch, int aAttempts)
+  {
+    for (int attempt = 0; attempt < aAttempts; ++attempt)
+      if (journal->Repair(reason) && journal->Write(aBatch, reason))
+        return true;
+    return false;
+  }
+
+  const std::string folder = std::filesystem::temp_directory_path().string() +
+                             "/greengage-faulty-" + std::to_string(::getpid());
+  FaultyFileSystem files;
+  Error reason;
+  Recovered recovered;
+  std::unique_ptr<Journal> journal;
+
+private:
+  JournalOptions options_ = Options(150);
+};
+
+} // namespace
+
+TEST_CASE("a journal takes writes again after one sync of its folder failed")
+{
+  for (std::size_t failing = 0; failing < 8; ++failing) {
+    CAPTURE(failing);
+    RealJournal real;
+    real.files.failingFolderSync = real.files.folderSyncs + failing;
+    const Batch batch{ .snapshot = SnapshotImage{ RecordIndex(20), "snapshot" },
+                       .records = { MakeRecord(21) } };
+    const bool isWritten = real.Write(batch, 10);
+    INFO(real.reason.detail);
+    CHECK(isWritten);
+    real.Open();
+    CHECK(real.recovered.snapshot == batch.snapshot);
+    CHECK(real.recovered.records == batch.records);
+  }
+}
+
+TEST_CASE("attempts to write to a full disk use no more of it")
+{
+  RealJournal real;
+  const Batch batch{ .snapshot = SnapshotImage{ RecordIndex(20), "snapshot" },
+                     .records = { MakeRecord(21) } };
+  real.files.refusedText = MakeRecord(21).payload;
+  REQUIRE_FALSE(real.Write(batch, 1));
+  const auto before = real.files.List(real.folder, real.reason);
+  REQUIRE_FALSE(real.Write(batch, 40));
+  const auto after = real.files.List(real.folder, real.reason);
+  CHECK(after->size() <= before->size());
+  real.files.refusedText.clear();
+  REQUIRE(real.Write(batch, 1));
+  // The lock, the identity, one snapshot and one journal file.
+  CHECK(real.files.List(real.folder, real.reason)->size() == 4);
+}
+
+TEST_CASE("a journal that lost synced bytes is not repaired")
+{
+  MemoryFileSystem files;
+  Error reason;
+  Recovered recovered;
+  auto journal = Journal::Open(Options(), files, recovered, reason);
+  for (std::uint64_t index = 1; index <= 3; ++index)
+    REQUIRE(journal->Write({ .records = { MakeRecord(index) } }, reason));
+  files.bytesLeft = 0;
+  REQUIRE_FALSE(journal->Write({ .records = { MakeRecord(4) } }, reason));
+  files.bytesLeft = std::numeric_limits<std::size_t>::max();
+  std::string& content = files.Content(kFirst);
+  content.resize(content.size() - 10);
+  CHECK_FALSE(journal->Repair(reason));
+  CHECK(reason.kind == ErrorKind::DataCorrupt);
+}
+
+TEST_CASE("what an unfinished snapshot left goes with the next one")
+{
+  for (std::size_t failing = 0; failing < 20; ++failing) {
+    CAPTURE(failing);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    std::mt19937_64 random(1);
+    auto journal = Journal::Open(Options(), files, recovered, reason);
+    REQUIRE(
+      journal->Write({ .records = { MakeRecord(1), MakeRecord(2) } }, reason));
+    REQUIRE(journal->Write(
+      { .snapshot = SnapshotImage{ RecordIndex(1), "one" } }, reason));
+    files.failingOperation = files.operations + failing;
+    journal->Write({ .snapshot = SnapshotImage{ RecordIndex(2), "two" } },
+                   reason);
+    journal.reset();
+    files.failingOperation = std::numeric_limits<std::size_t>::max();
+    journal = Journal::Open(Options(), files, recovered, reason);
+    REQUIRE(journal);
+    REQUIRE(journal->Write(
+      { .snapshot = SnapshotImage{ RecordIndex(3), "three" } }, reason));
+    // The identity, one snapshot and one journal file.
+    CHECK(files.List("data", reason)->size() == 3);
+  }
+}
+
+TEST_CASE("what a journal recovered survives a loss of power after that")
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    auto journal = Journal::Open(Options(), files, recovered, reason);
+    REQUIRE(journal->Write({ .records = { MakeRecord(1) } }, reason));
+    // The sync fails, and the process ends before the repair.
+    files.failingOperation = files.operations + 1;
+    REQUIRE_FALSE(journal->Write(
+      { .records = { MakeRecord(2) }, .state = "vote" }, reason));
+    journal.reset();
+    journal = Journal::Open(Options(), files, recovered, reason);
+    REQUIRE(journal);
+    const Model counted{ .state = recovered.state,
+                         .snapshot = recovered.snapshot,
+                         .records = recovered.records };
+    journal.reset();
+    files.Crash(random);
+    journal = Journal::Open(Options(), files, recovered, reason);
+    INFO(reason.detail);
+    REQUIRE(journal);
+    CHECK(counted.Equals(recovered));
+  }
+}
+
+TEST_CASE("a write after a restart survives whatever failed before it")
+{
+  for (std::size_t failing = 0; failing < 14; ++failing) {
+    CAPTURE(failing);
+    std::mt19937_64 random(1);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    auto journal = Journal::Open(Options(100), files, recovered, reason);
+    std::uint64_t last = 0;
+    while (files.Content(kFirst).size() < 60)
+      REQUIRE(journal->Write({ .records = { MakeRecord(++last) } }, reason));
+    // These two fill the first file and start the second one.
+    files.failingOperation = files.operations + failing;
+    for (int count = 0; count < 2 && !journal->HasFailed(); ++count)
+      journal->Write({ .records = { MakeRecord(++last) } }, reason);
+    // The process ends, and another one goes on with what is there.
+    journal.reset();
+    files.failingOperation = std::numeric_limits<std::size_t>::max();
+    journal = Journal::Open(Options(100), files, recovered, reason);
+    REQUIRE(journal);
+    Model counted{ .state = recovered.state,
+                   .snapshot = recovered.snapshot,
+                   .records = recovered.records };
+    const Batch batch{ .records = { MakeRecord(counted.Last() + 1) } };
+    REQUIRE(journal->Write(batch, reason));
+    counted.Apply(batch);
+    journal.reset();
+    files.Crash(random);
+    journal = Journal::Open(Options(100), files, recovered, reason);
+    INFO(reason.detail);
+    CHECK(journal);
+    CHECK((journal && counted.Equals(recovered)));
+  }
+}
