--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -670,3 +670,45 @@
   progress.RecordSent(LogIndex(21), 1000);
   CHECK_FALSE(progress.CanSend());
 }
+
+TEST_CASE("a candidate that stepped down asks for no votes")
+{
+  const auto replicaOf = [](const char* aHost) {
+    return ReplicaId{ .host = EntryHostId(aHost),
+                      .incarnation = Incarnation(1) };
+  };
+  DurableState disk{ .hardState = { .term = Term(1) } };
+  disk.entries.push_back(
+    { .term = Term(1),
+      .kind = EntryKind::Configuration,
+      .command = {},
+      .members = { replicaOf("a"), replicaOf("b"), replicaOf("c") } });
+  Replica replica({ .self = replicaOf("a") }, disk, Time(0));
+  Actions actions;
+  Time now(0);
+  for (; replica.CurrentRole() != Role::PreCandidate; now = now + Duration(50))
+    replica.Tick(now, actions);
+  actions.clear();
+  replica.Handle(Receive{ .from = replicaOf("b"),
+                          .to = replicaOf("a"),
+                          .message = VoteReply{ .isPreVote = true,
+                                                .term = Term(2),
+                                                .granted = true } },
+                 now,
+                 actions);
+  REQUIRE(replica.CurrentRole() == Role::Candidate);
+  PersistId vote;
+  for (const Action& action : actions)
+    if (const auto* persist = std::get_if<Persist>(&action))
+      vote = persist->id;
+
+  // The disk refuses the vote for some seconds.
+  replica.Handle(StepDown{}, now, actions);
+  actions.clear();
+  now = now + Duration::Seconds(10);
+  replica.Handle(Persisted{ .id = vote }, now, actions);
+  CHECK(replica.CurrentRole() == Role::Follower);
+  for (const Action& action : actions)
+    if (const auto* send = std::get_if<Send>(&action))
+      CHECK_FALSE(std::holds_alternative<RequestVote>(send->message));
+}
--- a/packages/storage/unittests/JournalTest.cpp
+++ b/packages/storage/unittests/JournalTest.cpp
@@ -750,3 +750,27 @@
     CHECK((journal && counted.Equals(recovered)));
   }
 }
+
+TEST_CASE("a process that ends while its disk is full opens its journal again")
+{
+  for (std::size_t left = 0; left < 300; left += 4) {
+    CAPTURE(left);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    auto journal = Journal::Open(Options(120), files, recovered, reason);
+    for (std::uint64_t index = 1; index <= 3; ++index)
+      REQUIRE(journal->Write(
+        { .records = { MakeRecord(index) }, .state = "vote" }, reason));
+    files.bytesLeft = left;
+    const std::string data(60, 's');
+    journal->Write({ .snapshot = SnapshotImage{ RecordIndex(3), data },
+                     .records = { MakeRecord(4) } },
+                   reason);
+    journal.reset();
+    files.bytesLeft = 0;
+    journal = Journal::Open(Options(120), files, recovered, reason);
+    INFO(reason.detail);
+    CHECK(journal);
+  }
+}
