--- a/packages/storage/unittests/JournalTest.cpp
+++ b/packages/storage/unittests/JournalTest.cpp
@@ -774,3 +774,41 @@
     CHECK(journal);
   }
 }
+
+TEST_CASE("a power loss between any two attempts loses no batch that counted")
+{
+  constexpr std::size_t kNever = std::numeric_limits<std::size_t>::max();
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    MemoryFileSystem files;
+    Error reason;
+    Recovered recovered;
+    Model model;
+    auto journal = Journal::Open(Options(300), files, recovered, reason);
+    for (int count = 0; count < 25; ++count) {
+      const Batch batch = DrawBatch(model, random);
+      const std::vector<Model> stages = StagesOf(model, batch);
+      bool isWritten = false;
+      do {
+        files.failingOperation =
+          random() % 3 != 0 ? files.operations + random() % 30 : kNever;
+        files.bytesLeft = random() % 2 != 0 ? random() % 500 : kNever;
+        isWritten = journal->Repair(reason) && journal->Write(batch, reason);
+      } while (!isWritten && random() % 5 != 0);
+      files.failingOperation = kNever;
+      files.bytesLeft = kNever;
+      if (isWritten && random() % 4 != 0) {
+        model = stages.back();
+        continue;
+      }
+      journal.reset();
+      files.Crash(random);
+      journal = Journal::Open(Options(300), files, recovered, reason);
+      INFO(reason.detail);
+      REQUIRE(journal);
+      model = Allowed(isWritten ? std::vector<Model>{ stages.back() } : stages,
+                      recovered);
+    }
+  }
+}
