--- a/packages/storage/include/greengage/storage/FileSystem.h
+++ b/packages/storage/include/greengage/storage/FileSystem.h
@@ -53,6 +53,8 @@
     Error& aReason) = 0;
   virtual std::optional<std::string> Read(const std::string& aPath,
                                           Error& aReason) = 0;
+  virtual std::optional<std::uint64_t> SizeOf(const std::string& aPath,
+                                              Error& aReason) = 0;
   /// Opens for appending. \p aIsNew empties the file or makes it.
   virtual std::unique_ptr<File> Open(const std::string& aPath,
                                      bool aIsNew,
@@ -82,6 +84,8 @@
                                                Error& aReason) override;
   std::optional<std::string> Read(const std::string& aPath,
                                   Error& aReason) override;
+  std::optional<std::uint64_t> SizeOf(const std::string& aPath,
+                                      Error& aReason) override;
   std::unique_ptr<File> Open(const std::string& aPath,
                              bool aIsNew,
                              Error& aReason) override;
--- a/packages/storage/include/greengage/storage/Journal.h
+++ b/packages/storage/include/greengage/storage/Journal.h
@@ -104,7 +104,7 @@
   /// Prepares a journal whose write failed for the next one, which must be the
   /// same batch again: cuts off what the failed write may have left.
   /// \returns false with StorageFull or StorageFailed while the disk does not
-  /// allow it, DataCorrupt if the folder was replaced.
+  /// allow it, DataCorrupt if the folder was replaced or lost synced bytes.
   bool Repair(Error& aReason);
 
 private:
@@ -128,7 +128,6 @@
                    bool aIsLast,
                    Recovered& aRecovered,
                    Error& aReason);
-  bool RewriteHeader(Error& aReason);
   bool CutTail(const std::string& aPath,
                std::uint64_t aCut,
                Recovered& aRecovered,
@@ -144,7 +143,9 @@
   bool AppendFrame(const std::string& aBody, Error& aReason);
   bool StartSegment(Error& aReason);
   bool RemoveSuperseded(Error& aReason);
-  bool RemoveFormerSnapshots(Error& aReason);
+  bool RemoveFormerSnapshot(Error& aReason);
+  /// Removes what a process that ended while it wrote a snapshot has left.
+  bool RemoveUnfinished(const std::vector<std::string>& aNames, Error& aReason);
 
   JournalOptions options_;
   FileSystem& files_;
@@ -160,8 +161,10 @@
   std::map<std::uint64_t, RecordIndex> lastIndexes_;
   std::optional<std::string> state_;
   std::optional<RecordIndex> snapshotIndex_;
-  /// Snapshots that are still to be removed.
-  std::vector<RecordIndex> formerSnapshots_;
+  /// A snapshot that is still to be removed.
+  std::optional<RecordIndex> formerSnapshot_;
+  /// The snapshot of the batch whose write failed is durable.
+  bool isSnapshotStored_ = false;
   /// The latest snapshot that the journal files speak of.
   std::optional<RecordIndex> notedSnapshot_;
   bool hasFailed_ = false;
--- a/packages/storage/lib/Journal.cpp
+++ b/packages/storage/lib/Journal.cpp
@@ -104,6 +104,13 @@
   // After a failed sync the file may show bytes that are not on the disk.
   const std::string path = PathOf(NameOf(kSegmentName, segmentNumber_));
   segment_.reset();
+  const auto size = files_.SizeOf(path, aReason);
+  if (!size)
+    return false;
+  if (*size < segmentSize_) {
+    aReason = { ErrorKind::DataCorrupt, path + " has lost synced bytes" };
+    return false;
+  }
   if (!files_.Truncate(path, segmentSize_, aReason))
     return false;
   segment_ = files_.Open(path, false, aReason);
@@ -111,8 +118,8 @@
   return !hasFailed_;
 }
 
-/// Can be repeated after a failure: the last frame is the last step, and the
-/// steps before it may be taken twice.
+/// Can be repeated after a failure: the last frame is the last step, and a step
+/// before it is either harmless to repeat or known to be done.
 bool
 Journal::WriteBatch(const Batch& aBatch, Error& aReason)
 {
@@ -125,7 +132,8 @@
       body, Operation::TruncateFrom, aBatch.truncateFrom->Value(), {});
   if (aBatch.snapshot) {
     // What contradicts the snapshot goes before the snapshot comes.
-    if (!body.empty() && !AppendFrame(body, aReason))
+    const bool isFrameDue = !isSnapshotStored_ && !body.empty();
+    if (isFrameDue && !AppendFrame(body, aReason))
       return false;
     body.clear();
     if (!WriteSnapshot(*aBatch.snapshot, aReason))
@@ -142,21 +150,27 @@
     return false;
   if (aBatch.state)
     state_ = aBatch.state;
+  isSnapshotStored_ = false;
   return true;
 }
 
 bool
 Journal::WriteSnapshot(const SnapshotImage& aSnapshot, Error& aReason)
 {
-  const std::uint64_t index = aSnapshot.index.Value();
-  const std::string name = NameOf(kSnapshotName, index);
-  if (!WriteWhole(name, MakeWhole(index, aSnapshot.data), aReason))
+  if (!isSnapshotStored_) {
+    const std::uint64_t index = aSnapshot.index.Value();
+    const std::string name = NameOf(kSnapshotName, index);
+    if (!WriteWhole(name, MakeWhole(index, aSnapshot.data), aReason))
+      return false;
+    if (snapshotIndex_ && *snapshotIndex_ != aSnapshot.index)
+      formerSnapshot_ = snapshotIndex_;
+    snapshotIndex_ = aSnapshot.index;
+    isSnapshotStored_ = true;
+    isSegmentDue_ = true;
+  }
+  if (isSegmentDue_ && !StartSegment(aReason))
     return false;
-  if (snapshotIndex_ && *snapshotIndex_ != aSnapshot.index)
-    formerSnapshots_.push_back(*snapshotIndex_);
-  snapshotIndex_ = aSnapshot.index;
-  return StartSegment(aReason) && RemoveSuperseded(aReason) &&
-         RemoveFormerSnapshots(aReason);
+  return RemoveSuperseded(aReason) && RemoveFormerSnapshot(aReason);
 }
 
 bool
@@ -216,9 +230,9 @@
   while (lastIndexes_.begin()->first != segmentNumber_ &&
          lastIndexes_.begin()->second <= *snapshotIndex_) {
     const std::uint64_t oldest = lastIndexes_.begin()->first;
-    // One at a time, so that a crash leaves no gap.
-    if (!files_.Remove(PathOf(NameOf(kSegmentName, oldest)), aReason) ||
-        !files_.SyncFolder(options_.folder, aReason))
+    // Each removal is durable before the next, so that a crash leaves no gap.
+    if (!files_.SyncFolder(options_.folder, aReason) ||
+        !files_.Remove(PathOf(NameOf(kSegmentName, oldest)), aReason))
       return false;
     lastIndexes_.erase(lastIndexes_.begin());
   }
@@ -226,13 +240,28 @@
 }
 
 bool
-Journal::RemoveFormerSnapshots(Error& aReason)
+Journal::RemoveFormerSnapshot(Error& aReason)
 {
-  while (!formerSnapshots_.empty()) {
-    const std::uint64_t index = formerSnapshots_.back().Value();
-    if (!files_.Remove(PathOf(NameOf(kSnapshotName, index)), aReason))
+  if (!formerSnapshot_)
+    return true;
+  const std::string name = NameOf(kSnapshotName, formerSnapshot_->Value());
+  if (!files_.Remove(PathOf(name), aReason))
+    return false;
+  formerSnapshot_.reset();
+  return true;
+}
+
+bool
+Journal::RemoveUnfinished(const std::vector<std::string>& aNames,
+                          Error& aReason)
+{
+  for (const std::string& name : aNames) {
+    const auto index = NumberIn(name, kSnapshotName);
+    const bool isFormer =
+      index && snapshotIndex_ && RecordIndex(*index) != *snapshotIndex_;
+    const bool isTemporary = name.ends_with(kTemporarySuffix);
+    if ((isFormer || isTemporary) && !files_.Remove(PathOf(name), aReason))
       return false;
-    formerSnapshots_.pop_back();
   }
   return true;
 }
--- a/packages/storage/lib/JournalRecovery.cpp
+++ b/packages/storage/lib/JournalRecovery.cpp
@@ -75,7 +75,8 @@
       !files_.SyncFolder(options_.folder, aReason))
     return false;
   // A crash may have come between a snapshot and its note in the journal.
-  return snapshotIndex_ == notedSnapshot_ || StartSegment(aReason);
+  isSegmentDue_ = isSegmentDue_ || snapshotIndex_ != notedSnapshot_;
+  return RemoveUnfinished(aNames, aReason);
 }
 
 bool
@@ -157,17 +158,19 @@
   const auto content = files_.Read(path, aReason);
   if (!content)
     return false;
-  segmentNumber_ = aSegment;
-  segmentSize_ = content->size();
-  lastIndexes_[aSegment] = RecordIndex(0);
   const HeaderState header = CheckSegmentHeader(*content, aSegment);
   const bool isUnfinished = aIsLast && aSegment != kFirstSegment &&
                             content->size() <= kSegmentHeaderBytes &&
                             header == HeaderState::Bad;
   if (isUnfinished) {
+    // It is begun anew with the next write, which may have to wait for space.
     aRecovered.cutBytes += content->size();
-    return RewriteHeader(aReason);
+    isSegmentDue_ = true;
+    return true;
   }
+  segmentNumber_ = aSegment;
+  segmentSize_ = content->size();
+  lastIndexes_[aSegment] = RecordIndex(0);
   if (!CheckState(header, path, aReason))
     return false;
   std::string_view rest(*content);
@@ -187,17 +190,6 @@
   return true;
 }
 
-bool
-Journal::RewriteHeader(Error& aReason)
-{
-  const std::string path = PathOf(NameOf(kSegmentName, segmentNumber_));
-  const std::string header = MakeSegmentHeader(segmentNumber_);
-  segmentSize_ = header.size();
-  const std::unique_ptr<File> file = files_.Open(path, true, aReason);
-  return file && file->Append(header, aReason) && file->Sync(aReason) &&
-         files_.SyncFolder(options_.folder, aReason);
-}
-
 bool
 Journal::CutTail(const std::string& aPath,
                  std::uint64_t aCut,
--- a/packages/storage/lib/PosixFileSystem.cpp
+++ b/packages/storage/lib/PosixFileSystem.cpp
@@ -186,6 +186,16 @@
   }
 }
 
+std::optional<std::uint64_t>
+PosixFileSystem::SizeOf(const std::string& aPath, Error& aReason)
+{
+  struct stat status = {};
+  if (::stat(aPath.c_str(), &status) == 0)
+    return static_cast<std::uint64_t>(status.st_size);
+  FailSystem(aReason, "inspect", aPath);
+  return std::nullopt;
+}
+
 std::unique_ptr<File>
 PosixFileSystem::Open(const std::string& aPath, bool aIsNew, Error& aReason)
 {
--- a/packages/storage/unittests/JournalTest.cpp
+++ b/packages/storage/unittests/JournalTest.cpp
@@ -844,3 +844,15 @@
     }
   }
 }
+
+TEST_CASE("a write without space on the disk is told from other failures")
+{
+  PosixFileSystem files;
+  Error reason;
+  const auto file = files.Open("/dev/full", false, reason);
+  REQUIRE(file);
+  CHECK_FALSE(file->Append("bytes", reason));
+  CHECK(reason.kind == ErrorKind::StorageFull);
+  CHECK_FALSE(files.Read("/dev/null/missing", reason));
+  CHECK(reason.kind == ErrorKind::StorageFailed);
+}
--- a/packages/storage/unittests/MemoryFileSystem.h
+++ b/packages/storage/unittests/MemoryFileSystem.h
@@ -88,6 +88,14 @@
       return Fail(aReason, ErrorKind::StorageFailed, "no file " + aPath);
     return found->second->data;
   }
+  std::optional<std::uint64_t> SizeOf(const std::string& aPath,
+                                      Error& aReason) override
+  {
+    const auto content = Read(aPath, aReason);
+    if (!content)
+      return std::nullopt;
+    return content->size();
+  }
   std::unique_ptr<File> Open(const std::string& aPath,
                              bool aIsNew,
                              Error& aReason) override
@@ -125,7 +133,10 @@
   {
     if (!Works(aReason))
       return false;
-    names_.erase(aPath);
+    if (names_.erase(aPath) == 0) {
+      aReason = { ErrorKind::StorageFailed, "no file " + aPath };
+      return false;
+    }
     return true;
   }
   bool SyncFolder(const std::string& /*aFolder*/, Error& aReason) override
