Replica: a candidate that stepped down asks for no votes

What callers would see: an election in favour of a host that does not run for it any more, and so a longer time without a leader.

Cause: vote requests wait until the vote of the candidate itself is durable. The test of the review, "a candidate that stepped down asks for no votes", failed.

Change: vote requests that still wait are dropped with the candidacy. consensus_tests pass (33 cases).

--- a/packages/consensus/lib/Replica.cpp
+++ b/packages/consensus/lib/Replica.cpp
@@ -302,6 +302,10 @@
   pendingProposals_.clear();
   if (role_ != Role::Follower)
     ResetElectionTimer();
+  if (role_ == Role::Candidate)
+    std::erase_if(deferredSends_, [](const DeferredSend& aDeferred) {
+      return std::holds_alternative<RequestVote>(aDeferred.send.message);
+    });
   role_ = Role::Follower;
   progress_.clear();
   votes_.clear();
