Consensus filter: a silent host still learns where others are

What callers would see: voters that are not spread over the availability zones, so that the loss of one zone stops the log.

A host's zone is told once, when it connects, so that a leader of later didn't know it.

Change: these events reach the replica, which only notes them. daemon_tests pass.

--- a/packages/daemon/lib/filters/ConsensusFilter.cpp
+++ b/packages/daemon/lib/filters/ConsensusFilter.cpp
@@ -94,7 +94,7 @@
   if (const auto* received = std::get_if<consensus::Receive>(&aEvent))
     missingLeader_.OnHeard(received->from.host, aNow);
   // Without its journal this replica is silent, and the others go on.
-  if (IsSilent()) {
+  if (IsSilent() && !std::holds_alternative<consensus::HostLocated>(aEvent)) {
     if (const auto* propose = std::get_if<consensus::Propose>(&aEvent))
       Do(consensus::ProposalRefused{ .id = propose->id,
                                      .leader = std::nullopt });
