--- a/packages/daemon/lib/filters/JournalFilter.cpp
+++ b/packages/daemon/lib/filters/JournalFilter.cpp
@@ -118,10 +118,17 @@
 JournalFilter::TryRepair(Time aNow)
 {
   Error reason;
-  if (journal_.Repair(reason))
+  if (journal_.Repair(reason)) {
     WritePending(aNow);
-  else
-    repairAt_ = aNow + kRepairInterval;
+    return;
+  }
+  repairAt_ = aNow + kRepairInterval;
+  if (reason.detail == repairFailure_)
+    return;
+  repairFailure_ = reason.detail;
+  observe::Log(observe::LogLevel::Error,
+               "journal-not-repaired",
+               { { "reason", Describe(reason) } });
 }
 
 void
@@ -138,6 +145,7 @@
                { { "after_ms", std::to_string((aNow - *failedAt_).Millis()) },
                  { "waiting", std::to_string(pending_.size()) } });
   failedAt_.reset();
+  repairFailure_.clear();
 }
 
 void
--- a/packages/daemon/lib/filters/JournalFilter.h
+++ b/packages/daemon/lib/filters/JournalFilter.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <string>
 
 namespace greengage::daemon::detail {
 
@@ -59,6 +60,8 @@
   /// Since when the first pending write has failed, if it has.
   std::optional<Time> failedAt_;
   bool isFailureReported_ = false;
+  /// Why the last repair failed, as it was logged.
+  std::string repairFailure_;
   /// When to try the first pending write again.
   std::optional<Time> repairAt_;
   /// When to report again what found no room.
