Replica: a voter that was lost is replaced though its host's clock was set back

What callers would see: nothing at first. A control host that lost its disk follows and never votes again; with the next such host no majority is left, and no change or task is accepted until somebody repairs the configuration.

Cause: the incarnation of a new data folder comes from the wall clock. The leader replaces a voter by another replica of its host only if that one has a larger incarnation, so a clock that was set back keeps the lost voter for good.

Change: a voter that has been silent for two election timeouts also gives way to a caught-up replica of its host with a lower incarnation. Removal and addition stay two committed changes, and identities stay distinct: a replica never votes or acknowledges as the former one, whose messages are dropped. A voter that answers keeps its vote; "a voter that answers keeps its vote beside an earlier folder of its host" shows it. An incarnation that equals a former one (a clock set back to the same millisecond) stays excluded by chance only.

--- a/packages/consensus/include/greengage/consensus/Messages.h
+++ b/packages/consensus/include/greengage/consensus/Messages.h
@@ -27,7 +27,8 @@
 /// A Raft term, which has at most one leader.
 using Term = StrongId<struct TermTag, std::uint64_t>;
 /// Tells the successive data folders of one host apart. A host that starts with
-/// an empty folder takes an incarnation larger than any it had.
+/// an empty folder takes an incarnation that it never had: a larger one, unless
+/// its clock was set back.
 using Incarnation = StrongId<struct ReplicaIncarnationTag, std::uint64_t>;
 /// Identifies a proposal to the caller that waits for its outcome.
 using ProposalId = StrongId<struct LogProposalTag, std::uint64_t>;
--- a/packages/consensus/include/greengage/consensus/Replica.h
+++ b/packages/consensus/include/greengage/consensus/Replica.h
@@ -251,6 +251,7 @@
   /// The number of voters that the leader aims for.
   std::size_t TargetVoterCount() const;
   bool RemoveOutdatedIncarnation();
+  bool IsFormerReplica(const ReplicaId& aVoter) const;
   bool AddMissingVoter();
   /// The voter on \p aHost, or null.
   const ReplicaId* VoterOf(const EntryHostId& aHost) const;
--- a/packages/consensus/lib/ReplicaMembership.cpp
+++ b/packages/consensus/lib/ReplicaMembership.cpp
@@ -11,6 +11,10 @@
 /// replicating to a learner.
 constexpr std::int64_t kLearnerTimeoutInElectionTimeouts = 10;
 
+/// Number of election timeouts without a reply after which a voter counts as
+/// lost if another replica of its host replies.
+constexpr std::int64_t kFormerReplicaTimeoutInElectionTimeouts = 2;
+
 } // namespace
 
 void
@@ -210,6 +214,18 @@
     ReplaceUnresponsiveVoter();
 }
 
+/// Whether \p aVoter has been silent for so long that another replica of its
+/// host that replies must have taken its place. Incarnations can't tell: the
+/// clock that the newer one comes from may have been set back.
+bool
+Replica::IsFormerReplica(const ReplicaId& aVoter) const
+{
+  const auto found = progress_.find(aVoter);
+  return found != progress_.end() &&
+         now_ - found->second.LastReplyAt() >=
+           options_.electionTimeout * kFormerReplicaTimeoutInElectionTimeouts;
+}
+
 /// Removes a voter whose disk is lost. The host's new incarnation is added once
 /// the removal is committed.
 bool
@@ -217,8 +233,10 @@
 {
   for (const auto& [member, progress] : progress_) {
     const ReplicaId* voter = VoterOf(member.host);
-    if (voter != nullptr && voter->incarnation < member.incarnation &&
-        *voter != options_.self && HasCaughtUp(member)) {
+    if (voter == nullptr || *voter == member || *voter == options_.self ||
+        !HasCaughtUp(member))
+      continue;
+    if (voter->incarnation < member.incarnation || IsFormerReplica(*voter)) {
       AppendMemberChange(*voter, false);
       return true;
     }
--- a/packages/consensus/unittests/ReplicaTest.cpp
+++ b/packages/consensus/unittests/ReplicaTest.cpp
@@ -177,6 +177,69 @@
   CheckNoViolations(network);
 }
 
+TEST_CASE("a host that lost its disk and whose clock was set back becomes a "
+          "voter again")
+{
+  Network network({ .voters = 3 });
+  Bootstrap(network);
+  const auto replaceDisk = [&](std::size_t aVictim, Incarnation aNext) {
+    CommitCommands(network, 5);
+    network.LoseDisk(aVictim, aNext);
+    network.Restart(aVictim);
+    return network.RunUntil(kWaitLimit, [&] {
+      return network.HasConfiguredVoters() &&
+             network.At(aVictim).replica->IsVoter();
+    });
+  };
+  const std::size_t leader = *network.Leader();
+  const std::size_t first = (leader + 1) % 3;
+  const std::size_t second = (leader + 2) % 3;
+  REQUIRE(replaceDisk(first, Incarnation(9)));
+  CHECK(replaceDisk(first, Incarnation(4)));
+  // A second host may lose its disk afterwards.
+  REQUIRE(replaceDisk(second, Incarnation(9)));
+  CHECK(replaceDisk(second, Incarnation(4)));
+  CommitCommands(network, 5);
+  CheckNoViolations(network);
+}
+
+TEST_CASE("a voter that answers keeps its vote beside an earlier folder of its "
+          "host")
+{
+  Network network({ .voters = 3 });
+  Bootstrap(network);
+  const std::size_t leader = *network.Leader();
+  const std::size_t host = (leader + 1) % 3;
+  network.LoseDisk(host, Incarnation(9));
+  network.Restart(host);
+  REQUIRE(network.RunUntil(kWaitLimit,
+                           [&] { return network.HasConfiguredVoters(); }));
+  const Replica& replica = *network.At(leader).replica;
+  const LogIndex votersIndex = replica.CurrentLog().LatestVotersIndex();
+  const ReplicaId earlier{ .host = network.At(host).id.host,
+                           .incarnation = Incarnation(4) };
+  const auto receive = [&](Message aMessage) {
+    network.Handle(leader,
+                   Receive{ .from = earlier,
+                            .to = replica.Self(),
+                            .message = std::move(aMessage) });
+  };
+  receive(Join{});
+  const Time end = network.now + Duration::Seconds(20);
+  while (network.now < end) {
+    network.Step();
+    receive(AppendReply{ .term = replica.CurrentTerm(),
+                         .accepted = true,
+                         .verifiedIndex = replica.CurrentLog().LastIndex(),
+                         .matchIndex = replica.CurrentLog().LastIndex(),
+                         .sentAt = network.now });
+  }
+  CHECK(network.IsLeader(leader));
+  CHECK(replica.CurrentLog().LatestVotersIndex() == votersIndex);
+  CHECK(network.HasConfiguredVoters());
+  CheckNoViolations(network);
+}
+
 TEST_CASE("an unresponsive voter is replaced by a learner that has caught up")
 {
   Network network({ .voters = 3,
--- a/packages/consensus/unittests/ScheduleTest.cpp
+++ b/packages/consensus/unittests/ScheduleTest.cpp
@@ -136,6 +136,16 @@
     { "lost disks",
       { .voters = 3, .lossPermille = 20 },
       { .crashes = 5, .diskLosses = 10, .heals = 10 } },
+    { "lost disks on hosts whose clocks are set back",
+      { .voters = 3, .hasUnorderedIncarnations = true, .lossPermille = 20 },
+      { .crashes = 5, .diskLosses = 10, .heals = 10 } },
+    { "lost disks, cut links and pauses on hosts whose clocks are set back",
+      { .voters = 5, .hasUnorderedIncarnations = true, .lossPermille = 20 },
+      { .crashes = 5,
+        .diskLosses = 5,
+        .pauses = 4,
+        .linkCuts = 10,
+        .heals = 8 } },
     { "cut links and paused hosts",
       { .voters = 5, .duplicationPermille = 50 },
       { .pauses = 5, .linkCuts = 20, .heals = 5 } },
@@ -217,6 +227,25 @@
   }
 }
 
+TEST_CASE("losing many disks while clocks are set back violates no invariant")
+{
+  for (std::uint64_t seed = 1; seed <= SeedsPerCase(); ++seed) {
+    CAPTURE(seed);
+    Network network({ .voters = 3,
+                      .seed = seed,
+                      .hasUnorderedIncarnations = true,
+                      .lossPermille = 20 });
+    RunSchedule(network,
+                { .crashes = 5,
+                  .diskLosses = 5,
+                  .heals = 20,
+                  .allowsConcurrentDiskLoss = true },
+                3000);
+    CAPTURE(network.invariants.Violations());
+    REQUIRE(network.invariants.Violations().empty());
+  }
+}
+
 TEST_CASE("the invariant checks detect violated rules")
 {
   struct Case
--- a/packages/consensus/unittests/TestNetwork.h
+++ b/packages/consensus/unittests/TestNetwork.h
@@ -49,6 +49,9 @@
   std::size_t zones = 0;
   std::uint64_t seed = 1;
   ViolatedRule violatedRule = ViolatedRule::None;
+  /// The clocks of hosts that lose their disks may have been set back: a new
+  /// incarnation may be lower than the former one.
+  bool hasUnorderedIncarnations = false;
   /// The probability that a message is lost or duplicated, per mille.
   int lossPermille = 0;
   int duplicationPermille = 0;
@@ -269,8 +272,18 @@
     node.pendingWrites.clear();
     node.proposals.clear();
     node.disk = {};
-    if (options_.violatedRule != ViolatedRule::KeepIncarnation)
-      node.id.incarnation = Incarnation(node.id.incarnation.Value() + 1);
+    if (options_.violatedRule == ViolatedRule::KeepIncarnation)
+      return;
+    std::uint64_t next = node.id.incarnation.Value() + 1;
+    if (options_.hasUnorderedIncarnations)
+      next = static_cast<std::uint64_t>(RandomInt(2, kMaxRandomIncarnation));
+    node.id.incarnation = Incarnation(next);
+  }
+  /// Stops a host and erases its disk; it comes back as \p aNext.
+  void LoseDisk(std::size_t aNode, Incarnation aNext)
+  {
+    LoseDisk(aNode);
+    nodes_[aNode].id.incarnation = aNext;
   }
   void Restart(std::size_t aNode)
   {
@@ -427,6 +440,8 @@
   Node& At(std::size_t aNode) { return nodes_[aNode]; }
   std::size_t Size() const { return nodes_.size(); }
 
+  static constexpr std::int64_t kMaxRandomIncarnation = 1 << 30;
+
   Time now{ 100000 };
   Invariants invariants;
   std::size_t unknownProposals = 0;
--- a/packages/daemon/lib/ConsensusStage.cpp
+++ b/packages/daemon/lib/ConsensusStage.cpp
@@ -39,7 +39,7 @@
   Stop();
 }
 
-/// An incarnation larger than any that this host had.
+/// An incarnation that this host never had.
 static std::uint64_t
 NewIncarnation()
 {
