Log: lines are written again after the disk was full

What operators would see: a process that goes on serving and whose log ends with the moment its disk was full; nothing says so, and greengage_log_lines_dropped stays 0.

Cause: the stream of the log file, or standard output, keeps its failed state after one refused write and refuses every later line. The log library reports to standard error and goes on; the lines counted as written.

Change: the writer clears a failed stream before the next line, and a line that the stream refused counts as dropped, so that log-lines-dropped reports it later. A mutex keeps the check and the line together where no log thread runs.

Not covered: a log file that can't be opened at the start stays closed.

--- a/packages/observe/lib/Log.cpp
+++ b/packages/observe/lib/Log.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iostream>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -16,6 +18,9 @@
 using namespace greengage::observe;
 
 static LogLevel gLowestLevel = LogLevel::Info;
+static bool gIsToFile = false;
+/// Held while a line is written.
+static std::mutex gOutputMutex;
 
 namespace {
 
@@ -96,6 +101,7 @@
   configurations.setGlobally(el::ConfigurationType::Format,
                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
   const bool toFile = !aOptions.path.empty();
+  gIsToFile = toFile;
   configurations.setGlobally(el::ConfigurationType::ToFile,
                              toFile ? "true" : "false");
   configurations.setGlobally(el::ConfigurationType::ToStandardOutput,
@@ -106,10 +112,25 @@
   el::Loggers::reconfigureLogger("default", configurations);
 }
 
-static void
+/// Where lines go; null if the file could not be opened.
+static std::ostream*
+Output()
+{
+  if (!gIsToFile)
+    return &std::cout;
+  return el::Loggers::getLogger("default")->typedConfigurations()->fileStream(
+    el::Level::Info);
+}
+
+/// \returns false if the line is lost, for example because the disk is full.
+static bool
 Write(LogLevel aLevel, const std::string& aLine)
 {
-  ++gWritten;
+  const std::lock_guard lock(gOutputMutex);
+  std::ostream* const output = Output();
+  // A stream that has failed refuses all that comes later, too.
+  if (output != nullptr && output->fail())
+    output->clear();
   switch (aLevel) {
     case LogLevel::Debug:
       LOG(DEBUG) << aLine;
@@ -124,6 +145,10 @@
       LOG(ERROR) << aLine;
       break;
   }
+  if (output == nullptr || output->fail())
+    return false;
+  ++gWritten;
+  return true;
 }
 
 static constexpr std::uint64_t kLinesPerLoadSample = 100;
@@ -138,7 +163,8 @@
   const greengage::pipe::DutyScope scope("log", meter);
   std::uint64_t sampled = 0;
   while (aQueue.lines.Pop(line) == greengage::pipe::PopStatus::Taken) {
-    Write(line.level, line.text);
+    if (!Write(line.level, line.text))
+      ++gDropped;
     if (gWritten.load() >= sampled + kLinesPerLoadSample) {
       sampled = gWritten.load();
       meter.Sample();
@@ -146,10 +172,10 @@
     const std::uint64_t dropped = gDropped.load();
     if (dropped == reported)
       continue;
-    Write(LogLevel::Warning,
-          FormatLogLine("log-lines-dropped",
-                        { { "count", std::to_string(dropped - reported) } }));
-    reported = dropped;
+    const std::string report = FormatLogLine(
+      "log-lines-dropped", { { "count", std::to_string(dropped - reported) } });
+    if (Write(LogLevel::Warning, report))
+      reported = dropped;
   }
 }
 
@@ -181,7 +207,8 @@
     return;
   std::string line = FormatLogLine(aEvent, aFields);
   if (!gQueue) {
-    Write(aLevel, line);
+    if (!Write(aLevel, line))
+      ++gDropped;
     return;
   }
   if (!gQueue->lines.TryPush({ aLevel, std::move(line) }))
