Links: a connection that is not answered is closed before the next attempt

What callers would see: a host next to hung or unreachable ones runs out of descriptors and accepts no more connections, on any port, until those hosts answer or end.

Cause: a host dials a peer again after two seconds of silence and leaves the former connection open, waiting for a challenge. A process that is stopped lets the kernel accept each of them; a host whose packets are lost keeps each attempt for about two minutes, some 60 for each such peer (worked out from the kernel's retries, not measured).

Evidence: "a connection to a peer that doesn't answer is closed before the next attempt" failed on the code before: neither of two connections was closed within 5 s.

Change: dialling closes the socket or the stream of the attempt before it; so does the end of the links.

--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -81,6 +81,10 @@
     Time nextDial;
     /// Tells the current dialling from those given up.
     std::uint64_t dialAttempt = 0;
+    /// The connection being dialled: its socket, then its stream until the
+    /// hello has been sent.
+    std::weak_ptr<tcp::socket> diallingSocket;
+    std::weak_ptr<FrameStream> diallingStream;
     Time heardAt;
     /// The least difference seen between the own clock and the peer's.
     std::optional<Duration> leastOffset;
@@ -113,6 +117,7 @@
                    const StreamPtr& aStream,
                    const std::string& aBytes);
   void DialFailed(const EntryHostId& aId);
+  static void AbandonDial(const Peer& aPeer);
   void OnOutgoingEnded(const EntryHostId& aId, const StreamPtr& aStream);
   void OnIncomingEnded(const EntryHostId& aId, const StreamPtr& aStream);
   void CheckUp(const EntryHostId& aId, Peer& aPeer);
@@ -153,6 +158,7 @@
   error_code ignored;
   acceptor_.close(ignored);
   for (auto& [id, peer] : peers_) {
+    AbandonDial(peer);
     if (peer.outgoing)
       peer.outgoing->Close();
     if (peer.incoming)
@@ -312,9 +318,11 @@
 void
 LinksImpl::Dial(const EntryHostId& aId, Peer& aPeer)
 {
+  AbandonDial(aPeer);
   const std::uint64_t attempt = ++aPeer.dialAttempt;
   aPeer.nextDial = clock_.Now() + options_.silence;
   auto socket = std::make_shared<tcp::socket>(context_);
+  aPeer.diallingSocket = socket;
   error_code ignored;
   const auto address = asio::ip::make_address(aPeer.endpoint.address, ignored);
   auto self = shared_from_this();
@@ -324,6 +332,18 @@
                         });
 }
 
+/// Closes a connection that is still being dialled: a peer that doesn't answer
+/// would collect descriptors with each attempt.
+void
+LinksImpl::AbandonDial(const Peer& aPeer)
+{
+  error_code ignored;
+  if (const auto socket = aPeer.diallingSocket.lock())
+    socket->close(ignored);
+  if (const auto stream = aPeer.diallingStream.lock())
+    stream->Close();
+}
+
 void
 LinksImpl::DialFailed(const EntryHostId& aId)
 {
@@ -337,13 +357,15 @@
                      error_code aError,
                      const std::shared_ptr<tcp::socket>& aSocket)
 {
-  if (peers_.at(aId).dialAttempt != aAttempt)
+  Peer& peer = peers_.at(aId);
+  if (peer.dialAttempt != aAttempt)
     return;
   if (aError) {
     DialFailed(aId);
     return;
   }
   auto stream = std::make_shared<FrameStream>(std::move(*aSocket));
+  peer.diallingStream = stream;
   auto self = shared_from_this();
   // The stream keeps itself alive while it reads.
   const std::weak_ptr<FrameStream> weak = stream;
@@ -381,6 +403,7 @@
   };
   aStream->Send(Encode(hello, clock_.Now()), options_.maxBacklogBytes);
   peer.outgoing = aStream;
+  peer.diallingStream.reset();
   CheckUp(aId, peer);
 }
 
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -217,6 +217,55 @@
 
 namespace {
 
+/// Accepts connections and says nothing on them, as a stopped process does.
+class SilentPeer
+{
+public:
+  explicit SilentPeer(std::uint16_t aPort)
+    : acceptor_(context_, { asio::ip::make_address("127.0.0.1"), aPort })
+  {
+  }
+  asio::ip::tcp::socket Accept() { return acceptor_.accept(); }
+
+private:
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+/// Whether the other side closes \p aSocket within five seconds.
+bool
+IsClosedByPeer(asio::ip::tcp::socket& aSocket)
+{
+  aSocket.non_blocking(true);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (std::chrono::steady_clock::now() < until) {
+    char byte = 0;
+    boost::system::error_code error;
+    aSocket.receive(asio::buffer(&byte, 1), 0, error);
+    if (error && error != asio::error::would_block)
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE(
+  "a connection to a peer that doesn't answer is closed before the next "
+  "attempt")
+{
+  const std::uint16_t port = support::FreePort();
+  SilentPeer peer(port);
+  Host host("e1", support::FreePort(), "e2", port);
+  asio::ip::tcp::socket first = peer.Accept();
+  asio::ip::tcp::socket second = peer.Accept();
+  CHECK(IsClosedByPeer(first));
+  CHECK(IsClosedByPeer(second));
+}
+
+namespace {
+
 /// A host that is named by its address and listens where all others do.
 struct AddressedHost : Host
 {
