Heartbeats: an entry that can't be used names no worker

What callers saw: entries of another writer became workers in the agreed state: with an id or a name that isn't UTF-8, has control characters or is as long as the body allows (a label is stored twice, and an entry of the log has a limit), with an address that nobody can be called at (0.0.0.0, which is this host, 255.255.255.255, multicast, "10.0.0.1\u0000x"), and with slots out of range.

Cause: the decoder checked the types of some fields. The id in the path was not checked at all, texts only for being texts, and an address only up to its first NUL.

The address has to be unicast (core/Address.h), and ParseEndpoint refuses a NUL. Ports were refused already (0, -1, 65536, 70000, 20 digits).

--- a/packages/core/lib/Endpoint.cpp
+++ b/packages/core/lib/Endpoint.cpp
@@ -12,6 +12,8 @@
 static bool
 IsAddress(const std::string& aText)
 {
+  if (aText.find('\0') != std::string::npos)
+    return false;
   std::array<unsigned char, sizeof(in6_addr)> buffer{};
   return inet_pton(AF_INET, aText.c_str(), buffer.data()) == 1 ||
          inet_pton(AF_INET6, aText.c_str(), buffer.data()) == 1;
--- a/packages/core/unittests/CoreTest.cpp
+++ b/packages/core/unittests/CoreTest.cpp
@@ -1,3 +1,4 @@
+#include "greengage/core/Address.h"
 #include "greengage/core/Clock.h"
 #include "greengage/core/Endpoint.h"
 #include "greengage/core/Error.h"
@@ -91,3 +92,29 @@
   REQUIRE_FALSE(ParseEndpoint(bad, reason).has_value());
   REQUIRE(reason.kind == ErrorKind::Malformed);
 }
+
+TEST_CASE("unicast addresses are told from others")
+{
+  for (const char* address :
+       { "10.0.0.1", "127.0.0.1", "::1", "fe80::1", "::ffff:10.0.0.1" }) {
+    INFO(address);
+    CHECK(IsUnicastAddress(address));
+  }
+  for (const char* address : { "0.0.0.0",
+                               "255.255.255.255",
+                               "224.0.0.1",
+                               "::",
+                               "ff02::1",
+                               "::ffff:0.0.0.0",
+                               "worker.example",
+                               "" }) {
+    INFO(address);
+    CHECK_FALSE(IsUnicastAddress(address));
+  }
+}
+
+TEST_CASE("an endpoint whose address goes on behind a NUL is none")
+{
+  Error reason;
+  CHECK_FALSE(ParseEndpoint(std::string("10.0.0.1\0x:80", 13), reason));
+}
