--- a/packages/core/unittests/CoreTest.cpp
+++ b/packages/core/unittests/CoreTest.cpp
@@ -3,6 +3,7 @@
 #include "greengage/core/Endpoint.h"
 #include "greengage/core/Error.h"
 #include "greengage/core/Ids.h"
+#include "greengage/core/JsonNesting.h"
 #include "greengage/core/Utf8.h"
 
 #include <catch2/catch.hpp>
@@ -118,3 +119,16 @@
   Error reason;
   CHECK_FALSE(ParseEndpoint(std::string("10.0.0.1\0x:80", 13), reason));
 }
+
+TEST_CASE("nesting of JSON is counted outside of strings")
+{
+  CHECK_FALSE(IsNestedDeeper("", 0));
+  CHECK_FALSE(IsNestedDeeper("[[]]", 2));
+  CHECK(IsNestedDeeper("[[]]", 1));
+  CHECK(IsNestedDeeper(R"({"a":[{}]})", 2));
+  CHECK_FALSE(IsNestedDeeper("[[],[],[]]", 2));
+  CHECK_FALSE(IsNestedDeeper(R"(["[[[\"[[["])", 1));
+  CHECK(IsNestedDeeper(R"(["\\",[]])", 1));
+  // Not JSON.
+  CHECK_FALSE(IsNestedDeeper("]]]][", 1));
+}
