Log: lines are UTF-8 whatever their values hold

What callers saw: ids and reasons with bytes that are not UTF-8 were written to the log as they came, and a reader of the log that decodes it strictly stops at that line. A worker with such an id may be in the agreed state already.

Change: a value that is not UTF-8 is quoted, and its bytes from 0x80 are escaped as control characters are. Values in UTF-8 look as before. Metric labels hold only texts of the program's own.

--- a/packages/observe/lib/Log.cpp
+++ b/packages/observe/lib/Log.cpp
@@ -1,5 +1,6 @@
 #include "greengage/observe/Log.h"
 
+#include "greengage/core/Utf8.h"
 #include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Ring.h"
 
@@ -50,14 +51,16 @@
          byte != 0x7F;
 }
 
+/// Escapes each byte from 0x80 if the value is not UTF-8.
 static std::string
 Quote(const std::string& aValue)
 {
   static constexpr char kHexDigits[] = "0123456789abcdef";
+  const bool isUtf8 = greengage::IsValidUtf8(aValue);
   std::string text = "\"";
   for (const char character : aValue) {
     const auto byte = static_cast<unsigned char>(character);
-    if (byte < ' ' || byte == 0x7F) {
+    if (byte < ' ' || byte == 0x7F || (byte >= 0x80 && !isUtf8)) {
       text += "\\x";
       text += kHexDigits[byte >> 4U];
       text += kHexDigits[byte & 0xFU];
@@ -80,8 +83,9 @@
     line += field.key;
     line += '=';
     const std::string& value = field.value;
-    const bool isPlain =
-      !value.empty() && std::all_of(value.begin(), value.end(), IsPlain);
+    const bool isPlain = !value.empty() &&
+                         std::all_of(value.begin(), value.end(), IsPlain) &&
+                         IsValidUtf8(value);
     line += isPlain ? value : Quote(value);
   }
   return line;
--- a/packages/observe/unittests/ObserveTest.cpp
+++ b/packages/observe/unittests/ObserveTest.cpp
@@ -13,6 +13,14 @@
   REQUIRE(FormatLogLine("x", { { "a", "" } }) == R"(x a="")");
 }
 
+TEST_CASE("log lines are UTF-8 whatever the values hold")
+{
+  REQUIRE(FormatLogLine("x", { { "a", "i-\xff" } }) == R"(x a="i-\xff")");
+  REQUIRE(FormatLogLine("x", { { "a", "\xc0\x80 b" } }) ==
+          R"(x a="\xc0\x80 b")");
+  REQUIRE(FormatLogLine("x", { { "a", "i-\xc3\xa9" } }) == "x a=i-\xc3\xa9");
+}
+
 TEST_CASE("metrics appear in the text format")
 {
   Metrics metrics;
