Scheduler: a persistent task waits 0.8 s at most to be placed apart

What callers see: a persistent task that has crashed two workers has no run for 9 to 12 s, although there is capacity. LOST allows 6 s from its last run.

Cause: a task whose next crash may fail its job waits up to 10 s after its latest crash for a worker without persistent runs. Where each worker has one, no wait brings such a worker. Even the 2 s of the tasks before that are too long for a worker that restarts just before the lease of its run expires, 4.9 s after it was lost.

Evidence: "a persistent task that crashes its workers restarts in time until it is given up" failed before: no run for 9 s and 12 s after the second crash. With the change it runs again within 3 s of each crash and its job fails after the third.

Change: the wait of a persistent task ends 0.8 s after its latest recorded crash, whichever crash that is: 6 s less the 4.9 s of the lease and the time to call the next worker and start. Placement still prefers workers without recent starts and without persistent runs.

Check of the model: it asked for a run of a persistent task whose job had failed, since only cancelled jobs were left out. On the changed code all five reports of this test came after its third crash, when the job had been given up (traced each 200 ms; the first report came 4 s after that). A failed job is owed no run. In place of these reports the model now says if a job with persistent tasks is given up before one of its tasks has crashed three workers, and the test asks that the job is given up. With the new check the old placement still fails the test (9 and 12 s).

--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -21,6 +21,10 @@
 /// if one more crash may make its job fail.
 static constexpr Duration kMaxIsolationWait = Duration(2000);
 static constexpr Duration kMaxDecisiveIsolationWait = Duration(10000);
+/// The same for a persistent task. It must run again within 6 s of its last
+/// run, of which up to 4.9 s may have passed until the lease of that run
+/// expired.
+static constexpr Duration kMaxPersistentIsolationWait = Duration(800);
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -319,8 +323,12 @@
   const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
   if (crashes == nullptr)
     return false;
-  const Duration maxWait =
-    crashes->IsNextDecisive() ? kMaxDecisiveIsolationWait : kMaxIsolationWait;
+  const jobs::Job* job = stateMachine_.Find(aTask.job);
+  Duration maxWait = kMaxIsolationWait;
+  if (job->description.steps[aTask.step].isPersistent)
+    maxWait = kMaxPersistentIsolationWait;
+  else if (crashes->IsNextDecisive())
+    maxWait = kMaxDecisiveIsolationWait;
   return now_.wall < crashes->latestAt + maxWait;
 }
 
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -536,6 +536,7 @@
                 .acknowledgedFailures = {},
                 .failures = {},
                 .crashes = {},
+                .wasGivenUp = false,
                 .startsAfterCrashes = {},
                 .acknowledgedSuccesses = {},
                 .succeeded = {} };
@@ -1474,11 +1475,34 @@
   task.startableSince = now_;
 }
 
+/// Whether the job has been given up. Only crashes under one of its tasks are a
+/// cause to give up a job with persistent tasks.
+bool
+SimulatedFleet::IsGivenUp(jobs::JobId aJob)
+{
+  SimulatedJob& simulated = jobs_.at(aJob);
+  if (simulated.wasGivenUp)
+    return true;
+  const jobs::Job* job = leader_->controller.StateMachine().Find(aJob);
+  if (job == nullptr || job->state != jobs::JobState::Failed)
+    return false;
+  if (MaxCrashes(aJob) < kMaxToleratedCrashes)
+    ReportViolation(ToString(aJob) + " was given up after " +
+                    std::to_string(MaxCrashes(aJob)) + " crashes");
+  simulated.wasGivenUp = true;
+  return true;
+}
+
 void
 SimulatedFleet::CheckPersistentTasks()
 {
   for (const auto& [id, job] : jobs_) {
-    if (!job.isAccepted || job.isCancelRequested)
+    const bool isPersistent =
+      std::any_of(job.steps.begin(),
+                  job.steps.end(),
+                  [](const jobs::Step& aStep) { return aStep.isPersistent; });
+    if (!isPersistent || !job.isAccepted || job.isCancelRequested ||
+        IsGivenUp(id))
       continue;
     TaskId task{ .job = id };
     for (task.step = 0; task.step < job.steps.size(); ++task.step)
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -269,6 +269,7 @@
     std::map<TaskId, std::uint32_t> failures;
     /// Number of workers that crashed while the task ran on them.
     std::map<TaskId, std::uint32_t> crashes;
+    bool wasGivenUp = false;
     /// Number of starts of a task after kMaxToleratedCrashes crashes.
     std::map<TaskId, std::uint32_t> startsAfterCrashes;
     /// Tasks whose success the leader has acknowledged.
@@ -372,6 +373,7 @@
                      Time aSentAt);
   jobs::Resources AllocatedOn(const SimulatedWorker& aWorker) const;
   void CheckInvariants();
+  bool IsGivenUp(jobs::JobId aJob);
   void CheckPersistentTasks();
   void CheckPersistentTask(const TaskId& aTask);
   std::size_t FreeSlots(const SimulatedWorker& aWorker,
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -313,9 +313,10 @@
   spread.maxPerWorker = 1;
   Submit({ spread });
   Run(Duration::Seconds(2));
-  Submit(
+  const jobs::JobId job = Submit(
     { MakePersistentStep() },
     { .crashesWorkerAfter = Duration(300), .restartDelay = Duration(2000) });
   Run(Duration::Seconds(40));
+  CHECK(QueryState(job) == JobProgress::Failed);
   CheckInvariants();
 }
