Scheduler: runs taken over do not count as just started if their start is recorded

What callers see: after five losses of power within an hour, each with a change of leader, jobs fail whose tasks have crashed nothing.

Cause: a new leader knows that a task is assigned, but not since when, and takes the moment of the take-over for its start. A worker that restarts beside the change of leader thus charges a crash to all of its runs. A run that the worker had listed to the new leader within the last second was charged as well, and twice, as its start counted as confirmed.

Change: the confirmed start of a run that is not persistent is recorded in the log too (ConfirmStart) once the run has gone on for 4 s. A run whose start was recorded when this leader took it over is charged with no crash. Tasks on the users' platform run for 3.3 s at most, unless they are slow or persistent, so that few need the additional entry.

What gets worse: a persistent task whose start is recorded, and that crashes its worker within a second, is not charged if the leader changes in between; BUDGET has no limit for persistent tasks. A run younger than 4 s is still charged beside a change of leader, once.

--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -70,6 +70,9 @@
   bool isStartSent = false;
   /// Whether the confirmation of the start is recorded or proposed.
   bool isStartRecorded = false;
+  /// Whether the start was recorded when this leader took the run over, so that
+  /// the run does not count as just started once the worker lists it.
+  bool startedBeforeTakeOver = false;
   /// When a start request was first sent, or when this leader took the run over
   /// from the previous one, which may have sent it.
   Time startSentAt;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -80,6 +80,7 @@
                                               .lastSentAt = now_.steady };
         Run& run = session->runs.at(task);
         run.isStartRecorded = isStartConfirmed;
+        run.startedBeforeTakeOver = isStartConfirmed;
         run.stage = RunStage::Starting;
         run.startSentAt = now_.steady;
         // A run missing from the first lists can no longer start: the worker
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -14,6 +14,9 @@
 
 /// Interval of dispatch passes when no event has triggered one.
 static constexpr Duration kDispatchInterval = Duration(100);
+/// How long a run that is not persistent must have been running before its
+/// start is recorded. Few runs last as long, so that few need a log entry.
+static constexpr Duration kMinRecordedRunTime = Duration(4000);
 /// A worker that has been silent for this long is removed from the registry.
 static constexpr Duration kRetireSilence = Duration::Seconds(12);
 
@@ -221,15 +224,18 @@
   ExpireLease(aSession);
 }
 
-/// Records the confirmed starts of persistent runs, so that a later leader need
-/// not expect these starts on another incarnation of the worker. Other runs end
-/// too soon to be worth a record.
+/// Records the confirmed starts of persistent runs and of those that go on for
+/// long. A later leader then neither expects these starts on another
+/// incarnation of the worker nor takes the runs for just started. Other runs
+/// end too soon to be worth a record.
 void
 Scheduler::RecordConfirmedStarts(WorkerSession& aSession)
 {
   for (auto& [task, run] : aSession.runs) {
-    if (!run.isPersistent || run.isStartRecorded ||
-        run.stage != RunStage::Running || aSession.HasUnansweredStart(task))
+    const bool isDue =
+      run.isPersistent || run.runningSince + kMinRecordedRunTime <= now_.steady;
+    if (!isDue || run.isStartRecorded || run.stage != RunStage::Running ||
+        aSession.HasUnansweredStart(task))
       continue;
     run.isStartRecorded = true;
     outbox_.Propose(jobs::ConfirmStart{ .task = task, .attempt = run.attempt });
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -138,7 +138,7 @@
     (aRun.stage == RunStage::Starting && HasUnansweredStart(aTask));
   const Time startedAt =
     aRun.stage == RunStage::Running ? aRun.runningSince : aRun.startSentAt;
-  return mayHaveStarted &&
+  return mayHaveStarted && !aRun.startedBeforeTakeOver &&
          startedAt + kCrashSuspicionTime >= std::max(lastHeartbeat, lastAnswer);
 }
 
@@ -146,7 +146,7 @@
 static bool
 IsRecentStart(const Run& aRun, Time aNow)
 {
-  return aRun.stage != RunStage::Ending &&
+  return aRun.stage != RunStage::Ending && !aRun.startedBeforeTakeOver &&
          (aRun.runningSince == Time(0) ||
           aRun.runningSince + kCrashSuspicionTime > aNow);
 }
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -304,6 +304,26 @@
     CHECK(QueryState(job) != JobProgress::Failed);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "crashes shortly after changes of leader are not charged to "
+                 "runs that have gone on for long")
+{
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration::Seconds(60) });
+  for (int round = 0; round < 4; ++round) {
+    const std::string worker = WorkerOf(job);
+    Run(Duration::Seconds(5));
+    ChangeLeader();
+    // The worker lists the run to the new leader.
+    Run(Duration(300));
+    CrashWorker(worker, Duration(1000));
+    REQUIRE(RunUntil([&] { return !HasRun(job); }, Duration(100)));
+    Run(Duration(1500));
+  }
+  CHECK(QueryState(job) != JobProgress::Failed);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture,
                  "a persistent task that crashes its workers restarts in time "
                  "until it is given up")
