Scheduler: a crash counts that is shown only after the worker was retired

What callers see: a task that crashes its workers is started again and again if each worker takes 14 s to come back; the other runs on these workers are lost each time.

Cause: a worker that has been silent for 12 s is retired, and its session held the runs that may have crashed it. The later incarnation found nobody to charge.

Change: when a worker is retired, the leader keeps its crash suspects with its record, for which the observer is told before the record is removed. A later incarnation, or a later worker on the host, charges them; the same incarnation, which was cut off, clears them; after an hour they are dropped, as recorded crashes are. A suspect also carries the number of orders recorded for its host, and is not charged if there has been one since: now that suspects are kept for longer, a host may be maintained or moved meanwhile, and its next worker shows no crash.

Checks: the simulated provider registered a returned host's worker under a host of its own name first, so that the worker was not seen as the successor on its host; it names the host at once now. "maintenance of hosts whose workers were retired is not a crash" and "workers that were cut off until they were retired have not crashed" fail if the orders or the same incarnation are not looked at (tried with both left out).

Left: suspects are lost with the leader, and a worker that takes 20 s shows its crash too late for the limit.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -145,6 +145,7 @@
   {
   }
   virtual void OnWorkerRegistered(WorkerNumber /*aWorker*/) {}
+  /// Its record is removed after the call.
   virtual void OnWorkerRetired(WorkerNumber /*aWorker*/) {}
 };
 
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -408,8 +408,8 @@
   const auto number = workerNumbers_.find(found->second.id);
   if (number != workerNumbers_.end() && number->second == aOperation.worker)
     workerNumbers_.erase(number);
-  workers_.erase(found);
   aObserver.OnWorkerRetired(aOperation.worker);
+  workers_.erase(found);
 }
 
 void
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -215,7 +215,13 @@
   void AdoptCapacity(WorkerSession& aSession) const;
   void SupersedeEarlierIncarnations(jobs::WorkerNumber aWorker);
   void ChargeCrash(WorkerSession& aSession);
-  static void NoteCrashSuspects(WorkerSession& aSession);
+  void ChargeSuspects(const jobs::WorkerRecord& aWorker,
+                      const std::vector<CrashSuspect>& aSuspects);
+  void NoteCrashSuspects(WorkerSession& aSession) const;
+  void KeepCrashSuspects(const WorkerSession& aSession);
+  void ResolveRetiredWorkers(const jobs::WorkerRecord& aLatest);
+  /// The number of orders recorded for the host.
+  std::uint64_t HostOrderCount(const jobs::HostId& aHost) const;
   bool IsFromOtherIncarnation(const WorkerSession& aSession,
                               const WorkerReply& aReply) const;
   FencingToken FenceOf(const WorkerSession& aSession) const;
@@ -367,6 +373,14 @@
   std::map<jobs::WorkerId, WorkerHeartbeat> latestHeartbeats_;
   PoolIndex poolIndex_;
   std::map<jobs::WorkerId, std::set<jobs::WorkerNumber>> supersededWorkers_;
+  /// A worker that was retired with runs that may have crashed it.
+  struct RetiredWorker
+  {
+    jobs::WorkerRecord record;
+    std::vector<CrashSuspect> suspects;
+    Time retiredAt;
+  };
+  std::vector<RetiredWorker> retiredWorkers_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
   std::uint64_t lastCallId_ = 0;
   /// Jobs that have not ended.
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -111,6 +111,8 @@
   TaskId task;
   Attempt attempt;
   bool isStartConfirmed = false;
+  /// The number of orders recorded for the worker's host when this was noted.
+  std::uint64_t hostOrderCount = 0;
 };
 
 /// The leader's volatile state for one incarnation of a worker.
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -103,6 +103,7 @@
   sessions_.clear();
   poolIndex_.Clear();
   supersededWorkers_.clear();
+  retiredWorkers_.clear();
   pendingCalls_.clear();
   liveJobs_.clear();
   unstartedJobs_.clear();
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -46,9 +46,22 @@
   session.leaseExpiry = now_.steady;
   permitCache_.ExpirePermits(RecordOf(session).id);
   SupersedeEarlierIncarnations(aWorker);
+  ResolveRetiredWorkers(RecordOf(session));
   TickSession(session);
 }
 
+/// Whether \p aLatest is a later incarnation of the worker or a later worker on
+/// its host.
+static bool
+IsSuccessor(const jobs::WorkerRecord& aLatest,
+            const jobs::WorkerRecord& aRecord)
+{
+  const bool isSameHost =
+    !aLatest.host.Value().empty() && aRecord.host == aLatest.host;
+  return (aRecord.id == aLatest.id || isSameHost) &&
+         aRecord.incarnation < aLatest.incarnation;
+}
+
 /// Marks earlier incarnations on the same worker or host as superseded and ends
 /// their runs, except those that may still start on the new incarnation.
 void
@@ -59,11 +72,7 @@
     if (number == aWorker || session.isSuperseded)
       continue;
     const jobs::WorkerRecord& record = RecordOf(session);
-    const bool isSameWorker = record.id == latest.id;
-    const bool isSameHost =
-      !latest.host.Value().empty() && record.host == latest.host;
-    if ((!isSameWorker && !isSameHost) ||
-        record.incarnation >= latest.incarnation)
+    if (!IsSuccessor(latest, record))
       continue;
     ChargeCrash(session);
     session.isSuperseded = true;
@@ -71,7 +80,7 @@
     supersededWorkers_[record.id].insert(number);
     poolIndex_.Remove(session);
     const bool isSameAddress =
-      isSameWorker && record.endpoint == latest.endpoint;
+      record.id == latest.id && record.endpoint == latest.endpoint;
     if (isSameAddress) {
       sessions_.at(aWorker).hasReusedAddress = true;
       AllowForLongestLease(sessions_.at(aWorker));
@@ -92,45 +101,90 @@
 }
 
 /// Records a crash for the runs that may have crashed a worker whose later
-/// incarnation has registered or answered. A host is ordered from the provider
-/// only once it has no runs, so that no run is charged for its move or
-/// maintenance.
+/// incarnation has registered or answered.
 void
 Scheduler::ChargeCrash(WorkerSession& aSession)
 {
-  if (RecordOf(aSession).isDraining)
+  NoteCrashSuspects(aSession);
+  ChargeSuspects(RecordOf(aSession), aSession.crashSuspects);
+  aSession.crashSuspects.clear();
+}
+
+/// Records a crash of the worker for each of the runs. Those of a worker that
+/// had announced its departure are not charged, nor those after whose end the
+/// host was ordered from the provider: either explains the later incarnation. A
+/// host with runs is not ordered.
+void
+Scheduler::ChargeSuspects(const jobs::WorkerRecord& aWorker,
+                          const std::vector<CrashSuspect>& aSuspects)
+{
+  if (aWorker.isDraining)
     return;
-  const auto charge = [&](const CrashSuspect& aRun) {
+  for (const CrashSuspect& suspect : aSuspects) {
+    if (suspect.hostOrderCount != HostOrderCount(aWorker.host))
+      continue;
     observe::Log(
       observe::LogLevel::Warning,
       "worker-crashed-under-task",
-      { { "task", ToString(aRun.task) },
-        { "attempt", std::to_string(aRun.attempt.Value()) },
-        { "worker", RecordOf(aSession).id.Value() },
-        { "host", RecordOf(aSession).host.Value() },
-        { "start_confirmed", aRun.isStartConfirmed ? "yes" : "no" } });
+      { { "task", ToString(suspect.task) },
+        { "attempt", std::to_string(suspect.attempt.Value()) },
+        { "worker", aWorker.id.Value() },
+        { "host", aWorker.host.Value() },
+        { "start_confirmed", suspect.isStartConfirmed ? "yes" : "no" } });
     outbox_.Propose(
-      jobs::RecordCrash{ .task = aRun.task,
-                         .attempt = aRun.attempt,
-                         .isStartConfirmed = aRun.isStartConfirmed,
+      jobs::RecordCrash{ .task = suspect.task,
+                         .attempt = suspect.attempt,
+                         .isStartConfirmed = suspect.isStartConfirmed,
                          .at = now_.wall });
-  };
-  NoteCrashSuspects(aSession);
-  for (const CrashSuspect& suspect : aSession.crashSuspects)
-    charge(suspect);
-  aSession.crashSuspects.clear();
+  }
 }
 
 /// Notes the runs that may have crashed the worker, if it has crashed.
 void
-Scheduler::NoteCrashSuspects(WorkerSession& aSession)
+Scheduler::NoteCrashSuspects(WorkerSession& aSession) const
 {
   for (const auto& [task, run] : aSession.runs)
     if (aSession.MayHaveCrashedWorker(task, run))
       aSession.crashSuspects.push_back(
         { .task = task,
           .attempt = run.attempt,
-          .isStartConfirmed = run.stage == RunStage::Running });
+          .isStartConfirmed = run.stage == RunStage::Running,
+          .hostOrderCount = HostOrderCount(RecordOf(aSession).host) });
+}
+
+std::uint64_t
+Scheduler::HostOrderCount(const jobs::HostId& aHost) const
+{
+  const auto found = stateMachine_.OrderIntentCounts().find(aHost);
+  return found == stateMachine_.OrderIntentCounts().end() ? 0 : found->second;
+}
+
+/// Keeps the crash suspects of a worker that is being retired before a later
+/// incarnation could show whether it crashed.
+void
+Scheduler::KeepCrashSuspects(const WorkerSession& aSession)
+{
+  std::erase_if(retiredWorkers_, [&](const RetiredWorker& aRetired) {
+    return aRetired.retiredAt + jobs::kCrashMemory < now_.steady;
+  });
+  if (!aSession.crashSuspects.empty())
+    retiredWorkers_.push_back({ .record = RecordOf(aSession),
+                                .suspects = aSession.crashSuspects,
+                                .retiredAt = now_.steady });
+}
+
+/// Charges the crash suspects of the retired workers that \p aLatest shows to
+/// have crashed. A worker that was cut off comes back as the same incarnation.
+void
+Scheduler::ResolveRetiredWorkers(const jobs::WorkerRecord& aLatest)
+{
+  std::erase_if(retiredWorkers_, [&](const RetiredWorker& aRetired) {
+    const bool hasCrashed = IsSuccessor(aLatest, aRetired.record);
+    if (hasCrashed)
+      ChargeSuspects(aRetired.record, aRetired.suspects);
+    return hasCrashed || (aRetired.record.id == aLatest.id &&
+                          aRetired.record.incarnation == aLatest.incarnation);
+  });
 }
 
 /// Extends the bound of the worker's lease for a renewal meant for an earlier
@@ -152,6 +206,7 @@
   const auto found = sessions_.find(aWorker);
   if (found == sessions_.end())
     return;
+  KeepCrashSuspects(found->second);
   poolIndex_.Remove(found->second);
   for (auto it = supersededWorkers_.begin(); it != supersededWorkers_.end();) {
     it->second.erase(aWorker);
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -472,9 +472,7 @@
   ScheduleEvent(unavailableTime, [this, name = aHost.Value()] {
     SimulatedHost& returned = hosts_.at(name);
     returned.worker = name + "-" + std::to_string(++lastHostWorker_);
-    AddWorker(returned.worker);
-    workers_.at(returned.worker).record.host = HostId(name);
-    SendHeartbeat(workers_.at(returned.worker));
+    AddWorker(returned.worker, kDefaultCapacity, "r1", {}, name);
   });
   return HostCallStatus::Done;
 }
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace greengage;
@@ -34,7 +36,8 @@
 /// An idle fleet of five registered workers.
 struct Fixture : SimulatedFleet
 {
-  Fixture()
+  explicit Fixture(bool aHasProvider = false)
+    : SimulatedFleet(1, aHasProvider)
   {
     Run(Duration(200));
     for (const std::string& id : workerIds)
@@ -62,6 +65,16 @@
   const std::vector<std::string> workerIds{ "w1", "w2", "w3", "w4", "w5" };
 };
 
+/// The same, after the planner has read the provider's list of hosts.
+struct ProviderFixture : Fixture
+{
+  ProviderFixture()
+    : Fixture(true)
+  {
+    Run(Duration(4500));
+  }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(Fixture,
@@ -170,6 +183,26 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "workers that were cut off until they were retired have not "
+                 "crashed")
+{
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration::Seconds(100) });
+  std::vector<std::string> workers;
+  for (int count = 0; count < 3; ++count) {
+    workers.push_back(WorkerOf(job));
+    PartitionWorker(workers.back(), Duration::Seconds(14));
+    REQUIRE(RunUntil([&] { return !HasRun(job); }, Duration::Seconds(8)));
+  }
+  Run(Duration::Seconds(16));
+  for (const std::string& worker : workers)
+    CrashWorker(worker, Duration(1000));
+  Run(Duration::Seconds(3));
+  CHECK(QueryState(job) == JobProgress::Running);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(Fixture, "an announced departure of a worker is not a crash")
 {
   const jobs::JobId job = Submit({ MakePersistentStep() });
@@ -280,6 +313,34 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(ProviderFixture,
+                 "maintenance of hosts whose workers were retired is not a "
+                 "crash")
+{
+  const jobs::JobId job =
+    Submit({ MakeStep(1) }, { .runTime = Duration::Seconds(100) });
+  std::vector<jobs::HostId> hosts;
+  for (int count = 0; count < 3; ++count) {
+    const std::string worker = WorkerOf(job);
+    hosts.emplace_back("host-" + worker);
+    PartitionWorker(worker, Duration::Seconds(60));
+    REQUIRE(RunUntil([&] { return !HasRun(job); }, Duration::Seconds(8)));
+  }
+  Run(Duration::Seconds(13));
+  Send(WaveStart{ .id = jobs::WaveId(1),
+                  .hosts = hosts,
+                  .maxConcurrentHosts = 3,
+                  .timeLimit = Duration::Seconds(20) });
+  Run(Duration::Seconds(10));
+  const auto orders = std::count_if(
+    hostCalls.begin(), hostCalls.end(), [](const HostCall& aCall) {
+      return std::holds_alternative<MaintainHost>(aCall.request);
+    });
+  CHECK(orders == 3);
+  CHECK(QueryState(job) == JobProgress::Running);
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "crashes beside changes of leader are not charged to runs that "
