greengaged: a host whose disk is full at start waits for space

What callers would see: a control host whose process starts while its disk is full is gone until somebody starts it again, though the disk has room a second later; with a second such host there is no leader.

Evidence: "a control host that starts while its disk is full leads once there is space", "a control host that waits for disk space stops when told to" and "a voter that starts while its disk is full joins once there is space" run the programs with a file of the data folder that leads to /dev/full. All three failed on the code before: the process ended.

Change: both programs start through StartDaemon, which logs start-delayed with the reason and tries again each second while the reason is storage-full, until a signal to stop comes. Any other reason ends the program as before. Opening the log is the first step of a start, so that Start can be called again. The jobs program compares its settings file with the time at which it read it, so that a change during the wait is not missed.

--- a/packages/daemon/include/greengage/daemon/Daemon.h
+++ b/packages/daemon/include/greengage/daemon/Daemon.h
@@ -29,6 +29,8 @@
   ~Daemon();
 
   /// Opens all ports and starts all duties.
+  /// \returns false with StorageFull if the disk has no space for the data
+  /// folder; Start may then be called again.
   bool Start(Error& aReason);
 
   /// Stops without cutting off a request: says not ready, waits for the
--- a/packages/daemon/include/greengage/daemon/JobDaemon.h
+++ b/packages/daemon/include/greengage/daemon/JobDaemon.h
@@ -91,6 +91,8 @@
   ~JobDaemon();
 
   /// Opens the ports and starts the duties.
+  /// \returns false with StorageFull if the disk has no space for the data
+  /// folder; Start may then be called again.
   bool Start(Error& aReason);
   /// Takes over what may change while the daemon runs: the seeds.
   void Reload(const JobSettings& aSettings);
--- a/tools/greengaged/JobCommand.cpp
+++ b/tools/greengaged/JobCommand.cpp
@@ -1,5 +1,7 @@
 #include "JobCommand.h"
 
+#include "StartDaemon.h"
+
 #include "greengage/daemon/JobDaemon.h"
 #include "greengage/observe/Log.h"
 #include "greengage/pipe/StopSignals.h"
@@ -31,13 +33,15 @@
   return std::filesystem::last_write_time(aPath, missing);
 }
 
-/// Serves until a signal to stop comes.
+/// Serves until a signal to stop comes. \p aReadAt is the time of the file that
+/// the daemon was started with.
 static void
 Serve(daemon::JobDaemon& aDaemon,
       const pipe::StopSignals& aSignals,
-      const std::string& aPath)
+      const std::string& aPath,
+      std::filesystem::file_time_type aReadAt)
 {
-  auto changedAt = ChangedAt(aPath);
+  auto changedAt = aReadAt;
   for (;;) {
     const pipe::SignalKind signal = aSignals.WaitFor(kFileInterval);
     if (signal == pipe::SignalKind::Stop)
@@ -61,6 +65,7 @@
                           bool aCheckOnly,
                           Error& aReason)
 {
+  const auto readAt = ChangedAt(aPath);
   auto settings = Load(aPath, aReason);
   if (!settings)
     return JobExit::InvalidSettings;
@@ -82,9 +87,11 @@
                              .hosts = hosts,
                              .advice = advice,
                              .configurations = configurations });
-  if (!daemon.Start(aReason))
-    return JobExit::Unavailable;
-  Serve(daemon, signals, aPath);
+  const StartResult start = StartDaemon(daemon, signals, aReason);
+  if (start != StartResult::Started)
+    return start == StartResult::Stopped ? JobExit::Stopped
+                                         : JobExit::Unavailable;
+  Serve(daemon, signals, aPath, readAt);
   daemon.ShutDown();
   return JobExit::Stopped;
 }
--- a/tools/greengaged/main.cpp
+++ b/tools/greengaged/main.cpp
@@ -4,6 +4,7 @@
 /// wrong, 3 stopped while work was still in progress.
 
 #include "JobCommand.h"
+#include "StartDaemon.h"
 
 #include "greengage/core/Error.h"
 #include "greengage/daemon/Daemon.h"
@@ -99,7 +100,10 @@
   const pipe::StopSignals signals;
   observe::ConfigureLog(settings->log);
   daemon::Daemon daemon(std::move(*settings), std::move(*fleet));
-  if (!daemon.Start(reason))
+  const auto start = tools::StartDaemon(daemon, signals, reason);
+  if (start == tools::StartResult::Stopped)
+    return 0;
+  if (start == tools::StartResult::Failed)
     return Report(reason, kExitUnavailable);
   signals.Wait();
   return daemon.ShutDown() ? 0 : kExitWorkInProgress;
