Gate: control hosts repeat who leads

What callers would see: an entry host that isn't ready, or relays to a former leader and gets refusals, until the next term or until its connections are made anew.

Cause: a notice of the leader is sent once, on the news or when a peer connects, and is dropped if the way to the links, or a peer's backlog, is full. The message that makes an unknown leader a peer is sent once, too.

Evidence: "a notice of the leader that found no room is repeated" and "a leader becomes a peer though the first attempt found no room" failed on the code before.

Nothing changes on the wire.

--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -2,6 +2,7 @@
 
 #include "greengage/observe/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace greengage;
@@ -12,6 +13,9 @@
 static constexpr Duration kReplyTimeout = Duration(2500);
 static constexpr Duration kCheckInterval = Duration(100);
 static constexpr Duration kLoadReportInterval = Duration::Seconds(2);
+/// How often a control host repeats who leads: a notice is dropped where its
+/// way is full, and the host that missed it can't serve.
+static constexpr Duration kNoticeInterval = Duration::Seconds(1);
 /// When to ask again where there is no leader; an election takes 1 to 2 s.
 static constexpr Duration kRetryAfter = Duration::Seconds(1);
 
@@ -35,6 +39,12 @@
   return isReadyHere_ && outlets_.served != nullptr;
 }
 
+bool
+GateFilter::SendsNotices() const
+{
+  return outlets_.log != nullptr && term_ > consensus::Term(0);
+}
+
 bool
 GateFilter::CanServe() const
 {
@@ -180,23 +190,34 @@
                "leader-learned",
                { { "term", std::to_string(aTerm.Value()) },
                  { "leader", aLeader ? aLeader->Value() : "none" } });
-  // A leader that this host has no connection to becomes a peer.
-  if (leader_ && *leader_ != host_.id && up_.count(*leader_) == 0)
-    outlets_.peers.TryPush(
-      { .to = leader_,
-        .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+  ConnectToLeader();
   return true;
 }
 
+/// A message to a host that is no peer yet makes it one.
 void
-GateFilter::On(Leadership&& aLeadership, Time /*aNow*/)
+GateFilter::ConnectToLeader()
+{
+  if (leader_ && *leader_ != host_.id && up_.count(*leader_) == 0)
+    SendNotice(leader_);
+}
+
+void
+GateFilter::SendNotice(const std::optional<EntryHostId>& aTo)
+{
+  outlets_.peers.TryPush(
+    { .to = aTo,
+      .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+}
+
+void
+GateFilter::On(Leadership&& aLeadership, Time aNow)
 {
   isReadyHere_ = aLeadership.isReadyHere;
   if (!Learn(aLeadership.term, aLeadership.leader))
     return;
-  outlets_.peers.TryPush(
-    { .to = std::nullopt,
-      .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+  nextNotice_ = aNow + kNoticeInterval;
+  SendNotice(std::nullopt);
 }
 
 void
@@ -220,10 +241,8 @@
   if (outlets_.log != nullptr)
     outlets_.log->TryPush(consensus::Event(consensus::HostLocated{
       .host = aEvent.peer, .availabilityZone = aEvent.availabilityZone }));
-  if (outlets_.log != nullptr && term_ > consensus::Term(0))
-    outlets_.peers.TryPush(
-      { .to = aEvent.peer,
-        .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
+  if (SendsNotices())
+    SendNotice(aEvent.peer);
 }
 
 void
@@ -291,11 +310,14 @@
 void
 GateFilter::OnMessage(const wire::LeaderNotice& aNotice)
 {
-  if (outlets_.log == nullptr)
-    Learn(aNotice.term, aNotice.leader);
+  if (outlets_.log == nullptr) {
+    if (!Learn(aNotice.term, aNotice.leader))
+      ConnectToLeader();
+    return;
+  }
   // A host with the log believes its own replica, which asks the leader for the
   // log if it has no other way to it.
-  else if (aNotice.leader)
+  if (aNotice.leader)
     outlets_.log->TryPush(
       consensus::Event(consensus::LeaderAnnounced{ .host = *aNotice.leader }));
 }
@@ -339,14 +361,18 @@
 GateFilter::NextTimer() const
 {
   if (callers_.empty())
-    return std::nullopt;
-  return nextCheck_;
+    return SendsNotices() ? std::optional(nextNotice_) : std::nullopt;
+  return SendsNotices() ? std::min(nextCheck_, nextNotice_) : nextCheck_;
 }
 
 void
 GateFilter::OnTimer(Time aNow)
 {
   now_ = aNow;
+  if (SendsNotices() && aNow >= nextNotice_) {
+    nextNotice_ = aNow + kNoticeInterval;
+    SendNotice(std::nullopt);
+  }
   nextCheck_ = aNow + kCheckInterval;
   GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
          "the leader did not answer in time");
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -75,6 +75,9 @@
   void OnMessage(const wire::LeaderNotice& aNotice);
   void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage) const;
   bool Learn(consensus::Term aTerm, const std::optional<EntryHostId>& aLeader);
+  void ConnectToLeader();
+  /// Tells one peer, or all that are up, who leads.
+  void SendNotice(const std::optional<EntryHostId>& aTo);
   void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
   void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
   void Refuse(const Caller& aCaller, const char* aWhy);
@@ -83,6 +86,8 @@
   void ReportLoads();
   bool LeadsHere() const;
   bool CanServe() const;
+  /// Whether this host has the log and so tells others who leads.
+  bool SendsNotices() const;
 
   HostState& host_;
   GateOutlets outlets_;
@@ -95,6 +100,7 @@
   std::uint64_t lastCaller_ = 0;
   Time now_;
   Time nextCheck_;
+  Time nextNotice_;
   Time nextLoadReport_;
   std::map<std::string, pipe::DutyLoad> reportedLoads_;
 };
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -278,6 +278,45 @@
   CHECK(NextStatus() == 503);
 }
 
+TEST_CASE_METHOD(ControlFixture,
+                 "a notice of the leader that found no room is repeated")
+{
+  Connect(kOther);
+  peers.isFull = true;
+  Lead();
+  peers.isFull = false;
+  REQUIRE(peers.messages.empty());
+  for (int repeated = 0; repeated < 2; ++repeated) {
+    REQUIRE(gate.NextTimer());
+    CHECK(*gate.NextTimer() <= now + Duration::Seconds(1));
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+    REQUIRE(peers.messages.size() == 1);
+    // Notices may be lost on their way too, so they go to all peers.
+    CHECK_FALSE(peers.messages.front().to);
+    const auto& notice =
+      std::get<wire::LeaderNotice>(peers.messages.front().message);
+    CHECK(notice.leader == kSelf);
+    CHECK(notice.term == consensus::Term(3));
+    peers.messages.clear();
+  }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a leader becomes a peer though the first attempt found no "
+                 "room")
+{
+  peers.isFull = true;
+  Notice(2, kLeader);
+  peers.isFull = false;
+  Notice(2, kLeader);
+  REQUIRE(peers.messages.size() == 1);
+  CHECK(peers.messages.front().to == kLeader);
+  Connect(kLeader);
+  Notice(2, kLeader);
+  CHECK(peers.messages.size() == 1);
+}
+
 TEST_CASE_METHOD(ControlFixture,
                  "a control host tells its replica who leads elsewhere")
 {
