--- a/packages/daemon/lib/JobDaemon.cpp
+++ b/packages/daemon/lib/JobDaemon.cpp
@@ -187,7 +187,7 @@
   , hostSink(aFrontEnd.hosts, hosts.Calls())
   , adviceSink(aFrontEnd.advice, adviser.Calls())
   , replySink(aFrontEnd.calls, aGate)
-  , machine(schedule)
+  , machine(aFrontEnd.configurations, schedule)
   , leadershipSink(schedule, aGate)
   , proposalEnds(schedule)
   , log({ .self = aSettings.id,
--- a/packages/daemon/lib/sources/JobPipes.h
+++ b/packages/daemon/lib/sources/JobPipes.h
@@ -10,6 +10,7 @@
 
 #include "greengage/frontend/Codecs.h"
 #include "greengage/http/Client.h"
+#include "greengage/jobs/JobStateMachine.h"
 #include "greengage/pipe/Pipe.h"
 #include "greengage/state/StateMachine.h"
 
@@ -153,8 +154,10 @@
 class RemoteMachine final : public state::StateMachine
 {
 public:
-  explicit RemoteMachine(pipe::Pipe<ScheduleMessage>& aSchedule)
-    : schedule_(aSchedule)
+  RemoteMachine(const jobs::ConfigurationReader& aReader,
+                pipe::Pipe<ScheduleMessage>& aSchedule)
+    : reader_(aReader)
+    , schedule_(aSchedule)
   {
   }
   std::string Apply(state::LogIndex /*aIndex*/,
@@ -172,12 +175,18 @@
       return {};
     return result.get();
   }
-  bool Restore(std::string_view aSnapshot, Error& /*aReason*/) override
+  bool Restore(std::string_view aSnapshot, Error& aReason) override
   {
+    // The scheduling duty can't refuse a snapshot in time: the log's duty must
+    // know at once, and at the start before the scheduling duty runs.
+    jobs::JobStateMachine trial(reader_);
+    if (!trial.Restore(aSnapshot, aReason))
+      return false;
     return schedule_.Push(RestoreState{ .snapshot = std::string(aSnapshot) });
   }
 
 private:
+  const jobs::ConfigurationReader& reader_;
   pipe::Pipe<ScheduleMessage>& schedule_;
 };
 
--- a/packages/daemon/unittests/ScheduleFilterTest.cpp
+++ b/packages/daemon/unittests/ScheduleFilterTest.cpp
@@ -1,4 +1,5 @@
 #include "../lib/filters/ScheduleFilter.h"
+#include "../lib/sources/JobPipes.h"
 
 #include "greengage/core/Clock.h"
 
@@ -113,3 +114,16 @@
   REQUIRE(host.metrics.Serialize().find("greengage_persistent_tasks_idle 0") !=
           std::string::npos);
 }
+
+TEST_CASE_METHOD(Fixture, "a snapshot that can't be read is refused to the log")
+{
+  ListPipe<ScheduleMessage> schedule;
+  RemoteMachine machine(reader, schedule);
+  Error reason;
+  CHECK_FALSE(machine.Restore("no snapshot", reason));
+  CHECK(reason.kind != ErrorKind::None);
+  CHECK(schedule.list.empty());
+  const std::string snapshot = jobs::JobStateMachine(reader).Snapshot();
+  CHECK(machine.Restore(snapshot, reason));
+  CHECK(schedule.list.size() == 1);
+}
