Links: a connection without one back is made anew

What callers would see: after a cut, a host that doesn't reach a peer for as long as the kernel waits between its attempts, up to two minutes, or a peer that lost its power for some 15 minutes (the kernel's defaults, not measured), though both could connect at once.

Cause: a peer is up once each side has dialled the other. A host whose hello is out keeps that connection and dials no more until it ends; if the cut comes before the peer's own connection, nothing ends it, and silence counts only for peers that are up.

Change: a dialled connection whose peer isn't up after five times the silence is closed and dialled again.

--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -25,6 +25,10 @@
 using tcp = asio::ip::tcp;
 
 static constexpr std::size_t kNonceBytes = 16;
+/// A dialled connection that has no accepted one beside it after so many times
+/// the silence is made anew: the peer, which dials once in each, may never have
+/// got the hello.
+static constexpr std::int64_t kReturnTimeoutInSilences = 5;
 
 /// What the dialling host proves: who it is, to whom, on this connection.
 static std::string
@@ -74,6 +78,7 @@
     AvailabilityZoneId availabilityZone;
     /// The dialled connection, once the hello has been sent on it.
     StreamPtr outgoing;
+    Time outgoingSince;
     /// The accepted connection, once its hello has been verified.
     StreamPtr incoming;
     bool isUp = false;
@@ -403,6 +408,7 @@
   };
   aStream->Send(Encode(hello, clock_.Now()), options_.maxBacklogBytes);
   peer.outgoing = aStream;
+  peer.outgoingSince = clock_.Now();
   peer.diallingStream.reset();
   CheckUp(aId, peer);
 }
@@ -505,6 +511,12 @@
 {
   if (aPeer.isUp && aPeer.heardAt + options_.silence <= aNow)
     SetDown(aId, aPeer, "silence");
+  const Time returnDue =
+    aPeer.outgoingSince + options_.silence * kReturnTimeoutInSilences;
+  if (aPeer.outgoing && !aPeer.isUp && returnDue <= aNow) {
+    aPeer.outgoing->Close();
+    aPeer.outgoing.reset();
+  }
   if (aPeer.outgoing) {
     aPeer.outgoing->Send(Encode(wire::Heartbeat{}, aNow),
                          options_.maxBacklogBytes);
--- a/packages/peer/unittests/LinksTest.cpp
+++ b/packages/peer/unittests/LinksTest.cpp
@@ -12,6 +12,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <chrono>
 #include <ctime>
 #include <thread>
@@ -239,9 +240,9 @@
   aSocket.non_blocking(true);
   const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
   while (std::chrono::steady_clock::now() < until) {
-    char byte = 0;
+    std::array<char, 4096> bytes{};
     boost::system::error_code error;
-    aSocket.receive(asio::buffer(&byte, 1), 0, error);
+    aSocket.receive(asio::buffer(bytes), 0, error);
     if (error && error != asio::error::would_block)
       return true;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -264,6 +265,19 @@
   CHECK(IsClosedByPeer(second));
 }
 
+TEST_CASE("a connection without one back is made anew")
+{
+  const std::uint16_t port = support::FreePort();
+  SilentPeer peer(port);
+  Host host("e1", support::FreePort(), "e2", port);
+  // The peer lost its power, or the way back, right after its challenge.
+  asio::ip::tcp::socket first = peer.Accept();
+  const wire::Challenge challenge{ .nonce = "nonce" };
+  asio::write(first, asio::buffer(wire::MakeFrame(Encode(challenge, Time(0)))));
+  REQUIRE(IsClosedByPeer(first));
+  peer.Accept();
+}
+
 namespace {
 
 /// A host that is named by its address and listens where all others do.
