Gate: control hosts repeat where their peers are

What callers would see: after a voter was replaced, a log in three availability zones that doesn't survive the loss of one of them, though there are hosts for it in others.

Cause: the zone of a peer reaches the replica once, when the peer connects.

Evidence: "the zone of a peer that found no room is told again" failed on the code before.

Change: a control host that knows of a term repeats the zones of all peers that are up to its replica every 10 s.

--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -16,6 +16,9 @@
 /// How often a control host repeats who leads: a notice is dropped where its
 /// way is full, and the host that missed it can't serve.
 static constexpr Duration kNoticeInterval = Duration::Seconds(1);
+/// How often a control host repeats the availability zones of its peers to its
+/// replica, which drops news while it is busy or its journal fails.
+static constexpr Duration kLocationInterval = Duration::Seconds(10);
 /// When to ask again where there is no leader; an election takes 1 to 2 s.
 static constexpr Duration kRetryAfter = Duration::Seconds(1);
 
@@ -210,6 +213,14 @@
       .message = wire::LeaderNotice{ .term = term_, .leader = leader_ } });
 }
 
+void
+GateFilter::TellLocation(const EntryHostId& aPeer,
+                         const AvailabilityZoneId& aAvailabilityZone) const
+{
+  outlets_.log->TryPush(consensus::Event(consensus::HostLocated{
+    .host = aPeer, .availabilityZone = aAvailabilityZone }));
+}
+
 void
 GateFilter::On(Leadership&& aLeadership, Time aNow)
 {
@@ -237,10 +248,9 @@
 void
 GateFilter::OnPeer(peer::PeerConnected&& aEvent, Time /*aNow*/)
 {
-  up_.insert(aEvent.peer);
+  up_[aEvent.peer] = aEvent.availabilityZone;
   if (outlets_.log != nullptr)
-    outlets_.log->TryPush(consensus::Event(consensus::HostLocated{
-      .host = aEvent.peer, .availabilityZone = aEvent.availabilityZone }));
+    TellLocation(aEvent.peer, aEvent.availabilityZone);
   if (SendsNotices())
     SendNotice(aEvent.peer);
 }
@@ -373,6 +383,11 @@
     nextNotice_ = aNow + kNoticeInterval;
     SendNotice(std::nullopt);
   }
+  if (outlets_.log != nullptr && aNow >= nextLocation_) {
+    nextLocation_ = aNow + kLocationInterval;
+    for (const auto& [peer, availabilityZone] : up_)
+      TellLocation(peer, availabilityZone);
+  }
   nextCheck_ = aNow + kCheckInterval;
   GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
          "the leader did not answer in time");
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -16,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -78,6 +77,9 @@
   void ConnectToLeader();
   /// Tells one peer, or all that are up, who leads.
   void SendNotice(const std::optional<EntryHostId>& aTo);
+  /// Tells the replica where a peer is.
+  void TellLocation(const EntryHostId& aPeer,
+                    const AvailabilityZoneId& aAvailabilityZone) const;
   void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
   void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
   void Refuse(const Caller& aCaller, const char* aWhy);
@@ -95,12 +97,14 @@
   std::optional<EntryHostId> leader_;
   bool isReadyHere_ = false;
   bool isStopping_ = false;
-  std::set<EntryHostId> up_;
+  /// The peers that are up, with their availability zones.
+  std::map<EntryHostId, AvailabilityZoneId> up_;
   std::unordered_map<schedule::CallerId, Caller> callers_;
   std::uint64_t lastCaller_ = 0;
   Time now_;
   Time nextCheck_;
   Time nextNotice_;
+  Time nextLocation_;
   Time nextLoadReport_;
   std::map<std::string, pipe::DutyLoad> reportedLoads_;
 };
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -302,6 +302,33 @@
   }
 }
 
+TEST_CASE_METHOD(ControlFixture,
+                 "the zone of a peer that found no room is told again")
+{
+  Lead();
+  log.isFull = true;
+  Connect(kOther);
+  log.isFull = false;
+  REQUIRE(log.messages.empty());
+  const Time end = now + Duration::Seconds(15);
+  while (now < end && log.messages.empty()) {
+    REQUIRE(gate.NextTimer());
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+  }
+  REQUIRE(log.messages.size() == 1);
+  const auto& event = std::get<consensus::Event>(log.messages.front());
+  CHECK(std::get<consensus::HostLocated>(event).host == kOther);
+  // Nothing is told of a peer that is gone.
+  Disconnect(kOther);
+  log.messages.clear();
+  for (int timer = 0; timer < 30; ++timer) {
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+  }
+  CHECK(log.messages.empty());
+}
+
 TEST_CASE_METHOD(Fixture,
                  "a leader becomes a peer though the first attempt found no "
                  "room")
