Log entries: operations with long texts don't share an entry beyond its limit

An entry above the log's limit (4 MiB + 64 KiB) is refused, and the controller then decides nothing until leadership changes, though its host still leads.

Cause: the size of a batch was reckoned with 512 bytes for each operation but a job's payload and a configuration, while labels, racks, images, dependencies, hosts of a wave and checkpoints have the length that their senders choose.

Change: jobs::EncodedSizeBound stands beside the encoding and counts all texts; a test holds it to the encoded size of each operation.

--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -11,6 +11,7 @@
 #include "greengage/jobs/Ids.h"
 #include "greengage/jobs/Job.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -182,6 +183,10 @@
 std::string
 Encode(const Operations& aOperations);
 
+/// An upper bound for the size that \p aOperation adds to a log entry.
+std::size_t
+EncodedSizeBound(const Operation& aOperation);
+
 /// Decodes one log entry.
 /// \returns nothing, and in \p aReason Malformed if the entry can't be decoded
 /// or Unsupported if it has an unknown operation code.
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -146,6 +146,59 @@
   return SerializeCbor(list);
 }
 
+/// Upper bounds for the numbers and flags of an operation, those of one step of
+/// a job, and what precedes the bytes of a text or a number in a list.
+static constexpr std::size_t kMaxFixedBytes = 512;
+static constexpr std::size_t kMaxItemHeaderBytes = 9;
+
+static std::size_t
+TextBytes(const Operation& aOperation)
+{
+  std::size_t bytes = 0;
+  const auto add = [&](const std::string& aText) {
+    bytes += aText.size() + kMaxItemHeaderBytes;
+  };
+  if (const auto* put = std::get_if<PutConfiguration>(&aOperation)) {
+    add(put->text);
+  } else if (const auto* accept = std::get_if<AcceptJob>(&aOperation)) {
+    add(accept->queue.Value());
+    add(accept->team.Value());
+    add(accept->description.payload);
+    for (const Step& step : accept->description.steps) {
+      add(step.requiredLabel);
+      add(step.preferredRack.Value());
+      add(step.image);
+      bytes += kMaxFixedBytes + step.dependencies.size() * kMaxItemHeaderBytes;
+    }
+  } else if (const auto* end = std::get_if<EndRun>(&aOperation)) {
+    add(end->checkpoint);
+  } else if (const auto* known = std::get_if<RegisterWorker>(&aOperation)) {
+    const WorkerRecord& worker = known->worker;
+    add(worker.id.Value());
+    add(worker.host.Value());
+    add(worker.endpoint.address);
+    add(worker.pool.Value());
+    add(worker.availabilityZone.Value());
+    add(worker.rack.Value());
+    for (const std::string& label : worker.labels)
+      add(label);
+  } else if (const auto* wave = std::get_if<StartWave>(&aOperation)) {
+    for (const HostId& host : wave->hosts)
+      add(host.Value());
+  } else if (const auto* begin = std::get_if<BeginMaintenance>(&aOperation)) {
+    add(begin->host.Value());
+  } else if (const auto* intent = std::get_if<RecordOrderIntent>(&aOperation)) {
+    add(intent->host.Value());
+  }
+  return bytes;
+}
+
+std::size_t
+greengage::jobs::EncodedSizeBound(const Operation& aOperation)
+{
+  return kMaxFixedBytes + TextBytes(aOperation);
+}
+
 static RunOutcome
 RunOutcomeFromCbor(const Cbor& aValue)
 {
--- a/packages/jobs/unittests/JobStateMachineTest.cpp
+++ b/packages/jobs/unittests/JobStateMachineTest.cpp
@@ -486,3 +486,45 @@
     CHECK(job.state == JobState::Completed);
   }
 }
+
+TEST_CASE("the encoded size of each operation is within its bound")
+{
+  const std::string text(100000, 'x');
+  const std::vector<std::string> texts(20, text);
+  const JobDescription job{
+    .payload = text,
+    .steps = { { .dependencies = std::vector<std::uint32_t>(50000, 1U << 31U),
+                 .requiredLabel = text,
+                 .preferredRack = RackId(text),
+                 .image = text } }
+  };
+  const WorkerRecord worker{ .id = WorkerId(text),
+                             .host = HostId(text),
+                             .endpoint = { text, 1 },
+                             .pool = PoolId(text),
+                             .availabilityZone = AvailabilityZoneId(text),
+                             .rack = RackId(text),
+                             .labels = texts };
+  const std::vector<HostId> hosts(20, HostId(text));
+  const Operation operation = GENERATE_COPY(
+    as<Operation>{},
+    PutConfiguration{ .text = text },
+    AcceptJob{
+      .queue = QueueId(text), .team = TeamId(text), .description = job },
+    CancelJob{},
+    RemoveJobRecord{},
+    AssignTask{},
+    EndRun{ .checkpoint = text },
+    RegisterWorker{ .worker = worker },
+    RetireWorker{},
+    StartWave{ .hosts = hosts },
+    BeginMaintenance{ .host = HostId(text) },
+    RecordOrderIntent{ .host = HostId(text) },
+    ConfirmStart{},
+    RecordCrash{});
+  const std::size_t size = Encode({ operation }).size();
+  CAPTURE(operation.index());
+  CHECK(size <= EncodedSizeBound(operation));
+  // A bound far above the size would make entries needlessly small.
+  CHECK(EncodedSizeBound(operation) <= size * 2 + 2048);
+}
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -21,9 +21,6 @@
 /// Size limit of one batch; the log accepts entries of up to 4 MiB. What is
 /// handed in during a slow commit has to fit into the next entry.
 static constexpr std::size_t kMaxEntryBytes = 1024 * 1024;
-/// Upper bound for the encoded size of an operation and of one step of a job;
-/// the payload of a job and the text of a configuration come on top.
-static constexpr std::size_t kMaxOperationBytes = 512;
 /// Limit for log entries that are proposed and not committed. Operations that
 /// come meanwhile share the next entry, so that a slow commit makes entries
 /// larger and not more numerous.
@@ -88,21 +85,10 @@
   return true;
 }
 
-static std::size_t
-EncodedSizeBound(const jobs::Operation& aOperation)
-{
-  if (const auto* put = std::get_if<jobs::PutConfiguration>(&aOperation))
-    return put->text.size();
-  if (const auto* accept = std::get_if<jobs::AcceptJob>(&aOperation))
-    return kMaxOperationBytes + accept->description.payload.size() +
-           accept->description.steps.size() * kMaxOperationBytes;
-  return kMaxOperationBytes;
-}
-
 void
 Controller::Propose(jobs::Operation aOperation)
 {
-  const std::size_t bytes = EncodedSizeBound(aOperation);
+  const std::size_t bytes = jobs::EncodedSizeBound(aOperation);
   if (openBatchBytes_ > 0 && openBatchBytes_ + bytes > kMaxEntryBytes)
     CloseBatch();
   openBatchBytes_ += bytes;
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -474,3 +474,29 @@
   REQUIRE(job != nullptr);
   CHECK(job->state == jobs::JobState::Completed);
 }
+
+TEST_CASE_METHOD(LeadershipFixture,
+                 "operations with long texts don't share a log entry that is "
+                 "larger than the limit of a batch")
+{
+  constexpr std::size_t kBatchLimit = 1024 * 1024;
+  const std::string text(256 * 1024, 'x');
+  jobs::Step step = SmallStep();
+  step.requiredLabel = text;
+  for (int count = 0; count < 20; ++count) {
+    WorkerHeartbeat beat = Beat();
+    beat.worker.id = jobs::WorkerId("w" + std::to_string(count + 2));
+    beat.worker.labels = { text };
+    Handle(beat);
+    Submit(step);
+  }
+  for (int count = 0; count < 100; ++count) {
+    Run(kStep, false);
+    for (const Proposal& proposal : std::exchange(proposals, {})) {
+      CHECK(proposal.entry.size() <= kBatchLimit);
+      Apply(proposal);
+    }
+  }
+  CHECK(controller.StateMachine().Jobs().size() == 20);
+  CHECK(controller.StateMachine().Workers().size() == 21);
+}
