JSON of operators: deeply nested bodies are refused before they are parsed

A change of settings whose list of changes holds 500,000 nested arrays ends the process that decodes it by a stack overflow; calls are decoded before they are authenticated.

Cause: JsonReader copies the objects of a list, and nlohmann copies recursively.

Evidence: "a deeply nested body is refused" ended by SIGSEGV on the code before.

Change: JsonReader refuses what IsNestedDeeper finds too deep. The detail of the refusal says "of limited depth" behind what it said before.

--- a/packages/api/lib/JsonReader.cpp
+++ b/packages/api/lib/JsonReader.cpp
@@ -1,15 +1,19 @@
 #include "JsonReader.h"
 
+#include "greengage/core/JsonNesting.h"
 #include "greengage/core/Utf8.h"
 
 using namespace greengage;
 using namespace greengage::api::detail;
 
 JsonReader::JsonReader(const std::string& aText)
-  : object_(nlohmann::json::parse(aText, nullptr, /*allow_exceptions=*/false))
+  : object_(
+      IsNestedDeeper(aText)
+        ? nlohmann::json(nlohmann::json::value_t::discarded)
+        : nlohmann::json::parse(aText, nullptr, /*allow_exceptions=*/false))
 {
   if (object_.is_discarded())
-    Reject("body is not JSON in UTF-8");
+    Reject("body is not JSON in UTF-8 of limited depth");
   else if (!object_.is_object())
     Reject("body is not a JSON object");
 }
--- a/packages/api/unittests/AdministrationTest.cpp
+++ b/packages/api/unittests/AdministrationTest.cpp
@@ -51,6 +51,19 @@
   return state::KeyDigest::Compute("secret", "0123456789abcdef").ToString();
 }
 
+TEST_CASE("a deeply nested body is refused")
+{
+  // More than a stack of 8 MiB has frames for.
+  constexpr std::size_t kDepth = 500000;
+  const std::string body =
+    R"({"request_id":"r1","based_on":7,"changes":[{"a":)" +
+    std::string(kDepth, '[') + std::string(kDepth, ']') + "}]}";
+  Error reason;
+  CHECK_FALSE(
+    Decode(PortRole::Operators, "POST", "/v1/settings", body, reason));
+  CHECK(reason.kind == ErrorKind::Malformed);
+}
+
 TEST_CASE("a change of settings is decoded")
 {
   const auto call =
