Schedule duty: a leader whose entry the log refuses steps down

When the log refuses an entry of the leader because it is too large, the controller drops its state and follows, while the replica goes on leading in the same term: nobody is told, every call is refused and nothing is decided until leadership changes for another reason.

Cause: a refusal was taken for the loss of leadership, which it is only for the reasons NotLeader and Transferring.

Change: for other reasons the duty logs log-entry-refused and asks the log to step down, again at each timer while the log's ring is full. It can't lead again in the same term: starts without an answer are known only to the dropped state, and the fencing token of a new term is what holds them off.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -89,6 +89,7 @@
   const schedule::ClockReading now = ClockReadingAt(aNow);
   controller_.Tick(LeaderLeaseEnd(), now);
   ReportUnsent(now);
+  StepDownIfDue();
   ReportIdleTasks();
   if (controller_.GetScheduler().IsLeading() && aNow >= nextWorkReport_)
     ReportWork();
@@ -185,10 +186,12 @@
                    "scheduling-ended",
                    { { "term", std::to_string(leadingTerm_.Value()) } });
     leadingTerm_ = consensus::Term(0);
+    isStepDownDue_ = false;
     controller_.BecomeFollower();
     return;
   }
   leadingTerm_ = aLeadership.term;
+  isStepDownDue_ = false;
   observe::Log(
     observe::LogLevel::Info,
     "scheduling-begun",
@@ -211,12 +214,40 @@
   }
   if (std::holds_alternative<ProposalApplied>(aEnd.end))
     controller_.OnBatchApplied(batch);
-  else if (std::holds_alternative<consensus::ProposalRefused>(aEnd.end))
-    controller_.OnBatchRefused(batch);
+  else if (const auto* refused =
+             std::get_if<consensus::ProposalRefused>(&aEnd.end))
+    OnRefused(batch, refused->reason);
   else
     controller_.OnBatchUnknown(batch);
 }
 
+void
+ScheduleFilter::OnRefused(schedule::BatchId aBatch, consensus::Refusal aReason)
+{
+  controller_.OnBatchRefused(aBatch);
+  // The log's duty announces the end of a leadership.
+  const bool isLeadershipEnding = aReason == consensus::Refusal::NotLeader ||
+                                  aReason == consensus::Refusal::Transferring;
+  if (isLeadershipEnding || leadingTerm_ == consensus::Term(0) ||
+      controller_.GetScheduler().IsLeading())
+    return;
+  observe::Log(observe::LogLevel::Error,
+               "log-entry-refused",
+               { { "term", std::to_string(leadingTerm_.Value()) },
+                 { "too_large",
+                   aReason == consensus::Refusal::TooLarge ? "yes" : "no" } });
+  isStepDownDue_ = true;
+  StepDownIfDue();
+}
+
+void
+ScheduleFilter::StepDownIfDue()
+{
+  if (isStepDownDue_ &&
+      outlets_.log.TryPush(consensus::Event(consensus::StepDown{})))
+    isStepDownDue_ = false;
+}
+
 bool
 ScheduleFilter::Propose(schedule::BatchId aBatch,
                         jobs::FencingToken aFence,
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -64,6 +64,11 @@
   void On(SnapshotWanted&& aWish, schedule::ClockReading aNow);
   void On(Leadership&& aLeadership, schedule::ClockReading aNow);
   void On(ProposalEnded&& aEnd, schedule::ClockReading aNow);
+  void OnRefused(schedule::BatchId aBatch, consensus::Refusal aReason);
+  /// Hands the leadership back after the log has refused an entry of the
+  /// leader: the controller follows then, and can't lead again with the same
+  /// fencing token.
+  void StepDownIfDue();
   /// Exports the number of idle persistent tasks if it has changed.
   void ReportIdleTasks();
   /// Logs the work of dispatch since the last report.
@@ -86,6 +91,7 @@
   ScheduleOutlets outlets_;
   schedule::Controller controller_;
   consensus::Term leadingTerm_;
+  bool isStepDownDue_ = false;
   Time now_;
   Time nextWorkReport_;
   schedule::DispatchWork reportedWork_;
--- a/packages/daemon/unittests/ScheduleFilterTest.cpp
+++ b/packages/daemon/unittests/ScheduleFilterTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,7 @@
 public:
   bool TryPush(Message&& aMessage) override
   {
-    return Push(std::move(aMessage));
+    return !isFull && Push(std::move(aMessage));
   }
   bool Push(Message&& aMessage) override
   {
@@ -26,6 +27,7 @@
     return true;
   }
   std::vector<Message> list;
+  bool isFull = false;
 };
 
 class EmptyReader final : public jobs::ConfigurationReader
@@ -107,6 +109,51 @@
   REQUIRE(workers.list.empty());
 }
 
+TEST_CASE_METHOD(Fixture, "a leader whose entry the log refuses leads no more")
+{
+  using consensus::Refusal;
+  const auto [reason, isLeading] =
+    GENERATE(table<Refusal, bool>({ { Refusal::TooLarge, true },
+                                    { Refusal::Overloaded, true },
+                                    { Refusal::NotLeader, false },
+                                    { Refusal::Transferring, false } }));
+  log.list.clear();
+  filter.Accept(
+    schedule::IncomingCall{
+      .caller = schedule::CallerId(1),
+      .call =
+        schedule::ConfigurationPut{ jobs::ConfigurationVersion(1), "x" } },
+    Time(2000));
+  filter.OnTimer(Time(2100));
+  REQUIRE(log.list.size() == 1);
+  const auto* propose = std::get_if<consensus::Propose>(
+    &std::get<consensus::Event>(log.list.front()));
+  REQUIRE(propose != nullptr);
+  const consensus::ProposalId id = propose->id;
+  log.list.clear();
+  log.isFull = true;
+  filter.Accept(ProposalEnded{ .id = id,
+                               .end =
+                                 consensus::ProposalRefused{
+                                   .id = id, .reason = reason, .leader = {} } },
+                Time(2200));
+  REQUIRE(replies.list.size() == 1);
+  filter.OnTimer(Time(2300));
+  REQUIRE(log.list.empty());
+  log.isFull = false;
+  filter.OnTimer(Time(2400));
+  filter.OnTimer(Time(2500));
+  // The state of the scheduler is gone, and nobody would decide until the next
+  // election.
+  const auto isStepDown = [](const ConsensusInput& aInput) {
+    const auto* event = std::get_if<consensus::Event>(&aInput);
+    return event != nullptr &&
+           std::holds_alternative<consensus::StepDown>(*event);
+  };
+  CHECK(std::count_if(log.list.begin(), log.list.end(), isStepDown) ==
+        (isLeading ? 1 : 0));
+}
+
 TEST_CASE_METHOD(Fixture, "a leader exports the number of idle tasks")
 {
   filter.OnTimer(Time(2000));
