Scheduler: the start of a run is recorded only if its worker has answered since

What callers see: a task that crashes its workers is started again after 5 crashes if the leader changes 4 s after a crash.

It records the start of a run that has gone on for 4 s by the leader's clock, though the worker may have crashed right after the start and is only known to be lost when the lease expires, 4.9 s after its last renewal. The next leader took such a run for one that had gone on for long, and charged no crash.

New: "a crash is charged if the leader changes seconds after it" failed before (started again after 6 crashes).

Change: the run must have been running for 4 s when its worker last answered.

--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -14,8 +14,9 @@
 
 /// Interval of dispatch passes when no event has triggered one.
 static constexpr Duration kDispatchInterval = Duration(100);
-/// How long a run that is not persistent must have been running before its
-/// start is recorded. Few runs last as long, so that few need a log entry.
+/// A run that is not persistent must have been running for this long when its
+/// worker last answered before its start is recorded. Few runs last as long, so
+/// that few need a log entry.
 static constexpr Duration kMinRecordedRunTime = Duration(4000);
 /// A worker that has been silent for this long is removed from the registry.
 static constexpr Duration kRetireSilence = Duration::Seconds(12);
@@ -288,7 +289,8 @@
 {
   for (auto& [task, run] : aSession.runs) {
     const bool isDue =
-      run.isPersistent || run.runningSince + kMinRecordedRunTime <= now_.steady;
+      run.isPersistent ||
+      run.runningSince + kMinRecordedRunTime <= aSession.lastAnswer;
     if (!isDue || run.isStartRecorded || run.stage != RunStage::Running ||
         aSession.HasUnansweredStart(task))
       continue;
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -145,6 +145,22 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a crash is charged if the leader changes seconds after it")
+{
+  const jobs::JobId job = Submit(
+    { MakeStep(1) },
+    { .crashesWorkerAfter = Duration(250), .restartDelay = Duration(6000) });
+  for (const std::uint32_t crashes : { 1U, 2U, 3U }) {
+    REQUIRE(RunUntil([&] { return MaxCrashes(job) == crashes; }, kGiveUpTime));
+    // Shortly before the lease of the run expires.
+    Run(Duration(4000));
+    ChangeLeader();
+  }
+  CHECK(ReachesState(job, JobProgress::Failed, Duration::Seconds(40)));
+  CheckInvariants();
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "a worker that restarts after the lease of its runs has expired has crashed")
