Scheduler: starts from earlier terms can't run once the worker has answered

What callers saw, in the model: a persistent task had no run for 11 to 20 s although there was capacity. Its worker had restarted without registering, or had been lost soon after it, within 15 s of a change of leader.

Cause: a new leader expects an unanswered start of each run whose confirmation is not in the log, and kept expecting it for 15 s, anew after each change of leader. While it does, a run of a worker that has restarted isn't given up, since the next incarnation may execute the start.

Change: the worker's answer to any call of the new leader ends that. Starts of earlier terms were sent before, and a later incarnation executes no call that was sent before it started unless it has executed another one. That one comes from this leader and has a higher fencing token, so that the start is rejected. A leadership that has the same token as the one before it keeps waiting.

Evidence: the new test failed before (9 s without a run).

--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -77,7 +77,9 @@
         if (!isStartConfirmed)
           session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
                                               .count = 1,
-                                              .lastSentAt = now_.steady };
+                                              .lastSentAt = now_.steady,
+                                              .isFromEarlierTerm =
+                                                !isFenceReused_ };
         Run& run = session->runs.at(task);
         run.isStartRecorded = isStartConfirmed;
         run.stage = RunStage::Starting;
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -213,6 +213,26 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(
+  Fixture,
+  "a persistent task whose start was not recorded before a change of leader "
+  "restarts if its worker restarts unregistered and is lost")
+{
+  AddWorkers({ "w1", "w2", "w3", "w4" });
+  const jobs::JobId job = Submit({ MakePersistentStep(2) });
+  REQUIRE(RunUntil([&] { return RunCountOf(job) == 2; }, Duration::Seconds(1)));
+  ChangeLeader();
+  Run(Duration::Seconds(8));
+  REQUIRE(RunsOn("w1") == 1);
+  BlockHeartbeats("w1", kLong);
+  CrashWorker("w1", Duration(50));
+  Run(Duration::Seconds(2));
+  CrashWorker("w1", std::nullopt);
+  Run(Duration::Seconds(8));
+  CHECK(RunCountOf(job) == 2);
+  CheckInvariants();
+}
+
 namespace {
 
 /// Workers under random faults, and jobs on them.
