Scheduler: contacts each worker before it gets a persistent task

What callers saw, in the model: a persistent task had no run for 6 s although there was capacity. After the lease of its lost worker it was given to a busy worker that had just stopped answering, and a second lease had to expire.

Cause: a worker counted as answering for 1.5 s after an answer, and a busy one was called only with renewals that it may answer a second later.

Change: a worker gets a persistent task if it has answered within 100 ms or since the previous pass. Otherwise it is called first with a renewal that it answers at once, beside its long poll, and that doesn't extend its lease: the lease of a lost worker must not grow by it. While a contact is unanswered, other workers are tried.

Evidence: the new test failed before for two of its six times.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -157,6 +157,8 @@
     Attempt attempt;
     Time sentAt;
     std::uint64_t renewalNumber = 0;
+    /// The renewal was sent only to see whether the worker answers.
+    bool isContact = false;
   };
 
   // Worker sessions and runs are implemented in SchedulerWorkers.cpp, calls to
@@ -178,7 +180,15 @@
                 const TaskId& aTask,
                 Attempt aAttempt,
                 Run* aRun);
-  void Renew(WorkerSession& aSession);
+  enum class RenewalPurpose : std::uint8_t
+  {
+    /// Keeps the lease and reports ended runs.
+    Regular,
+    /// Shows whether the worker answers, beside a regular renewal.
+    Contact,
+  };
+  void Renew(WorkerSession& aSession,
+             RenewalPurpose aPurpose = RenewalPurpose::Regular);
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
   void RecordConfirmedStarts(WorkerSession& aSession);
@@ -309,6 +319,7 @@
   void PrefetchPermits(const Candidate& aCandidate);
   void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
   WorkerSession* ChooseWorker(const Candidate& aCandidate, const TaskId& aTask);
+  bool HasFreshAnswer(const WorkerSession& aSession) const;
   bool IsCrashSuspect(const TaskId& aTask) const;
   bool MustBeIsolated(const TaskId& aTask) const;
   bool IsWithinQuota(const TeamId& aTeam,
@@ -406,6 +417,8 @@
   /// Whether anything has changed that may make a task placeable.
   bool isDispatchDue_ = false;
   Time earliestDispatch_;
+  Time currentDispatchAt_;
+  Time previousDispatchAt_;
   Time nextRetentionScan_;
   Time nextDispatchAt_;
   /// The persistent tasks without a run, as last checked.
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -170,8 +170,13 @@
   std::optional<StatedClock> statedClock;
 
   bool isRenewalInFlight = false;
+  /// Whether a renewal that the worker answers at once is in flight beside.
+  bool isContactInFlight = false;
   /// Number of lease renewals sent.
   std::uint64_t renewalCount = 0;
+  /// The number of the latest renewal that wasn't sent only to contact the
+  /// worker.
+  std::uint64_t latestRegularRenewal = 0;
   Time nextRenewalAt;
   /// Upper bound of the lease expiry, on the local steady clock: every run has
   /// ended by then unless the lease is renewed.
@@ -228,9 +233,10 @@
   bool HasRoomToStart(const TaskId& aTask, Time aNow) const;
   /// Whether the worker is responsive at \p aNow and may be assigned new runs.
   bool IsUsable(Time aNow) const;
-  /// Whether a call has been answered lately. An idle worker gets no calls, so
-  /// that its heartbeats may arrive while calls to it are lost.
-  bool HasRecentAnswer(Time aNow) const;
+  /// Whether a call has been answered at \p aTime or later. An idle worker gets
+  /// no calls, so that its heartbeats may arrive while calls to it are lost,
+  /// and a busy one may take a second to answer.
+  bool HasAnsweredSince(Time aTime) const { return lastAnswer >= aTime; }
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
   bool HasLatencySensitiveRun() const;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -165,13 +165,15 @@
 }
 
 void
-Scheduler::Renew(WorkerSession& aSession)
+Scheduler::Renew(WorkerSession& aSession, RenewalPurpose aPurpose)
 {
   if (!HoldsLeaderLease())
     return;
   const auto clock = aSession.WorkerClockAt(now_.steady);
+  const bool isContact = aPurpose == RenewalPurpose::Contact;
   // The lease of an unresponsive worker must be able to expire.
-  const bool extendsLease = clock && aSession.consecutiveFailedCalls == 0;
+  const bool extendsLease =
+    clock && aSession.consecutiveFailedCalls == 0 && !isContact;
   const bool hasRuns = !aSession.runs.empty();
   Duration wait;
   if (extendsLease && aSession.isReconciled && hasRuns &&
@@ -196,18 +198,24 @@
     const Duration bound = LeaseExpiryBound(options_.lease);
     aSession.leaseExpiry = std::max(aSession.leaseExpiry, now_.steady + bound);
   }
-  aSession.isRenewalInFlight = true;
+  ++aSession.renewalCount;
+  if (isContact) {
+    aSession.isContactInFlight = true;
+  } else {
+    aSession.isRenewalInFlight = true;
+    aSession.latestRegularRenewal = aSession.renewalCount;
+  }
   if (!aSession.isReconciled)
     aSession.nextRenewalAt = now_.steady + kReconcileInterval;
   aSession.lastAcknowledgedEnd = acknowledged;
-  ++aSession.renewalCount;
   Send(aSession,
        { .kind = CallKind::Renew,
          .worker = {},
          .task = {},
          .attempt = {},
          .sentAt = {},
-         .renewalNumber = aSession.renewalCount },
+         .renewalNumber = aSession.renewalCount,
+         .isContact = isContact },
        request,
        wait + kCallTimeout);
 }
@@ -373,7 +381,9 @@
                         const PendingCall& aCall,
                         const WorkerReply& aReply)
 {
-  if (aCall.renewalNumber == aSession.renewalCount)
+  if (aCall.isContact)
+    aSession.isContactInFlight = false;
+  if (aCall.renewalNumber == aSession.latestRegularRenewal)
     aSession.isRenewalInFlight = false;
   if (aReply.answer != WorkerCallStatus::Done || !aReply.hasLists) {
     ++aSession.consecutiveFailedCalls;
@@ -408,7 +418,7 @@
     aSession.isReconciled = true;
   }
   // An idle worker is only called so that it may take a task.
-  if (wasFailing || aSession.runs.empty())
+  if (wasFailing || aCall.isContact || aSession.runs.empty())
     isDispatchDue_ = true;
   aSession.nextRenewalAt = aSession.pendingEnds.empty()
                              ? now_.steady
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -21,6 +21,9 @@
 /// if one more crash may make its job fail.
 static constexpr Duration kMaxIsolationWait = Duration(2000);
 static constexpr Duration kMaxDecisiveIsolationWait = Duration(10000);
+/// Persistent tasks are given to workers that have answered a call this long
+/// ago at most, which covers the round trip of a contact.
+static constexpr Duration kMaxAnswerAge = Duration(100);
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -29,6 +32,7 @@
   isDispatchDue_ = false;
   if (!IsLeading())
     return;
+  previousDispatchAt_ = std::exchange(currentDispatchAt_, aNow.steady);
   CancelStaleReservations();
   reservingPools_.clear();
   unplaceable_.Clear();
@@ -157,8 +161,8 @@
   }
   // A start that gets no answer keeps the task from other workers until the
   // lease has expired.
-  if (step.isPersistent && !session->HasRecentAnswer(now_.steady)) {
-    Renew(*session);
+  if (step.isPersistent && !HasFreshAnswer(*session)) {
+    Renew(*session, RenewalPurpose::Contact);
     return PlacementResult::ContactingWorker;
   }
   const Attempt latest = stateMachine_.Find(aTask)->attempt;
@@ -324,6 +328,15 @@
   return now_.wall < crashes->latestAt + maxWait;
 }
 
+/// Whether the worker has answered lately or, as passes may be further apart
+/// than that, since the previous one, which may have contacted it.
+bool
+Scheduler::HasFreshAnswer(const WorkerSession& aSession) const
+{
+  return aSession.HasAnsweredSince(
+    std::min(now_.steady - kMaxAnswerAge, previousDispatchAt_));
+}
+
 WorkerSession*
 Scheduler::ChooseWorker(const Candidate& aCandidate, const TaskId& aTask)
 {
@@ -351,8 +364,8 @@
       continue;
     hasCapacity = true;
     const bool isContactPending = step.isPersistent &&
-                                  session.isRenewalInFlight &&
-                                  !session.HasRecentAnswer(now_.steady);
+                                  session.isContactInFlight &&
+                                  !HasFreshAnswer(session);
     if (isContactPending || !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -20,9 +20,6 @@
 /// The rest is for the start to reach the worker.
 static constexpr Duration kMaxCapacityAge = Duration(4000);
 
-/// A worker with runs answers a renewal at least once a second.
-static constexpr Duration kMaxAnswerAge = Duration(1500);
-
 RunEndSequence
 WorkerSession::LastCommittedEnd() const
 {
@@ -100,12 +97,6 @@
          suspendedUntil <= aNow;
 }
 
-bool
-WorkerSession::HasRecentAnswer(Time aNow) const
-{
-  return lastAnswer + kMaxAnswerAge > aNow;
-}
-
 std::uint32_t
 WorkerSession::CountRunsOfStep(const TaskId& aTask) const
 {
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -233,6 +233,40 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a persistent task restarts in time if busy workers have "
+                 "stopped answering shortly before")
+{
+  const std::vector<std::string> ids{ "w1", "w2", "w3", "w4", "w5" };
+  AddWorkers(ids);
+  Submit({ MakePersistentStep(3, { .milliCores = 1000 }) });
+  Run(Duration::Seconds(1));
+  const jobs::JobId job = Submit({ MakePersistentStep(1) });
+  Run(Duration::Seconds(8));
+  REQUIRE(HasRun(job));
+  std::vector<std::string> busy;
+  std::string lost;
+  for (const std::string& id : ids) {
+    if (RunsOn(id) == 2)
+      lost = id;
+    if (RunsOn(id) == 1)
+      busy.push_back(id);
+  }
+  REQUIRE(!lost.empty());
+  REQUIRE(busy.size() == 2);
+  // The lease of the lost worker expires 3.9 to 4.9 s after its loss.
+  const Duration span = Duration(GENERATE(3800, 4000, 4200, 4400, 4600, 4800));
+  INFO("calls blocked after " << span.Millis() << " ms");
+  CrashWorker(lost, std::nullopt);
+  Run(span);
+  for (const std::string& id : busy)
+    BlockCalls(id, kLong);
+  Run(Duration::Seconds(6) - span);
+  CHECK(HasRun(job));
+  Run(Duration::Seconds(6));
+  CheckInvariants();
+}
+
 namespace {
 
 /// Workers under random faults, and jobs on them.
