Scheduler: a persistent task waits 500 ms at most to be placed apart

What callers saw, in the model: a persistent task had no run for 6 s although there was capacity. Its worker had crashed, and all workers that could take it had persistent runs.

Cause: a task under which a worker has crashed waits for a worker without persistent runs and suspects for 2 s, or 10 s if one more crash may fail its job. A persistent task has 6 s, of which the lease of its lost worker takes up to 4.9 s.

Change: a persistent task waits 500 ms at most after the record of the crash. It still prefers such a worker. Other tasks wait as before.

Evidence: the new test failed before (12 s without a run).

--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -21,6 +21,9 @@
 /// if one more crash may make its job fail.
 static constexpr Duration kMaxIsolationWait = Duration(2000);
 static constexpr Duration kMaxDecisiveIsolationWait = Duration(10000);
+/// The same for a persistent task, which has to run again 6 s after its last
+/// run. The lease of its lost worker may take 4.9 s of that.
+static constexpr Duration kMaxPersistentIsolationWait = Duration(500);
 /// Persistent tasks are given to workers that have answered a call this long
 /// ago at most, which covers the round trip of a contact.
 static constexpr Duration kMaxAnswerAge = Duration(100);
@@ -323,6 +326,9 @@
   const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
   if (crashes == nullptr)
     return false;
+  const jobs::Job& job = *stateMachine_.Find(aTask.job);
+  if (job.description.steps[aTask.step].isPersistent)
+    return now_.wall < crashes->latestAt + kMaxPersistentIsolationWait;
   const Duration maxWait =
     crashes->IsNextDecisive() ? kMaxDecisiveIsolationWait : kMaxIsolationWait;
   return now_.wall < crashes->latestAt + maxWait;
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -267,6 +267,29 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a persistent task restarts in time after two crashes of its "
+                 "workers although all others have persistent runs")
+{
+  const std::vector<std::string> ids{ "w1", "w2", "w3", "w4", "w5" };
+  AddWorkers(ids);
+  Submit({ MakePersistentStep(5) });
+  Run(Duration::Seconds(2));
+  const jobs::JobId job = Submit({ MakePersistentStep(1) });
+  for (int crash = 0; crash < 2; ++crash) {
+    REQUIRE(RunUntil([&] { return HasRun(job); }, Duration::Seconds(8)));
+    Run(Duration(300));
+    for (const std::string& id : ids)
+      if (RunsOn(id) == 2)
+        CrashWorker(id, Duration::Seconds(2));
+    REQUIRE_FALSE(HasRun(job));
+  }
+  Run(Duration::Seconds(6));
+  CHECK(HasRun(job));
+  Run(Duration::Seconds(6));
+  CheckInvariants();
+}
+
 namespace {
 
 /// Workers under random faults, and jobs on them.
