--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -103,6 +103,8 @@
   std::uint32_t count = 0;
   /// When the last of them was sent, at the latest.
   Time lastSentAt;
+  /// All of them were sent with a lower fencing token than this leader's.
+  bool isFromEarlierTerm = false;
 };
 
 /// A run that may have crashed its worker, if the worker has crashed.
@@ -173,8 +175,13 @@
   std::optional<StatedClock> statedClock;
 
   bool isRenewalInFlight = false;
+  /// Whether a renewal that the worker answers at once is in flight beside.
+  bool isContactInFlight = false;
   /// Number of lease renewals sent.
   std::uint64_t renewalCount = 0;
+  /// The number of the latest renewal that wasn't sent only to contact the
+  /// worker.
+  std::uint64_t latestRegularRenewal = 0;
   Time nextRenewalAt;
   /// Upper bound of the lease expiry, on the local steady clock: every run has
   /// ended by then unless the lease is renewed.
@@ -205,7 +212,9 @@
   }
   /// Forgets the unanswered starts that can't be executed any more, given that
   /// this incarnation has answered a call that was sent at \p aSentAt. No later
-  /// incarnation can have executed them before that.
+  /// incarnation can have executed them before that. The first call that a
+  /// later one executes is sent after it has started, thus by this leader, so
+  /// that it rejects those from earlier terms.
   void DropExpiredStarts(Time aSentAt);
   /// The number up to which all listed ends are committed, so that the worker
   /// may discard them.
@@ -229,9 +238,10 @@
   bool HasRoomToStart(const TaskId& aTask, Time aNow) const;
   /// Whether the worker is responsive at \p aNow and may be assigned new runs.
   bool IsUsable(Time aNow) const;
-  /// Whether a call has been answered lately. An idle worker gets no calls, so
-  /// that its heartbeats may arrive while calls to it are lost.
-  bool HasRecentAnswer(Time aNow) const;
+  /// Whether a call has been answered at \p aTime or later. An idle worker gets
+  /// no calls, so that its heartbeats may arrive while calls to it are lost,
+  /// and a busy one may take a second to answer.
+  bool HasAnsweredSince(Time aTime) const { return lastAnswer >= aTime; }
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
   bool HasLatencySensitiveRun() const;
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -21,10 +21,12 @@
 /// if one more crash may make its job fail.
 static constexpr Duration kMaxIsolationWait = Duration(2000);
 static constexpr Duration kMaxDecisiveIsolationWait = Duration(10000);
-/// The same for a persistent task. It must run again within 6 s of its last
-/// run, of which up to 4.9 s may have passed until the lease of that run
-/// expired.
-static constexpr Duration kMaxPersistentIsolationWait = Duration(800);
+/// The same for a persistent task, which has to run again 6 s after its last
+/// run. The lease of its lost worker may take 4.9 s of that.
+static constexpr Duration kMaxPersistentIsolationWait = Duration(500);
+/// Persistent tasks are given to workers that have answered a call this long
+/// ago at most, which covers the round trip of a contact.
+static constexpr Duration kMaxAnswerAge = Duration(100);
 
 void
 Scheduler::Dispatch(ClockReading aNow)
@@ -33,6 +35,7 @@
   isDispatchDue_ = false;
   if (!IsLeading())
     return;
+  previousDispatchAt_ = std::exchange(currentDispatchAt_, aNow.steady);
   CancelStaleReservations();
   reservingPools_.clear();
   unplaceable_.Clear();
@@ -161,8 +164,8 @@
   }
   // A start that gets no answer keeps the task from other workers until the
   // lease has expired.
-  if (step.isPersistent && !session->HasRecentAnswer(now_.steady)) {
-    Renew(*session);
+  if (step.isPersistent && !HasFreshAnswer(*session)) {
+    Renew(*session, RenewalPurpose::Contact);
     return PlacementResult::ContactingWorker;
   }
   const Attempt latest = stateMachine_.Find(aTask)->attempt;
@@ -323,15 +326,23 @@
   const jobs::TaskCrashes* crashes = stateMachine_.FindCrashes(aTask);
   if (crashes == nullptr)
     return false;
-  const jobs::Job* job = stateMachine_.Find(aTask.job);
-  Duration maxWait = kMaxIsolationWait;
-  if (job->description.steps[aTask.step].isPersistent)
-    maxWait = kMaxPersistentIsolationWait;
-  else if (crashes->IsNextDecisive())
-    maxWait = kMaxDecisiveIsolationWait;
+  const jobs::Job& job = *stateMachine_.Find(aTask.job);
+  if (job.description.steps[aTask.step].isPersistent)
+    return now_.wall < crashes->latestAt + kMaxPersistentIsolationWait;
+  const Duration maxWait =
+    crashes->IsNextDecisive() ? kMaxDecisiveIsolationWait : kMaxIsolationWait;
   return now_.wall < crashes->latestAt + maxWait;
 }
 
+/// Whether the worker has answered lately or, as passes may be further apart
+/// than that, since the previous one, which may have contacted it.
+bool
+Scheduler::HasFreshAnswer(const WorkerSession& aSession) const
+{
+  return aSession.HasAnsweredSince(
+    std::min(now_.steady - kMaxAnswerAge, previousDispatchAt_));
+}
+
 WorkerSession*
 Scheduler::ChooseWorker(const Candidate& aCandidate, const TaskId& aTask)
 {
@@ -359,8 +370,8 @@
       continue;
     hasCapacity = true;
     const bool isContactPending = step.isPersistent &&
-                                  session.isRenewalInFlight &&
-                                  !session.HasRecentAnswer(now_.steady);
+                                  session.isContactInFlight &&
+                                  !HasFreshAnswer(session);
     if (isContactPending || !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -20,9 +20,6 @@
 /// The rest is for the start to reach the worker.
 static constexpr Duration kMaxCapacityAge = Duration(4000);
 
-/// A worker with runs answers a renewal at least once a second.
-static constexpr Duration kMaxAnswerAge = Duration(1500);
-
 RunEndSequence
 WorkerSession::LastCommittedEnd() const
 {
@@ -52,7 +49,8 @@
 WorkerSession::DropExpiredStarts(Time aSentAt)
 {
   for (auto it = unansweredStarts.begin(); it != unansweredStarts.end();) {
-    const bool isExpired = it->second.lastSentAt + kMaxDeliveryDelay <= aSentAt;
+    const bool isExpired = it->second.isFromEarlierTerm ||
+                           it->second.lastSentAt + kMaxDeliveryDelay <= aSentAt;
     it = isExpired ? unansweredStarts.erase(it) : std::next(it);
   }
 }
@@ -99,12 +97,6 @@
          suspendedUntil <= aNow;
 }
 
-bool
-WorkerSession::HasRecentAnswer(Time aNow) const
-{
-  return lastAnswer + kMaxAnswerAge > aNow;
-}
-
 std::uint32_t
 WorkerSession::CountRunsOfStep(const TaskId& aTask) const
 {
