Simulated fleet: failing tests of starts that the next incarnation executes

The simulated worker drops calls that were sent to an earlier incarnation until its new one has executed another call. An option of the model now leaves the rule out. It is off by default, so that all other cases are as before.

--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -235,6 +235,71 @@
 
 namespace {
 
+/// Workers that execute calls sent to their earlier incarnations. A start on
+/// w1, which runs the task, is still in flight.
+struct DelayedStartFixture : Fixture
+{
+  DelayedStartFixture()
+  {
+    executesCallsToEarlierIncarnations = true;
+    AddWorkers({ "w1", "w2", "w3", "w4" });
+    faults.minCallDelay = Duration(4000);
+    faults.maxCallDelay = Duration(4001);
+    faults.delayedCallPercent = 100;
+    job = Submit({ MakePersistentStep(1) });
+    Run(Duration(100));
+    faults.delayedCallPercent = 0;
+  }
+  /// Restarts w1 so that the start arrives before any call of the leader.
+  void RestartBeforeStartArrives()
+  {
+    Run(Duration(1000));
+    BlockHeartbeats("w1", Duration(4000));
+    CrashWorker("w1", Duration(50));
+    Run(Duration::Seconds(10));
+  }
+
+  jobs::JobId job;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(DelayedStartFixture,
+                 "a start of the leader's own term that the worker's next "
+                 "incarnation executes does not run beside another one")
+{
+  REQUIRE(RunUntil([&] { return HasRun(job); }, Duration::Seconds(2)));
+  Run(Duration(1400));
+  REQUIRE(RunsOn("w1") == 1);
+  RestartBeforeStartArrives();
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(DelayedStartFixture,
+                 "a start of an earlier term that the worker's next "
+                 "incarnation executes does not run beside another one")
+{
+  REQUIRE(RunUntil([&] { return HasRun(job); }, Duration::Seconds(2)));
+  ChangeLeader();
+  Run(Duration(1400));
+  REQUIRE(RunsOn("w1") == 1);
+  RestartBeforeStartArrives();
+  CheckInvariants();
+}
+
+TEST_CASE_METHOD(DelayedStartFixture,
+                 "a start of an earlier term that the worker has not listed "
+                 "does not run beside another one")
+{
+  ChangeLeader();
+  REQUIRE(RunUntil([&] { return HasRun(job); }, Duration::Seconds(2)));
+  Run(Duration(1400));
+  RestartBeforeStartArrives();
+  CheckInvariants();
+}
+
+namespace {
+
 /// Workers under random faults, and jobs on them.
 class FaultInjector
 {
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -935,7 +935,8 @@
   // earlier incarnation. The simulated worker drops such a call only while its
   // new incarnation has executed no call and thus has no fencing token by which
   // to refuse it.
-  if (aSentAt < startedAt && worker.highestFence == FencingToken(0))
+  if (!executesCallsToEarlierIncarnations && aSentAt < startedAt &&
+      worker.highestFence == FencingToken(0))
     return;
   auto reply = ExecuteCall(worker, aCall, aSentAt);
   if (!aIsReplyDelivered)
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -196,6 +196,9 @@
   bool isProviderUnresponsive = false;
   /// The provider executes calls, but its answers are lost.
   bool losesProviderAnswers = false;
+  /// A new incarnation executes calls that were sent to an earlier one, also
+  /// before it has executed any other call.
+  bool executesCallsToEarlierIncarnations = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers for which the adviser gives no permits.
