Simulated fleet: a job is given up for crashes that its tasks have caused

The check excused a job with persistent tasks that had failed once three workers had crashed under one of them, whatever the cause of these crashes. A task that runs for 10 s each time and crashes no worker, with a change of leader beside three crashes of its workers, was given up and had no run, and nothing was reported; the check before reports it. Only crashes that the model's tasks cause count now.

--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -1476,8 +1476,8 @@
   task.startableSince = now_;
 }
 
-/// Whether the job has been given up. Only crashes under one of its tasks are a
-/// cause to give up a job with persistent tasks.
+/// Whether the job has been given up. The only cause to give up a job with
+/// persistent tasks is that one of them has crashed its workers.
 bool
 SimulatedFleet::IsGivenUp(jobs::JobId aJob)
 {
@@ -1487,9 +1487,12 @@
   const jobs::Job* job = leader_->controller.StateMachine().Find(aJob);
   if (job == nullptr || job->state != jobs::JobState::Failed)
     return false;
-  if (MaxCrashes(aJob) < kMaxToleratedCrashes)
-    ReportViolation(ToString(aJob) + " was given up after " +
-                    std::to_string(MaxCrashes(aJob)) + " crashes");
+  const std::uint32_t causedCrashes =
+    simulated.taskBehavior.crashesWorkerAfter ? MaxCrashes(aJob) : 0;
+  if (causedCrashes < kMaxToleratedCrashes)
+    ReportViolation(ToString(aJob) +
+                    " was given up after its tasks had crashed " +
+                    std::to_string(causedCrashes) + " workers");
   simulated.wasGivenUp = true;
   return true;
 }
--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -320,3 +320,22 @@
   CHECK(QueryState(job) == JobProgress::Failed);
   CheckInvariants();
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "a persistent task is not given up for crashes of its workers "
+                 "beside changes of leader")
+{
+  const jobs::JobId job = Submit({ MakePersistentStep() });
+  for (int round = 0; round < 3; ++round) {
+    const std::string worker = WorkerOf(job);
+    Run(Duration::Seconds(10));
+    ChangeLeader();
+    Run(Duration(300));
+    CrashWorker(worker, Duration(1000));
+    Run(Duration(1500));
+  }
+  Run(Duration::Seconds(20));
+  CHECK(QueryState(job) != JobProgress::Failed);
+  CHECK(HasRun(job));
+  CheckInvariants();
+}
