--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -933,7 +933,8 @@
   // earlier incarnation. The simulated worker drops such a call only while its
   // new incarnation has executed no call and thus has no fencing token by which
   // to refuse it.
-  if (aSentAt < startedAt && worker.highestFence == FencingToken(0))
+  if (!executesCallsToEarlierIncarnations && aSentAt < startedAt &&
+      worker.highestFence == FencingToken(0))
     return;
   auto reply = ExecuteCall(worker, aCall, aSentAt);
   if (!aIsReplyDelivered)
@@ -1473,8 +1474,8 @@
   task.startableSince = now_;
 }
 
-/// Whether the job has been given up. Only crashes under one of its tasks are a
-/// cause to give up a job with persistent tasks.
+/// Whether the job has been given up. The only cause to give up a job with
+/// persistent tasks is that one of them has crashed its workers.
 bool
 SimulatedFleet::IsGivenUp(jobs::JobId aJob)
 {
@@ -1484,9 +1485,12 @@
   const jobs::Job* job = leader_->controller.StateMachine().Find(aJob);
   if (job == nullptr || job->state != jobs::JobState::Failed)
     return false;
-  if (MaxCrashes(aJob) < kMaxToleratedCrashes)
-    ReportViolation(ToString(aJob) + " was given up after " +
-                    std::to_string(MaxCrashes(aJob)) + " crashes");
+  const std::uint32_t causedCrashes =
+    simulated.taskBehavior.crashesWorkerAfter ? MaxCrashes(aJob) : 0;
+  if (causedCrashes < kMaxToleratedCrashes)
+    ReportViolation(ToString(aJob) +
+                    " was given up after its tasks had crashed " +
+                    std::to_string(causedCrashes) + " workers");
   simulated.wasGivenUp = true;
   return true;
 }
