--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -103,8 +103,6 @@
   std::uint32_t count = 0;
   /// When the last of them was sent, at the latest.
   Time lastSentAt;
-  /// All of them were sent with a lower fencing token than this leader's.
-  bool isFromEarlierTerm = false;
 };
 
 /// A run that may have crashed its worker, if the worker has crashed.
@@ -212,9 +210,7 @@
   }
   /// Forgets the unanswered starts that can't be executed any more, given that
   /// this incarnation has answered a call that was sent at \p aSentAt. No later
-  /// incarnation can have executed them before that. The first call that a
-  /// later one executes is sent after it has started, thus by this leader, so
-  /// that it rejects those from earlier terms.
+  /// incarnation can have executed them before that.
   void DropExpiredStarts(Time aSentAt);
   /// The number up to which all listed ends are committed, so that the worker
   /// may discard them.
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -77,9 +77,7 @@
         if (!isStartConfirmed)
           session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
                                               .count = 1,
-                                              .lastSentAt = now_.steady,
-                                              .isFromEarlierTerm =
-                                                !isFenceReused_ };
+                                              .lastSentAt = now_.steady };
         Run& run = session->runs.at(task);
         run.isStartRecorded = isStartConfirmed;
         run.startedBeforeTakeOver = isStartConfirmed;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -89,7 +89,6 @@
   UnansweredStarts& starts = aSession.unansweredStarts[aTask];
   if (starts.attempt != aRun.attempt)
     starts = { .attempt = aRun.attempt, .count = 0, .lastSentAt = {} };
-  starts.isFromEarlierTerm = false;
   ++starts.count;
   starts.lastSentAt = now_.steady;
   const auto& checkpoints =
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -49,8 +49,7 @@
 WorkerSession::DropExpiredStarts(Time aSentAt)
 {
   for (auto it = unansweredStarts.begin(); it != unansweredStarts.end();) {
-    const bool isExpired = it->second.isFromEarlierTerm ||
-                           it->second.lastSentAt + kMaxDeliveryDelay <= aSentAt;
+    const bool isExpired = it->second.lastSentAt + kMaxDeliveryDelay <= aSentAt;
     it = isExpired ? unansweredStarts.erase(it) : std::next(it);
   }
 }
