--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -278,6 +278,72 @@
   CHECK(NextStatus() == 503);
 }
 
+TEST_CASE_METHOD(ControlFixture,
+                 "a notice of the leader that found no room is repeated")
+{
+  Connect(kOther);
+  peers.isFull = true;
+  Lead();
+  peers.isFull = false;
+  REQUIRE(peers.messages.empty());
+  for (int repeated = 0; repeated < 2; ++repeated) {
+    REQUIRE(gate.NextTimer());
+    CHECK(*gate.NextTimer() <= now + Duration::Seconds(1));
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+    REQUIRE(peers.messages.size() == 1);
+    // Notices may be lost on their way too, so they go to all peers.
+    CHECK_FALSE(peers.messages.front().to);
+    const auto& notice =
+      std::get<wire::LeaderNotice>(peers.messages.front().message);
+    CHECK(notice.leader == kSelf);
+    CHECK(notice.term == consensus::Term(3));
+    peers.messages.clear();
+  }
+}
+
+TEST_CASE_METHOD(ControlFixture,
+                 "the zone of a peer that found no room is told again")
+{
+  Lead();
+  log.isFull = true;
+  Connect(kOther);
+  log.isFull = false;
+  REQUIRE(log.messages.empty());
+  const Time end = now + Duration::Seconds(15);
+  while (now < end && log.messages.empty()) {
+    REQUIRE(gate.NextTimer());
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+  }
+  REQUIRE(log.messages.size() == 1);
+  const auto& event = std::get<consensus::Event>(log.messages.front());
+  CHECK(std::get<consensus::HostLocated>(event).host == kOther);
+  // Nothing is told of a peer that is gone.
+  Disconnect(kOther);
+  log.messages.clear();
+  for (int timer = 0; timer < 30; ++timer) {
+    now = *gate.NextTimer();
+    gate.OnTimer(now);
+  }
+  CHECK(log.messages.empty());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a leader becomes a peer though the first attempt found no "
+                 "room")
+{
+  peers.isFull = true;
+  Notice(2, kLeader);
+  peers.isFull = false;
+  Notice(2, kLeader);
+  REQUIRE(peers.messages.size() == 1);
+  CHECK(peers.messages.front().to == kLeader);
+  Connect(kLeader);
+  Notice(2, kLeader);
+  CHECK(peers.messages.size() == 1);
+}
+
 TEST_CASE_METHOD(ControlFixture,
                  "a control host tells its replica who leads elsewhere")
 {
--- a/packages/observe/lib/Log.cpp
+++ b/packages/observe/lib/Log.cpp
@@ -1,5 +1,6 @@
 #include "greengage/observe/Log.h"
 
+#include "greengage/core/Utf8.h"
 #include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Ring.h"
 
@@ -7,7 +8,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iostream>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -16,6 +19,9 @@
 using namespace greengage::observe;
 
 static LogLevel gLowestLevel = LogLevel::Info;
+static bool gIsToFile = false;
+/// Held while a line is written.
+static std::mutex gOutputMutex;
 
 namespace {
 
@@ -50,14 +56,16 @@
          byte != 0x7F;
 }
 
+/// Escapes each byte from 0x80 if the value is not UTF-8.
 static std::string
 Quote(const std::string& aValue)
 {
   static constexpr char kHexDigits[] = "0123456789abcdef";
+  const bool isUtf8 = greengage::IsValidUtf8(aValue);
   std::string text = "\"";
   for (const char character : aValue) {
     const auto byte = static_cast<unsigned char>(character);
-    if (byte < ' ' || byte == 0x7F) {
+    if (byte < ' ' || byte == 0x7F || (byte >= 0x80 && !isUtf8)) {
       text += "\\x";
       text += kHexDigits[byte >> 4U];
       text += kHexDigits[byte & 0xFU];
@@ -80,8 +88,9 @@
     line += field.key;
     line += '=';
     const std::string& value = field.value;
-    const bool isPlain =
-      !value.empty() && std::all_of(value.begin(), value.end(), IsPlain);
+    const bool isPlain = !value.empty() &&
+                         std::all_of(value.begin(), value.end(), IsPlain) &&
+                         IsValidUtf8(value);
     line += isPlain ? value : Quote(value);
   }
   return line;
@@ -96,6 +105,7 @@
   configurations.setGlobally(el::ConfigurationType::Format,
                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
   const bool toFile = !aOptions.path.empty();
+  gIsToFile = toFile;
   configurations.setGlobally(el::ConfigurationType::ToFile,
                              toFile ? "true" : "false");
   configurations.setGlobally(el::ConfigurationType::ToStandardOutput,
@@ -106,10 +116,25 @@
   el::Loggers::reconfigureLogger("default", configurations);
 }
 
-static void
+/// Where lines go; null if the file could not be opened.
+static std::ostream*
+Output()
+{
+  if (!gIsToFile)
+    return &std::cout;
+  return el::Loggers::getLogger("default")->typedConfigurations()->fileStream(
+    el::Level::Info);
+}
+
+/// \returns false if the line is lost, for example because the disk is full.
+static bool
 Write(LogLevel aLevel, const std::string& aLine)
 {
-  ++gWritten;
+  const std::lock_guard lock(gOutputMutex);
+  std::ostream* const output = Output();
+  // A stream that has failed refuses all that comes later, too.
+  if (output != nullptr && output->fail())
+    output->clear();
   switch (aLevel) {
     case LogLevel::Debug:
       LOG(DEBUG) << aLine;
@@ -124,6 +149,10 @@
       LOG(ERROR) << aLine;
       break;
   }
+  if (output == nullptr || output->fail())
+    return false;
+  ++gWritten;
+  return true;
 }
 
 static constexpr std::uint64_t kLinesPerLoadSample = 100;
@@ -138,7 +167,8 @@
   const greengage::pipe::DutyScope scope("log", meter);
   std::uint64_t sampled = 0;
   while (aQueue.lines.Pop(line) == greengage::pipe::PopStatus::Taken) {
-    Write(line.level, line.text);
+    if (!Write(line.level, line.text))
+      ++gDropped;
     if (gWritten.load() >= sampled + kLinesPerLoadSample) {
       sampled = gWritten.load();
       meter.Sample();
@@ -146,10 +176,10 @@
     const std::uint64_t dropped = gDropped.load();
     if (dropped == reported)
       continue;
-    Write(LogLevel::Warning,
-          FormatLogLine("log-lines-dropped",
-                        { { "count", std::to_string(dropped - reported) } }));
-    reported = dropped;
+    const std::string report = FormatLogLine(
+      "log-lines-dropped", { { "count", std::to_string(dropped - reported) } });
+    if (Write(LogLevel::Warning, report))
+      reported = dropped;
   }
 }
 
@@ -181,7 +211,8 @@
     return;
   std::string line = FormatLogLine(aEvent, aFields);
   if (!gQueue) {
-    Write(aLevel, line);
+    if (!Write(aLevel, line))
+      ++gDropped;
     return;
   }
   if (!gQueue->lines.TryPush({ aLevel, std::move(line) }))
--- a/packages/peer/lib/Links.cpp
+++ b/packages/peer/lib/Links.cpp
@@ -25,6 +25,10 @@
 using tcp = asio::ip::tcp;
 
 static constexpr std::size_t kNonceBytes = 16;
+/// A dialled connection that has no accepted one beside it after so many times
+/// the silence is made anew: the peer, which dials once in each, may never have
+/// got the hello.
+static constexpr std::int64_t kReturnTimeoutInSilences = 5;
 
 /// What the dialling host proves: who it is, to whom, on this connection.
 static std::string
@@ -74,6 +78,7 @@
     AvailabilityZoneId availabilityZone;
     /// The dialled connection, once the hello has been sent on it.
     StreamPtr outgoing;
+    Time outgoingSince;
     /// The accepted connection, once its hello has been verified.
     StreamPtr incoming;
     bool isUp = false;
@@ -81,6 +86,10 @@
     Time nextDial;
     /// Tells the current dialling from those given up.
     std::uint64_t dialAttempt = 0;
+    /// The connection being dialled: its socket, then its stream until the
+    /// hello has been sent.
+    std::weak_ptr<tcp::socket> diallingSocket;
+    std::weak_ptr<FrameStream> diallingStream;
     Time heardAt;
     /// The least difference seen between the own clock and the peer's.
     std::optional<Duration> leastOffset;
@@ -113,6 +122,7 @@
                    const StreamPtr& aStream,
                    const std::string& aBytes);
   void DialFailed(const EntryHostId& aId);
+  static void AbandonDial(const Peer& aPeer);
   void OnOutgoingEnded(const EntryHostId& aId, const StreamPtr& aStream);
   void OnIncomingEnded(const EntryHostId& aId, const StreamPtr& aStream);
   void CheckUp(const EntryHostId& aId, Peer& aPeer);
@@ -153,6 +163,7 @@
   error_code ignored;
   acceptor_.close(ignored);
   for (auto& [id, peer] : peers_) {
+    AbandonDial(peer);
     if (peer.outgoing)
       peer.outgoing->Close();
     if (peer.incoming)
@@ -312,9 +323,11 @@
 void
 LinksImpl::Dial(const EntryHostId& aId, Peer& aPeer)
 {
+  AbandonDial(aPeer);
   const std::uint64_t attempt = ++aPeer.dialAttempt;
   aPeer.nextDial = clock_.Now() + options_.silence;
   auto socket = std::make_shared<tcp::socket>(context_);
+  aPeer.diallingSocket = socket;
   error_code ignored;
   const auto address = asio::ip::make_address(aPeer.endpoint.address, ignored);
   auto self = shared_from_this();
@@ -324,6 +337,18 @@
                         });
 }
 
+/// Closes a connection that is still being dialled: a peer that doesn't answer
+/// would collect descriptors with each attempt.
+void
+LinksImpl::AbandonDial(const Peer& aPeer)
+{
+  error_code ignored;
+  if (const auto socket = aPeer.diallingSocket.lock())
+    socket->close(ignored);
+  if (const auto stream = aPeer.diallingStream.lock())
+    stream->Close();
+}
+
 void
 LinksImpl::DialFailed(const EntryHostId& aId)
 {
@@ -337,13 +362,15 @@
                      error_code aError,
                      const std::shared_ptr<tcp::socket>& aSocket)
 {
-  if (peers_.at(aId).dialAttempt != aAttempt)
+  Peer& peer = peers_.at(aId);
+  if (peer.dialAttempt != aAttempt)
     return;
   if (aError) {
     DialFailed(aId);
     return;
   }
   auto stream = std::make_shared<FrameStream>(std::move(*aSocket));
+  peer.diallingStream = stream;
   auto self = shared_from_this();
   // The stream keeps itself alive while it reads.
   const std::weak_ptr<FrameStream> weak = stream;
@@ -381,6 +408,8 @@
   };
   aStream->Send(Encode(hello, clock_.Now()), options_.maxBacklogBytes);
   peer.outgoing = aStream;
+  peer.outgoingSince = clock_.Now();
+  peer.diallingStream.reset();
   CheckUp(aId, peer);
 }
 
@@ -482,6 +511,12 @@
 {
   if (aPeer.isUp && aPeer.heardAt + options_.silence <= aNow)
     SetDown(aId, aPeer, "silence");
+  const Time returnDue =
+    aPeer.outgoingSince + options_.silence * kReturnTimeoutInSilences;
+  if (aPeer.outgoing && !aPeer.isUp && returnDue <= aNow) {
+    aPeer.outgoing->Close();
+    aPeer.outgoing.reset();
+  }
   if (aPeer.outgoing) {
     aPeer.outgoing->Send(Encode(wire::Heartbeat{}, aNow),
                          options_.maxBacklogBytes);
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -20,9 +20,6 @@
 /// The rest is for the start to reach the worker.
 static constexpr Duration kMaxCapacityAge = Duration(4000);
 
-/// A worker with runs answers a renewal at least once a second.
-static constexpr Duration kMaxAnswerAge = Duration(1500);
-
 RunEndSequence
 WorkerSession::LastCommittedEnd() const
 {
@@ -99,12 +96,6 @@
          suspendedUntil <= aNow;
 }
 
-bool
-WorkerSession::HasRecentAnswer(Time aNow) const
-{
-  return lastAnswer + kMaxAnswerAge > aNow;
-}
-
 std::uint32_t
 WorkerSession::CountRunsOfStep(const TaskId& aTask) const
 {
@@ -138,7 +129,7 @@
     (aRun.stage == RunStage::Starting && HasUnansweredStart(aTask));
   const Time startedAt =
     aRun.stage == RunStage::Running ? aRun.runningSince : aRun.startSentAt;
-  return mayHaveStarted &&
+  return mayHaveStarted && !aRun.startedBeforeTakeOver &&
          startedAt + kCrashSuspicionTime >= std::max(lastHeartbeat, lastAnswer);
 }
 
@@ -146,7 +137,7 @@
 static bool
 IsRecentStart(const Run& aRun, Time aNow)
 {
-  return aRun.stage != RunStage::Ending &&
+  return aRun.stage != RunStage::Ending && !aRun.startedBeforeTakeOver &&
          (aRun.runningSince == Time(0) ||
           aRun.runningSince + kCrashSuspicionTime > aNow);
 }
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -472,9 +472,7 @@
   ScheduleEvent(unavailableTime, [this, name = aHost.Value()] {
     SimulatedHost& returned = hosts_.at(name);
     returned.worker = name + "-" + std::to_string(++lastHostWorker_);
-    AddWorker(returned.worker);
-    workers_.at(returned.worker).record.host = HostId(name);
-    SendHeartbeat(workers_.at(returned.worker));
+    AddWorker(returned.worker, kDefaultCapacity, "r1", {}, name);
   });
   return HostCallStatus::Done;
 }
@@ -536,6 +534,7 @@
                 .acknowledgedFailures = {},
                 .failures = {},
                 .crashes = {},
+                .wasGivenUp = false,
                 .startsAfterCrashes = {},
                 .acknowledgedSuccesses = {},
                 .succeeded = {} };
@@ -934,7 +933,8 @@
   // earlier incarnation. The simulated worker drops such a call only while its
   // new incarnation has executed no call and thus has no fencing token by which
   // to refuse it.
-  if (aSentAt < startedAt && worker.highestFence == FencingToken(0))
+  if (!executesCallsToEarlierIncarnations && aSentAt < startedAt &&
+      worker.highestFence == FencingToken(0))
     return;
   auto reply = ExecuteCall(worker, aCall, aSentAt);
   if (!aIsReplyDelivered)
@@ -1474,11 +1474,37 @@
   task.startableSince = now_;
 }
 
+/// Whether the job has been given up. The only cause to give up a job with
+/// persistent tasks is that one of them has crashed its workers.
+bool
+SimulatedFleet::IsGivenUp(jobs::JobId aJob)
+{
+  SimulatedJob& simulated = jobs_.at(aJob);
+  if (simulated.wasGivenUp)
+    return true;
+  const jobs::Job* job = leader_->controller.StateMachine().Find(aJob);
+  if (job == nullptr || job->state != jobs::JobState::Failed)
+    return false;
+  const std::uint32_t causedCrashes =
+    simulated.taskBehavior.crashesWorkerAfter ? MaxCrashes(aJob) : 0;
+  if (causedCrashes < kMaxToleratedCrashes)
+    ReportViolation(ToString(aJob) +
+                    " was given up after its tasks had crashed " +
+                    std::to_string(causedCrashes) + " workers");
+  simulated.wasGivenUp = true;
+  return true;
+}
+
 void
 SimulatedFleet::CheckPersistentTasks()
 {
   for (const auto& [id, job] : jobs_) {
-    if (!job.isAccepted || job.isCancelRequested)
+    const bool isPersistent =
+      std::any_of(job.steps.begin(),
+                  job.steps.end(),
+                  [](const jobs::Step& aStep) { return aStep.isPersistent; });
+    if (!isPersistent || !job.isAccepted || job.isCancelRequested ||
+        IsGivenUp(id))
       continue;
     TaskId task{ .job = id };
     for (task.step = 0; task.step < job.steps.size(); ++task.step)
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -196,6 +196,9 @@
   bool isProviderUnresponsive = false;
   /// The provider executes calls, but its answers are lost.
   bool losesProviderAnswers = false;
+  /// A new incarnation executes calls that were sent to an earlier one, also
+  /// before it has executed any other call.
+  bool executesCallsToEarlierIncarnations = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers for which the adviser gives no permits.
@@ -269,6 +272,7 @@
     std::map<TaskId, std::uint32_t> failures;
     /// Number of workers that crashed while the task ran on them.
     std::map<TaskId, std::uint32_t> crashes;
+    bool wasGivenUp = false;
     /// Number of starts of a task after kMaxToleratedCrashes crashes.
     std::map<TaskId, std::uint32_t> startsAfterCrashes;
     /// Tasks whose success the leader has acknowledged.
@@ -372,6 +376,7 @@
                      Time aSentAt);
   jobs::Resources AllocatedOn(const SimulatedWorker& aWorker) const;
   void CheckInvariants();
+  bool IsGivenUp(jobs::JobId aJob);
   void CheckPersistentTasks();
   void CheckPersistentTask(const TaskId& aTask);
   std::size_t FreeSlots(const SimulatedWorker& aWorker,
