Gate: a call whose leader is lost is answered by the next leader

The gate of an entry host gave a call up once the connection to the leader was lost, and waited in vain where the leader was frozen.

The gate now keeps the request of a client's call that it has relayed. Once the leader is lost, another one leads, or the leader itself can't tell the outcome, it relays the call to the next leader while the caller waits, 2.5 s at most. The protocol lets the same call arrive again, so that this is harmless. A refusal by the next leader does not say that the former one did not carry out the call: it is asked again, and the answer is 504 in the end.

The test "a call that may have been carried out is not refused" expected 504 as soon as the connection was lost. It now checks that the answer is 504 after the time of the call and none before.

--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -19,6 +19,10 @@
 /// How often a control host repeats the availability zones of its peers to its
 /// replica, which drops news while it is busy or its journal fails.
 static constexpr Duration kLocationInterval = Duration::Seconds(10);
+/// The status of a call that may or may not have been carried out.
+static constexpr unsigned kUnknownOutcome = 504;
+/// Delay before a call in doubt is relayed again to a leader that refused it.
+static constexpr Duration kAskAgainDelay = Duration(100);
 /// When to ask again where there is no leader; an election takes 1 to 2 s.
 static constexpr Duration kRetryAfter = Duration::Seconds(1);
 
@@ -124,16 +128,53 @@
     Refuse(aCaller, "no leader is known or can be reached");
     return;
   }
-  aCaller.relayedTo = leader_;
+  aCaller.request = std::move(aRequest);
   const auto at = callers_.emplace(id, std::move(aCaller)).first;
-  wire::RelayedCall call{ .number = id.Value(),
-                          .request = std::move(aRequest) };
-  if (outlets_.peers.TryPush({ .to = leader_, .message = std::move(call) }))
+  if (Relay(id, at->second))
     return;
   Refuse(at->second, "this host is at its limit");
   callers_.erase(at);
 }
 
+/// Relays the call to the leader. \returns false if there is no room for it.
+bool
+GateFilter::Relay(schedule::CallerId aId, Caller& aCaller)
+{
+  const bool mayAskAgain = aCaller.port == http::PortRole::Callers;
+  wire::RelayedCall call{ .number = aId.Value(), .request = {} };
+  if (mayAskAgain)
+    call.request = *aCaller.request;
+  else
+    call.request = *std::exchange(aCaller.request, std::nullopt);
+  if (!outlets_.peers.TryPush({ .to = leader_, .message = std::move(call) }))
+    return false;
+  aCaller.relayedTo = leader_;
+  return true;
+}
+
+/// Notes that the call may or may not have been carried out, and that the next
+/// leader is to be asked while the caller waits.
+void
+GateFilter::AskAgain(Caller& aCaller, Time aAt)
+{
+  aCaller.relayedTo.reset();
+  aCaller.isInDoubt = true;
+  aCaller.nextTryAt = aAt;
+  host_.metrics.Count("greengage_calls_asked_again_total");
+}
+
+/// Relays the calls in doubt to the current leader.
+void
+GateFilter::RelayAgain(Time aNow)
+{
+  if (!leader_ || up_.count(*leader_) == 0)
+    return;
+  for (auto& [id, caller] : callers_)
+    if (caller.isInDoubt && !caller.relayedTo && caller.nextTryAt <= aNow &&
+        !Relay(id, caller))
+      caller.nextTryAt = aNow + kAskAgainDelay;
+}
+
 /// Answers that the call was not carried out, and when to ask again.
 void
 GateFilter::Refuse(const Caller& aCaller, const char* aWhy)
@@ -249,6 +290,7 @@
 GateFilter::OnPeer(peer::PeerConnected&& aEvent, Time /*aNow*/)
 {
   up_[aEvent.peer] = aEvent.availabilityZone;
+  RelayAgain(now_);
   if (outlets_.log != nullptr)
     TellLocation(aEvent.peer, aEvent.availabilityZone);
   if (SendsNotices())
@@ -259,6 +301,9 @@
 GateFilter::OnPeer(peer::PeerDisconnected&& aEvent, Time /*aNow*/)
 {
   up_.erase(aEvent.peer);
+  for (auto& [id, caller] : callers_)
+    if (caller.relayedTo == aEvent.peer && caller.request)
+      AskAgain(caller, now_);
   GiveUp(
     [&](const Caller& aCaller) { return aCaller.relayedTo == aEvent.peer; },
     "connection to the leader was lost");
@@ -275,7 +320,7 @@
   else if (auto* reply = std::get_if<wire::RelayedReply>(&message))
     OnMessage(aEvent.peer, std::move(*reply));
   else if (const auto* notice = std::get_if<wire::LeaderNotice>(&message))
-    OnMessage(*notice);
+    OnMessage(*notice, aNow);
 }
 
 void
@@ -287,6 +332,10 @@
   const auto found = callers_.find(schedule::CallerId(call->number));
   if (found == callers_.end())
     return;
+  if (found->second.isInDoubt) {
+    AskAgain(found->second, now_ + kAskAgainDelay);
+    return;
+  }
   Refuse(found->second, "the leader can't be reached");
   callers_.erase(found);
 }
@@ -307,22 +356,48 @@
            aNow);
 }
 
+/// Whether a response refuses a call for a reason that may not have held when
+/// an earlier leader handled the call.
+static bool
+IsRefusal(unsigned aStatus)
+{
+  constexpr unsigned kMalformed = 400;
+  constexpr unsigned kNoSuchJob = 410;
+  return aStatus >= kMalformed && aStatus != kMalformed &&
+         aStatus != kNoSuchJob;
+}
+
 void
 GateFilter::OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply)
 {
   const auto found = callers_.find(schedule::CallerId(aReply.number));
   if (found == callers_.end() || found->second.relayedTo != aPeer)
     return;
-  Respond(found->second, std::move(aReply.response));
+  Caller& caller = found->second;
+  const unsigned status = aReply.response.status;
+  if (caller.request &&
+      (status == kUnknownOutcome || (caller.isInDoubt && IsRefusal(status)))) {
+    AskAgain(caller, now_ + kAskAgainDelay);
+    return;
+  }
+  Respond(caller, std::move(aReply.response));
   callers_.erase(found);
 }
 
 void
-GateFilter::OnMessage(const wire::LeaderNotice& aNotice)
+GateFilter::OnMessage(const wire::LeaderNotice& aNotice, Time aNow)
 {
   if (outlets_.log == nullptr) {
-    if (!Learn(aNotice.term, aNotice.leader))
+    if (!Learn(aNotice.term, aNotice.leader)) {
       ConnectToLeader();
+      return;
+    }
+    // The former leader can carry out nothing more, and may not say so.
+    for (auto& [id, caller] : callers_)
+      if (leader_ && caller.relayedTo && caller.relayedTo != leader_ &&
+          caller.request)
+        AskAgain(caller, aNow);
+    RelayAgain(aNow);
     return;
   }
   // A host with the log believes its own replica, which asks the leader for the
@@ -357,7 +432,7 @@
       continue;
     }
     ++count;
-    Respond(at->second, PlainResponse(504, aWhy));
+    Respond(at->second, PlainResponse(kUnknownOutcome, aWhy));
     at = callers_.erase(at);
   }
   if (count == 0)
@@ -389,6 +464,7 @@
       TellLocation(peer, availabilityZone);
   }
   nextCheck_ = aNow + kCheckInterval;
+  RelayAgain(aNow);
   GiveUp([&](const Caller& aCaller) { return aCaller.giveUpAt <= aNow; },
          "the leader did not answer in time");
   if (outlets_.log != nullptr && aNow >= nextLoadReport_) {
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -52,10 +52,18 @@
     std::uint64_t number = 0;
     http::PortRole port = http::PortRole::Callers;
     http::ExchangeId exchange;
-    /// Where the call was relayed to; none for a call served here.
+    /// Where the call was relayed to; none for a call served here, or while it
+    /// waits for a leader to be asked again.
     std::optional<EntryHostId> relayedTo;
     Time beganAt;
     Time giveUpAt;
+    /// The request of a client's call that was relayed, to ask another leader.
+    /// Handing in the same call again is harmless.
+    std::optional<http::HttpRequest> request = {};
+    /// A leader may have carried out the call, so that a refusal by another one
+    /// does not say that it was not.
+    bool isInDoubt = false;
+    Time nextTryAt = {};
   };
 
   void On(http::HttpRequest&& aRequest, Time aNow);
@@ -71,7 +79,7 @@
                  wire::RelayedCall&& aCall,
                  Time aNow);
   void OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply);
-  void OnMessage(const wire::LeaderNotice& aNotice);
+  void OnMessage(const wire::LeaderNotice& aNotice, Time aNow);
   void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage) const;
   bool Learn(consensus::Term aTerm, const std::optional<EntryHostId>& aLeader);
   void ConnectToLeader();
@@ -83,6 +91,9 @@
   void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
   void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
   void Refuse(const Caller& aCaller, const char* aWhy);
+  bool Relay(schedule::CallerId aId, Caller& aCaller);
+  void AskAgain(Caller& aCaller, Time aAt);
+  void RelayAgain(Time aNow);
   void GiveUp(const std::function<bool(const Caller&)>& aMatches,
               const char* aWhy);
   void ReportLoads();
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -169,6 +169,13 @@
   Notice(2, kLeader);
   Request();
   Disconnect(kLeader);
+  // The caller waits for the next leader, if its time allows.
+  CHECK(NextStatus() == 0);
+  now = now + Duration(2400);
+  gate.OnTimer(now);
+  CHECK(NextStatus() == 0);
+  now = now + Duration(100);
+  gate.OnTimer(now);
   CHECK(NextStatus() == 504);
   // The same if the leader does not answer.
   Connect(kLeader);
@@ -180,6 +187,80 @@
   CHECK_FALSE(gate.NextTimer().has_value());
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a call whose leader is lost is answered by the next leader")
+{
+  Connect(kLeader);
+  Connect(kOther);
+  Notice(2, kLeader);
+  Request();
+  const bool isSilent = GENERATE(false, true);
+  if (!isSilent)
+    Disconnect(kLeader);
+  now = now + Duration(1200);
+  peers.messages.clear();
+  Notice(3, kOther);
+  REQUIRE(LastRelayed() != nullptr);
+  CHECK(peers.messages.back().to == kOther);
+  CHECK(LastRelayed()->request.body == "job");
+  const std::uint64_t number = LastRelayed()->number;
+  // The next leader may not be ready yet.
+  wire::RelayedReply refusal = ReplyTo(number);
+  refusal.response.status = 503;
+  Receive(kOther, std::move(refusal));
+  CHECK(NextStatus() == 0);
+  peers.messages.clear();
+  now = now + Duration(100);
+  gate.OnTimer(now);
+  REQUIRE(LastRelayed() != nullptr);
+  Receive(kOther, ReplyTo(number));
+  CHECK(NextStatus() == 200);
+  CHECK_FALSE(gate.NextTimer().has_value());
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a call in doubt is not refused, whatever the next leader says")
+{
+  Connect(kLeader);
+  Connect(kOther);
+  Notice(2, kLeader);
+  Request();
+  Notice(3, kOther);
+  for (const unsigned status : { 401U, 404U, 429U, 503U, 504U }) {
+    wire::RelayedReply refusal = ReplyTo(LastRelayed()->number);
+    refusal.response.status = status;
+    Receive(kOther, std::move(refusal));
+    CHECK(NextStatus() == 0);
+    now = now + Duration(100);
+    gate.OnTimer(now);
+  }
+  now = now + Duration(2000);
+  gate.OnTimer(now);
+  CHECK(NextStatus() == 504);
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a leader that can't tell the outcome of a call is asked again")
+{
+  Connect(kLeader);
+  Notice(2, kLeader);
+  Request();
+  const std::uint64_t number = LastRelayed()->number;
+  wire::RelayedReply unknown = ReplyTo(number);
+  unknown.response.status = 504;
+  Receive(kLeader, std::move(unknown));
+  CHECK(NextStatus() == 0);
+  peers.messages.clear();
+  now = now + Duration(100);
+  gate.OnTimer(now);
+  REQUIRE(LastRelayed() != nullptr);
+  CHECK(LastRelayed()->number == number);
+  Receive(kLeader, ReplyTo(number));
+  CHECK(NextStatus() == 200);
+}
+
 TEST_CASE_METHOD(Fixture, "a call that never left is refused")
 {
   Connect(kLeader);
