Job state: suspected crashes, repeated starts and times of host orders

A new leader lacked what its predecessor kept in memory.

EndRun says whether the run may have crashed its worker, and the state keeps that until a later incarnation shows the crash (RecordCrash), the worker turns out to be up (DismissSuspicions) or the job ends. RepeatStart is recorded before a start request is sent a second time. RecordOrderIntent states its time.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace greengage::jobs {
@@ -54,11 +55,13 @@
   /// The latest attempt was given up without a result. Its worker may still
   /// list one.
   bool isResultUnknown = false;
+  /// The start request of the latest attempt may have been sent several times.
+  bool isStartRepeated = false;
 };
 
-/// A job fails once the crashes under one of its tasks add up to this. A crash
-/// counts twice if the start of the task was confirmed before: otherwise it may
-/// never have reached the worker.
+/// A job fails once the crashes under one of its tasks add up to this, unless
+/// the task is persistent. A crash counts twice if the start of the task was
+/// confirmed before: otherwise it may never have reached the worker.
 inline constexpr std::size_t kCrashScoreLimit = 5;
 /// A task's crashes are forgotten if none is added for this long.
 inline constexpr Duration kCrashMemory = Duration::Seconds(3600);
@@ -78,6 +81,31 @@
   bool IsNextDecisive() const;
 };
 
+/// A run that may have crashed its worker, which has been silent since: a later
+/// incarnation of the worker, or a later worker on its host, would show that it
+/// crashed.
+struct SuspectedRun
+{
+  /// The worker.
+  WorkerId id;
+  HostId host;
+  Incarnation incarnation;
+  bool isStartConfirmed = false;
+  /// The number of orders recorded for the host when the run was given up.
+  std::uint64_t hostOrderCount = 0;
+  /// The leader's wall clock time when the run was given up.
+  Time at;
+};
+
+/// The crashes under a task, with those that are only suspected.
+struct SuspectedCrashes
+{
+  /// Compared with kCrashScoreLimit. Zero if no run is suspected.
+  std::size_t score = 0;
+  /// The leader's wall clock time of the latest suspicion.
+  Time latestAt;
+};
+
 /// The state of one step in one occurrence of a job.
 struct StepState
 {
@@ -117,6 +145,15 @@
   std::uint32_t completedOccurrences = 0;
 };
 
+/// The recorded intents to order a host from the provider.
+struct OrderIntents
+{
+  std::uint64_t count = 0;
+  /// JobStateMachine::LatestTime when the latest one was recorded; zero if it
+  /// stated no time.
+  Time latestAt;
+};
+
 /// A wave of host maintenance and its progress.
 struct Wave
 {
@@ -145,6 +182,7 @@
   {
   }
   virtual void OnWorkerRegistered(WorkerNumber /*aWorker*/) {}
+  virtual void OnStartRepeated(const RepeatStart& /*aStart*/) {}
   /// Its record is removed after the call.
   virtual void OnWorkerRetired(WorkerNumber /*aWorker*/) {}
 };
@@ -184,6 +222,14 @@
   const TaskState* Find(const TaskId& aTask) const;
   /// The task's crashes; null if none is recorded.
   const TaskCrashes* FindCrashes(const TaskId& aTask) const;
+  /// The runs of live jobs that may have crashed their workers.
+  const std::map<std::pair<TaskId, Attempt>, SuspectedRun>& SuspectedRuns()
+    const
+  {
+    return suspectedRuns_;
+  }
+  /// What the crashes of the task add up to if its suspected runs are counted.
+  SuspectedCrashes SuspectedCrashesOf(const TaskId& aTask) const;
   /// The registered workers, by number.
   const std::map<WorkerNumber, WorkerRecord>& Workers() const
   {
@@ -192,11 +238,15 @@
   /// The number of the worker's latest registered incarnation, if any.
   std::optional<WorkerNumber> FindWorkerNumber(const WorkerId& aWorker) const;
   const std::map<WaveId, Wave>& Waves() const { return waves_; }
-  /// The number of RecordOrderIntent operations applied for each host.
-  const std::map<HostId, std::uint64_t>& OrderIntentCounts() const
+  const std::map<HostId, OrderIntents>& OrderIntentsByHost() const
   {
-    return orderIntentCounts_;
+    return orderIntents_;
   }
+  /// The number of RecordOrderIntent operations applied for the host.
+  std::uint64_t OrderIntentCount(const HostId& aHost) const;
+  /// The latest time that an operation has stated, by its leader's wall clock.
+  /// It does not go back where the clocks of leaders differ.
+  Time LatestTime() const { return latestTime_; }
 
   /// Number of failed runs of one task, or of all tasks of a gang together,
   /// after which the job fails; 1 if its queue is not in the configuration.
@@ -221,6 +271,10 @@
   void RecordQueuePools();
   void ApplyOperation(ConfirmStart&& aOperation, JobStateObserver& aObserver);
   void ApplyOperation(RecordCrash&& aOperation, JobStateObserver& aObserver);
+  void ApplyOperation(DismissSuspicions&& aOperation,
+                      JobStateObserver& aObserver);
+  void ApplyOperation(RepeatStart&& aOperation, JobStateObserver& aObserver);
+  void SuspectRun(const EndRun& aEnd, WorkerNumber aWorker);
   TaskState* FindTask(const TaskId& aTask);
   void EndJob(Job& aJob,
               JobState aState,
@@ -240,7 +294,9 @@
   std::map<WorkerId, WorkerNumber> workerNumbers_;
   std::uint32_t lastWorkerNumber_ = 0;
   std::map<WaveId, Wave> waves_;
-  std::map<HostId, std::uint64_t> orderIntentCounts_;
+  std::map<HostId, OrderIntents> orderIntents_;
+  Time latestTime_;
+  std::map<std::pair<TaskId, Attempt>, SuspectedRun> suspectedRuns_;
 };
 
 /// The total number of occurrences of \p aJob; 1 if it does not recur.
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -74,6 +74,16 @@
   Lost,
 };
 
+/// Whether a run whose worker is silent may have crashed it.
+enum class CrashSuspicion : std::uint8_t
+{
+  None,
+  /// The run had begun shortly before, or its start request may have arrived.
+  StartUnconfirmed,
+  /// The run had been confirmed shortly before.
+  StartConfirmed,
+};
+
 /// Records the end of a run, or the result of a run that was given up as lost
 /// and whose task has not been assigned again. Committed before the worker is
 /// allowed to discard its record of the end.
@@ -85,6 +95,7 @@
   /// The latest checkpoint; empty if there is none.
   std::string checkpoint;
   Time at;
+  CrashSuspicion suspicion = CrashSuspicion::None;
 };
 
 /// The registration data of one worker incarnation.
@@ -141,6 +152,8 @@
 struct RecordOrderIntent
 {
   HostId host;
+  /// The leader's wall clock time.
+  Time at;
 };
 
 /// Records that the worker has confirmed the start of a run, and that no start
@@ -164,6 +177,23 @@
   Time at;
 };
 
+/// Records that the worker that is suspected to have crashed under runs is up
+/// in the same incarnation, so that they have not crashed it.
+struct DismissSuspicions
+{
+  WorkerId worker;
+  Incarnation incarnation;
+};
+
+/// Records that the start request of a run is about to be sent again. Committed
+/// before, so that a later leader knows whether a copy of it may be outstanding
+/// although the run has begun.
+struct RepeatStart
+{
+  TaskId task;
+  Attempt attempt;
+};
+
 using Operation = std::variant<PutConfiguration,
                                AcceptJob,
                                CancelJob,
@@ -176,7 +206,9 @@
                                BeginMaintenance,
                                RecordOrderIntent,
                                ConfirmStart,
-                               RecordCrash>;
+                               RecordCrash,
+                               DismissSuspicions,
+                               RepeatStart>;
 using Operations = std::vector<Operation>;
 
 /// Encodes \p aOperations as one log entry.
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -60,14 +60,20 @@
   return const_cast<JobStateMachine*>(this)->FindTask(aTask);
 }
 
+/// What one crash adds to a task's score.
+static std::size_t
+CrashScore(bool aIsStartConfirmed)
+{
+  return aIsStartConfirmed ? 2 : 1;
+}
+
 std::size_t
 TaskCrashes::Score() const
 {
-  const auto confirmed =
-    std::count_if(attempts.begin(), attempts.end(), [](const auto& aItem) {
-      return aItem.second;
-    });
-  return attempts.size() + static_cast<std::size_t>(confirmed);
+  std::size_t score = 0;
+  for (const auto& [attempt, isStartConfirmed] : attempts)
+    score += CrashScore(isStartConfirmed);
+  return score;
 }
 
 bool
@@ -92,6 +98,23 @@
   return found == crashes.end() ? nullptr : &found->second;
 }
 
+SuspectedCrashes
+JobStateMachine::SuspectedCrashesOf(const TaskId& aTask) const
+{
+  SuspectedCrashes suspected;
+  for (auto it = suspectedRuns_.lower_bound({ aTask, Attempt(0) });
+       it != suspectedRuns_.end() && it->first.first == aTask;
+       ++it) {
+    suspected.score += CrashScore(it->second.isStartConfirmed);
+    suspected.latestAt = std::max(suspected.latestAt, it->second.at);
+  }
+  const TaskCrashes* crashes =
+    suspected.score == 0 ? nullptr : FindCrashes(aTask);
+  if (crashes != nullptr)
+    suspected.score += crashes->Score();
+  return suspected;
+}
+
 std::optional<WorkerNumber>
 JobStateMachine::FindWorkerNumber(const WorkerId& aWorker) const
 {
@@ -101,6 +124,13 @@
   return found->second;
 }
 
+std::uint64_t
+JobStateMachine::OrderIntentCount(const HostId& aHost) const
+{
+  const auto found = orderIntents_.find(aHost);
+  return found == orderIntents_.end() ? 0 : found->second.count;
+}
+
 std::uint32_t
 JobStateMachine::MaxAttemptsOf(const Job& aJob) const
 {
@@ -190,6 +220,7 @@
   job.queue = std::move(aOperation.queue);
   job.team = std::move(aOperation.team);
   job.acceptedAt = aOperation.at;
+  latestTime_ = std::max(latestTime_, aOperation.at);
   job.description = std::move(aOperation.description);
   for (std::uint32_t number = 0; number < OccurrenceCount(job); ++number)
     job.occurrences.emplace(number, MakeOccurrence(job.description));
@@ -204,6 +235,9 @@
 {
   aJob.state = aState;
   aJob.endedAt = aEndedAt;
+  std::erase_if(suspectedRuns_, [&](const auto& aItem) {
+    return aItem.first.first.job == aJob.id;
+  });
   aObserver.OnJobEnded(aJob);
   if (aJob.assignedTasks > 0)
     return;
@@ -251,6 +285,7 @@
   task->worker = aOperation.worker;
   task->isStartConfirmed = false;
   task->isResultUnknown = false;
+  task->isStartRepeated = false;
   ++job->assignedTasks;
   job->wasEverAssigned = true;
   --job->occurrences.at(aOperation.task.occurrence)
@@ -325,6 +360,7 @@
 JobStateMachine::ApplyOperation(EndRun&& aOperation,
                                 JobStateObserver& aObserver)
 {
+  latestTime_ = std::max(latestTime_, aOperation.at);
   TaskState* task = FindTask(aOperation.task);
   if (task == nullptr || task->attempt != aOperation.attempt)
     return;
@@ -344,6 +380,9 @@
     ++step.waitingTasks;
   }
   task->isResultUnknown = aOperation.outcome == RunOutcome::Lost;
+  suspectedRuns_.erase({ aOperation.task, aOperation.attempt });
+  if (job.state == JobState::Live)
+    SuspectRun(aOperation, worker);
   if (!aOperation.checkpoint.empty())
     step.checkpoints[aOperation.task.index] = std::move(aOperation.checkpoint);
   if (aOperation.outcome == RunOutcome::Succeeded && !isPersistent) {
@@ -374,6 +413,55 @@
     EndJob(job, JobState::Failed, aOperation.at, aObserver);
 }
 
+/// Records the run as one that may have crashed its worker, if the operation
+/// says so. A worker that had announced its departure has not crashed.
+void
+JobStateMachine::SuspectRun(const EndRun& aEnd, WorkerNumber aWorker)
+{
+  if (aEnd.suspicion == CrashSuspicion::None)
+    return;
+  std::erase_if(suspectedRuns_, [&](const auto& aItem) {
+    return aItem.second.at + kCrashMemory < aEnd.at;
+  });
+  const TaskCrashes* crashes = FindCrashes(aEnd.task);
+  const bool isRecorded =
+    crashes != nullptr && crashes->attempts.count(aEnd.attempt) != 0;
+  const auto worker = workers_.find(aWorker);
+  if (isRecorded || worker == workers_.end() || worker->second.isDraining)
+    return;
+  const WorkerRecord& record = worker->second;
+  suspectedRuns_[{ aEnd.task, aEnd.attempt }] = {
+    .id = record.id,
+    .host = record.host,
+    .incarnation = record.incarnation,
+    .isStartConfirmed = aEnd.suspicion == CrashSuspicion::StartConfirmed,
+    .hostOrderCount = OrderIntentCount(record.host),
+    .at = aEnd.at
+  };
+}
+
+void
+JobStateMachine::ApplyOperation(DismissSuspicions&& aOperation,
+                                JobStateObserver& /*aObserver*/)
+{
+  std::erase_if(suspectedRuns_, [&](const auto& aItem) {
+    return aItem.second.id == aOperation.worker &&
+           aItem.second.incarnation == aOperation.incarnation;
+  });
+}
+
+void
+JobStateMachine::ApplyOperation(RepeatStart&& aOperation,
+                                JobStateObserver& aObserver)
+{
+  TaskState* task = FindTask(aOperation.task);
+  if (task == nullptr || task->phase != TaskPhase::Assigned ||
+      task->attempt != aOperation.attempt)
+    return;
+  task->isStartRepeated = true;
+  aObserver.OnStartRepeated(aOperation);
+}
+
 void
 JobStateMachine::ApplyOperation(RegisterWorker&& aOperation,
                                 JobStateObserver& aObserver)
@@ -434,7 +522,10 @@
 JobStateMachine::ApplyOperation(RecordOrderIntent&& aOperation,
                                 JobStateObserver& /*aObserver*/)
 {
-  ++orderIntentCounts_[std::move(aOperation.host)];
+  OrderIntents& intents = orderIntents_[std::move(aOperation.host)];
+  ++intents.count;
+  latestTime_ = std::max(latestTime_, aOperation.at);
+  intents.latestAt = aOperation.at == Time(0) ? Time(0) : latestTime_;
 }
 
 void
@@ -451,6 +542,7 @@
 JobStateMachine::ApplyOperation(RecordCrash&& aOperation,
                                 JobStateObserver& aObserver)
 {
+  suspectedRuns_.erase({ aOperation.task, aOperation.attempt });
   const TaskState* task = FindTask(aOperation.task);
   if (task == nullptr || task->phase == TaskPhase::Done ||
       aOperation.attempt > task->attempt)
@@ -469,6 +561,13 @@
     return;
   crashes.latestAt = std::max(crashes.latestAt, aOperation.at);
   aObserver.OnCrashRecorded(aOperation, crashes);
-  if (crashes.Score() >= kCrashScoreLimit)
+  if (crashes.Score() < kCrashScoreLimit)
+    return;
+  // A persistent task is restarted however its runs end. Attempts beyond those
+  // that reach the limit tell nothing more.
+  if (job.description.steps[aOperation.task.step].isPersistent)
+    while (crashes.attempts.size() > kCrashScoreLimit)
+      crashes.attempts.erase(crashes.attempts.begin());
+  else
     EndJob(job, JobState::Failed, aOperation.at, aObserver);
 }
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -18,7 +18,8 @@
                                   task.attempt.Value(),
                                   task.worker.Value(),
                                   task.isStartConfirmed,
-                                  task.isResultUnknown }));
+                                  task.isResultUnknown,
+                                  task.isStartRepeated }));
   Cbor checkpoints = Cbor::array();
   for (const auto& [index, text] : aStep.checkpoints)
     checkpoints.push_back(Cbor::array({ index, text }));
@@ -46,7 +47,8 @@
       .worker = WorkerNumber(item.at(3).get<std::uint32_t>()),
       // Snapshots of earlier versions lack the fields.
       .isStartConfirmed = item.size() > 4 && item.at(4).get<bool>(),
-      .isResultUnknown = item.size() > 5 && item.at(5).get<bool>()
+      .isResultUnknown = item.size() > 5 && item.at(5).get<bool>(),
+      .isStartRepeated = item.size() > 6 && item.at(6).get<bool>()
     };
     step.waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
     step.doneTasks += task.phase == TaskPhase::Done ? 1 : 0;
@@ -120,6 +122,44 @@
   return job;
 }
 
+static Cbor
+SuspectedRunsToCbor(
+  const std::map<std::pair<TaskId, Attempt>, SuspectedRun>& aRuns)
+{
+  Cbor runs = Cbor::array();
+  for (const auto& [run, suspicion] : aRuns)
+    runs.push_back(Cbor::array({ ToCbor(run.first),
+                                 run.second.Value(),
+                                 suspicion.id.Value(),
+                                 suspicion.host.Value(),
+                                 suspicion.incarnation.Value(),
+                                 suspicion.isStartConfirmed,
+                                 suspicion.hostOrderCount,
+                                 suspicion.at.Millis() }));
+  return runs;
+}
+
+static std::map<std::pair<TaskId, Attempt>, SuspectedRun>
+SuspectedRunsFromCbor(const Cbor& aValue)
+{
+  std::map<std::pair<TaskId, Attempt>, SuspectedRun> runs;
+  for (const Cbor& item : aValue) {
+    std::size_t index = 0;
+    const auto next = [&]() -> const Cbor& { return item.at(index++); };
+    const TaskId task = TaskIdFromCbor(next());
+    const Attempt attempt(next().get<std::uint32_t>());
+    SuspectedRun run;
+    run.id = WorkerId(next().get<std::string>());
+    run.host = HostId(next().get<std::string>());
+    run.incarnation = Incarnation(next().get<std::int64_t>());
+    run.isStartConfirmed = next().get<bool>();
+    run.hostOrderCount = next().get<std::uint64_t>();
+    run.at = Time(next().get<std::int64_t>());
+    runs.emplace(std::pair(task, attempt), std::move(run));
+  }
+  return runs;
+}
+
 std::string
 JobStateMachine::Snapshot() const
 {
@@ -138,8 +178,9 @@
       Cbor::array({ ToCbor(wave.plan), std::move(startedHosts) }));
   }
   Cbor orders = Cbor::array();
-  for (const auto& [host, count] : orderIntentCounts_)
-    orders.push_back(Cbor::array({ host.Value(), count }));
+  for (const auto& [host, intents] : orderIntents_)
+    orders.push_back(
+      Cbor::array({ host.Value(), intents.count, intents.latestAt.Millis() }));
   Cbor queuePools = Cbor::array();
   for (const auto& [queue, pool] : queuePools_)
     queuePools.push_back(Cbor::array({ queue.Value(), pool.Value() }));
@@ -149,7 +190,9 @@
                                      std::move(workers),
                                      std::move(waves),
                                      std::move(orders),
-                                     std::move(queuePools) }));
+                                     std::move(queuePools),
+                                     SuspectedRunsToCbor(suspectedRuns_),
+                                     latestTime_.Millis() }));
 }
 
 bool
@@ -186,14 +229,24 @@
       restored.waves_.emplace(id, std::move(wave));
     }
     for (const Cbor& item : value.at(5))
-      restored.orderIntentCounts_.emplace(item.at(0).get<std::string>(),
-                                          item.at(1).get<std::uint64_t>());
-    // Snapshots of earlier versions end here.
+      restored.orderIntents_.emplace(
+        item.at(0).get<std::string>(),
+        OrderIntents{ .count = item.at(1).get<std::uint64_t>(),
+                      .latestAt =
+                        Time(item.size() > 2 ? item.at(2).get<std::int64_t>()
+                                             : std::int64_t(0)) });
+    // Snapshots of earlier versions may end here or after any later field.
     constexpr std::size_t kQueuePools = 6;
     if (value.size() > kQueuePools)
       for (const Cbor& item : value.at(kQueuePools))
         restored.queuePools_.emplace(item.at(0).get<std::string>(),
                                      item.at(1).get<std::string>());
+    constexpr std::size_t kSuspectedRuns = 7;
+    if (value.size() > kSuspectedRuns)
+      restored.suspectedRuns_ = SuspectedRunsFromCbor(value.at(kSuspectedRuns));
+    constexpr std::size_t kLatestTime = 8;
+    if (value.size() > kLatestTime)
+      restored.latestTime_ = Time(value.at(kLatestTime).get<std::int64_t>());
     if (restored.configuration_)
       restored.RecordQueuePools();
     configuration_ = std::move(restored.configuration_);
@@ -204,7 +257,9 @@
     workerNumbers_ = std::move(restored.workerNumbers_);
     lastWorkerNumber_ = restored.lastWorkerNumber_;
     waves_ = std::move(restored.waves_);
-    orderIntentCounts_ = std::move(restored.orderIntentCounts_);
+    orderIntents_ = std::move(restored.orderIntents_);
+    latestTime_ = restored.latestTime_;
+    suspectedRuns_ = std::move(restored.suspectedRuns_);
     return true;
   } catch (const nlohmann::json::exception& error) {
     Fail(aReason,
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -27,6 +27,8 @@
   RecordOrderIntent = 11,
   ConfirmStart = 12,
   RecordCrash = 13,
+  DismissSuspicions = 14,
+  RepeatStart = 15,
 };
 
 } // namespace
@@ -79,7 +81,8 @@
                        aOperation.attempt.Value(),
                        aOperation.outcome,
                        aOperation.checkpoint,
-                       aOperation.at.Millis() });
+                       aOperation.at.Millis(),
+                       aOperation.suspicion });
 }
 
 static Cbor
@@ -113,8 +116,9 @@
 static Cbor
 OperationToCbor(const RecordOrderIntent& aOperation)
 {
-  return Cbor::array(
-    { OperationCode::RecordOrderIntent, aOperation.host.Value() });
+  return Cbor::array({ OperationCode::RecordOrderIntent,
+                       aOperation.host.Value(),
+                       aOperation.at.Millis() });
 }
 
 static Cbor
@@ -135,6 +139,22 @@
                        aOperation.at.Millis() });
 }
 
+static Cbor
+OperationToCbor(const DismissSuspicions& aOperation)
+{
+  return Cbor::array({ OperationCode::DismissSuspicions,
+                       aOperation.worker.Value(),
+                       aOperation.incarnation.Value() });
+}
+
+static Cbor
+OperationToCbor(const RepeatStart& aOperation)
+{
+  return Cbor::array({ OperationCode::RepeatStart,
+                       ToCbor(aOperation.task),
+                       aOperation.attempt.Value() });
+}
+
 std::string
 greengage::jobs::Encode(const Operations& aOperations)
 {
@@ -189,6 +209,8 @@
     add(begin->host.Value());
   } else if (const auto* intent = std::get_if<RecordOrderIntent>(&aOperation)) {
     add(intent->host.Value());
+  } else if (const auto* up = std::get_if<DismissSuspicions>(&aOperation)) {
+    add(up->worker.Value());
   }
   return bytes;
 }
@@ -208,6 +230,30 @@
            : RunOutcome::Lost;
 }
 
+static CrashSuspicion
+SuspicionFromCbor(const Cbor& aValue)
+{
+  const auto number = aValue.get<std::uint8_t>();
+  return number <= static_cast<std::uint8_t>(CrashSuspicion::StartConfirmed)
+           ? static_cast<CrashSuspicion>(number)
+           : CrashSuspicion::None;
+}
+
+static EndRun
+EndRunFromCbor(const Cbor& aValue)
+{
+  EndRun end{ .task = TaskIdFromCbor(aValue.at(1)),
+              .attempt = Attempt(aValue.at(2).get<std::uint32_t>()),
+              .outcome = RunOutcomeFromCbor(aValue.at(3)),
+              .checkpoint = aValue.at(4).get<std::string>(),
+              .at = Time(aValue.at(5).get<std::int64_t>()) };
+  // Entries of earlier versions lack the field.
+  constexpr std::size_t kSuspicionIndex = 6;
+  if (aValue.size() > kSuspicionIndex)
+    end.suspicion = SuspicionFromCbor(aValue.at(kSuspicionIndex));
+  return end;
+}
+
 static std::optional<Operation>
 OperationFromCbor(const Cbor& aValue)
 {
@@ -239,11 +285,7 @@
                          .worker =
                            WorkerNumber(aValue.at(3).get<std::uint32_t>()) };
     case OperationCode::EndRun:
-      return EndRun{ .task = TaskIdFromCbor(aValue.at(1)),
-                     .attempt = Attempt(aValue.at(2).get<std::uint32_t>()),
-                     .outcome = RunOutcomeFromCbor(aValue.at(3)),
-                     .checkpoint = textAt(4),
-                     .at = timeAt(5) };
+      return EndRunFromCbor(aValue);
     case OperationCode::RegisterWorker:
       return RegisterWorker{ .worker = WorkerRecordFromCbor(aValue.at(1)) };
     case OperationCode::RetireWorker:
@@ -255,7 +297,9 @@
       return BeginMaintenance{ .wave = WaveId(numberAt(1)),
                                .host = HostId(textAt(2)) };
     case OperationCode::RecordOrderIntent:
-      return RecordOrderIntent{ .host = HostId(textAt(1)) };
+      // Entries of earlier versions lack the time.
+      return RecordOrderIntent{ .host = HostId(textAt(1)),
+                                .at = aValue.size() > 2 ? timeAt(2) : Time(0) };
     case OperationCode::ConfirmStart:
       return ConfirmStart{ .task = TaskIdFromCbor(aValue.at(1)),
                            .attempt =
@@ -265,6 +309,14 @@
                           .attempt = Attempt(aValue.at(2).get<std::uint32_t>()),
                           .isStartConfirmed = aValue.at(3).get<bool>(),
                           .at = timeAt(4) };
+    case OperationCode::DismissSuspicions:
+      return DismissSuspicions{ .worker = WorkerId(textAt(1)),
+                                .incarnation = Incarnation(
+                                  aValue.at(2).get<std::int64_t>()) };
+    case OperationCode::RepeatStart:
+      return RepeatStart{ .task = TaskIdFromCbor(aValue.at(1)),
+                          .attempt =
+                            Attempt(aValue.at(2).get<std::uint32_t>()) };
   }
   return std::nullopt;
 }
--- a/packages/jobs/unittests/JobStateMachineTest.cpp
+++ b/packages/jobs/unittests/JobStateMachineTest.cpp
@@ -307,8 +307,8 @@
                      .maxConcurrentHosts = 1,
                      .deadline = Time(9000) },
           BeginMaintenance{ .wave = WaveId(3), .host = HostId("m-1") },
-          RecordOrderIntent{ .host = HostId("m-1") },
-          RecordOrderIntent{ .host = HostId("m-1") } });
+          RecordOrderIntent{ .host = HostId("m-1"), .at = Time(500) },
+          RecordOrderIntent{ .host = HostId("m-1"), .at = Time(1500) } });
   Assign(Task(0, 0), 1);
   ApplyEndRun(Task(0, 0), 1, RunOutcome::Failed);
   Assign(Task(0, 0), 2);
@@ -319,7 +319,9 @@
   CHECK(restored.Find(Task(0, 0))->attempt == Attempt(2));
   CHECK(restored.Find(Task(0, 0))->failures == 1);
   CHECK(restored.Waves().at(WaveId(3)).startedHosts.count(HostId("m-1")) == 1);
-  CHECK(restored.OrderIntentCounts().at(HostId("m-1")) == 2);
+  CHECK(restored.OrderIntentCount(HostId("m-1")) == 2);
+  CHECK(restored.OrderIntentsByHost().at(HostId("m-1")).latestAt == Time(1500));
+  CHECK(restored.LatestTime() == Time(2000));
   CHECK(restored.Find(kJob)->occurrences.at(0).steps[0].checkpoints.at(0) ==
         "c");
   CHECK_FALSE(restored.Restore("damaged", reason));
@@ -327,6 +329,18 @@
   CHECK(restored.Snapshot() == machine.Snapshot());
 }
 
+TEST_CASE_METHOD(Fixture, "an order intent is not younger than the log")
+{
+  // The clock of the second leader is behind that of the first.
+  Apply({ RecordOrderIntent{ .host = HostId("m-1"), .at = Time(9000) },
+          RecordOrderIntent{ .host = HostId("m-2"), .at = Time(4000) },
+          RecordOrderIntent{ .host = HostId("m-3"), .at = Time(0) } });
+  const auto& intents = machine.OrderIntentsByHost();
+  CHECK(intents.at(HostId("m-2")).latestAt == Time(9000));
+  CHECK(intents.at(HostId("m-3")).latestAt == Time(0));
+  CHECK(machine.LatestTime() == Time(9000));
+}
+
 TEST_CASE("a decoded crash equals the encoded one")
 {
   Error reason;
@@ -360,6 +374,23 @@
   CHECK(recorder.endStates == std::vector{ JobState::Failed });
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "no number of crashes under a persistent task ends its job")
+{
+  AcceptJob accept = TwoStepJob();
+  accept.description.steps[0].isPersistent = true;
+  Apply({ accept });
+  for (std::uint32_t attempt = 1; attempt <= 100; ++attempt) {
+    Assign(Task(0, 0), attempt);
+    ApplyCrash(Task(0, 0), attempt, Time(2000));
+    ApplyEndRun(Task(0, 0), attempt, RunOutcome::Lost);
+  }
+  CHECK(machine.Find(kJob)->state == JobState::Live);
+  // The record of the crashes stays small.
+  CHECK(machine.FindCrashes(Task(0, 0))->attempts.size() <= kCrashScoreLimit);
+  CHECK(machine.FindCrashes(Task(0, 0))->IsNextDecisive());
+}
+
 TEST_CASE_METHOD(Fixture, "a crash counts half if the start was not confirmed")
 {
   Apply({ TwoStepJob() });
@@ -423,6 +454,113 @@
   CHECK(machine.Find(kJob)->state == JobState::Failed);
 }
 
+TEST_CASE("suspicions and repeated starts are decoded as they were encoded")
+{
+  Error reason;
+  const auto decoded =
+    Decode(Encode({ EndRun{ .task = Fixture::Task(0, 1),
+                            .attempt = Attempt(2),
+                            .outcome = RunOutcome::Lost,
+                            .checkpoint = {},
+                            .at = Time(2000),
+                            .suspicion = CrashSuspicion::StartConfirmed },
+                    DismissSuspicions{ .worker = WorkerId("w1"),
+                                       .incarnation = Incarnation(5) },
+                    RepeatStart{ .task = Fixture::Task(1, 0),
+                                 .attempt = Attempt(4) } }),
+           reason);
+  REQUIRE(decoded.has_value());
+  CHECK(std::get<EndRun>(decoded->at(0)).suspicion ==
+        CrashSuspicion::StartConfirmed);
+  const auto& dismissal = std::get<DismissSuspicions>(decoded->at(1));
+  CHECK(dismissal.worker == WorkerId("w1"));
+  CHECK(dismissal.incarnation == Incarnation(5));
+  const auto& repeat = std::get<RepeatStart>(decoded->at(2));
+  CHECK(repeat.task == Fixture::Task(1, 0));
+  CHECK(repeat.attempt == Attempt(4));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "suspected runs are kept until they are explained, also by a "
+                 "snapshot")
+{
+  Apply({ TwoStepJob() });
+  const auto suspect = [&](std::uint32_t aAttempt) {
+    Assign(Task(0, 0), aAttempt);
+    Apply({ EndRun{ .task = Task(0, 0),
+                    .attempt = Attempt(aAttempt),
+                    .outcome = RunOutcome::Lost,
+                    .checkpoint = {},
+                    .at = Time(2000),
+                    .suspicion = CrashSuspicion::StartConfirmed } });
+  };
+  suspect(1);
+  suspect(2);
+  Error reason;
+  REQUIRE(machine.Restore(machine.Snapshot(), reason));
+  REQUIRE(machine.SuspectedRuns().size() == 2);
+  CHECK(machine.SuspectedCrashesOf(Task(0, 0)).score == 4);
+  CHECK(machine.SuspectedCrashesOf(Task(0, 0)).latestAt == Time(2000));
+  CHECK(machine.SuspectedCrashesOf(Task(0, 1)).score == 0);
+  const SuspectedRun& run = machine.SuspectedRuns().begin()->second;
+  CHECK(run.id == WorkerId("w1"));
+  CHECK(run.incarnation == Incarnation(5));
+
+  SECTION("by a crash, which is counted once")
+  {
+    ApplyCrash(Task(0, 0), 1, Time(3000));
+    CHECK(machine.SuspectedRuns().size() == 1);
+    CHECK(machine.SuspectedCrashesOf(Task(0, 0)).score == 4);
+  }
+  SECTION("by the worker, which is up")
+  {
+    Apply({ DismissSuspicions{ .worker = WorkerId("w1"),
+                               .incarnation = Incarnation(4) } });
+    CHECK(machine.SuspectedRuns().size() == 2);
+    Apply({ DismissSuspicions{ .worker = WorkerId("w1"),
+                               .incarnation = Incarnation(5) } });
+    CHECK(machine.SuspectedRuns().empty());
+  }
+  SECTION("or by the end of their job")
+  {
+    Apply({ CancelJob{ .id = kJob, .at = Time(3000) } });
+    CHECK(machine.SuspectedRuns().empty());
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a departing worker is not suspected of a crash")
+{
+  Apply({ TwoStepJob() });
+  Assign(Task(0, 0), 1);
+  Apply({ RegisterWorker{ .worker = { .id = WorkerId("w1"),
+                                      .incarnation = Incarnation(5),
+                                      .pool = PoolId("lines"),
+                                      .isDraining = true } },
+          EndRun{ .task = Task(0, 0),
+                  .attempt = Attempt(1),
+                  .outcome = RunOutcome::Lost,
+                  .checkpoint = {},
+                  .at = Time(2000),
+                  .suspicion = CrashSuspicion::StartConfirmed } });
+  CHECK(machine.SuspectedRuns().empty());
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a repeated start is on record until the next attempt")
+{
+  Apply({ TwoStepJob() });
+  Assign(Task(0, 0), 1);
+  Apply({ RepeatStart{ .task = Task(0, 0), .attempt = Attempt(2) } });
+  CHECK_FALSE(machine.Find(Task(0, 0))->isStartRepeated);
+  Apply({ RepeatStart{ .task = Task(0, 0), .attempt = Attempt(1) } });
+  Error reason;
+  REQUIRE(machine.Restore(machine.Snapshot(), reason));
+  CHECK(machine.Find(Task(0, 0))->isStartRepeated);
+  ApplyEndRun(Task(0, 0), 1, RunOutcome::Lost);
+  Assign(Task(0, 0), 2);
+  CHECK_FALSE(machine.Find(Task(0, 0))->isStartRepeated);
+}
+
 TEST_CASE_METHOD(
   Fixture,
   "a recurring job completes once all of its occurrences are done")
@@ -519,9 +657,11 @@
     RetireWorker{},
     StartWave{ .hosts = hosts },
     BeginMaintenance{ .host = HostId(text) },
-    RecordOrderIntent{ .host = HostId(text) },
+    RecordOrderIntent{ .host = HostId(text), .at = {} },
     ConfirmStart{},
-    RecordCrash{});
+    RecordCrash{},
+    DismissSuspicions{ .worker = WorkerId(text), .incarnation = {} },
+    RepeatStart{});
   const std::size_t size = Encode({ operation }).size();
   CAPTURE(operation.index());
   CHECK(size <= EncodedSizeBound(operation));
