HTTP client: a call is not sent once the permission for it has run out

A process that is suspended between a decision and the write of its call would send the call after its leader lease. The client's timeouts run on the steady clock, which doesn't count suspensions. A call may now state until when, on the boot clock, it may be sent; the client checks that right before the write and reports the call as not sent. The new case fails without the check.

--- a/packages/http/include/greengage/http/Client.h
+++ b/packages/http/include/greengage/http/Client.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,8 @@
   std::string body;
   /// How long the call may take as a whole.
   Duration timeout = Duration::Seconds(30);
+  /// The time on the boot clock from which the call must not be sent any more.
+  std::optional<Time> sendBefore = std::nullopt;
 };
 
 /// How far a call got.
--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -1,5 +1,6 @@
 #include "greengage/http/Client.h"
 
+#include "greengage/core/Clock.h"
 #include "greengage/pipe/Sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -172,6 +173,13 @@
     Write();
   }
 
+  /// The process may have been suspended since the call was made, and the timer
+  /// of \c until_ does not count that time.
+  bool IsTooLateToSend() const
+  {
+    return call_.sendBefore && BootClock().Now() >= *call_.sendBefore;
+  }
+
   void Write()
   {
     request_.version(11);
@@ -185,6 +193,10 @@
       request_.set(name, value);
     request_.body() = std::move(call_.body);
     request_.prepare_payload();
+    if (IsTooLateToSend()) {
+      End(CallProgress::NotSent, "permission to send the call has run out");
+      return;
+    }
     connection_->stream.expires_at(until_);
     auto self = shared_from_this();
     bhttp::async_write(connection_->stream,
--- a/packages/http/unittests/HttpTest.cpp
+++ b/packages/http/unittests/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include "greengage/core/Clock.h"
 #include "greengage/http/Client.h"
 #include "greengage/http/Server.h"
 #include "greengage/pipe/Ring.h"
@@ -444,6 +445,28 @@
   REQUIRE(results.Take().progress == CallProgress::SentNoResponse);
 }
 
+TEST_CASE_METHOD(ClientFixture,
+                 "a call is not sent once its permission has run out")
+{
+  const bool hasConnection = GENERATE(false, true);
+  if (hasConnection) {
+    Call(port);
+    Answer(requests.Take(), "one");
+    REQUIRE(results.Take().body == "one");
+  }
+  ClientCall call;
+  call.id = ClientCallId(7);
+  call.endpoint = { "127.0.0.1", port };
+  call.body = "late";
+  call.sendBefore = BootClock().Now();
+  client.Calls().Push(std::move(call));
+  const ClientResult result = results.Take();
+  CHECK(result.progress == CallProgress::NotSent);
+  CHECK(result.id == ClientCallId(7));
+  Call(port);
+  CHECK(requests.Take().body == "work");
+}
+
 TEST_CASE_METHOD(ClientFixture, "a kept connection that was closed is not used")
 {
   Call(port);
