--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -136,6 +136,7 @@
   void CloseBatch();
   bool CanPropose() const;
   void FailBatch(BatchId aBatch, const Reply& aReply);
+  void HandleDeferredReplies();
 
   ControllerSink& sink_;
   FencingToken fence_;
@@ -151,6 +152,9 @@
   std::deque<Batch> queuedBatches_;
   std::map<BatchId, std::vector<PendingReply>> inFlightReplies_;
   std::uint64_t lastBatchId_ = 0;
+  /// Replies that came while this host held no leader lease. They are handled
+  /// once it has renewed the lease, and dropped if another host leads.
+  std::vector<WorkerReply> deferredReplies_;
   Time nextFlush_;
   Time nextTick_;
   Time nextPlanning_;
--- a/packages/schedule/include/greengage/schedule/HostCalls.h
+++ b/packages/schedule/include/greengage/schedule/HostCalls.h
@@ -54,6 +54,8 @@
   /// The leader that makes the call, and its fencing token.
   EntryHostId leader;
   jobs::FencingToken fence;
+  /// As for \ref WorkerCall.
+  Time sendBefore;
 };
 
 enum class HostCallStatus : std::uint8_t
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -160,7 +160,6 @@
   void SendOrder(const HostId& aId, Host& aHost);
   void ObserveOrders();
   bool CanOrder(const HostId& aId) const;
-  std::uint64_t OrderIntentCount(const HostId& aId) const;
   bool IsSparePool(const PoolId& aPool) const;
   bool IsInTransition(const Host& aHost) const;
   std::uint32_t RunCount(const Host& aHost) const;
@@ -173,6 +172,7 @@
   HostOutbox& provider_;
   std::optional<FencingToken> fence_;
   ClockReading now_;
+  Time leaderLeaseEnd_;
   Time leadingSince_;
   Time nextList_;
   Time nextBalanceLog_;
--- a/packages/schedule/include/greengage/schedule/Messages.h
+++ b/packages/schedule/include/greengage/schedule/Messages.h
@@ -96,6 +96,9 @@
   Endpoint endpoint;
   WorkerRequest request;
   Duration timeout;
+  /// The end of the leader lease on the steady clock: another host may lead
+  /// from then on, so that the call must not be sent.
+  Time sendBefore;
 };
 
 /// The outcome of a call to a worker.
--- a/packages/schedule/include/greengage/schedule/PoolIndex.h
+++ b/packages/schedule/include/greengage/schedule/PoolIndex.h
@@ -1,6 +1,7 @@
 /// \file
-/// The workers of each pool, and which resource requests found no worker, so
-/// that placing a task examines only workers that may take it.
+/// The workers of each pool in the order of their free processors, and which
+/// resource requests found no worker, so that placing a task examines only
+/// workers that may take it.
 
 #ifndef GREENGAGE_SCHEDULE_POOLINDEX_H
 #define GREENGAGE_SCHEDULE_POOLINDEX_H
@@ -12,26 +13,62 @@
 #include <compare>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace greengage::schedule {
 
+/// Worker sessions in ascending order of their free processors, and of their
+/// numbers where these are equal.
+class FreeOrder
+{
+public:
+  using Entry = std::pair<MilliCores, jobs::WorkerNumber>;
+  using Sessions = std::map<Entry, WorkerSession*>;
+
+  void Insert(const Entry& aEntry, WorkerSession& aSession);
+  void Erase(const Entry& aEntry) { sessions_.erase(aEntry); }
+  const Sessions& All() const { return sessions_; }
+  /// The first session with at least \p aProcessors free.
+  Sessions::const_iterator From(MilliCores aProcessors) const;
+
+private:
+  Sessions sessions_;
+};
+
 /// The current worker sessions of each pool. Superseded sessions don't belong
 /// here. The index refers to sessions but doesn't own them.
 class PoolIndex
 {
 public:
-  /// Adds the session, or moves it if it is in another pool.
-  void Put(const PoolId& aPool, WorkerSession& aSession);
+  /// Adds the session, or moves it if it is in another pool or rack.
+  void Put(const PoolId& aPool, const RackId& aRack, WorkerSession& aSession);
+  /// To be called whenever the session's capacity or its used resources have
+  /// changed.
+  void Update(WorkerSession& aSession);
   void Remove(const WorkerSession& aSession);
   void Clear();
-  /// The sessions of a pool, in ascending order of their numbers.
-  const std::vector<WorkerSession*>& WorkersOf(const PoolId& aPool) const;
+  /// The sessions of a pool.
+  const FreeOrder& WorkersOf(const PoolId& aPool) const;
+  /// The sessions of a pool on one rack.
+  const FreeOrder& WorkersOf(const PoolId& aPool, const RackId& aRack) const;
 
 private:
-  std::map<PoolId, std::vector<WorkerSession*>> workers_;
-  std::map<jobs::WorkerNumber, PoolId> pools_;
+  struct Place
+  {
+    PoolId pool;
+    RackId rack;
+    FreeOrder::Entry entry;
+  };
+
+  void Insert(const Place& aPlace, WorkerSession& aSession);
+  void Erase(const Place& aPlace);
+
+  std::map<PoolId, FreeOrder> pools_;
+  std::map<std::pair<PoolId, RackId>, FreeOrder> racks_;
+  std::map<jobs::WorkerNumber, Place> places_;
 };
 
 /// The workers that a step may run on, as far as its job's queue and its label
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -132,6 +132,7 @@
   void OnCrashRecorded(const jobs::RecordCrash& aCrash,
                        const jobs::TaskCrashes& aCrashes) override;
   void OnWorkerRegistered(jobs::WorkerNumber aWorker) override;
+  void OnStartRepeated(const jobs::RepeatStart& aStart) override;
   void OnWorkerRetired(jobs::WorkerNumber aWorker) override;
 
   /// Sets the current time for subsequent observer callbacks.
@@ -175,6 +176,7 @@
             WorkerRequest aRequest,
             Duration aTimeout);
   void SendStart(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
+  void RepeatStart(const TaskId& aTask, Run& aRun);
   void WithholdStart(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
   void SendStop(WorkerSession& aSession,
                 const TaskId& aTask,
@@ -211,6 +213,7 @@
   bool ProcessListedRuns(WorkerSession& aSession, const WorkerReply& aReply);
   void CheckProgress(WorkerSession& aSession,
                      const ListedRun& aListed,
+                     Time aListedAt,
                      Run& aRun);
   void EndLostRuns(WorkerSession& aSession,
                    const PendingCall& aCall,
@@ -221,17 +224,19 @@
               Run& aRun,
               jobs::RunOutcome aOutcome,
               std::string aCheckpoint,
-              const char* aReason);
-  void AdoptCapacity(WorkerSession& aSession) const;
+              const char* aReason,
+              jobs::CrashSuspicion aSuspicion = jobs::CrashSuspicion::None);
+  void AdoptCapacity(WorkerSession& aSession);
   void SupersedeEarlierIncarnations(jobs::WorkerNumber aWorker);
   void ChargeCrash(WorkerSession& aSession);
-  void ChargeSuspects(const jobs::WorkerRecord& aWorker,
-                      const std::vector<CrashSuspect>& aSuspects);
-  void NoteCrashSuspects(WorkerSession& aSession) const;
-  void KeepCrashSuspects(const WorkerSession& aSession);
-  void ResolveRetiredWorkers(const jobs::WorkerRecord& aLatest);
-  /// The number of orders recorded for the host.
-  std::uint64_t HostOrderCount(const jobs::HostId& aHost) const;
+  void RecordCrash(const jobs::WorkerRecord& aWorker,
+                   const TaskId& aTask,
+                   Attempt aAttempt,
+                   bool aIsStartConfirmed);
+  void ChargeSuspectedRuns(const jobs::WorkerRecord& aLatest);
+  bool HasSuspectedRuns(const jobs::WorkerRecord& aWorker) const;
+  void DismissSuspicions(WorkerSession& aSession);
+  bool AwaitsCrashProof(const TaskId& aTask) const;
   bool IsFromOtherIncarnation(const WorkerSession& aSession,
                               const WorkerReply& aReply) const;
   FencingToken FenceOf(const WorkerSession& aSession) const;
@@ -288,6 +293,8 @@
     ContactingWorker,
     /// The task may crash its worker and waits for one without others that may.
     Isolated,
+    /// The job fails if the task has crashed the silent workers of its runs.
+    AwaitingCrashProof,
     /// No worker can take the task, and no capacity was reserved for it.
     NoWorker,
     OverQuota,
@@ -301,7 +308,9 @@
   Duration CriticalPath(const jobs::Job& aJob,
                         const QueueState& aQueue,
                         bool aIsRemainingOnly) const;
-  void UpdateMeanRunTime(const jobs::Job& aJob, const Run& aRun);
+  void UpdateMeanRunTime(const jobs::Job& aJob,
+                         const Run& aRun,
+                         std::optional<Time> aListedAt);
   Candidate MakeCandidate(const jobs::Job& aJob,
                           const QueueState& aQueue) const;
   bool ReserveCapacity(const Candidate& aCandidate,
@@ -324,6 +333,55 @@
   void RequestStepPermits(const Candidate& aCandidate, const TaskId& aTask);
   void PrefetchPermits(const Candidate& aCandidate);
   void DispatchGang(const Candidate& aCandidate, const TaskId& aFirst);
+  /// A task that looks for a worker.
+  struct PlacementRequest
+  {
+    const Candidate& candidate;
+    TaskId task;
+    const jobs::Step& step;
+    const jobs::TaskState& state;
+    jobs::Resources allocation;
+    /// Empty if there is no preference.
+    RackId rack;
+    bool isSuspect = false;
+    bool mustBeIsolated = false;
+  };
+  /// How well a worker suits a task, in the order of what counts most. The
+  /// highest rank wins.
+  struct PlacementRank
+  {
+    /// Neither beside a task that may crash the worker, nor, if the task may,
+    /// beside persistent runs.
+    bool isHarmless = false;
+    bool sparesRecentStarts = false;
+    bool isOnPreferredRack = false;
+    bool differsFromLastWorker = false;
+    bool avoidsInterference = false;
+    /// Packing persistent tasks onto the same workers keeps them off other
+    /// hosts, so that those can be moved to another pool.
+    bool hasSameKind = false;
+    /// Persistent tasks of one step are spread out, because only a limited
+    /// number of them may be moved off a host at a time. Negative.
+    std::int64_t runsOfStep = 0;
+    /// Of processors; negative, so that the fullest worker wins, unless the
+    /// task may crash its worker.
+    std::int64_t spareProcessors = 0;
+
+    friend auto operator<=>(const PlacementRank&,
+                            const PlacementRank&) = default;
+  };
+  PlacementRequest MakePlacementRequest(const Candidate& aCandidate,
+                                        const TaskId& aTask);
+  bool HasRoomFor(const PlacementRequest& aRequest,
+                  const WorkerSession& aSession) const;
+  std::optional<PlacementRank> Rank(const PlacementRequest& aRequest,
+                                    const WorkerSession& aSession) const;
+  WorkerSession* FindFullest(const PlacementRequest& aRequest,
+                             const FreeOrder& aWorkers,
+                             bool& aHasCapacity) const;
+  WorkerSession* FindBest(const PlacementRequest& aRequest,
+                          const FreeOrder& aWorkers,
+                          bool& aHasCapacity) const;
   WorkerSession* ChooseWorker(const Candidate& aCandidate, const TaskId& aTask);
   bool HasFreshAnswer(const WorkerSession& aSession) const;
   bool IsCrashSuspect(const TaskId& aTask) const;
@@ -334,7 +392,8 @@
               const jobs::Job& aJob,
               const TaskId& aTask,
               Attempt aAttempt);
-  RackId PreferredRack(const Candidate& aCandidate, const TaskId& aTask) const;
+  RackId PreferredRack(const Candidate& aCandidate, const TaskId& aTask);
+  RackId FindRack(const Candidate& aCandidate, const TaskId& aTask) const;
   void ProposeAssignment(const WorkerSession& aSession, const TaskId& aTask);
   void RemoveRun(WorkerSession& aSession, const TaskId& aTask);
   // Reports on tasks without a run are implemented in SchedulerReport.cpp.
@@ -384,14 +443,6 @@
   std::map<jobs::WorkerId, WorkerHeartbeat> latestHeartbeats_;
   PoolIndex poolIndex_;
   std::map<jobs::WorkerId, std::set<jobs::WorkerNumber>> supersededWorkers_;
-  /// A worker that was retired with runs that may have crashed it.
-  struct RetiredWorker
-  {
-    jobs::WorkerRecord record;
-    std::vector<CrashSuspect> suspects;
-    Time retiredAt;
-  };
-  std::vector<RetiredWorker> retiredWorkers_;
   std::unordered_map<WorkerCallId, PendingCall> pendingCalls_;
   std::uint64_t lastCallId_ = 0;
   /// Jobs that have not ended.
@@ -419,6 +470,8 @@
   /// Pools in which this dispatch pass has already reached the one task that
   /// may reserve capacity: the first that cannot be placed.
   std::set<PoolId> reservingPools_;
+  /// The preferred racks of steps that want one rack, in this dispatch pass.
+  std::map<jobs::StepId, RackId> stepRacks_;
   /// Requests that found too little free capacity in this dispatch pass.
   UnplaceableRequests unplaceable_;
   /// Requests that found no worker to reserve capacity on, in this dispatch
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -43,9 +43,9 @@
   TeamId team;
   bool usesIdleProcessors = false;
   bool isPersistent = false;
-  /// When the worker confirmed the start; zero if it has not, or if the run is
-  /// known only from the worker's list.
-  Time confirmedAt;
+  /// The worker's clock when it confirmed the start; none if it has not, or if
+  /// the run is known only from the worker's list.
+  std::optional<Time> confirmedAt;
   /// When the run was first known to be running; zero before.
   Time runningSince;
   /// A worker has crashed under an earlier attempt of the task.
@@ -58,8 +58,8 @@
   /// Whether the run may be stopped and restarted on another worker if it makes
   /// too little progress.
   bool isMovable = false;
-  /// When the listed progress last increased.
-  Time lastProgressAt;
+  /// The worker's clock when it first listed the current progress.
+  std::optional<Time> lastProgressAt;
   /// Tail latency objective; 0 for a run that serves no requests.
   Duration targetLatency;
   /// Whether the run is to be stopped: its job has ended, its worker restarted
@@ -68,6 +68,10 @@
   bool isCallInFlight = false;
   /// Whether a start request may have reached the worker.
   bool isStartSent = false;
+  /// Whether it is recorded, or proposed to be, that the start request may be
+  /// sent again.
+  bool isRepeatProposed = false;
+  bool isRepeatRecorded = false;
   /// Whether the confirmation of the start is recorded or proposed.
   bool isStartRecorded = false;
   /// Whether the start was recorded when this leader took the run over, so that
@@ -101,20 +105,13 @@
 {
   Attempt attempt;
   std::uint32_t count = 0;
+  /// Number of requests of the attempt that may have been sent, answered or
+  /// not. A single one can't be executed again once the run has begun.
+  std::uint32_t sent = 0;
   /// When the last of them was sent, at the latest.
   Time lastSentAt;
 };
 
-/// A run that may have crashed its worker, if the worker has crashed.
-struct CrashSuspect
-{
-  TaskId task;
-  Attempt attempt;
-  bool isStartConfirmed = false;
-  /// The number of orders recorded for the worker's host when this was noted.
-  std::uint64_t hostOrderCount = 0;
-};
-
 /// The leader's volatile state for one incarnation of a worker.
 struct WorkerSession
 {
@@ -124,15 +121,18 @@
   std::map<TaskId, Run> runs;
   /// Number of runs whose task has had a crash.
   std::uint32_t crashSuspectCount = 0;
+  std::uint32_t persistentRunCount = 0;
+  /// Number of runs with a target latency.
+  std::uint32_t latencySensitiveRunCount = 0;
   /// Resources of the runs and of the reservations on this worker.
   jobs::Resources used;
   /// Resources of the persistent runs, which don't end by themselves.
   jobs::Resources usedByPersistentRuns;
   std::uint32_t reservationCount = 0;
   std::map<TaskId, UnansweredStarts> unansweredStarts;
-  /// Charged with a crash if a later incarnation shows that the worker crashed.
-  /// Holds runs whose lease has expired before that.
-  std::vector<CrashSuspect> crashSuspects;
+  /// Runs that may have crashed this incarnation are recorded or proposed as
+  /// suspected.
+  bool isCrashSuspected = false;
 
   /// Whether the worker's complete lists have been processed under the current
   /// fencing token and contained no unknown runs.
@@ -203,6 +203,9 @@
   /// The worker gets no new runs before this time.
   Time suspendedUntil;
 
+  /// Notes that a list of this incarnation shows the attempt to have begun: if
+  /// its start request was sent once, no copy of it is outstanding.
+  void NoteBegun(const TaskId& aTask, Attempt aAttempt);
   /// Whether the worker may still execute a start request for the task.
   bool HasUnansweredStart(const TaskId& aTask) const
   {
@@ -240,7 +243,7 @@
   bool HasAnsweredSince(Time aTime) const { return lastAnswer >= aTime; }
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
-  bool HasLatencySensitiveRun() const;
+  bool HasLatencySensitiveRun() const { return latencySensitiveRunCount > 0; }
   /// Whether the run started so shortly before the worker was last heard of
   /// that it may have crashed the worker.
   bool MayHaveCrashedWorker(const TaskId& aTask, const Run& aRun) const;
@@ -251,7 +254,7 @@
   bool HasRecentSuspect(jobs::JobId aExceptOf, Time aNow) const;
   /// The same for a task whose job a crash may make fail.
   bool HasRecentDecisiveRun(jobs::JobId aExceptOf, Time aNow) const;
-  bool HasPersistentRun() const;
+  bool HasPersistentRun() const { return persistentRunCount > 0; }
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -73,6 +73,7 @@
   openBatchBytes_ = 0;
   openReplies_.clear();
   queuedBatches_.clear();
+  deferredReplies_.clear();
 }
 
 bool
@@ -175,6 +176,15 @@
     }
     return;
   }
+  // This host may have been suspended, and another one may lead since: it
+  // decides nothing before it has renewed its lease.
+  if (aLeaseEnd <= aNow.steady) {
+    nextTick_ = aNow.steady + kTickInterval;
+    nextFlush_ = nextTick_;
+    nextPlanning_ = nextTick_;
+    return;
+  }
+  HandleDeferredReplies();
   if (aNow.steady >= nextTick_) {
     nextTick_ = aNow.steady + kTickInterval;
     scheduler_.Tick(aNow);
@@ -251,8 +261,21 @@
 {
   now_ = aNow;
   scheduler_.SetLeaderLeaseEnd(aLeaseEnd);
-  if (scheduler_.IsLeading())
-    scheduler_.On(aReply, aNow);
+  if (!scheduler_.IsLeading())
+    return;
+  if (aLeaseEnd <= aNow.steady) {
+    deferredReplies_.push_back(aReply);
+    return;
+  }
+  HandleDeferredReplies();
+  scheduler_.On(aReply, aNow);
+}
+
+void
+Controller::HandleDeferredReplies()
+{
+  for (const WorkerReply& reply : std::exchange(deferredReplies_, {}))
+    scheduler_.On(reply, now_);
 }
 
 void
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -20,6 +20,9 @@
 /// How long after it was sent an order may still be carried out: by then the
 /// call has timed out and its connection has been reset.
 static constexpr Duration kMaxOrderTime = Duration(1500);
+/// An order counts as this old only if the log says so by this much: the clocks
+/// of leaders differ, and may be stepped by seconds.
+static constexpr Duration kMinKnownOrderAge = Duration::Seconds(10);
 /// Margin beyond the move time before a host can be moved again: the network
 /// delay of the order and of its answer.
 static constexpr Duration kMoveMargin = Duration(100);
@@ -69,7 +72,8 @@
   provider_.Call({ .id = id,
                    .request = std::move(aRequest),
                    .leader = options_.self,
-                   .fence = *fence_ });
+                   .fence = *fence_,
+                   .sendBefore = leaderLeaseEnd_ });
 }
 
 bool
@@ -244,24 +248,22 @@
   }
 }
 
-std::uint64_t
-HostPlanner::OrderIntentCount(const HostId& aId) const
-{
-  const auto found = stateMachine_.OrderIntentCounts().find(aId);
-  return found == stateMachine_.OrderIntentCounts().end() ? 0 : found->second;
-}
-
 /// Updates, for each host, how many order intents are recorded and when that
 /// number last changed.
 void
 HostPlanner::ObserveOrders()
 {
-  for (const auto& [id, count] : stateMachine_.OrderIntentCounts()) {
+  for (const auto& [id, intents] : stateMachine_.OrderIntentsByHost()) {
     ObservedOrders& seen = observedOrders_[id];
-    if (seen.count == count)
+    if (seen.count == intents.count)
       continue;
-    seen.count = count;
+    seen.count = intents.count;
     seen.since = now_.steady;
+    // This host may have read the intent from its log after a restart. The log
+    // then tells how much time had passed at least.
+    const Duration age = stateMachine_.LatestTime() - intents.latestAt;
+    if (intents.latestAt > Time(0) && age >= kMinKnownOrderAge)
+      seen.since = now_.steady - age;
   }
 }
 
@@ -330,6 +332,7 @@
 HostPlanner::Tick(Time aLeaseEnd, ClockReading aNow)
 {
   now_ = aNow;
+  leaderLeaseEnd_ = aLeaseEnd;
   if (!options_.isEnabled || !fence_ || aLeaseEnd <= aNow.steady ||
       stateMachine_.CurrentConfiguration() == nullptr)
     return;
@@ -365,7 +368,8 @@
   return std::any_of(awaitedOrderCounts_.begin(),
                      awaitedOrderCounts_.end(),
                      [&](const auto& aItem) {
-                       return OrderIntentCount(aItem.first) >= aItem.second;
+                       return stateMachine_.OrderIntentCount(aItem.first) >=
+                              aItem.second;
                      });
 }
 
@@ -419,8 +423,8 @@
 HostPlanner::ProposeOrderIntent(const HostId& aId, Host& aHost)
 {
   aHost.isOrderInFlight = true;
-  awaitedOrderCounts_[aId] = OrderIntentCount(aId) + 1;
-  outbox_.Propose(jobs::RecordOrderIntent{ .host = aId });
+  awaitedOrderCounts_[aId] = stateMachine_.OrderIntentCount(aId) + 1;
+  outbox_.Propose(jobs::RecordOrderIntent{ .host = aId, .at = now_.wall });
 }
 
 void
@@ -428,7 +432,7 @@
 {
   for (auto it = awaitedOrderCounts_.begin();
        it != awaitedOrderCounts_.end();) {
-    if (OrderIntentCount(it->first) < it->second) {
+    if (stateMachine_.OrderIntentCount(it->first) < it->second) {
       ++it;
       continue;
     }
--- a/packages/schedule/lib/PoolIndex.cpp
+++ b/packages/schedule/lib/PoolIndex.cpp
@@ -7,52 +7,99 @@
 
 using jobs::Resources;
 
-static bool
-HasLowerNumber(const WorkerSession* aSession, jobs::WorkerNumber aNumber)
+static FreeOrder::Entry
+EntryOf(const WorkerSession& aSession)
 {
-  return aSession->number < aNumber;
+  return { aSession.capacity.processors - aSession.used.processors,
+           aSession.number };
 }
 
 void
-PoolIndex::Put(const PoolId& aPool, WorkerSession& aSession)
+FreeOrder::Insert(const Entry& aEntry, WorkerSession& aSession)
+{
+  sessions_.emplace(aEntry, &aSession);
+}
+
+FreeOrder::Sessions::const_iterator
+FreeOrder::From(MilliCores aProcessors) const
+{
+  return sessions_.lower_bound({ aProcessors, jobs::WorkerNumber(0) });
+}
+
+void
+PoolIndex::Insert(const Place& aPlace, WorkerSession& aSession)
+{
+  pools_[aPlace.pool].Insert(aPlace.entry, aSession);
+  racks_[{ aPlace.pool, aPlace.rack }].Insert(aPlace.entry, aSession);
+}
+
+void
+PoolIndex::Erase(const Place& aPlace)
+{
+  pools_.at(aPlace.pool).Erase(aPlace.entry);
+  racks_.at({ aPlace.pool, aPlace.rack }).Erase(aPlace.entry);
+}
+
+void
+PoolIndex::Put(const PoolId& aPool,
+               const RackId& aRack,
+               WorkerSession& aSession)
 {
-  const auto indexed = pools_.find(aSession.number);
-  if (indexed != pools_.end() && indexed->second == aPool)
-    return;
   Remove(aSession);
-  std::vector<WorkerSession*>& workers = workers_[aPool];
-  workers.insert(
-    std::lower_bound(
-      workers.begin(), workers.end(), aSession.number, HasLowerNumber),
-    &aSession);
-  pools_[aSession.number] = aPool;
+  const Place place{ .pool = aPool, .rack = aRack, .entry = EntryOf(aSession) };
+  Insert(place, aSession);
+  places_.emplace(aSession.number, place);
+}
+
+void
+PoolIndex::Update(WorkerSession& aSession)
+{
+  const auto found = places_.find(aSession.number);
+  const FreeOrder::Entry entry = EntryOf(aSession);
+  if (found == places_.end() || found->second.entry == entry)
+    return;
+  Erase(found->second);
+  found->second.entry = entry;
+  Insert(found->second, aSession);
 }
 
 void
 PoolIndex::Remove(const WorkerSession& aSession)
 {
-  const auto indexed = pools_.find(aSession.number);
-  if (indexed == pools_.end())
+  const auto found = places_.find(aSession.number);
+  if (found == places_.end())
     return;
-  std::vector<WorkerSession*>& workers = workers_.at(indexed->second);
-  workers.erase(std::lower_bound(
-    workers.begin(), workers.end(), aSession.number, HasLowerNumber));
-  pools_.erase(indexed);
+  Erase(found->second);
+  places_.erase(found);
 }
 
 void
 PoolIndex::Clear()
 {
-  workers_.clear();
   pools_.clear();
+  racks_.clear();
+  places_.clear();
 }
 
-const std::vector<WorkerSession*>&
+template<typename Key>
+static const FreeOrder&
+FindOrder(const std::map<Key, FreeOrder>& aOrders, const Key& aKey)
+{
+  static const FreeOrder kNone;
+  const auto found = aOrders.find(aKey);
+  return found == aOrders.end() ? kNone : found->second;
+}
+
+const FreeOrder&
 PoolIndex::WorkersOf(const PoolId& aPool) const
 {
-  static const std::vector<WorkerSession*> kNone;
-  const auto found = workers_.find(aPool);
-  return found == workers_.end() ? kNone : found->second;
+  return FindOrder(pools_, aPool);
+}
+
+const FreeOrder&
+PoolIndex::WorkersOf(const PoolId& aPool, const RackId& aRack) const
+{
+  return FindOrder(racks_, { aPool, aRack });
 }
 
 /// Whether \p aLeft needs as much of everything as \p aRight, or more.
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -38,7 +38,7 @@
     session.record = &worker;
     session.lastHeartbeat = aNow.steady;
     AdoptCapacity(session);
-    poolIndex_.Put(worker.pool, session);
+    poolIndex_.Put(worker.pool, worker.rack, session);
     // The previous leader may have renewed the lease up to now.
     session.leaseExpiry = aNow.steady + LeaseExpiryBound(options_.lease);
     session.lastUnansweredCallAt = aNow.steady;
@@ -46,8 +46,11 @@
   OnConfigurationChanged();
   for (const auto& [id, job] : stateMachine_.Jobs())
     RecoverRuns(job);
-  for (const auto& [number, worker] : stateMachine_.Workers())
+  for (const auto& [number, worker] : stateMachine_.Workers()) {
     SupersedeEarlierIncarnations(number);
+    ChargeSuspectedRuns(worker);
+    sessions_.at(number).isCrashSuspected = HasSuspectedRuns(worker);
+  }
   isDispatchDue_ = true;
 }
 
@@ -75,11 +78,16 @@
         const bool isStartConfirmed = tasks[index].isStartConfirmed;
         // The previous leader may have sent a start that was not answered.
         if (!isStartConfirmed)
-          session->unansweredStarts[task] = { .attempt = tasks[index].attempt,
-                                              .count = 1,
-                                              .lastSentAt = now_.steady };
+          session->unansweredStarts[task] = {
+            .attempt = tasks[index].attempt,
+            .count = 1,
+            .sent = tasks[index].isStartRepeated ? 2U : 1U,
+            .lastSentAt = now_.steady
+          };
         Run& run = session->runs.at(task);
         run.isStartRecorded = isStartConfirmed;
+        run.isRepeatProposed = tasks[index].isStartRepeated;
+        run.isRepeatRecorded = tasks[index].isStartRepeated;
         run.startedBeforeTakeOver = isStartConfirmed;
         run.stage = RunStage::Starting;
         run.startSentAt = now_.steady;
@@ -103,7 +111,6 @@
   sessions_.clear();
   poolIndex_.Clear();
   supersededWorkers_.clear();
-  retiredWorkers_.clear();
   pendingCalls_.clear();
   liveJobs_.clear();
   unstartedJobs_.clear();
--- a/packages/schedule/lib/SchedulerAdvice.cpp
+++ b/packages/schedule/lib/SchedulerAdvice.cpp
@@ -30,7 +30,8 @@
     return;
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   std::vector<std::pair<std::int64_t, jobs::WorkerId>> byFreeProcessors;
-  for (const WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
+  for (const auto& [entry, worker] :
+       poolIndex_.WorkersOf(aCandidate.pool).All()) {
     const WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -62,7 +62,8 @@
                  .worker = record.id,
                  .endpoint = record.endpoint,
                  .request = std::move(aRequest),
-                 .timeout = aTimeout });
+                 .timeout = aTimeout,
+                 .sendBefore = leaderLeaseEnd_ });
 }
 
 void
@@ -76,6 +77,14 @@
     WithholdStart(aSession, aTask, aRun);
     return;
   }
+  const auto unanswered = aSession.unansweredStarts.find(aTask);
+  const bool isRepeat =
+    aRun.isStartSent || (unanswered != aSession.unansweredStarts.end() &&
+                         unanswered->second.attempt == aRun.attempt);
+  if (isRepeat && !aRun.isRepeatRecorded) {
+    RepeatStart(aTask, aRun);
+    return;
+  }
   if (!aRun.isStartSent) {
     aRun.startDeadline = *clock + kStartValidity;
     aRun.isStartSent = true;
@@ -88,8 +97,11 @@
   aRun.isCallInFlight = true;
   UnansweredStarts& starts = aSession.unansweredStarts[aTask];
   if (starts.attempt != aRun.attempt)
-    starts = { .attempt = aRun.attempt, .count = 0, .lastSentAt = {} };
+    starts = {
+      .attempt = aRun.attempt, .count = 0, .sent = 0, .lastSentAt = {}
+    };
   ++starts.count;
+  ++starts.sent;
   starts.lastSentAt = now_.steady;
   const auto& checkpoints =
     job->occurrences.at(aTask.occurrence).steps[aTask.step].checkpoints;
@@ -118,6 +130,31 @@
        kCallTimeout);
 }
 
+/// Records that the start request is about to be sent again, which happens once
+/// that is committed. The first request needs no record.
+void
+Scheduler::RepeatStart(const TaskId& aTask, Run& aRun)
+{
+  if (aRun.isRepeatProposed)
+    return;
+  aRun.isRepeatProposed = true;
+  outbox_.Propose(jobs::RepeatStart{ .task = aTask, .attempt = aRun.attempt });
+}
+
+void
+Scheduler::OnStartRepeated(const jobs::RepeatStart& aStart)
+{
+  const jobs::TaskState* task = stateMachine_.Find(aStart.task);
+  WorkerSession* session = IsLeading() ? SessionOf(task->worker) : nullptr;
+  if (session == nullptr)
+    return;
+  const auto found = session->runs.find(aStart.task);
+  if (found == session->runs.end() || found->second.attempt != aStart.attempt)
+    return;
+  found->second.isRepeatRecorded = true;
+  TickRun(*session, aStart.task, found->second);
+}
+
 /// Gives up a run whose worker lacks the capacity for it, unless an earlier
 /// start request may have been executed: the worker's lists show that.
 void
@@ -326,7 +363,7 @@
   switch (aReply.answer) {
     case WorkerCallStatus::Done:
       run.stage = RunStage::Running;
-      run.confirmedAt = now_.steady;
+      run.confirmedAt = aReply.clock;
       run.runningSince = now_.steady;
       run.firstListingRenewal = aSession.renewalCount + 1;
       if (!aSession.isRenewalInFlight)
@@ -403,7 +440,7 @@
   const bool wasFailing =
     aSession.consecutiveFailedCalls > 0 || !aSession.isReconciled;
   aSession.consecutiveFailedCalls = 0;
-  aSession.crashSuspects.clear();
+  DismissSuspicions(aSession);
   ProcessListedEnds(aSession, aReply);
   const bool hasStrays = ProcessListedRuns(aSession, aReply);
   EndLostRuns(aSession, aCall, aReply);
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -94,12 +94,14 @@
 }
 
 void
-Scheduler::UpdateMeanRunTime(const jobs::Job& aJob, const Run& aRun)
+Scheduler::UpdateMeanRunTime(const jobs::Job& aJob,
+                             const Run& aRun,
+                             std::optional<Time> aListedAt)
 {
-  if (aRun.confirmedAt == Time(0))
+  if (!aRun.confirmedAt || !aListedAt)
     return;
   const auto elapsedMs =
-    static_cast<double>((now_.steady - aRun.confirmedAt).Millis());
+    static_cast<double>((*aListedAt - *aRun.confirmedAt).Millis());
   std::optional<double>& mean = queues_[aJob.queue].meanRunTime;
   mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
 }
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -3,7 +3,6 @@
 #include "TaskAllocation.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 using namespace greengage;
@@ -24,6 +23,9 @@
 /// The same for a persistent task, which has to run again 6 s after its last
 /// run. The lease of its lost worker may take 4.9 s of that.
 static constexpr Duration kMaxPersistentIsolationWait = Duration(500);
+/// How long after its latest suspicious run a task may wait for later
+/// incarnations of its workers to show whether they crashed.
+static constexpr Duration kMaxCrashProofWait = Duration::Seconds(20);
 /// Persistent tasks are given to workers that have answered a call this long
 /// ago at most, which covers the round trip of a contact.
 static constexpr Duration kMaxAnswerAge = Duration(100);
@@ -38,6 +40,7 @@
   previousDispatchAt_ = std::exchange(currentDispatchAt_, aNow.steady);
   CancelStaleReservations();
   reservingPools_.clear();
+  stepRacks_.clear();
   unplaceable_.Clear();
   unreservable_.Clear();
   const std::vector<Candidate> candidates = RankedCandidates();
@@ -110,7 +113,8 @@
     if (!isPlaced && aCandidate.advicePolicy)
       RequestStepPermits(aCandidate, task);
     // Neither the other tasks of the step nor reservations have to wait.
-    if (result == PlacementResult::Isolated) {
+    if (result == PlacementResult::Isolated ||
+        result == PlacementResult::AwaitingCrashProof) {
       if (mayReserve && !step.isPersistent)
         reservingPools_.erase(aCandidate.pool);
       continue;
@@ -132,6 +136,8 @@
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   if (!IsWithinQuota(aCandidate.job->team, step.request))
     return PlacementResult::OverQuota;
+  if (AwaitsCrashProof(aTask))
+    return PlacementResult::AwaitingCrashProof;
   WorkerSession* session = nullptr;
   if (const auto reservation = reservations_.find(aTask);
       reservation != reservations_.end()) {
@@ -205,8 +211,8 @@
     const bool isUnassigned =
       tasks[task.index].phase == jobs::TaskPhase::Waiting &&
       proposedTasks_.count(task) == 0;
-    const bool mayPlace =
-      isUnassigned && IsWithinQuota(aCandidate.job->team, step.request);
+    const bool mayPlace = isUnassigned && !AwaitsCrashProof(task) &&
+                          IsWithinQuota(aCandidate.job->team, step.request);
     WorkerSession* session =
       mayPlace ? ChooseWorker(aCandidate, task) : nullptr;
     if (session == nullptr) {
@@ -285,13 +291,25 @@
 /// that should run on a single rack, the rack that already runs its tasks or
 /// else has the most free processors. Empty if there is no preference.
 RackId
-Scheduler::PreferredRack(const Candidate& aCandidate, const TaskId& aTask) const
+Scheduler::PreferredRack(const Candidate& aCandidate, const TaskId& aTask)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   if (!step.preferredRack.Value().empty() || !step.wantsOneRack)
     return step.preferredRack;
+  const auto [cached, isNew] = stepRacks_.try_emplace(jobs::StepOf(aTask));
+  if (isNew)
+    cached->second = FindRack(aCandidate, aTask);
+  return cached->second;
+}
+
+/// \returns the rack that already runs tasks of the step or else has the most
+/// free processors.
+RackId
+Scheduler::FindRack(const Candidate& aCandidate, const TaskId& aTask) const
+{
   std::map<RackId, std::int64_t> freeProcessors;
-  for (const WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
+  for (const auto& [entry, worker] :
+       poolIndex_.WorkersOf(aCandidate.pool).All()) {
     const WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
@@ -334,6 +352,22 @@
   return now_.wall < crashes->latestAt + maxWait;
 }
 
+/// Whether the workers of the task's runs have been silent since soon after the
+/// starts so often that the job fails if they turn out to have crashed. Later
+/// incarnations may show that only seconds after more runs could have begun. A
+/// persistent task has to run again sooner than that.
+bool
+Scheduler::AwaitsCrashProof(const TaskId& aTask) const
+{
+  const jobs::SuspectedCrashes suspected =
+    stateMachine_.SuspectedCrashesOf(aTask);
+  if (suspected.score < jobs::kCrashScoreLimit ||
+      suspected.latestAt + kMaxCrashProofWait <= now_.wall)
+    return false;
+  const jobs::Job& job = *stateMachine_.Find(aTask.job);
+  return !job.description.steps[aTask.step].isPersistent;
+}
+
 /// Whether the worker has answered lately or, as passes may be further apart
 /// than that, since the previous one, which may have contacted it.
 bool
@@ -343,75 +377,150 @@
     std::min(now_.steady - kMaxAnswerAge, previousDispatchAt_));
 }
 
+Scheduler::PlacementRequest
+Scheduler::MakePlacementRequest(const Candidate& aCandidate,
+                                const TaskId& aTask)
+{
+  const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
+  return { .candidate = aCandidate,
+           .task = aTask,
+           .step = step,
+           .state = *stateMachine_.Find(aTask),
+           .allocation = AllocationFor(step),
+           .rack = PreferredRack(aCandidate, aTask),
+           .isSuspect = IsCrashSuspect(aTask),
+           .mustBeIsolated = MustBeIsolated(aTask) };
+}
+
+/// Whether the worker takes new runs, belongs to the class of the step and has
+/// enough free capacity for the task.
+bool
+Scheduler::HasRoomFor(const PlacementRequest& aRequest,
+                      const WorkerSession& aSession) const
+{
+  ++work_.examinedWorkers;
+  return aSession.IsUsable(now_.steady) &&
+         jobs::Fits(aRequest.allocation, aSession.used, aSession.capacity) &&
+         IsInClass(RecordOf(aSession), aRequest.candidate, aRequest.step);
+}
+
+/// \returns how well a worker with room for the task suits it; nothing if it
+/// must not run the task.
+std::optional<Scheduler::PlacementRank>
+Scheduler::Rank(const PlacementRequest& aRequest,
+                const WorkerSession& aSession) const
+{
+  const jobs::Step& step = aRequest.step;
+  const TaskId& task = aRequest.task;
+  const jobs::WorkerRecord& record = RecordOf(aSession);
+  const bool isContactPending = step.isPersistent &&
+                                aSession.isContactInFlight &&
+                                !HasFreshAnswer(aSession);
+  if (isContactPending ||
+      !IsEligible(aSession, record, aRequest.candidate, task) ||
+      !IsPermitted(record, aRequest.candidate, task))
+    return std::nullopt;
+  const bool isBesideSuspect = aSession.HasRecentSuspect(task.job, now_.steady);
+  if (isBesideSuspect && aSession.HasRecentDecisiveRun(task.job, now_.steady))
+    return std::nullopt;
+  // A suspect goes where a crash tells and costs the least.
+  const bool sparesPersistentRuns =
+    !aRequest.isSuspect || !aSession.HasPersistentRun();
+  if (aRequest.mustBeIsolated && (isBesideSuspect || !sparesPersistentRuns))
+    return std::nullopt;
+  const std::int64_t freeProcessors =
+    (aSession.capacity.processors - aSession.used.processors).Count();
+  return PlacementRank{
+    .isHarmless = !isBesideSuspect && sparesPersistentRuns,
+    .sparesRecentStarts =
+      !aRequest.isSuspect || !aSession.HasRecentStart(now_.steady),
+    .isOnPreferredRack =
+      aRequest.rack.Value().empty() || aRequest.rack == record.rack,
+    .differsFromLastWorker = aRequest.state.attempt == Attempt(0) ||
+                             aRequest.state.worker != aSession.number,
+    .avoidsInterference =
+      !step.usesIdleProcessors || !aSession.HasLatencySensitiveRun(),
+    .hasSameKind =
+      !step.isPersistent || step.isPersistent == aSession.HasPersistentRun(),
+    .runsOfStep = step.isPersistent
+                    ? -static_cast<std::int64_t>(aSession.CountRunsOfStep(task))
+                    : 0,
+    .spareProcessors = aRequest.isSuspect ? freeProcessors : -freeProcessors
+  };
+}
+
+/// Searches workers in ascending order of their free processors, so that of
+/// those which suit the task equally well the fullest is found first.
+/// \returns the first of them that no later one can suit better, apart from
+/// the preferred rack, or else the best one.
+WorkerSession*
+Scheduler::FindFullest(const PlacementRequest& aRequest,
+                       const FreeOrder& aWorkers,
+                       bool& aHasCapacity) const
+{
+  WorkerSession* best = nullptr;
+  std::optional<PlacementRank> bestRank;
+  for (auto it = aWorkers.From(aRequest.allocation.processors);
+       it != aWorkers.All().end();
+       ++it) {
+    WorkerSession& session = *it->second;
+    if (!HasRoomFor(aRequest, session))
+      continue;
+    aHasCapacity = true;
+    const std::optional<PlacementRank> rank = Rank(aRequest, session);
+    if (!rank || (bestRank && !(*bestRank < *rank)))
+      continue;
+    best = &session;
+    bestRank = rank;
+    if (rank->isHarmless && rank->differsFromLastWorker &&
+        rank->avoidsInterference)
+      break;
+  }
+  return best;
+}
+
+/// Searches all workers of the pool.
+WorkerSession*
+Scheduler::FindBest(const PlacementRequest& aRequest,
+                    const FreeOrder& aWorkers,
+                    bool& aHasCapacity) const
+{
+  WorkerSession* best = nullptr;
+  std::optional<PlacementRank> bestRank;
+  for (const auto& [entry, worker] : aWorkers.All()) {
+    if (!HasRoomFor(aRequest, *worker))
+      continue;
+    aHasCapacity = true;
+    const std::optional<PlacementRank> rank = Rank(aRequest, *worker);
+    if (!rank || (bestRank && !(*bestRank < *rank)))
+      continue;
+    best = worker;
+    bestRank = rank;
+  }
+  return best;
+}
+
 WorkerSession*
 Scheduler::ChooseWorker(const Candidate& aCandidate, const TaskId& aTask)
 {
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
-  const Resources allocation = AllocationFor(step);
   const WorkerClass workerClass = ClassOf(aCandidate, step);
+  const Resources allocation = AllocationFor(step);
   if (unplaceable_.Contains(workerClass, allocation))
     return nullptr;
-  const jobs::TaskState* state = stateMachine_.Find(aTask);
-  const RackId rack = PreferredRack(aCandidate, aTask);
-  const bool isSuspect = IsCrashSuspect(aTask);
-  const bool mustBeIsolated = MustBeIsolated(aTask);
-  WorkerSession* best = nullptr;
+  const PlacementRequest request = MakePlacementRequest(aCandidate, aTask);
+  const FreeOrder& pool = poolIndex_.WorkersOf(aCandidate.pool);
   bool hasCapacity = false;
-  // Compared lexicographically; the highest rank wins.
-  std::tuple<bool, bool, bool, bool, bool, bool, std::int64_t, std::int64_t>
-    bestRank;
-  for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
-    WorkerSession& session = *worker;
-    const jobs::WorkerRecord& record = RecordOf(session);
-    ++work_.examinedWorkers;
-    if (!session.IsUsable(now_.steady) ||
-        !jobs::Fits(allocation, session.used, session.capacity) ||
-        !IsInClass(record, aCandidate, step))
-      continue;
-    hasCapacity = true;
-    const bool isContactPending = step.isPersistent &&
-                                  session.isContactInFlight &&
-                                  !HasFreshAnswer(session);
-    if (isContactPending || !IsEligible(session, record, aCandidate, aTask) ||
-        !IsPermitted(record, aCandidate, aTask))
-      continue;
-    const bool isBesideSuspect =
-      session.HasRecentSuspect(aTask.job, now_.steady);
-    if (isBesideSuspect && session.HasRecentDecisiveRun(aTask.job, now_.steady))
-      continue;
-    // A suspect goes where a crash tells and costs the least.
-    const bool sparesRecentStarts =
-      !isSuspect || !session.HasRecentStart(now_.steady);
-    const bool sparesPersistentRuns = !isSuspect || !session.HasPersistentRun();
-    if (mustBeIsolated && (isBesideSuspect || !sparesPersistentRuns))
-      continue;
-    const std::int64_t freeProcessors =
-      (session.capacity.processors - session.used.processors).Count();
-    const bool isOnPreferredRack = rack.Value().empty() || rack == record.rack;
-    const bool differsFromLastWorker = state == nullptr ||
-                                       state->attempt == Attempt(0) ||
-                                       state->worker != session.number;
-    // Packing persistent tasks onto the same workers keeps them off other
-    // hosts, so that those can be moved to another pool.
-    const bool hasSameKind = step.isPersistent == session.HasPersistentRun();
-    // Persistent tasks of one step are spread out, because only a limited
-    // number of them may be moved off a host at a time.
-    const std::int64_t runsOfStep =
-      step.isPersistent ? session.CountRunsOfStep(aTask) : 0;
-    const bool avoidsInterference =
-      !step.usesIdleProcessors || !session.HasLatencySensitiveRun();
-    const std::tuple rank(!isBesideSuspect && sparesPersistentRuns,
-                          sparesRecentStarts,
-                          isOnPreferredRack,
-                          differsFromLastWorker,
-                          avoidsInterference,
-                          step.isPersistent ? hasSameKind : false,
-                          -runsOfStep,
-                          isSuspect ? freeProcessors : -freeProcessors);
-    if (best == nullptr || rank > bestRank) {
-      best = &session;
-      bestRank = rank;
-    }
+  WorkerSession* best = nullptr;
+  if (step.isPersistent || request.isSuspect) {
+    best = FindBest(request, pool, hasCapacity);
+  } else {
+    if (!request.rack.Value().empty())
+      best = FindFullest(request,
+                         poolIndex_.WorkersOf(aCandidate.pool, request.rack),
+                         hasCapacity);
+    if (best == nullptr || !Rank(request, *best)->isHarmless)
+      best = FindFullest(request, pool, hasCapacity);
   }
   if (!hasCapacity)
     unplaceable_.Add(workerClass, allocation);
@@ -440,6 +549,11 @@
   aSession.used += run.allocated;
   if (run.isPersistent)
     aSession.usedByPersistentRuns += run.allocated;
+  aSession.persistentRunCount += run.isPersistent ? 1 : 0;
+  aSession.latencySensitiveRunCount += run.targetLatency > Duration(0) ? 1 : 0;
+  poolIndex_.Update(aSession);
+  if (step.wantsOneRack)
+    stepRacks_[jobs::StepOf(aTask)] = RecordOf(aSession).rack;
   quotaUsage_[run.team] += run.quotaCharge;
   run.attempt = aAttempt;
   if (stateMachine_.Find(aTask)->phase == jobs::TaskPhase::Waiting)
@@ -454,6 +568,10 @@
   if (found->second.isPersistent)
     aSession.usedByPersistentRuns -= found->second.allocated;
   aSession.crashSuspectCount -= found->second.isCrashSuspect ? 1 : 0;
+  aSession.persistentRunCount -= found->second.isPersistent ? 1 : 0;
+  aSession.latencySensitiveRunCount -=
+    found->second.targetLatency > Duration(0) ? 1 : 0;
+  poolIndex_.Update(aSession);
   quotaUsage_[found->second.team] -= found->second.quotaCharge;
   aSession.runs.erase(found);
   proposedTasks_.erase(aTask);
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -163,7 +163,7 @@
       aSession.consecutiveFailedRuns = 0;
       aSession.consecutiveSlowRuns = 0;
       if (const jobs::Job* job = stateMachine_.Find(end.task.job))
-        UpdateMeanRunTime(*job, run);
+        UpdateMeanRunTime(*job, run, aReply.clock);
     }
     EndRun(*assigned,
            end.task,
@@ -175,24 +175,26 @@
 }
 
 /// Stops a run that is stalled or that would finish sooner on another worker,
-/// so that it is placed again.
+/// so that it is placed again. \p aListedAt is the worker's clock when it made
+/// the list: this host may handle the list late, which says nothing about the
+/// run.
 void
 Scheduler::CheckProgress(WorkerSession& aSession,
                          const ListedRun& aListed,
+                         Time aListedAt,
                          Run& aRun)
 {
-  if (aRun.lastProgressAt == Time(0) ||
-      aListed.progressPercent > aRun.progressPercent)
-    aRun.lastProgressAt = now_.steady;
+  if (!aRun.lastProgressAt || aListed.progressPercent > aRun.progressPercent)
+    aRun.lastProgressAt = aListedAt;
   const jobs::Job* job = stateMachine_.Find(aListed.task.job);
   if (!aRun.isMovable || aRun.isStopRequested || job == nullptr ||
-      aRun.stage != RunStage::Running || aRun.confirmedAt == Time(0))
+      aRun.stage != RunStage::Running || !aRun.confirmedAt)
     return;
   const Duration expected =
     std::max(ExpectedRunTime(FindQueue(job->queue),
                              job->description.steps[aListed.task.step]),
              kMinExpectedRunTime);
-  const Duration elapsed = now_.steady - aRun.confirmedAt;
+  const Duration elapsed = aListedAt - *aRun.confirmedAt;
   const std::int64_t percent =
     std::clamp<std::int64_t>(aListed.progressPercent, 1, kPercent);
   const Duration remaining(elapsed.Millis() * (kPercent - percent) / percent);
@@ -200,7 +202,7 @@
     elapsed > expected &&
     remaining > (expected + kMoveDelay) * kMinMoveGainFactor &&
     aRun.attempt.Value() <= kMaxMovedAttempt;
-  const bool isStalled = aRun.lastProgressAt + kStallTimeout <= now_.steady;
+  const bool isStalled = *aRun.lastProgressAt + kStallTimeout <= aListedAt;
   if (!isSlow && !isStalled)
     return;
   observe::Log(observe::LogLevel::Info,
@@ -236,7 +238,9 @@
       continue;
     }
     Run& run = found->second;
-    CheckProgress(aSession, listed, run);
+    aSession.NoteBegun(listed.task, listed.attempt);
+    if (aReply.clock)
+      CheckProgress(aSession, listed, *aReply.clock, run);
     run.progressPercent = listed.progressPercent;
     if (run.stage != RunStage::Starting)
       continue;
--- a/packages/schedule/lib/SchedulerReport.cpp
+++ b/packages/schedule/lib/SchedulerReport.cpp
@@ -70,7 +70,8 @@
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   const jobs::Resources allocation = AllocationFor(step);
   PlacementObstacles obstacles;
-  for (const WorkerSession* session : poolIndex_.WorkersOf(aCandidate.pool)) {
+  for (const auto& [entry, session] :
+       poolIndex_.WorkersOf(aCandidate.pool).All()) {
     const jobs::WorkerRecord& record = RecordOf(*session);
     if (session->isCordoned)
       ++obstacles.cordoned;
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -41,10 +41,15 @@
   if (unreservable_.Contains(workerClass, allocation))
     return false;
   WorkerSession* best = nullptr;
-  std::int64_t bestFreeProcessors = 0;
+  MilliCores bestFree;
   bool hasCapacity = false;
-  for (WorkerSession* worker : poolIndex_.WorkersOf(aCandidate.pool)) {
-    WorkerSession& session = *worker;
+  const FreeOrder::Sessions& workers =
+    poolIndex_.WorkersOf(aCandidate.pool).All();
+  for (auto it = workers.rbegin(); it != workers.rend(); ++it) {
+    // Of the workers with the most free processors, the first one is taken.
+    if (best != nullptr && it->first.first < bestFree)
+      break;
+    WorkerSession& session = *it->second;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
     if (session.reservationCount > 0 || !session.IsUsable(now_.steady) ||
@@ -56,12 +61,8 @@
         !IsEligible(session, record, aCandidate, aTask) ||
         !IsPermitted(record, aCandidate, aTask))
       continue;
-    const std::int64_t freeProcessors =
-      (session.capacity.processors - session.used.processors).Count();
-    if (best == nullptr || freeProcessors > bestFreeProcessors) {
-      best = &session;
-      bestFreeProcessors = freeProcessors;
-    }
+    best = &session;
+    bestFree = it->first.first;
   }
   if (!hasCapacity)
     unreservable_.Add(workerClass, allocation);
@@ -69,6 +70,7 @@
     return false;
   best->used += allocation;
   ++best->reservationCount;
+  poolIndex_.Update(*best);
   reservations_[aTask] = { .worker = best->number,
                            .reserved = allocation,
                            .expiresAt = now_.steady + kReservationTimeout };
@@ -84,6 +86,7 @@
   if (WorkerSession* session = SessionOf(found->second.worker)) {
     session->used -= found->second.reserved;
     --session->reservationCount;
+    poolIndex_.Update(*session);
     unplaceable_.Clear();
     unreservable_.Clear();
   }
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -38,29 +38,33 @@
   session.number = aWorker;
   session.record = &stateMachine_.Workers().at(aWorker);
   session.lastHeartbeat = now_.steady;
+  if (isNew)
+    AdoptCapacity(session);
   if (!session.isSuperseded)
-    poolIndex_.Put(session.record->pool, session);
+    poolIndex_.Put(session.record->pool, session.record->rack, session);
   isDispatchDue_ = true;
   if (!isNew)
     return;
-  AdoptCapacity(session);
   session.leaseExpiry = now_.steady;
   permitCache_.ExpirePermits(RecordOf(session).id);
   SupersedeEarlierIncarnations(aWorker);
-  ResolveRetiredWorkers(RecordOf(session));
+  ChargeSuspectedRuns(RecordOf(session));
+  // A worker that was retired and registers again was only cut off.
+  session.isCrashSuspected = HasSuspectedRuns(RecordOf(session));
+  DismissSuspicions(session);
   TickSession(session);
 }
 
-/// Whether \p aLatest is a later incarnation of the worker or a later worker on
-/// its host.
+/// Whether \p aLatest is a later incarnation of the worker that \p aEarlier
+/// names, or a later worker on its host.
+template<typename Identity>
 static bool
-IsSuccessor(const jobs::WorkerRecord& aLatest,
-            const jobs::WorkerRecord& aRecord)
+IsSuccessor(const jobs::WorkerRecord& aLatest, const Identity& aEarlier)
 {
   const bool isSameHost =
-    !aLatest.host.Value().empty() && aRecord.host == aLatest.host;
-  return (aRecord.id == aLatest.id || isSameHost) &&
-         aRecord.incarnation < aLatest.incarnation;
+    !aLatest.host.Value().empty() && aEarlier.host == aLatest.host;
+  return (aEarlier.id == aLatest.id || isSameHost) &&
+         aEarlier.incarnation < aLatest.incarnation;
 }
 
 /// Marks earlier incarnations on the same worker or host as superseded and ends
@@ -106,86 +110,66 @@
 void
 Scheduler::ChargeCrash(WorkerSession& aSession)
 {
-  NoteCrashSuspects(aSession);
-  ChargeSuspects(RecordOf(aSession), aSession.crashSuspects);
-  aSession.crashSuspects.clear();
+  const jobs::WorkerRecord& worker = RecordOf(aSession);
+  for (const auto& [task, run] : aSession.runs)
+    if (!worker.isDraining && aSession.MayHaveCrashedWorker(task, run))
+      RecordCrash(worker, task, run.attempt, run.stage == RunStage::Running);
 }
 
-/// Records a crash of the worker for each of the runs. Those of a worker that
-/// had announced its departure are not charged, nor those after whose end the
-/// host was ordered from the provider: either explains the later incarnation. A
-/// host with runs is not ordered.
 void
-Scheduler::ChargeSuspects(const jobs::WorkerRecord& aWorker,
-                          const std::vector<CrashSuspect>& aSuspects)
+Scheduler::RecordCrash(const jobs::WorkerRecord& aWorker,
+                       const TaskId& aTask,
+                       Attempt aAttempt,
+                       bool aIsStartConfirmed)
 {
-  if (aWorker.isDraining)
-    return;
-  for (const CrashSuspect& suspect : aSuspects) {
-    if (suspect.hostOrderCount != HostOrderCount(aWorker.host))
-      continue;
-    observe::Log(
-      observe::LogLevel::Warning,
-      "worker-crashed-under-task",
-      { { "task", ToString(suspect.task) },
-        { "attempt", std::to_string(suspect.attempt.Value()) },
-        { "worker", aWorker.id.Value() },
-        { "host", aWorker.host.Value() },
-        { "start_confirmed", suspect.isStartConfirmed ? "yes" : "no" } });
-    outbox_.Propose(
-      jobs::RecordCrash{ .task = suspect.task,
-                         .attempt = suspect.attempt,
-                         .isStartConfirmed = suspect.isStartConfirmed,
-                         .at = now_.wall });
-  }
+  observe::Log(observe::LogLevel::Warning,
+               "worker-crashed-under-task",
+               { { "task", ToString(aTask) },
+                 { "attempt", std::to_string(aAttempt.Value()) },
+                 { "worker", aWorker.id.Value() },
+                 { "host", aWorker.host.Value() },
+                 { "start_confirmed", aIsStartConfirmed ? "yes" : "no" } });
+  outbox_.Propose(jobs::RecordCrash{ .task = aTask,
+                                     .attempt = aAttempt,
+                                     .isStartConfirmed = aIsStartConfirmed,
+                                     .at = now_.wall });
 }
 
-/// Notes the runs that may have crashed the worker, if it has crashed.
+/// Records the crashes that \p aLatest shows: those under the suspected runs of
+/// its earlier incarnations and of earlier workers on its host. Where the host
+/// was ordered from the provider after such a run, the order explains the later
+/// incarnation. A host with runs is not ordered.
 void
-Scheduler::NoteCrashSuspects(WorkerSession& aSession) const
-{
-  for (const auto& [task, run] : aSession.runs)
-    if (aSession.MayHaveCrashedWorker(task, run))
-      aSession.crashSuspects.push_back(
-        { .task = task,
-          .attempt = run.attempt,
-          .isStartConfirmed = run.stage == RunStage::Running,
-          .hostOrderCount = HostOrderCount(RecordOf(aSession).host) });
-}
-
-std::uint64_t
-Scheduler::HostOrderCount(const jobs::HostId& aHost) const
+Scheduler::ChargeSuspectedRuns(const jobs::WorkerRecord& aLatest)
 {
-  const auto found = stateMachine_.OrderIntentCounts().find(aHost);
-  return found == stateMachine_.OrderIntentCounts().end() ? 0 : found->second;
+  for (const auto& [run, suspected] : stateMachine_.SuspectedRuns())
+    if (IsSuccessor(aLatest, suspected) &&
+        suspected.hostOrderCount ==
+          stateMachine_.OrderIntentCount(aLatest.host))
+      RecordCrash(aLatest, run.first, run.second, suspected.isStartConfirmed);
 }
 
-/// Keeps the crash suspects of a worker that is being retired before a later
-/// incarnation could show whether it crashed.
-void
-Scheduler::KeepCrashSuspects(const WorkerSession& aSession)
+bool
+Scheduler::HasSuspectedRuns(const jobs::WorkerRecord& aWorker) const
 {
-  std::erase_if(retiredWorkers_, [&](const RetiredWorker& aRetired) {
-    return aRetired.retiredAt + jobs::kCrashMemory < now_.steady;
+  const auto& runs = stateMachine_.SuspectedRuns();
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& aItem) {
+    return aItem.second.id == aWorker.id &&
+           aItem.second.incarnation == aWorker.incarnation;
   });
-  if (!aSession.crashSuspects.empty())
-    retiredWorkers_.push_back({ .record = RecordOf(aSession),
-                                .suspects = aSession.crashSuspects,
-                                .retiredAt = now_.steady });
 }
 
-/// Charges the crash suspects of the retired workers that \p aLatest shows to
-/// have crashed. A worker that was cut off comes back as the same incarnation.
+/// Clears the runs that were suspected of having crashed a worker which has
+/// turned out to be up: it was only cut off.
 void
-Scheduler::ResolveRetiredWorkers(const jobs::WorkerRecord& aLatest)
+Scheduler::DismissSuspicions(WorkerSession& aSession)
 {
-  std::erase_if(retiredWorkers_, [&](const RetiredWorker& aRetired) {
-    const bool hasCrashed = IsSuccessor(aLatest, aRetired.record);
-    if (hasCrashed)
-      ChargeSuspects(aRetired.record, aRetired.suspects);
-    return hasCrashed || (aRetired.record.id == aLatest.id &&
-                          aRetired.record.incarnation == aLatest.incarnation);
-  });
+  if (!aSession.isCrashSuspected)
+    return;
+  aSession.isCrashSuspected = false;
+  const jobs::WorkerRecord& worker = RecordOf(aSession);
+  outbox_.Propose(jobs::DismissSuspicions{ .worker = worker.id,
+                                           .incarnation = worker.incarnation });
 }
 
 /// Extends the bound of the worker's lease for a renewal meant for an earlier
@@ -207,7 +191,6 @@
   const auto found = sessions_.find(aWorker);
   if (found == sessions_.end())
     return;
-  KeepCrashSuspects(found->second);
   poolIndex_.Remove(found->second);
   for (auto it = supersededWorkers_.begin(); it != supersededWorkers_.end();) {
     it->second.erase(aWorker);
@@ -251,7 +234,7 @@
 /// Takes the capacity from the worker's latest heartbeat. Until one has been
 /// handled, the capacity is the registered one.
 void
-Scheduler::AdoptCapacity(WorkerSession& aSession) const
+Scheduler::AdoptCapacity(WorkerSession& aSession)
 {
   const jobs::WorkerRecord& record = RecordOf(aSession);
   const auto latest = latestHeartbeats_.find(record.id);
@@ -262,6 +245,7 @@
     hasHeartbeat ? latest->second.worker.capacity : record.capacity;
   if (hasHeartbeat)
     aSession.capacityStatedAt = latest->second.clock;
+  poolIndex_.Update(aSession);
 }
 
 void
@@ -360,13 +344,27 @@
   const bool isAnswering = aSession.consecutiveFailedCalls == 0 &&
                            aSession.isReconciled && !aSession.isSuperseded &&
                            !aSession.laterIncarnationAnsweredAt;
-  if (isAnswering || LeaseExpiryOf(aSession) > now_.steady)
+  if (isAnswering || !HoldsLeaderLease() ||
+      LeaseExpiryOf(aSession) > now_.steady)
     return;
-  if (!aSession.isSuperseded)
-    NoteCrashSuspects(aSession);
-  for (auto& [task, run] : aSession.runs)
-    if (run.stage == RunStage::Starting || run.stage == RunStage::Running)
-      EndRun(aSession, task, run, jobs::RunOutcome::Lost, {}, "lease expired");
+  for (auto& [task, run] : aSession.runs) {
+    if (run.stage != RunStage::Starting && run.stage != RunStage::Running)
+      continue;
+    jobs::CrashSuspicion suspicion = jobs::CrashSuspicion::None;
+    if (!aSession.isSuperseded && aSession.MayHaveCrashedWorker(task, run)) {
+      suspicion = run.stage == RunStage::Running
+                    ? jobs::CrashSuspicion::StartConfirmed
+                    : jobs::CrashSuspicion::StartUnconfirmed;
+      aSession.isCrashSuspected = true;
+    }
+    EndRun(aSession,
+           task,
+           run,
+           jobs::RunOutcome::Lost,
+           {},
+           "lease expired",
+           suspicion);
+  }
   const bool isSilent =
     std::max(aSession.lastHeartbeat, aSession.lastAnswer) + kRetireSilence <=
     now_.steady;
@@ -380,7 +378,8 @@
                   Run& aRun,
                   jobs::RunOutcome aOutcome,
                   std::string aCheckpoint,
-                  const char* aReason)
+                  const char* aReason,
+                  jobs::CrashSuspicion aSuspicion)
 {
   static constexpr const char* kNames[] = { "done", "failed", "lost" };
   if (aRun.stage == RunStage::Ending)
@@ -397,7 +396,8 @@
                                 .attempt = aRun.attempt,
                                 .outcome = aOutcome,
                                 .checkpoint = std::move(aCheckpoint),
-                                .at = now_.wall });
+                                .at = now_.wall,
+                                .suspicion = aSuspicion });
 }
 
 const WorkerSession*
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -54,6 +54,15 @@
   }
 }
 
+void
+WorkerSession::NoteBegun(const TaskId& aTask, Attempt aAttempt)
+{
+  const auto starts = unansweredStarts.find(aTask);
+  if (starts != unansweredStarts.end() && starts->second.attempt == aAttempt &&
+      starts->second.sent == 1)
+    unansweredStarts.erase(starts);
+}
+
 bool
 WorkerSession::NeedsRenewal() const
 {
@@ -113,14 +122,6 @@
   return count;
 }
 
-bool
-WorkerSession::HasLatencySensitiveRun() const
-{
-  return std::any_of(runs.begin(), runs.end(), [](const auto& aItem) {
-    return aItem.second.targetLatency > Duration(0);
-  });
-}
-
 bool
 WorkerSession::MayHaveCrashedWorker(const TaskId& aTask, const Run& aRun) const
 {
@@ -171,11 +172,3 @@
            IsRecentStart(aItem.second, aNow);
   });
 }
-
-bool
-WorkerSession::HasPersistentRun() const
-{
-  return std::any_of(runs.begin(), runs.end(), [](const auto& aItem) {
-    return aItem.second.isPersistent;
-  });
-}
--- a/packages/schedule/unittests/DispatchWorkTest.cpp
+++ b/packages/schedule/unittests/DispatchWorkTest.cpp
@@ -131,3 +131,67 @@
   REQUIRE(work.proposedRuns == 0);
   REQUIRE(work.examinedWorkers <= work.passes * 4 * kWorkers);
 }
+
+namespace {
+
+/// Workers on racks of twelve, with room for eight tasks each.
+struct OpenFleet : SimulatedFleet
+{
+  static constexpr std::uint64_t kRackSize = 12;
+  static constexpr std::uint64_t kTasksPerWorker = 8;
+
+  explicit OpenFleet(std::uint64_t aWorkers)
+    : workers(aWorkers)
+  {
+    for (std::uint64_t number = 0; number < workers; ++number)
+      AddWorker("w" + std::to_string(number),
+                kDefaultCapacity,
+                RackOf(number / kRackSize));
+    Run(Duration(1000));
+  }
+
+  static std::string RackOf(std::uint64_t aNumber)
+  {
+    return "r" + std::to_string(aNumber);
+  }
+
+  /// Submits jobs for \p aTasks tasks in half a second. Each job has a task for
+  /// each place on a worker; every second one has its data on some rack.
+  void SubmitTasks(std::uint64_t aTasks)
+  {
+    constexpr std::uint64_t kBatches = 50;
+    const std::uint64_t jobs = aTasks / kTasksPerWorker;
+    for (std::uint64_t batch = 0; batch < kBatches; ++batch) {
+      for (std::uint64_t job = 0; job < jobs / kBatches; ++job) {
+        jobs::Step step{ .count = kTasksPerWorker,
+                         .request = { MilliCores(500), Mebibytes(256), {} },
+                         .estimate = Duration(1000) };
+        if (job % 2 == 1)
+          step.preferredRack =
+            RackId(RackOf((batch + job) % (workers / kRackSize)));
+        Submit({ step }, { .runTime = Duration(1000) });
+      }
+      Run(Duration(10));
+    }
+  }
+
+  const std::uint64_t workers;
+};
+
+} // namespace
+
+TEST_CASE("placing a task examines few workers however many there are")
+{
+  constexpr std::uint64_t kMaxExaminedPerRun = 20;
+  OpenFleet fleet(GENERATE(350U, 2200U));
+  CAPTURE(fleet.workers);
+  // Three times as many tasks as there is room for.
+  fleet.SubmitTasks(fleet.workers * OpenFleet::kTasksPerWorker * 3);
+  fleet.Run(Duration(2500));
+  const DispatchWork& work = fleet.Work();
+  CAPTURE(work.passes, work.examinedWorkers);
+  CHECK(work.proposedRuns >= fleet.workers * OpenFleet::kTasksPerWorker * 2);
+  CHECK(work.examinedWorkers <= work.proposedRuns * kMaxExaminedPerRun);
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
--- a/packages/schedule/unittests/HostPlannerTest.cpp
+++ b/packages/schedule/unittests/HostPlannerTest.cpp
@@ -330,8 +330,8 @@
 /// A planner that leads, has read the provider's list and has proposed the
 /// intents to maintain the spare hosts s1 and s2.
 struct IntentFixture
-  : private Outbox
-  , private HostOutbox
+  : protected Outbox
+  , protected HostOutbox
 {
   IntentFixture()
   {
@@ -372,7 +372,7 @@
   }
   void CommitIntent(const char* aHost)
   {
-    Apply(jobs::RecordOrderIntent{ .host = HostId(aHost) });
+    Apply(jobs::RecordOrderIntent{ .host = HostId(aHost), .at = now.wall });
   }
   /// The hosts of the maintenance orders sent so far.
   std::vector<std::string> OrderedHosts() const
@@ -446,3 +446,45 @@
   CommitIntent("s1");
   CHECK_FALSE(planner.IsOrderDue());
 }
+
+TEST_CASE_METHOD(IntentFixture,
+                 "a restarted control host waits only with the hosts that may "
+                 "be under an order")
+{
+  CommitIntent("s1");
+  now = { .steady = now.steady + Duration::Seconds(12),
+          .wall = now.wall + Duration::Seconds(12) };
+  CommitIntent("s2");
+  proposals.clear();
+  HostPlanner restarted({ .isEnabled = true, .self = EntryHostId("leader") },
+                        machine,
+                        scheduler,
+                        *this,
+                        *this);
+  restarted.BecomeLeader(FencingToken(2), now);
+  const auto tick = [&](Duration aAfter) {
+    now = { .steady = now.steady + aAfter, .wall = now.wall + aAfter };
+    restarted.Tick(now.steady + Duration::Seconds(10), now);
+  };
+  const auto intendsOrderFor = [&](const char* aHost) {
+    return std::any_of(
+      proposals.begin(), proposals.end(), [&](const auto& aOperation) {
+        const auto* intent = std::get_if<jobs::RecordOrderIntent>(&aOperation);
+        return intent != nullptr && intent->host == HostId(aHost);
+      });
+  };
+  tick(Duration(0));
+  HostReply list;
+  list.id = hostCalls.back().id;
+  list.answer = HostCallStatus::Done;
+  for (const char* host : { "s1", "s2" })
+    list.hosts.push_back(
+      { .host = HostId(host), .pool = PoolId("spare"), .capacity = {} });
+  restarted.On(list, now);
+  tick(Duration(150));
+  CHECK(intendsOrderFor("s1"));
+  tick(Duration(4000));
+  CHECK_FALSE(intendsOrderFor("s2"));
+  tick(Duration(1000));
+  CHECK(intendsOrderFor("s2"));
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -95,6 +95,7 @@
   /// When a replaced leader handles the notice of it.
   Time noticeAt;
   Duration handlingLag;
+  Time pausedUntil;
   std::deque<Message> messages;
 };
 
@@ -206,6 +207,18 @@
   leader_->handlingLag = aLag;
 }
 
+void
+SimulatedFleet::PauseLeader(Duration aSpan)
+{
+  leader_->pausedUntil = now_ + aSpan;
+}
+
+Attempt
+SimulatedFleet::LatestAttempt(const TaskId& aTask) const
+{
+  return leader_->controller.StateMachine().Find(aTask)->attempt;
+}
+
 SimulatedFleet::Leader*
 SimulatedFleet::FindLeader(std::uint64_t aTerm)
 {
@@ -224,14 +237,16 @@
   Leader* leader = FindLeader(aTerm);
   if (leader == nullptr)
     return;
-  if (leader->handlingLag == Duration(0) && leader->messages.empty()) {
+  if (leader->handlingLag == Duration(0) && leader->pausedUntil <= now_ &&
+      leader->messages.empty()) {
     aHandle(*leader);
     return;
   }
   const Time last =
     leader->messages.empty() ? Time(0) : leader->messages.back().handledAt;
   leader->messages.push_back(
-    { .handledAt = std::max(last, now_ + leader->handlingLag),
+    { .handledAt =
+        std::max({ last, now_ + leader->handlingLag, leader->pausedUntil }),
       .handle = std::move(aHandle) });
 }
 
@@ -245,6 +260,8 @@
                                        }),
                         deposedLeaders_.end());
   const auto tick = [&](Leader& aLeader) {
+    if (aLeader.pausedUntil > now_)
+      return;
     while (!aLeader.messages.empty() &&
            aLeader.messages.front().handledAt <= now_) {
       const auto message = std::move(aLeader.messages.front());
@@ -308,6 +325,7 @@
                         BatchId aBatch,
                         const std::string& aEntry)
 {
+  deposedLeaderProposals += aTerm != leaderTerm_ ? 1 : 0;
   ScheduleEvent(commitLatency, [this, aTerm, aBatch, aEntry] {
     // Entries that are not committed when their leader is replaced are lost.
     if (aTerm != leaderTerm_)
@@ -1231,8 +1249,10 @@
 SimulatedFleet::CheckCrashLimit(const StartRun& aStart)
 {
   SimulatedJob& job = jobs_.at(aStart.task.job);
-  const bool crashesWorker =
-    job.taskBehavior.crashesWorkerAfter && aStart.task.index == 0;
+  // A persistent task is restarted however its runs end.
+  const bool crashesWorker = job.taskBehavior.crashesWorkerAfter &&
+                             aStart.task.index == 0 &&
+                             !FindStep(aStart.task)->isPersistent;
   if (!crashesWorker || CountCrashes(aStart.task) < kMaxToleratedCrashes)
     return;
   if (++job.startsAfterCrashes[aStart.task] > kMaxStartsAfterCrashes)
@@ -1474,8 +1494,8 @@
   task.startableSince = now_;
 }
 
-/// Whether the job has been given up. The only cause to give up a job with
-/// persistent tasks is that one of them has crashed its workers.
+/// Whether the job has been given up, for which there is no cause if it has
+/// persistent tasks.
 bool
 SimulatedFleet::IsGivenUp(jobs::JobId aJob)
 {
@@ -1485,12 +1505,8 @@
   const jobs::Job* job = leader_->controller.StateMachine().Find(aJob);
   if (job == nullptr || job->state != jobs::JobState::Failed)
     return false;
-  const std::uint32_t causedCrashes =
-    simulated.taskBehavior.crashesWorkerAfter ? MaxCrashes(aJob) : 0;
-  if (causedCrashes < kMaxToleratedCrashes)
-    ReportViolation(ToString(aJob) +
-                    " was given up after its tasks had crashed " +
-                    std::to_string(causedCrashes) + " workers");
+  ReportViolation(ToString(aJob) +
+                  " was given up although it has persistent tasks");
   simulated.wasGivenUp = true;
   return true;
 }
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -142,6 +142,9 @@
   void RestartControlHosts();
   /// Ends and renews the leadership of the leader within its term.
   void RestartLeadership();
+  /// Suspends the leader for \p aSpan. It then handles what has come meanwhile
+  /// but clients' calls.
+  void PauseLeader(Duration aSpan);
   /// From now on the leader handles each message but clients' calls \p aLag
   /// after it arrives.
   void SetHandlingLag(Duration aLag);
@@ -164,6 +167,8 @@
   /// Passes a client's or worker's call to the controller.
   void Send(schedule::Call aCall);
 
+  /// The latest attempt of a task of a live job.
+  Attempt LatestAttempt(const TaskId& aTask) const;
   /// The dispatch work of the current leader since it started.
   const DispatchWork& Work() const;
   /// The number of persistent tasks that the current leader reports as idle.
@@ -184,6 +189,8 @@
   /// Whether any run of the job is on a worker that is up.
   bool HasRun(jobs::JobId aJob) const;
 
+  /// Number of log entries that replaced leaders have proposed.
+  std::size_t deposedLeaderProposals = 0;
   FaultProbabilities faults;
   SimulatedConfigurationReader reader;
   /// Descriptions of the violated invariants; empty if there are none.
