Gate: clients come back after an election, or later if there is no leader

Each refusal asked for 1 s, however long there had been no leader. The time now follows from how long calls have been refused: an election at first, then as long again, 8 s at most.

--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -23,8 +23,10 @@
 static constexpr unsigned kUnknownOutcome = 504;
 /// Delay before a call in doubt is relayed again to a leader that refused it.
 static constexpr Duration kAskAgainDelay = Duration(100);
-/// When to ask again where there is no leader; an election takes 1 to 2 s.
-static constexpr Duration kRetryAfter = Duration::Seconds(1);
+/// Bounds of the time after which a refused client is asked to come back. An
+/// election takes 1 to 1.5 s.
+static constexpr Duration kTakeOverTime = Duration::Seconds(1);
+static constexpr Duration kMaxRetryAfter = Duration::Seconds(8);
 
 GateFilter::GateFilter(HostState& aHost, GateOutlets aOutlets)
   : host_(aHost)
@@ -114,6 +116,8 @@
                      Time /*aNow*/)
 {
   const schedule::CallerId id(++lastCaller_);
+  if (CanServe())
+    refusedSince_.reset();
   if (LeadsHere()) {
     const auto at = callers_.emplace(id, std::move(aCaller)).first;
     if (outlets_.served->TryPush(
@@ -175,13 +179,25 @@
       caller.nextTryAt = aNow + kAskAgainDelay;
 }
 
+/// When a refused client should come back: after an election or, if there has
+/// been no leader for longer, after as long again.
+Duration
+GateFilter::RetryAfter()
+{
+  if (CanServe())
+    return kTakeOverTime;
+  if (!refusedSince_)
+    refusedSince_ = now_;
+  return std::clamp(now_ - *refusedSince_, kTakeOverTime, kMaxRetryAfter);
+}
+
 /// Answers that the call was not carried out, and when to ask again.
 void
 GateFilter::Refuse(const Caller& aCaller, const char* aWhy)
 {
   host_.metrics.Count("greengage_calls_refused_total");
   http::HttpResponse response = PlainResponse(503, aWhy);
-  response.retryAfter = kRetryAfter;
+  response.retryAfter = RetryAfter();
   Respond(aCaller, std::move(response));
 }
 
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -99,6 +99,7 @@
   void ReportLoads();
   bool LeadsHere() const;
   bool CanServe() const;
+  Duration RetryAfter();
   /// Whether this host has the log and so tells others who leads.
   bool SendsNotices() const;
 
@@ -117,6 +118,8 @@
   Time nextNotice_;
   Time nextLocation_;
   Time nextLoadReport_;
+  /// When the first call was refused since there was a leader.
+  std::optional<Time> refusedSince_;
   std::map<std::string, pipe::DutyLoad> reportedLoads_;
 };
 
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -142,6 +142,27 @@
   CHECK(LastRelayed() == nullptr);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "the longer there is no leader, the later clients come back")
+{
+  const auto retryAfter = [&] {
+    Request();
+    const auto time = responses.messages.back().retryAfter;
+    responses.messages.clear();
+    return time.value_or(Duration(0));
+  };
+  CHECK(retryAfter() == Duration::Seconds(1));
+  now = now + Duration(3000);
+  CHECK(retryAfter() == Duration::Seconds(3));
+  now = now + Duration::Seconds(60);
+  CHECK(retryAfter() == Duration::Seconds(8));
+  Connect(kLeader);
+  Notice(2, kLeader);
+  Request();
+  Notice(3, std::nullopt);
+  CHECK(retryAfter() == Duration::Seconds(1));
+}
+
 TEST_CASE_METHOD(Fixture, "a call goes to the leader and its reply comes back")
 {
   Connect(kLeader);
