Admission by backlog; waves and registry at the size of hundreds of hosts

Nothing was ever rejected for load: under twenty times the load of a pool all jobs were accepted and ended long after they were of use. BacklogAdmission rejects a job at once if it would end later than three times its objective even if the whole fleet worked on the backlog of its pool, or the quota of its team on that of the team. The time to come back follows from the backlog and is spread; who comes back goes first and is not sent away a third time. A job whose acceptance is proposed is never rejected, so that a rejection is true.

A job whose step bears one absent task had twelve tasks to be moved, and each took 2.7 s, up to 1 s of which passed until a list showed the moved task at work.

Registry: former incarnations of workers stayed registered for 25 s, 1,643 workers on a fleet of 371 hosts, and each tick went over all of them. They are removed once no run or call of them is left.

--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -129,6 +130,10 @@
               const jobs::Team* aTeam,
               jobs::JobId aJob,
               QueueCall&& aCall);
+  AdmissionDecision Admit(jobs::JobId aJob,
+                          const jobs::Queue& aQueue,
+                          const TeamId& aTeam,
+                          const jobs::JobDescription& aDescription);
   void CancelJob(CallerId aCaller, jobs::JobId aJob);
   void ReplyWithProgress(CallerId aCaller, const jobs::Job& aJob);
   /// Dispatches if due, and proposes the collected operations as log entries.
@@ -152,6 +157,9 @@
   std::deque<Batch> queuedBatches_;
   std::map<BatchId, std::vector<PendingReply>> inFlightReplies_;
   std::uint64_t lastBatchId_ = 0;
+  BacklogAdmission admission_;
+  /// Jobs whose acceptance is proposed and not committed.
+  std::unordered_set<jobs::JobId> proposedJobs_;
   /// Replies that came while this host held no leader lease. They are handled
   /// once it has renewed the lease, and dropped if another host leads.
   std::vector<WorkerReply> deferredReplies_;
--- a/packages/schedule/include/greengage/schedule/HostPlanner.h
+++ b/packages/schedule/include/greengage/schedule/HostPlanner.h
@@ -69,6 +69,9 @@
   /// order intents, so that this host can plan as soon as it becomes the
   /// leader.
   void TickAsFollower(ClockReading aNow);
+  /// The capacity of all hosts that may be moved to a pool; zero if there is no
+  /// provider or none of its hosts is known.
+  MilliCores FleetCapacity() const;
   /// Whether the intent to send an order has been committed, so that Tick can
   /// send the order.
   bool IsOrderDue() const;
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -8,6 +8,7 @@
 
 #include "greengage/core/Ids.h"
 #include "greengage/jobs/JobStateMachine.h"
+#include "greengage/schedule/Admission.h"
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/PermitCache.h"
@@ -117,6 +118,17 @@
   /// \returns the current and expected resource demand of each pool.
   std::map<PoolId, PoolDemand> ComputeDemand() const;
 
+  /// \returns the job with the load that it would add to. The capacity of the
+  /// pool is that of its own workers.
+  JobOffer MakeOffer(jobs::JobId aJob,
+                     const jobs::Queue& aQueue,
+                     const TeamId& aTeam,
+                     const jobs::JobDescription& aDescription);
+  /// Counts a job that is about to be accepted into the load of later offers.
+  void CountOffer(const jobs::Queue& aQueue,
+                  const TeamId& aTeam,
+                  const jobs::JobDescription& aDescription);
+
   /// \returns the number of live jobs of the queue without any task ever
   /// assigned.
   std::uint64_t CountPendingJobs(const jobs::QueueId& aQueue) const;
@@ -423,6 +435,10 @@
   std::string DescribeIdleTask(const TaskId& aTask) const;
   void LogIdleTask(const TaskId& aTask, Duration aIdleTime) const;
   void ReportIdlePersistentTasks();
+  void RefreshBacklogs();
+  static std::int64_t WorkLeft(const jobs::Step& aStep,
+                               const jobs::StepState& aState,
+                               const QueueState& aQueue);
   void UpdateUnstartedJobs(const jobs::Job& aJob);
   void StopRunOfEndedJob(const TaskId& aTask, jobs::WorkerNumber aWorker);
   void ForgetExpiredJobs();
@@ -455,6 +471,11 @@
   std::unordered_map<TeamId, jobs::Resources> quotaUsage_;
   std::unordered_map<jobs::QueueId, QueueState> queues_;
   std::unordered_map<TeamId, jobs::Resources> quotas_;
+  /// Work left of the live jobs by pool and by team, as of \ref backlogsAt_ and
+  /// with the jobs accepted since.
+  std::map<PoolId, MilliCoreMillis> poolBacklogs_;
+  std::unordered_map<TeamId, MilliCoreMillis> teamBacklogs_;
+  Time backlogsAt_;
   /// Scratch space for CriticalPath.
   mutable std::vector<Duration> pathEnds_;
   /// Capacity reserved on a worker until enough is free for the task. It counts
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -241,6 +241,12 @@
   /// no calls, so that its heartbeats may arrive while calls to it are lost,
   /// and a busy one may take a second to answer.
   bool HasAnsweredSince(Time aTime) const { return lastAnswer >= aTime; }
+  /// Whether this incarnation is superseded, and no run or call of it is left.
+  bool IsObsolete() const
+  {
+    return isSuperseded && runs.empty() && unansweredStarts.empty() &&
+           pendingCallCount == 0;
+  }
   /// Number of runs on this worker of the task's step, in the same occurrence.
   std::uint32_t CountRunsOfStep(const TaskId& aTask) const;
   bool HasLatencySensitiveRun() const { return latencySensitiveRunCount > 0; }
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -25,9 +25,10 @@
 /// come meanwhile share the next entry, so that a slow commit makes entries
 /// larger and not more numerous.
 static constexpr std::size_t kMaxBatchesInFlight = 1;
-/// Retry delay sent with temporary refusals, such as for the lack of a leader
-/// lease.
-static constexpr Duration kRetryAfter = Duration(500);
+/// How long it takes until this host has renewed its lease or another one leads
+/// and serves: an election takes 1 to 1.5 s from the loss of the leader, some
+/// of which has passed when a call is refused.
+static constexpr Duration kTakeOverTime = Duration(1000);
 
 Controller::Controller(SchedulerOptions aOptions,
                        HostPlannerOptions aHostOptions,
@@ -74,6 +75,7 @@
   openReplies_.clear();
   queuedBatches_.clear();
   deferredReplies_.clear();
+  proposedJobs_.clear();
 }
 
 bool
@@ -208,6 +210,9 @@
     observe::Log(observe::LogLevel::Error,
                  "log-entry-unreadable",
                  { { "reason", Describe(reason) } });
+  std::erase_if(proposedJobs_, [&](jobs::JobId aJob) {
+    return stateMachine_.Find(aJob) != nullptr;
+  });
   if (hostPlanner_.IsOrderDue())
     nextPlanning_ = aNow.steady;
 }
@@ -240,7 +245,7 @@
   FailBatch(aBatch,
             Refused{ .reason = { ErrorKind::NoCapacity,
                                  "the log takes no entries from this host" },
-                     .retryAfter = kRetryAfter });
+                     .retryAfter = kTakeOverTime });
   // The state that an earlier leadership left behind is gone already.
   if (aBatch < firstBatch_)
     return;
@@ -314,7 +319,7 @@
   sink_.Answer(
     aCaller,
     Refused{ .reason = { aKind, std::move(aDetail) },
-             .retryAfter = isTemporary ? kRetryAfter : Duration(0) });
+             .retryAfter = isTemporary ? kTakeOverTime : Duration(0) });
 }
 
 void
@@ -387,6 +392,46 @@
     ReplyWithProgress(aCaller, *job);
 }
 
+/// Decides about a job that is not known yet. A job with persistent tasks or
+/// occurrences has no objective, and one that is about to be accepted can't be
+/// rejected any more.
+AdmissionDecision
+Controller::Admit(jobs::JobId aJob,
+                  const jobs::Queue& aQueue,
+                  const TeamId& aTeam,
+                  const jobs::JobDescription& aDescription)
+{
+  const bool hasObjective =
+    aDescription.recurrence.count == 0 &&
+    std::none_of(aDescription.steps.begin(),
+                 aDescription.steps.end(),
+                 [](const jobs::Step& aStep) { return aStep.isPersistent; });
+  if (!hasObjective || proposedJobs_.count(aJob) != 0)
+    return { .isAdmitted = true,
+             .acceptedAt = now_.wall,
+             .retryAfter = Duration(0) };
+  JobOffer offer = scheduler_.MakeOffer(aJob, aQueue, aTeam, aDescription);
+  // Hosts of other pools may be moved to this one.
+  offer.pool.capacity =
+    std::max(offer.pool.capacity, hostPlanner_.FleetCapacity());
+  AdmissionDecision decision = admission_.Decide(offer, now_.wall);
+  if (decision.isAdmitted) {
+    scheduler_.CountOffer(aQueue, aTeam, aDescription);
+    return decision;
+  }
+  observe::Log(
+    observe::LogLevel::Info,
+    "job-rejected",
+    { { "job", ToString(aJob) },
+      { "queue", aQueue.id.Value() },
+      { "team", aTeam.Value() },
+      { "pool_backlog_ms", std::to_string(offer.pool.DrainTime().Millis()) },
+      { "team_backlog_ms", std::to_string(offer.team.DrainTime().Millis()) },
+      { "objective_ms", std::to_string(offer.objective.Millis()) },
+      { "retry_after_ms", std::to_string(decision.retryAfter.Millis()) } });
+  return decision;
+}
+
 void
 Controller::Submit(CallerId aCaller,
                    const jobs::Queue& aQueue,
@@ -400,6 +445,16 @@
     sink_.Answer(aCaller, Accepted{});
     return;
   }
+  const TeamId team = aTeam == nullptr ? TeamId() : aTeam->id;
+  const AdmissionDecision decision = Admit(aJob, aQueue, team, *aCall.job);
+  if (!decision.isAdmitted) {
+    sink_.Answer(
+      aCaller,
+      Refused{ .reason = { ErrorKind::Overloaded,
+                           "the job would be done too late to be of use" },
+               .retryAfter = decision.retryAfter });
+    return;
+  }
   std::uint32_t tasks = 0;
   for (const jobs::Step& step : aCall.job->steps)
     tasks += step.count;
@@ -409,21 +464,21 @@
     "job-accepting",
     { { "job", ToString(aJob) },
       { "queue", aQueue.id.Value() },
-      { "team", aTeam == nullptr ? "" : aTeam->id.Value() },
+      { "team", team.Value() },
       { "steps", std::to_string(aCall.job->steps.size()) },
       { "tasks", std::to_string(tasks) },
       { "persistent", first.isPersistent ? "yes" : "no" },
       { "configuration",
         std::to_string(
           stateMachine_.CurrentConfiguration()->version.Value()) } });
-  ProposeWithReply(
-    aCaller,
-    jobs::AcceptJob{ .id = aJob,
-                     .queue = aQueue.id,
-                     .team = aTeam == nullptr ? TeamId() : aTeam->id,
-                     .at = now_.wall,
-                     .description = std::move(*aCall.job) },
-    Accepted{});
+  proposedJobs_.insert(aJob);
+  ProposeWithReply(aCaller,
+                   jobs::AcceptJob{ .id = aJob,
+                                    .queue = aQueue.id,
+                                    .team = team,
+                                    .at = decision.acceptedAt,
+                                    .description = std::move(*aCall.job) },
+                   Accepted{});
 }
 
 void
--- a/packages/schedule/lib/HostPlanner.cpp
+++ b/packages/schedule/lib/HostPlanner.cpp
@@ -362,6 +362,12 @@
   SampleDemand();
 }
 
+MilliCores
+HostPlanner::FleetCapacity() const
+{
+  return MilliCores(options_.isEnabled ? fleetCapacity_ : 0);
+}
+
 bool
 HostPlanner::IsOrderDue() const
 {
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -116,6 +116,9 @@
   unstartedJobs_.clear();
   proposedTasks_.clear();
   quotaUsage_.clear();
+  poolBacklogs_.clear();
+  teamBacklogs_.clear();
+  backlogsAt_ = Time(0);
   reservations_.clear();
   permitCache_.Clear();
   lastShortageAt_.clear();
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -20,6 +20,9 @@
 /// latency-sensitive tasks and are then throttled. Workers measure the load
 /// over half a second.
 static constexpr Duration kThrottlingLongPollTimeout = Duration(400);
+/// Long-poll timeout while a persistent task starts up: until the lists show it
+/// at work, no other task of its step may be moved off its host.
+static constexpr Duration kStartupLongPollTimeout = Duration(200);
 /// Delay before an unanswered call is sent again.
 static constexpr Duration kRetryInterval = Duration(200);
 /// Delay before an acknowledged stop is sent again if the end of the run is not
@@ -219,6 +222,14 @@
         return aItem.second.usesIdleProcessors;
       });
     wait = hasBestEffortRuns ? kThrottlingLongPollTimeout : kLongPollTimeout;
+    const bool isStartingUp = std::any_of(
+      aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
+        return aItem.second.isPersistent &&
+               aItem.second.stage == RunStage::Running &&
+               aItem.second.progressPercent < kPercent;
+      });
+    if (isStartingUp)
+      wait = kStartupLongPollTimeout;
   }
   // After a failed call a later incarnation may execute this one, and would
   // take the numbers for those of its own ends.
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -21,6 +21,8 @@
 /// other steps, when hosts are requested.
 static constexpr std::int64_t kLateDemandDivisor = 2;
 static constexpr std::int64_t kBlockedDemandDivisor = 3;
+/// How often the backlogs for admission are computed anew.
+static constexpr Duration kBacklogInterval = Duration(100);
 /// How long a failed attempt to move a task to another worker counts as demand.
 /// The move is retried every 150 ms.
 static constexpr Duration kShortageDemandTime = Duration(500);
@@ -203,3 +205,91 @@
       ++demand[pool].persistentWaiting;
   return demand;
 }
+
+/// The work of a step that is left, in thousandths of a core times
+/// milliseconds. Half of a running task is left in the mean.
+std::int64_t
+Scheduler::WorkLeft(const jobs::Step& aStep,
+                    const jobs::StepState& aState,
+                    const QueueState& aQueue)
+{
+  if (aStep.isPersistent)
+    return 0;
+  const auto unfinished =
+    static_cast<std::int64_t>(aState.tasks.size() - aState.doneTasks);
+  const std::int64_t halfTasks =
+    unfinished + static_cast<std::int64_t>(aState.waitingTasks);
+  return AllocationFor(aStep).processors.Count() * halfTasks *
+         ExpectedRunTime(&aQueue, aStep).Millis() / 2;
+}
+
+void
+Scheduler::RefreshBacklogs()
+{
+  if (backlogsAt_ + kBacklogInterval > now_.steady)
+    return;
+  backlogsAt_ = now_.steady;
+  poolBacklogs_.clear();
+  teamBacklogs_.clear();
+  for (const jobs::JobId id : liveJobs_) {
+    const jobs::Job* job = stateMachine_.Find(id);
+    const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
+    if (queue == nullptr || !queue->pool ||
+        job->description.recurrence.count > 0)
+      continue;
+    std::int64_t left = 0;
+    for (const auto& [number, occurrence] : job->occurrences)
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+        left += WorkLeft(
+          job->description.steps[step], occurrence.steps[step], *queue);
+    poolBacklogs_[*queue->pool] += MilliCoreMillis(left);
+    teamBacklogs_[job->team] += MilliCoreMillis(left);
+  }
+}
+
+/// The work of a job that has not begun.
+static MilliCoreMillis
+WorkOf(const jobs::JobDescription& aDescription)
+{
+  std::int64_t work = 0;
+  for (const jobs::Step& step : aDescription.steps)
+    work += AllocationFor(step).processors.Count() * step.count *
+            step.estimate.Millis();
+  return MilliCoreMillis(work);
+}
+
+void
+Scheduler::CountOffer(const jobs::Queue& aQueue,
+                      const TeamId& aTeam,
+                      const jobs::JobDescription& aDescription)
+{
+  const MilliCoreMillis work = WorkOf(aDescription);
+  poolBacklogs_[aQueue.pool] += work;
+  teamBacklogs_[aTeam] += work;
+}
+
+JobOffer
+Scheduler::MakeOffer(jobs::JobId aJob,
+                     const jobs::Queue& aQueue,
+                     const TeamId& aTeam,
+                     const jobs::JobDescription& aDescription)
+{
+  RefreshBacklogs();
+  const Duration path = jobs::CriticalPathLength(aDescription);
+  const auto stretchedMs = static_cast<std::int64_t>(
+    aQueue.stretch * static_cast<double>(path.Millis()));
+  JobOffer offer{ .job = aJob,
+                  .path = path,
+                  .objective = aQueue.objective + Duration(stretchedMs),
+                  .pool = {},
+                  .team = {} };
+  offer.pool.backlog = poolBacklogs_[aQueue.pool];
+  for (const auto& [entry, worker] : poolIndex_.WorkersOf(aQueue.pool).All())
+    offer.pool.capacity += worker->capacity.processors;
+  const auto quota = quotas_.find(aTeam);
+  if (quota != quotas_.end()) {
+    offer.team.backlog = teamBacklogs_[aTeam];
+    offer.team.capacity = quota->second.processors;
+  }
+  return offer;
+}
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -341,6 +341,10 @@
 void
 Scheduler::ExpireLease(WorkerSession& aSession)
 {
+  if (aSession.IsObsolete() && HoldsLeaderLease()) {
+    outbox_.Propose(jobs::RetireWorker{ .worker = aSession.number });
+    return;
+  }
   const bool isAnswering = aSession.consecutiveFailedCalls == 0 &&
                            aSession.isReconciled && !aSession.isSuperseded &&
                            !aSession.laterIncarnationAnsweredAt;
--- a/packages/schedule/unittests/DispatchWorkTest.cpp
+++ b/packages/schedule/unittests/DispatchWorkTest.cpp
@@ -195,3 +195,25 @@
   for (const std::string& violation : fleet.violations)
     FAIL_CHECK(violation);
 }
+
+TEST_CASE("the former incarnations of restarted workers don't pile up")
+{
+  constexpr std::size_t kFleetSize = 10;
+  SimulatedFleet fleet;
+  for (std::size_t number = 0; number < kFleetSize; ++number)
+    fleet.AddWorker("w" + std::to_string(number));
+  fleet.Run(Duration(1000));
+  for (int restart = 0; restart < 5; ++restart) {
+    fleet.Submit(
+      { { .count = 20, .request = { MilliCores(500), Mebibytes(256), {} } } },
+      { .runTime = Duration(300) });
+    fleet.Run(Duration(100));
+    for (std::size_t number = 0; number < kFleetSize; ++number)
+      fleet.CrashWorker("w" + std::to_string(number), Duration(100));
+    fleet.Run(Duration(1000));
+  }
+  // A call without an answer keeps a former incarnation for some seconds.
+  CHECK(fleet.RegisteredWorkers() <= kFleetSize * 2);
+  for (const std::string& violation : fleet.violations)
+    FAIL_CHECK(violation);
+}
--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -250,6 +250,30 @@
   CHECK(CountCalls<StartRun>() == 1);
 }
 
+TEST_CASE_METHOD(LeadershipFixture,
+                 "the lists of a worker are read often while a persistent task "
+                 "starts up")
+{
+  const auto longPoll = [&] {
+    Duration latest;
+    for (const WorkerCall& call : calls)
+      if (const auto* renew = std::get_if<RenewLease>(&call.request))
+        latest = renew->longPollTimeout;
+    return latest;
+  };
+  jobs::Step step = SmallStep();
+  step.isPersistent = true;
+  Submit(step);
+  Run(Duration(100));
+  REQUIRE(CountCalls<StartRun>() == 1);
+  ConfirmStart();
+  Run(Duration(100));
+  CHECK(longPoll() <= Duration(200));
+  running.front().progressPercent = 100;
+  Run(Duration(100));
+  CHECK(longPoll() == Duration(1000));
+}
+
 TEST_CASE_METHOD(LeadershipFixture,
                  "a stop that the lapsed leader lease held back is sent later")
 {
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -115,7 +115,7 @@
                                .pool = PoolId("lines"),
                                .maxAttempts = maxAttempts,
                                .stretch = 1.6,
-                               .objective = Duration(600),
+                               .objective = objective,
                                .timeout = Duration(3000),
                                .advice = advice } };
   configuration.teams = {
@@ -213,6 +213,12 @@
   leader_->pausedUntil = now_ + aSpan;
 }
 
+std::size_t
+SimulatedFleet::RegisteredWorkers() const
+{
+  return leader_->controller.StateMachine().Workers().size();
+}
+
 Attempt
 SimulatedFleet::LatestAttempt(const TaskId& aTask) const
 {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -34,6 +34,7 @@
 public:
   std::optional<jobs::Configuration> Read(std::string_view aText,
                                           Error& aReason) const override;
+  Duration objective = Duration(600);
   std::uint32_t maxAttempts = 3;
   jobs::Resources quota;
   std::optional<jobs::PlacementPolicy> advice;
@@ -167,6 +168,8 @@
   /// Passes a client's or worker's call to the controller.
   void Send(schedule::Call aCall);
 
+  /// Number of worker incarnations that the job state machine has registered.
+  std::size_t RegisteredWorkers() const;
   /// The latest attempt of a task of a live job.
   Attempt LatestAttempt(const TaskId& aTask) const;
   /// The dispatch work of the current leader since it started.
