--- a/packages/schedule/unittests/LeadershipTest.cpp
+++ b/packages/schedule/unittests/LeadershipTest.cpp
@@ -31,6 +31,8 @@
   LeadershipFixture()
     : controller({}, {}, reader, *this)
   {
+    // Long enough that no job is rejected for load.
+    reader.objective = Duration::Seconds(600);
     controller.BecomeLeader(FencingToken(1), Now());
     Handle(ConfigurationPut{ .version = jobs::ConfigurationVersion(1),
                              .text = "configuration" });
