Crash tests: their queue has an objective that admits all jobs

"only tasks that crash their workers are given up in a full pool" hands in more than its pool can do within three times an objective of some 2 s, so that 19 of its 120 innocent jobs were rejected by the new admission and never completed. The cases are not about load: the objective is 600 s now, and every job is admitted and checked as before.

--- a/packages/schedule/unittests/WorkerCrashTest.cpp
+++ b/packages/schedule/unittests/WorkerCrashTest.cpp
@@ -39,6 +39,8 @@
   explicit Fixture(bool aHasProvider = false)
     : SimulatedFleet(1, aHasProvider)
   {
+    // Long enough that no job is rejected for load.
+    reader.objective = Duration::Seconds(600);
     Run(Duration(200));
     for (const std::string& id : workerIds)
       AddWorker(id);
