Queue depth: a job is pending until one of its tasks has begun

A job left the count when a task of it was assigned. Where half of all starts are carried out seconds late or not at all, an assigned task has not begun.

A job now counts until a worker confirms a start, lists the run or its end. A new leader counts those without a recorded start until the lists say otherwise.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -129,8 +129,8 @@
                   const TeamId& aTeam,
                   const jobs::JobDescription& aDescription);
 
-  /// \returns the number of live jobs of the queue without any task ever
-  /// assigned.
+  /// \returns the number of live jobs of the queue of which no task is known to
+  /// have begun.
   std::uint64_t CountPendingJobs(const jobs::QueueId& aQueue) const;
 
   // jobs::JobStateObserver:
@@ -463,7 +463,8 @@
   std::uint64_t lastCallId_ = 0;
   /// Jobs that have not ended.
   std::unordered_set<jobs::JobId> liveJobs_;
-  /// Live jobs without any task ever assigned.
+  /// Live jobs of which no task is known to have begun. An assigned task may
+  /// wait for its worker's answer for seconds.
   std::unordered_set<jobs::JobId> unstartedJobs_;
   /// Tasks whose assignment is proposed but not committed.
   std::set<TaskId> proposedTasks_;
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -160,12 +160,23 @@
   return earliestDispatch_;
 }
 
+/// Whether a task of the job is recorded to have begun.
+static bool
+HasRecordedStart(const jobs::Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences)
+    for (const jobs::StepState& step : occurrence.steps)
+      for (const jobs::TaskState& task : step.tasks)
+        if (task.phase == jobs::TaskPhase::Done || task.isStartConfirmed ||
+            task.failures > 0)
+          return true;
+  return false;
+}
+
 void
 Scheduler::UpdateUnstartedJobs(const jobs::Job& aJob)
 {
-  const bool isPending =
-    aJob.state == jobs::JobState::Live && !aJob.wasEverAssigned;
-  if (isPending)
+  if (aJob.state == jobs::JobState::Live && !HasRecordedStart(aJob))
     unstartedJobs_.insert(aJob.id);
   else
     unstartedJobs_.erase(aJob.id);
@@ -276,7 +287,6 @@
   if (!IsLeading())
     return;
   proposedTasks_.erase(aAssignment.task);
-  unstartedJobs_.erase(aAssignment.task.job);
   WorkerSession* session = SessionOf(aAssignment.worker);
   if (session == nullptr)
     return;
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -373,6 +373,7 @@
     return;
   switch (aReply.answer) {
     case WorkerCallStatus::Done:
+      unstartedJobs_.erase(aCall.task.job);
       run.stage = RunStage::Running;
       run.confirmedAt = aReply.clock;
       run.runningSince = now_.steady;
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -145,6 +145,7 @@
 {
   for (const ListedEnd& end : aReply.ended) {
     aSession.lastListedEnd = std::max(aSession.lastListedEnd, end.number);
+    unstartedJobs_.erase(end.task.job);
     WorkerSession* assigned = FindSessionOfEndedRun(aSession, end);
     if (assigned == nullptr) {
       ProcessLateEnd(aSession, end);
@@ -239,6 +240,7 @@
     }
     Run& run = found->second;
     aSession.NoteBegun(listed.task, listed.attempt);
+    unstartedJobs_.erase(listed.task.job);
     if (aReply.clock)
       CheckProgress(aSession, listed, *aReply.clock, run);
     run.progressPercent = listed.progressPercent;
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -145,6 +145,34 @@
   CheckInvariants();
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "jobs whose starts are not carried out are counted as pending")
+{
+  const auto pending = [&] {
+    Send(QueueCall{ .verb = QueueVerb::Query,
+                    .hostName = "h",
+                    .path = "/p/",
+                    .key = "key",
+                    .job = std::nullopt });
+    return std::get<QueueDepth>(*LastReply()).pending;
+  };
+  faults.delayedCallPercent = 100;
+  faults.minCallDelay = Duration(4000);
+  faults.maxCallDelay = Duration(4001);
+  for (int job = 0; job < 3; ++job)
+    Submit({ MakeStep(1) }, { .runTime = Duration(10000) });
+  Run(Duration(3000));
+  CHECK(pending() == 3);
+  ChangeLeader();
+  CHECK(pending() == 3);
+  faults = {};
+  Run(Duration(3000));
+  CHECK(pending() == 0);
+  ChangeLeader();
+  Run(Duration(200));
+  CHECK(pending() == 0);
+}
+
 TEST_CASE_METHOD(Fixture, "tasks of a lost worker run again on other workers")
 {
   const jobs::JobId job =
