Review, case 1: a shorter freeze shows it each time

With 1.5 s the link stays; the work units run on 13 s after the ack of the cancelling.

The shared worker can now end the connection of a start, and begin its heartbeats late, for case 5.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -16,7 +16,7 @@
     record.Line("the fleet did not start");
     return kNotRun;
   }
-  constexpr std::int64_t kFreezeTime = 3500;
+  constexpr std::int64_t kFreezeTime = 1500;
   constexpr std::int64_t kCancelTime = 3000;
   constexpr std::int64_t kStopTime = 900;
   if (!fleet.PutConfiguration(
--- a/review/standins/Lab.hh
+++ b/review/standins/Lab.hh
@@ -582,9 +582,11 @@
 
   const std::string& Id() const { return id_; }
 
-  // Starts a life. All it knew of before is gone.
-  bool Start()
+  // Starts a life. All it knew of before is gone. The first heartbeat comes
+  // after \p aFirstBeat milliseconds.
+  bool Start(std::int64_t aFirstBeat = 0)
   {
+    firstBeat_ = aFirstBeat;
     {
       const std::lock_guard lock(mutex_);
       born_ = WallMs();
@@ -625,6 +627,9 @@
   }
 
   void OnStart(StartHook aHook) { hook_ = std::move(aHook); }
+  // \p aHook says whether the worker ends the connection of a start that has
+  // arrived without carrying it out.
+  void OnArrival(std::function<bool()> aHook) { arrival_ = std::move(aHook); }
 
   // The number of ends `failed` that this worker has listed, over all lives.
   int FailedEnds() const { return failedEnds_; }
@@ -648,6 +653,9 @@
   void Beat()
   {
     std::size_t at = std::hash<std::string>()(id_);
+    for (const auto first = SteadyMs() + firstBeat_;
+         isUp_ && SteadyMs() < first;)
+      Sleep(20);
     while (isUp_) {
       json body{ { "service", service_ },
                  { "addr", address_ + ":8080" },
@@ -745,8 +753,11 @@
       until_ = std::max(until_,
                         std::min(body["until-ms"].get<std::int64_t>(),
                                  Clock() + kMaxHold));
-    if (aRequest.target == "/run-start")
+    if (aRequest.target == "/run-start") {
+      if (arrival_ && arrival_())
+        return std::nullopt;
       return StartRun(body);
+    }
     if (aRequest.target == "/run-stop")
       return StopRun(body);
     if (aRequest.target == "/pace")
@@ -831,6 +842,8 @@
   std::string service_;
   Planner planner_;
   StartHook hook_;
+  std::function<bool()> arrival_;
+  std::int64_t firstBeat_ = 0;
   Server server_;
   std::atomic<bool> isUp_{ false };
   std::thread beat_;
