Jobs: a job keeps its queue's definition while the queue is not configured

Cause: the attempt limit was looked up in the configuration of the moment, and was 1 for a queue that is not in it. Only the pool of a removed queue was remembered. By the same cause such a job failed at any end of a task that had failed before, also a success; went before jobs of higher priority; and was started without the permits that its placement policy asks for.

A run that succeeds fails no job, also after the limit was lowered.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -112,6 +112,9 @@
 ScheduleFilter::ReportWork()
 {
   nextWorkReport_ = now_ + kWorkReportInterval;
+  const jobs::JobStateMachine& state = controller_.StateMachine();
+  host_.metrics.Set("greengage_removed_queues",
+                    static_cast<double>(state.RemovedQueueCount()));
   const schedule::Scheduler& scheduler = controller_.GetScheduler();
   const schedule::DispatchWork& work = scheduler.Work();
   const auto since = [](std::uint64_t aNow, std::uint64_t aBefore) {
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -71,7 +71,8 @@
   void StepDownIfDue();
   /// Exports the number of idle persistent tasks if it has changed.
   void ReportIdleTasks();
-  /// Logs the work of dispatch since the last report.
+  /// Logs the work of dispatch since the last report, and exports the number of
+  /// removed queues that are remembered.
   void ReportWork();
   /// How long the oldest proposal has been waiting for its commit.
   Duration OldestProposalAge() const;
--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -9,7 +9,9 @@
 #include "greengage/jobs/Configuration.h"
 #include "greengage/jobs/Operation.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -145,6 +147,25 @@
   std::uint32_t completedOccurrences = 0;
 };
 
+/// A job with this limit doesn't fail, however many of its runs fail.
+inline constexpr std::uint32_t kUnlimitedAttempts =
+  std::numeric_limits<std::uint32_t>::max();
+/// A removed queue without jobs is forgotten once more configurations in a row
+/// than this lack it. A job may still be recorded in it before that: the leader
+/// accepted it under a configuration that up to 16 others have followed since,
+/// as two operators have up to eight changes each in progress.
+inline constexpr std::uint32_t kMaxAbsences = 16;
+
+/// A queue as the latest configuration that has it defines it. It governs the
+/// queue's jobs also while the current configuration lacks it.
+struct KnownQueue
+{
+  Queue definition;
+  /// The number of configurations in a row that lack the queue; 0 if it is
+  /// configured.
+  std::uint32_t absences = 0;
+};
+
 /// The recorded intents to order a host from the provider.
 struct OrderIntents
 {
@@ -213,9 +234,10 @@
   /// The source text of the current configuration.
   const std::string& ConfigurationText() const { return configurationText_; }
 
-  /// The latest configured pool of each queue, also of those that are not in
-  /// the current configuration any more: these may still have jobs.
-  const std::map<QueueId, PoolId>& QueuePools() const { return queuePools_; }
+  /// The configured queues, and the removed ones that may still have jobs.
+  const std::map<QueueId, KnownQueue>& Queues() const { return queues_; }
+  /// The number of known queues that are not configured.
+  std::size_t RemovedQueueCount() const;
 
   const std::unordered_map<JobId, Job>& Jobs() const { return jobs_; }
   const Job* Find(JobId aJob) const;
@@ -249,8 +271,9 @@
   Time LatestTime() const { return latestTime_; }
 
   /// Number of failed runs of one task, or of all tasks of a gang together,
-  /// after which the job fails; 1 if its queue is not in the configuration.
-  std::uint32_t MaxAttemptsOf(const Job& aJob) const;
+  /// after which the job fails. kUnlimitedAttempts if there is no such job, or
+  /// if its queue is known only from the snapshot of an earlier version.
+  std::uint32_t MaxAttemptsOf(JobId aJob) const;
 
 private:
   void ApplyOperation(PutConfiguration&& aOperation,
@@ -268,7 +291,11 @@
                       JobStateObserver& aObserver);
   void ApplyOperation(RecordOrderIntent&& aOperation,
                       JobStateObserver& aObserver);
-  void RecordQueuePools();
+  void RecordConfiguredQueues();
+  void ForgetUnusedQueues();
+  bool HasFailed(const Job& aJob,
+                 const EndRun& aEnd,
+                 const TaskState& aTask) const;
   void ApplyOperation(ConfirmStart&& aOperation, JobStateObserver& aObserver);
   void ApplyOperation(RecordCrash&& aOperation, JobStateObserver& aObserver);
   void ApplyOperation(DismissSuspicions&& aOperation,
@@ -288,7 +315,7 @@
   const ConfigurationReader& reader_;
   std::optional<Configuration> configuration_;
   std::string configurationText_;
-  std::map<QueueId, PoolId> queuePools_;
+  std::map<QueueId, KnownQueue> queues_;
   std::unordered_map<JobId, Job> jobs_;
   std::map<WorkerNumber, WorkerRecord> workers_;
   std::map<WorkerId, WorkerNumber> workerNumbers_;
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -96,6 +96,9 @@
   std::string checkpoint;
   Time at;
   CrashSuspicion suspicion = CrashSuspicion::None;
+  /// The attempt limit of the job, by which all hosts decide whether it fails;
+  /// 0 in entries of versions that did not state it.
+  std::uint32_t maxAttempts = 0;
 };
 
 /// The registration data of one worker incarnation.
--- a/packages/jobs/lib/CborFields.cpp
+++ b/packages/jobs/lib/CborFields.cpp
@@ -1,5 +1,7 @@
 #include "CborFields.h"
 
+#include <utility>
+
 using namespace greengage;
 using namespace greengage::jobs;
 using namespace greengage::jobs::detail;
@@ -154,6 +156,50 @@
   return worker;
 }
 
+Cbor
+detail::ToCbor(const Queue& aQueue)
+{
+  Cbor advice;
+  if (aQueue.advice)
+    advice = Cbor::array({ aQueue.advice->base.Millis(),
+                           aQueue.advice->perWorker.Millis(),
+                           aQueue.advice->validity.Millis() });
+  return Cbor::array({ aQueue.id.Value(),
+                       aQueue.hostName,
+                       aQueue.pathPrefix,
+                       aQueue.pool.Value(),
+                       aQueue.priority,
+                       aQueue.maxAttempts,
+                       aQueue.stretch,
+                       aQueue.objective.Millis(),
+                       aQueue.timeout.Millis(),
+                       aQueue.allowsAnonymous,
+                       std::move(advice) });
+}
+
+Queue
+detail::QueueFromCbor(const Cbor& aValue)
+{
+  const auto millisAt = [](const Cbor& aList, std::size_t aIndex) {
+    return Duration(aList.at(aIndex).get<std::int64_t>());
+  };
+  Queue queue{ .id = QueueId(aValue.at(0).get<std::string>()),
+               .hostName = aValue.at(1).get<std::string>(),
+               .pathPrefix = aValue.at(2).get<std::string>(),
+               .pool = PoolId(aValue.at(3).get<std::string>()),
+               .priority = aValue.at(4).get<std::uint32_t>(),
+               .maxAttempts = aValue.at(5).get<std::uint32_t>(),
+               .stretch = aValue.at(6).get<double>(),
+               .objective = millisAt(aValue, 7),
+               .timeout = millisAt(aValue, 8),
+               .allowsAnonymous = aValue.at(9).get<bool>() };
+  if (const Cbor& advice = aValue.at(10); advice.is_array())
+    queue.advice = { .base = millisAt(advice, 0),
+                     .perWorker = millisAt(advice, 1),
+                     .validity = millisAt(advice, 2) };
+  return queue;
+}
+
 Cbor
 detail::ToCbor(const StartWave& aWave)
 {
--- a/packages/jobs/lib/CborFields.h
+++ b/packages/jobs/lib/CborFields.h
@@ -6,6 +6,7 @@
 #ifndef GREENGAGE_JOBS_LIB_CBORFIELDS_H
 #define GREENGAGE_JOBS_LIB_CBORFIELDS_H
 
+#include "greengage/jobs/Configuration.h"
 #include "greengage/jobs/Job.h"
 #include "greengage/jobs/Operation.h"
 
@@ -44,6 +45,11 @@
 WorkerRecord
 WorkerRecordFromCbor(const Cbor& aValue);
 
+Cbor
+ToCbor(const Queue& aQueue);
+Queue
+QueueFromCbor(const Cbor& aValue);
+
 Cbor
 ToCbor(const StartWave& aWave);
 StartWave
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -132,11 +132,21 @@
 }
 
 std::uint32_t
-JobStateMachine::MaxAttemptsOf(const Job& aJob) const
+JobStateMachine::MaxAttemptsOf(JobId aJob) const
 {
-  const Queue* queue =
-    configuration_ ? configuration_->Find(aJob.queue) : nullptr;
-  return queue != nullptr ? queue->maxAttempts : 1;
+  const Job* job = Find(aJob);
+  const auto queue = job == nullptr ? queues_.end() : queues_.find(job->queue);
+  return queue == queues_.end() ? kUnlimitedAttempts
+                                : queue->second.definition.maxAttempts;
+}
+
+std::size_t
+JobStateMachine::RemovedQueueCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(queues_.begin(), queues_.end(), [](const auto& aItem) {
+      return aItem.second.absences > 0;
+    }));
 }
 
 void
@@ -152,15 +162,34 @@
     return;
   configuration_ = std::move(configuration);
   configurationText_ = std::move(aOperation.text);
-  RecordQueuePools();
+  for (auto& [id, queue] : queues_)
+    ++queue.absences;
+  RecordConfiguredQueues();
+  ForgetUnusedQueues();
   aObserver.OnConfigurationChanged();
 }
 
 void
-JobStateMachine::RecordQueuePools()
+JobStateMachine::RecordConfiguredQueues()
 {
   for (const Queue& queue : configuration_->queues)
-    queuePools_[queue.id] = queue.pool;
+    queues_[queue.id] = { .definition = queue, .absences = 0 };
+}
+
+void
+JobStateMachine::ForgetUnusedQueues()
+{
+  const auto isExpired = [](const auto& aItem) {
+    return aItem.second.absences > kMaxAbsences;
+  };
+  if (std::none_of(queues_.begin(), queues_.end(), isExpired))
+    return;
+  std::set<QueueId> used;
+  for (const auto& [id, job] : jobs_)
+    used.insert(job.queue);
+  std::erase_if(queues_, [&](const auto& aItem) {
+    return isExpired(aItem) && used.count(aItem.first) == 0;
+  });
 }
 
 static Occurrence
@@ -356,6 +385,28 @@
   return failures;
 }
 
+/// Whether the job fails by the end of a run, which left the task in \p aTask.
+bool
+JobStateMachine::HasFailed(const Job& aJob,
+                           const EndRun& aEnd,
+                           const TaskState& aTask) const
+{
+  const Step& description = aJob.description.steps[aEnd.task.step];
+  if (description.isPersistent)
+    return false;
+  const StepState& step =
+    aJob.occurrences.at(aEnd.task.occurrence).steps[aEnd.task.step];
+  const std::uint32_t failures = CountFailures(description, step, aTask);
+  if (aEnd.maxAttempts != 0)
+    return aTask.phase != TaskPhase::Done && failures >= aEnd.maxAttempts;
+  // The entry is from an earlier version, which took the limit from the current
+  // configuration, and 1 for a queue that is not in it. Other hosts may have a
+  // snapshot that this version made by that rule.
+  const Queue* queue =
+    configuration_ ? configuration_->Find(aJob.queue) : nullptr;
+  return failures >= (queue == nullptr ? 1 : queue->maxAttempts);
+}
+
 void
 JobStateMachine::ApplyOperation(EndRun&& aOperation,
                                 JobStateObserver& aObserver)
@@ -394,9 +445,7 @@
   } else if (aOperation.outcome == RunOutcome::Failed) {
     ++task->failures;
   }
-  const bool hasFailed =
-    !isPersistent &&
-    CountFailures(description, step, *task) >= MaxAttemptsOf(job);
+  const bool hasFailed = HasFailed(job, aOperation, *task);
   aObserver.OnRunEnded(aOperation, worker);
   if (description.isGang && aOperation.outcome == RunOutcome::Succeeded)
     CompleteGang(job, aOperation, aObserver);
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -160,6 +160,16 @@
   return runs;
 }
 
+/// A removed queue as the snapshot of an earlier version states it. No failure
+/// ends its jobs, since their limit is lost and a job that failed can't go on.
+static Queue
+PoolOnlyQueue(QueueId aId, PoolId aPool)
+{
+  return { .id = std::move(aId),
+           .pool = std::move(aPool),
+           .maxAttempts = kUnlimitedAttempts };
+}
+
 std::string
 JobStateMachine::Snapshot() const
 {
@@ -181,9 +191,16 @@
   for (const auto& [host, intents] : orderIntents_)
     orders.push_back(
       Cbor::array({ host.Value(), intents.count, intents.latestAt.Millis() }));
+  // Earlier versions know a removed queue only by its pool.
   Cbor queuePools = Cbor::array();
-  for (const auto& [queue, pool] : queuePools_)
-    queuePools.push_back(Cbor::array({ queue.Value(), pool.Value() }));
+  Cbor removedQueues = Cbor::array();
+  for (const auto& [id, queue] : queues_) {
+    queuePools.push_back(
+      Cbor::array({ id.Value(), queue.definition.pool.Value() }));
+    if (queue.absences > 0)
+      removedQueues.push_back(
+        Cbor::array({ ToCbor(queue.definition), queue.absences }));
+  }
   return SerializeCbor(Cbor::array({ configurationText_,
                                      std::move(jobs),
                                      lastWorkerNumber_,
@@ -192,7 +209,8 @@
                                      std::move(orders),
                                      std::move(queuePools),
                                      SuspectedRunsToCbor(suspectedRuns_),
-                                     latestTime_.Millis() }));
+                                     latestTime_.Millis(),
+                                     std::move(removedQueues) }));
 }
 
 bool
@@ -238,20 +256,31 @@
     // Snapshots of earlier versions may end here or after any later field.
     constexpr std::size_t kQueuePools = 6;
     if (value.size() > kQueuePools)
-      for (const Cbor& item : value.at(kQueuePools))
-        restored.queuePools_.emplace(item.at(0).get<std::string>(),
-                                     item.at(1).get<std::string>());
+      for (const Cbor& item : value.at(kQueuePools)) {
+        const QueueId id(item.at(0).get<std::string>());
+        restored.queues_[id] = { .definition = PoolOnlyQueue(
+                                   id, PoolId(item.at(1).get<std::string>())),
+                                 .absences = 1 };
+      }
     constexpr std::size_t kSuspectedRuns = 7;
     if (value.size() > kSuspectedRuns)
       restored.suspectedRuns_ = SuspectedRunsFromCbor(value.at(kSuspectedRuns));
     constexpr std::size_t kLatestTime = 8;
     if (value.size() > kLatestTime)
       restored.latestTime_ = Time(value.at(kLatestTime).get<std::int64_t>());
+    constexpr std::size_t kRemovedQueues = 9;
+    if (value.size() > kRemovedQueues)
+      for (const Cbor& item : value.at(kRemovedQueues)) {
+        Queue queue = QueueFromCbor(item.at(0));
+        const QueueId id = queue.id;
+        restored.queues_[id] = { .definition = std::move(queue),
+                                 .absences = item.at(1).get<std::uint32_t>() };
+      }
     if (restored.configuration_)
-      restored.RecordQueuePools();
+      restored.RecordConfiguredQueues();
     configuration_ = std::move(restored.configuration_);
     configurationText_ = std::move(restored.configurationText_);
-    queuePools_ = std::move(restored.queuePools_);
+    queues_ = std::move(restored.queues_);
     jobs_ = std::move(restored.jobs_);
     workers_ = std::move(restored.workers_);
     workerNumbers_ = std::move(restored.workerNumbers_);
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -82,7 +82,8 @@
                        aOperation.outcome,
                        aOperation.checkpoint,
                        aOperation.at.Millis(),
-                       aOperation.suspicion });
+                       aOperation.suspicion,
+                       aOperation.maxAttempts });
 }
 
 static Cbor
@@ -247,10 +248,13 @@
               .outcome = RunOutcomeFromCbor(aValue.at(3)),
               .checkpoint = aValue.at(4).get<std::string>(),
               .at = Time(aValue.at(5).get<std::int64_t>()) };
-  // Entries of earlier versions lack the field.
+  // Entries of earlier versions lack the fields.
   constexpr std::size_t kSuspicionIndex = 6;
   if (aValue.size() > kSuspicionIndex)
     end.suspicion = SuspicionFromCbor(aValue.at(kSuspicionIndex));
+  constexpr std::size_t kMaxAttemptsIndex = 7;
+  if (aValue.size() > kMaxAttemptsIndex)
+    end.maxAttempts = aValue.at(kMaxAttemptsIndex).get<std::uint32_t>();
   return end;
 }
 
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -268,10 +268,10 @@
   /// What the scheduler keeps of a queue, also across configurations.
   struct QueueState
   {
-    /// The queue in the current configuration; null if it was removed.
-    const jobs::Queue* configured = nullptr;
-    /// The latest configured pool: a removed queue may still have jobs.
-    std::optional<PoolId> pool;
+    /// The queue as it was last configured: a removed queue may still have
+    /// jobs.
+    const jobs::Queue* definition = nullptr;
+    bool isRemoved = false;
     /// Moving average of the task run times, in milliseconds.
     std::optional<double> meanRunTime;
   };
@@ -291,7 +291,9 @@
   std::vector<Candidate> LiveCandidates() const;
   std::vector<Candidate> RankedCandidates() const;
   static bool HasDispatchableStep(const jobs::Job& aJob);
+  /// Null if the queue is not known.
   const QueueState* FindQueue(const jobs::QueueId& aQueue) const;
+  void LogQueueChange(const jobs::KnownQueue& aQueue) const;
   void DispatchJob(const Candidate& aCandidate);
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -130,18 +130,22 @@
 void
 Scheduler::OnConfigurationChanged()
 {
-  for (auto& [id, queue] : queues_)
-    queue.configured = nullptr;
+  std::erase_if(queues_, [&](const auto& aItem) {
+    return stateMachine_.Queues().count(aItem.first) == 0;
+  });
+  for (const auto& [id, queue] : stateMachine_.Queues()) {
+    QueueState& state = queues_[id];
+    const bool isRemoved = queue.absences > 0;
+    if (state.definition != nullptr && state.isRemoved != isRemoved)
+      LogQueueChange(queue);
+    state.definition = &queue.definition;
+    state.isRemoved = isRemoved;
+  }
   quotas_.clear();
   if (const jobs::Configuration* configuration =
-        stateMachine_.CurrentConfiguration()) {
-    for (const jobs::Queue& queue : configuration->queues)
-      queues_[queue.id].configured = &queue;
+        stateMachine_.CurrentConfiguration())
     for (const jobs::Team& team : configuration->teams)
       quotas_[team.id] = team.quota;
-  }
-  for (const auto& [queue, pool] : stateMachine_.QueuePools())
-    queues_[queue].pool = pool;
   isDispatchDue_ = IsLeading();
 }
 
@@ -152,6 +156,32 @@
   return found == queues_.end() ? nullptr : &found->second;
 }
 
+/// Logs that a queue with live jobs was removed or is configured again.
+void
+Scheduler::LogQueueChange(const jobs::KnownQueue& aQueue) const
+{
+  if (!IsLeading())
+    return;
+  const jobs::Queue& definition = aQueue.definition;
+  const auto count =
+    std::count_if(liveJobs_.begin(), liveJobs_.end(), [&](jobs::JobId aJob) {
+      const jobs::Job* job = stateMachine_.Find(aJob);
+      return job != nullptr && job->queue == definition.id;
+    });
+  if (count == 0)
+    return;
+  observe::Log(
+    observe::LogLevel::Info,
+    aQueue.absences > 0 ? "queue-removed" : "queue-configured-again",
+    { { "queue", definition.id.Value() },
+      { "live_jobs", std::to_string(count) },
+      { "pool", definition.pool.Value() },
+      { "max_attempts", std::to_string(definition.maxAttempts) },
+      { "configuration",
+        std::to_string(
+          stateMachine_.CurrentConfiguration()->version.Value()) } });
+}
+
 std::optional<Time>
 Scheduler::NextDispatch() const
 {
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -30,27 +30,26 @@
 Scheduler::Candidate
 Scheduler::MakeCandidate(const jobs::Job& aJob, const QueueState& aQueue) const
 {
-  const jobs::Queue* queue = aQueue.configured;
+  const jobs::Queue& queue = *aQueue.definition;
   Candidate candidate{ .job = &aJob,
-                       .pool = *aQueue.pool,
+                       .pool = queue.pool,
                        .priority = 0,
-                       .latestStart = aJob.acceptedAt };
+                       .latestStart = aJob.acceptedAt,
+                       .advicePolicy = queue.advice };
   // Jobs with persistent tasks have no objective: their tasks should always
   // run, so they keep the highest priority.
   const bool isPersistent =
     std::any_of(aJob.description.steps.begin(),
                 aJob.description.steps.end(),
                 [](const jobs::Step& aStep) { return aStep.isPersistent; });
-  if (queue != nullptr)
-    candidate.advicePolicy = queue->advice;
-  if (queue == nullptr || isPersistent)
+  if (isPersistent)
     return candidate;
   const auto criticalPathMs =
     static_cast<double>(CriticalPath(aJob, aQueue, false).Millis());
-  candidate.priority = queue->priority;
+  candidate.priority = queue.priority;
   candidate.latestStart =
-    aJob.acceptedAt + queue->objective +
-    Duration(static_cast<std::int64_t>(queue->stretch * criticalPathMs)) -
+    aJob.acceptedAt + queue.objective +
+    Duration(static_cast<std::int64_t>(queue.stretch * criticalPathMs)) -
     CriticalPath(aJob, aQueue, true);
   candidate.isLate = aJob.description.recurrence.count == 0 &&
                      candidate.latestStart + kLateTolerance < now_.wall;
@@ -104,7 +103,10 @@
     return;
   const auto elapsedMs =
     static_cast<double>((*aListedAt - *aRun.confirmedAt).Millis());
-  std::optional<double>& mean = queues_[aJob.queue].meanRunTime;
+  const auto queue = queues_.find(aJob.queue);
+  if (queue == queues_.end())
+    return;
+  std::optional<double>& mean = queue->second.meanRunTime;
   mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
 }
 
@@ -128,7 +130,7 @@
   std::vector<Candidate> candidates;
   const auto add = [&](const jobs::Job& aJob) {
     const QueueState* queue = FindQueue(aJob.queue);
-    if (queue != nullptr && queue->pool)
+    if (queue != nullptr)
       candidates.push_back(MakeCandidate(aJob, *queue));
   };
   if (!IsLeading()) {
@@ -152,10 +154,9 @@
   for (const jobs::JobId id : liveJobs_) {
     const jobs::Job* job = stateMachine_.Find(id);
     const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
-    if (queue == nullptr || !queue->pool)
+    if (queue == nullptr)
       continue;
-    const bool needsPermits =
-      queue->configured != nullptr && queue->configured->advice;
+    const bool needsPermits = queue->definition->advice.has_value();
     if (needsPermits || HasDispatchableStep(*job))
       candidates.push_back(MakeCandidate(*job, *queue));
   }
@@ -234,15 +235,14 @@
   for (const jobs::JobId id : liveJobs_) {
     const jobs::Job* job = stateMachine_.Find(id);
     const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
-    if (queue == nullptr || !queue->pool ||
-        job->description.recurrence.count > 0)
+    if (queue == nullptr || job->description.recurrence.count > 0)
       continue;
     std::int64_t left = 0;
     for (const auto& [number, occurrence] : job->occurrences)
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
         left += WorkLeft(
           job->description.steps[step], occurrence.steps[step], *queue);
-    poolBacklogs_[*queue->pool] += MilliCoreMillis(left);
+    poolBacklogs_[queue->definition->pool] += MilliCoreMillis(left);
     teamBacklogs_[job->team] += MilliCoreMillis(left);
   }
 }
--- a/packages/schedule/lib/SchedulerReport.cpp
+++ b/packages/schedule/lib/SchedulerReport.cpp
@@ -114,7 +114,7 @@
   const QueueState* queue = FindQueue(job.queue);
   if (proposedTasks_.count(aTask) != 0)
     return "assignment not committed";
-  if (queue == nullptr || !queue->pool)
+  if (queue == nullptr)
     return "pool of the queue not known";
   if (!IsWithinQuota(job.team, job.description.steps[aTask.step].request))
     return "over quota";
@@ -135,7 +135,7 @@
   const auto reservation = reservations_.find(aTask);
   const QueueState* queue = FindQueue(job.queue);
   PlacementObstacles obstacles;
-  if (queue != nullptr && queue->pool)
+  if (queue != nullptr)
     obstacles = CountObstacles(MakeCandidate(job, *queue), aTask);
   observe::Log(
     observe::LogLevel::Warning,
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -5,6 +5,7 @@
 #include "greengage/observe/Log.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <tuple>
 #include <utility>
 
@@ -389,19 +390,22 @@
   if (aRun.stage == RunStage::Ending)
     return;
   aRun.stage = RunStage::Ending;
+  const std::uint32_t maxAttempts = stateMachine_.MaxAttemptsOf(aTask.job);
   observe::Log(observe::LogLevel::Info,
                "run-ended",
                { { "task", ToString(aTask) },
                  { "attempt", std::to_string(aRun.attempt.Value()) },
                  { "worker", RecordOf(aSession).id.Value() },
                  { "how", kNames[static_cast<std::size_t>(aOutcome)] },
-                 { "why", aReason } });
+                 { "why", aReason },
+                 { "max_attempts", std::to_string(maxAttempts) } });
   outbox_.Propose(jobs::EndRun{ .task = aTask,
                                 .attempt = aRun.attempt,
                                 .outcome = aOutcome,
                                 .checkpoint = std::move(aCheckpoint),
                                 .at = now_.wall,
-                                .suspicion = aSuspicion });
+                                .suspicion = aSuspicion,
+                                .maxAttempts = maxAttempts });
 }
 
 const WorkerSession*
@@ -472,11 +476,11 @@
 {
   const jobs::Job* job = stateMachine_.Find(aTask.job);
   const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
-  if (queue == nullptr || !queue->pool)
+  if (queue == nullptr)
     return true;
   if (reservations_.count(aTask) == 0 &&
       !ReserveCapacity(MakeCandidate(*job, *queue), aTask, aSession.number)) {
-    lastShortageAt_[*queue->pool] = now_.steady;
+    lastShortageAt_[queue->definition->pool] = now_.steady;
     return false;
   }
   return IsReservedCapacityFree(aTask);
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -103,6 +103,9 @@
 SimulatedConfigurationReader::Read(std::string_view aText,
                                    Error& /*aReason*/) const
 {
+  const auto known = configurations.find(aText);
+  if (known != configurations.end())
+    return known->second;
   const bool hasQueues = aText != kNoQueues;
   jobs::Configuration configuration;
   configuration.version = jobs::ConfigurationVersion(hasQueues ? 1 : 2);
@@ -565,7 +568,7 @@
   submitCalls_[CallerId(lastCaller_ + 1)] = id;
   Send(QueueCall{ .verb = QueueVerb::Submit,
                   .hostName = "h",
-                  .path = "/p/" + ToString(id),
+                  .path = pathPrefix + ToString(id),
                   .key = "key",
                   .job = jobs::JobDescription{ .payload = "x",
                                                .steps = std::move(aSteps) } });
@@ -579,7 +582,7 @@
   cancelCalls_[CallerId(lastCaller_ + 1)] = aJob;
   Send(QueueCall{ .verb = QueueVerb::Cancel,
                   .hostName = "h",
-                  .path = "/p/" + ToString(aJob),
+                  .path = pathPrefix + ToString(aJob),
                   .key = "key",
                   .job = std::nullopt });
 }
@@ -589,7 +592,7 @@
 {
   Send(QueueCall{ .verb = QueueVerb::Query,
                   .hostName = "h",
-                  .path = "/p/" + ToString(aJob),
+                  .path = pathPrefix + ToString(aJob),
                   .key = "key",
                   .job = std::nullopt });
   const auto* report =
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -26,9 +26,10 @@
 /// The text of a configuration without queues.
 inline constexpr const char* kNoQueues = "no queues";
 
-/// Returns a fixed configuration for any text but \ref kNoQueues: queue "plan"
-/// on pool "lines", and a pool of spare hosts. Tests set the attempt limit,
-/// quota and placement policy.
+/// Returns the configuration that a test has set for the text, if any. For any
+/// other text but \ref kNoQueues it is a fixed one: queue "plan" on pool
+/// "lines", and a pool of spare hosts. Tests set the attempt limit, quota and
+/// placement policy.
 class SimulatedConfigurationReader final : public jobs::ConfigurationReader
 {
 public:
@@ -38,6 +39,7 @@
   std::uint32_t maxAttempts = 3;
   jobs::Resources quota;
   std::optional<jobs::PlacementPolicy> advice;
+  std::map<std::string, jobs::Configuration, std::less<>> configurations;
 };
 
 /// How the runs of a job's tasks behave on a simulated worker.
@@ -196,6 +198,8 @@
   std::size_t deposedLeaderProposals = 0;
   FaultProbabilities faults;
   SimulatedConfigurationReader reader;
+  /// Precedes the job id in the paths of clients' calls.
+  std::string pathPrefix = "/p/";
   /// Descriptions of the violated invariants; empty if there are none.
   std::vector<std::string> violations;
   /// All calls that the host provider has received.
