Jobs: a job is found at the host and prefix that it was submitted at

Cause: a job was looked for under the name of the queue that its path selects. Clients never see that name. By the same cause two queues that exchanged their prefixes hid each other's jobs, `pending` was 0 for the new name, and attempts, pool and policy of the removed name held.

A job now records where it was submitted, and each configuration puts it under the queue that has this address, in the replicated state. All that asks for a job's queue follows: reading, cancelling, pending, attempts, pool, order. Where no queue has the address the answer stays "not found", and the job is found again once one has. A key of another team finds a job no more, since a queue can come to be valid for other teams' keys.

--- a/packages/jobs/include/greengage/jobs/Configuration.h
+++ b/packages/jobs/include/greengage/jobs/Configuration.h
@@ -11,6 +11,7 @@
 #include "greengage/jobs/Ids.h"
 #include "greengage/jobs/Job.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,16 @@
   Duration validity = {};
 };
 
+/// Where clients reach a queue: the host name of their calls, and what precedes
+/// the job id in the path. Clients don't know a queue's name.
+struct QueueAddress
+{
+  std::string hostName;
+  std::string pathPrefix;
+
+  friend auto operator<=>(const QueueAddress&, const QueueAddress&) = default;
+};
+
 /// A queue to which clients submit jobs, and its scheduling parameters.
 struct Queue
 {
@@ -51,6 +62,8 @@
   /// Calls to this queue need no key.
   bool allowsAnonymous = false;
   std::optional<PlacementPolicy> advice = {};
+
+  QueueAddress Address() const { return { hostName, pathPrefix }; }
 };
 
 /// A pool of workers.
@@ -86,6 +99,7 @@
   const Queue* Route(std::string_view aHostName, std::string_view aPath) const;
   /// Null if there is no such entry.
   const Queue* Find(const QueueId& aQueue) const;
+  const Queue* FindAt(const QueueAddress& aAddress) const;
   const Pool* Find(const PoolId& aPool) const;
   const Team* Find(const TeamId& aTeam) const;
   /// The team that holds the key, or null.
--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -131,7 +131,14 @@
 struct Job
 {
   JobId id;
+  /// The queue that governs the job: the one that has the job's address or, if
+  /// none has, the one that last had it, also at its later address.
   QueueId queue;
+  /// The queue's name when the job was accepted.
+  QueueId acceptedQueue;
+  /// Where the job was submitted. Empty if an earlier version accepted the job
+  /// and its queue has been removed since.
+  QueueAddress address;
   TeamId team;
   Time acceptedAt;
   Time endedAt;
@@ -293,6 +300,9 @@
                       JobStateObserver& aObserver);
   void RecordConfiguredQueues();
   void ForgetUnusedQueues();
+  void FollowAddress(Job& aJob) const;
+  void FollowAddresses();
+  void RecordMissingAddresses();
   bool HasFailed(const Job& aJob,
                  const EndRun& aEnd,
                  const TaskState& aTask) const;
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -8,6 +8,7 @@
 #include "greengage/core/Error.h"
 #include "greengage/core/Ids.h"
 #include "greengage/core/Units.h"
+#include "greengage/jobs/Configuration.h"
 #include "greengage/jobs/Ids.h"
 #include "greengage/jobs/Job.h"
 
@@ -38,6 +39,9 @@
   /// The leader's wall clock time.
   Time at;
   JobDescription description;
+  /// Where the client submitted the job. Empty in entries of versions that did
+  /// not state it.
+  QueueAddress address = {};
 };
 
 struct CancelJob
--- a/packages/jobs/lib/Configuration.cpp
+++ b/packages/jobs/lib/Configuration.cpp
@@ -36,6 +36,17 @@
   return FindIn(queues, aQueue);
 }
 
+const Queue*
+Configuration::FindAt(const QueueAddress& aAddress) const
+{
+  const auto found =
+    std::find_if(queues.begin(), queues.end(), [&](const Queue& aQueue) {
+      return aQueue.hostName == aAddress.hostName &&
+             aQueue.pathPrefix == aAddress.pathPrefix;
+    });
+  return found == queues.end() ? nullptr : &*found;
+}
+
 const Pool*
 Configuration::Find(const PoolId& aPool) const
 {
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -165,6 +165,7 @@
   for (auto& [id, queue] : queues_)
     ++queue.absences;
   RecordConfiguredQueues();
+  FollowAddresses();
   ForgetUnusedQueues();
   aObserver.OnConfigurationChanged();
 }
@@ -176,6 +177,29 @@
     queues_[queue.id] = { .definition = queue, .absences = 0 };
 }
 
+/// Puts a job under the queue that has its address, if there is one: that is
+/// where its client asks for it, whatever the queue is named.
+void
+JobStateMachine::FollowAddress(Job& aJob) const
+{
+  if (!configuration_ || aJob.address == QueueAddress())
+    return;
+  const Queue* queue = configuration_->FindAt(aJob.address);
+  if (queue != nullptr)
+    aJob.queue = queue->id;
+}
+
+void
+JobStateMachine::FollowAddresses()
+{
+  std::map<QueueAddress, const Queue*> queues;
+  for (const Queue& queue : configuration_->queues)
+    queues.emplace(queue.Address(), &queue);
+  for (auto& [id, job] : jobs_)
+    if (const auto found = queues.find(job.address); found != queues.end())
+      job.queue = found->second->id;
+}
+
 void
 JobStateMachine::ForgetUnusedQueues()
 {
@@ -246,7 +270,15 @@
     return;
   Job& job = position->second;
   job.id = aOperation.id;
-  job.queue = std::move(aOperation.queue);
+  job.acceptedQueue = std::move(aOperation.queue);
+  job.queue = job.acceptedQueue;
+  job.address = std::move(aOperation.address);
+  // Entries of earlier versions don't state the address.
+  if (job.address == QueueAddress())
+    if (const auto found = queues_.find(job.queue); found != queues_.end())
+      job.address = found->second.definition.Address();
+  // The queue may have got another name since the leader accepted the job.
+  FollowAddress(job);
   job.team = std::move(aOperation.team);
   job.acceptedAt = aOperation.at;
   latestTime_ = std::max(latestTime_, aOperation.at);
@@ -403,7 +435,7 @@
   // configuration, and 1 for a queue that is not in it. Other hosts may have a
   // snapshot that this version made by that rule.
   const Queue* queue =
-    configuration_ ? configuration_->Find(aJob.queue) : nullptr;
+    configuration_ ? configuration_->Find(aJob.acceptedQueue) : nullptr;
   return failures >= (queue == nullptr ? 1 : queue->maxAttempts);
 }
 
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -92,7 +92,10 @@
                        aJob.assignedTasks,
                        aJob.completedOccurrences,
                        ToCbor(aJob.description),
-                       std::move(occurrences) });
+                       std::move(occurrences),
+                       aJob.acceptedQueue.Value(),
+                       aJob.address.hostName,
+                       aJob.address.pathPrefix });
 }
 
 static Job
@@ -119,6 +122,14 @@
     job.occurrences.emplace(item.at(0).get<std::uint32_t>(),
                             std::move(occurrence));
   }
+  // Snapshots of earlier versions lack the fields.
+  if (aValue.size() == index) {
+    job.acceptedQueue = job.queue;
+    return job;
+  }
+  job.acceptedQueue = QueueId(next().get<std::string>());
+  job.address.hostName = next().get<std::string>();
+  job.address.pathPrefix = next().get<std::string>();
   return job;
 }
 
@@ -170,6 +181,17 @@
            .maxAttempts = kUnlimitedAttempts };
 }
 
+/// Gives the jobs of a snapshot that states no addresses those of their queues,
+/// as far as they are configured.
+void
+JobStateMachine::RecordMissingAddresses()
+{
+  for (auto& [id, job] : jobs_)
+    if (job.address == QueueAddress())
+      if (const auto found = queues_.find(job.queue); found != queues_.end())
+        job.address = found->second.definition.Address();
+}
+
 std::string
 JobStateMachine::Snapshot() const
 {
@@ -278,6 +300,7 @@
       }
     if (restored.configuration_)
       restored.RecordConfiguredQueues();
+    restored.RecordMissingAddresses();
     configuration_ = std::move(restored.configuration_);
     configurationText_ = std::move(restored.configurationText_);
     queues_ = std::move(restored.queues_);
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -47,7 +47,9 @@
                        aOperation.queue.Value(),
                        aOperation.team.Value(),
                        aOperation.at.Millis(),
-                       ToCbor(aOperation.description) });
+                       ToCbor(aOperation.description),
+                       aOperation.address.hostName,
+                       aOperation.address.pathPrefix });
 }
 
 static Cbor
@@ -184,6 +186,8 @@
   } else if (const auto* accept = std::get_if<AcceptJob>(&aOperation)) {
     add(accept->queue.Value());
     add(accept->team.Value());
+    add(accept->address.hostName);
+    add(accept->address.pathPrefix);
     add(accept->description.payload);
     for (const Step& step : accept->description.steps) {
       add(step.requiredLabel);
@@ -258,6 +262,23 @@
   return end;
 }
 
+static AcceptJob
+AcceptJobFromCbor(const Cbor& aValue)
+{
+  AcceptJob accept{ .id = JobId(aValue.at(1).get<std::uint64_t>()),
+                    .queue = QueueId(aValue.at(2).get<std::string>()),
+                    .team = TeamId(aValue.at(3).get<std::string>()),
+                    .at = Time(aValue.at(4).get<std::int64_t>()),
+                    .description = JobDescriptionFromCbor(aValue.at(5)) };
+  // Entries of earlier versions lack the fields.
+  constexpr std::size_t kAddressIndex = 6;
+  if (aValue.size() > kAddressIndex + 1)
+    accept.address = { .hostName = aValue.at(kAddressIndex).get<std::string>(),
+                       .pathPrefix =
+                         aValue.at(kAddressIndex + 1).get<std::string>() };
+  return accept;
+}
+
 static std::optional<Operation>
 OperationFromCbor(const Cbor& aValue)
 {
@@ -274,11 +295,7 @@
     case OperationCode::PutConfiguration:
       return PutConfiguration{ .text = textAt(1) };
     case OperationCode::AcceptJob:
-      return AcceptJob{ .id = JobId(numberAt(1)),
-                        .queue = QueueId(textAt(2)),
-                        .team = TeamId(textAt(3)),
-                        .at = timeAt(4),
-                        .description = JobDescriptionFromCbor(aValue.at(5)) };
+      return AcceptJobFromCbor(aValue);
     case OperationCode::CancelJob:
       return CancelJob{ .id = JobId(numberAt(1)), .at = timeAt(2) };
     case OperationCode::RemoveJobRecord:
--- a/packages/jobs/unittests/QueueHistoryTest.cpp
+++ b/packages/jobs/unittests/QueueHistoryTest.cpp
@@ -111,6 +111,7 @@
                     .maxAttempts = aMaxAttempts } });
   }
   JobState State() const { return machine.Find(kJob)->state; }
+  std::string QueueOfJob() const { return machine.Find(kJob)->queue.Value(); }
   bool IsKnown(const char* aQueue) const
   {
     return machine.Queues().count(QueueId(aQueue)) != 0;
@@ -128,7 +129,13 @@
   "9002830000000080f4f4f4606000f4f46000f400000000818300f48183828701010201f4f4f4"
   "8701000101f4f4f48080018182018b62773105606000656c696e657360608083000000f48080"
   "818264706c616e656c696e6573801907d0";
-/// The entries that led to it.
+/// Written by the same version while the queue was configured.
+constexpr const char* kEarlierConfiguredSnapshot =
+  "896e3120706c616e2c612c2f702f2c33818b1b5c0e7a21d94b36f864706c616e666361786961"
+  "731903e80000f50100854178819002830000000080f4f4f4606000f4f46000f4000000008183"
+  "00f48183828700010101f4f4f48701000101f4f4f48080018182018b62773105606000656c69"
+  "6e657360608083000000f48080818264706c616e656c696e6573801907d0";
+/// The entries that led to the first one.
 const std::vector<const char*> kEarlierLog = {
   "8282016e3120706c616e2c612c2f702f2c3382078b62773105606000656c696e657360608083"
   "000000f4",
@@ -238,3 +245,75 @@
   FailRun(3, machine.MaxAttemptsOf(kJob));
   CHECK(State() == JobState::Failed);
 }
+
+TEST_CASE_METHOD(Fixture, "a job is governed by the queue that has its address")
+{
+  AcceptPlan();
+  SECTION("after a change of name")
+  {
+    Configure("2 renamed,a,/p/,4");
+    CHECK(QueueOfJob() == "renamed");
+  }
+  SECTION("after queues have exchanged their addresses")
+  {
+    Configure("2 plan,a,/q/,2 other,a,/p/,4");
+    CHECK(QueueOfJob() == "other");
+  }
+  SECTION("after a version without it and a snapshot")
+  {
+    Configure("2");
+    Restore(machine.Snapshot());
+    CHECK(QueueOfJob() == "plan");
+    Configure("3 plan,b,/p/,2 renamed,a,/p/,4");
+    CHECK(QueueOfJob() == "renamed");
+  }
+  SECTION("also if that is removed again")
+  {
+    Configure("2 renamed,a,/p/,4");
+    Configure("3 plan,a,/q/,2");
+    CHECK(QueueOfJob() == "renamed");
+  }
+  Restore(machine.Snapshot());
+  CHECK(machine.MaxAttemptsOf(kJob) == 4);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a job that was accepted before its queue got another name is "
+                 "recorded under that name")
+{
+  AcceptPlan();
+  Apply({ CancelJob{ .id = kJob, .at = Time(3000) },
+          RemoveJobRecord{ .id = kJob } });
+  Configure("2 renamed,a,/p/,4 plan,a,/q/,2");
+  Apply({ AcceptJob{ .id = kJob,
+                     .queue = QueueId("plan"),
+                     .team = TeamId("caxias"),
+                     .at = Time(4000),
+                     .description = { .payload = "x", .steps = { {} } },
+                     .address = { .hostName = "a", .pathPrefix = "/p/" } } });
+  CHECK(QueueOfJob() == "renamed");
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a job of an earlier version's log follows its address")
+{
+  for (const char* entry : kEarlierLog)
+    Apply(std::string_view(FromHex(entry)));
+  Configure("3 renamed,a,/p/,4");
+  CHECK(QueueOfJob() == "renamed");
+  // That version did not know the new name, and failed the job.
+  Apply(std::string_view(FromHex(kEarlierFailure)));
+  CHECK(State() == JobState::Failed);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a job of an earlier version's snapshot follows the address "
+                 "that its queue has there")
+{
+  Restore(FromHex(kEarlierConfiguredSnapshot));
+  Configure("2 renamed,a,/p/,4");
+  CHECK(QueueOfJob() == "renamed");
+  Restore(FromHex(kEarlierSnapshot));
+  Configure("3 renamed,a,/p/,4");
+  CHECK(QueueOfJob() == "plan");
+}
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -134,6 +134,9 @@
                           const jobs::Queue& aQueue,
                           const TeamId& aTeam,
                           const jobs::JobDescription& aDescription);
+  bool IsVisible(const jobs::Job& aJob,
+                 const jobs::Queue& aQueue,
+                 const jobs::Team* aTeam) const;
   void CancelJob(CallerId aCaller, jobs::JobId aJob);
   void ReplyWithProgress(CallerId aCaller, const jobs::Job& aJob);
   /// Dispatches if due, and proposes the collected operations as log entries.
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -345,6 +345,23 @@
   sink_.Answer(aCaller, Refused{ .reason = std::move(aCall.reason) });
 }
 
+/// Whether a call at \p aQueue with a key of \p aTeam may read and cancel the
+/// job. One of a team that is not configured any more is open to the other
+/// teams: a team that got another name may hold its keys, and nobody else could
+/// stop the job.
+bool
+Controller::IsVisible(const jobs::Job& aJob,
+                      const jobs::Queue& aQueue,
+                      const jobs::Team* aTeam) const
+{
+  if (aJob.queue != aQueue.id)
+    return false;
+  if (aQueue.allowsAnonymous || aJob.team.Value().empty())
+    return true;
+  return aJob.team == aTeam->id ||
+         stateMachine_.CurrentConfiguration()->Find(aJob.team) == nullptr;
+}
+
 void
 Controller::Serve(CallerId aCaller, QueueCall&& aCall)
 {
@@ -382,7 +399,17 @@
     return;
   }
   const jobs::Job* job = stateMachine_.Find(*id);
-  if (job == nullptr || job->queue != queue->id) {
+  if (job == nullptr || !IsVisible(*job, *queue, team)) {
+    if (job != nullptr)
+      observe::Log(observe::LogLevel::Info,
+                   "job-not-shown",
+                   { { "job", ToString(*id) },
+                     { "queue", queue->id.Value() },
+                     { "queue_of_job", job->queue.Value() },
+                     { "team", team == nullptr ? "" : team->id.Value() },
+                     { "team_of_job", job->team.Value() },
+                     { "configuration",
+                       std::to_string(configuration->version.Value()) } });
     sink_.Answer(aCaller, NoSuchJob{});
     return;
   }
@@ -477,7 +504,8 @@
                                     .queue = aQueue.id,
                                     .team = team,
                                     .at = decision.acceptedAt,
-                                    .description = std::move(*aCall.job) },
+                                    .description = std::move(*aCall.job),
+                                    .address = aQueue.Address() },
                    Accepted{});
 }
 
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -569,7 +569,7 @@
   Send(QueueCall{ .verb = QueueVerb::Submit,
                   .hostName = "h",
                   .path = pathPrefix + ToString(id),
-                  .key = "key",
+                  .key = key,
                   .job = jobs::JobDescription{ .payload = "x",
                                                .steps = std::move(aSteps) } });
   return id;
@@ -583,7 +583,7 @@
   Send(QueueCall{ .verb = QueueVerb::Cancel,
                   .hostName = "h",
                   .path = pathPrefix + ToString(aJob),
-                  .key = "key",
+                  .key = key,
                   .job = std::nullopt });
 }
 
@@ -593,7 +593,7 @@
   Send(QueueCall{ .verb = QueueVerb::Query,
                   .hostName = "h",
                   .path = pathPrefix + ToString(aJob),
-                  .key = "key",
+                  .key = key,
                   .job = std::nullopt });
   const auto* report =
     lastReply_ ? std::get_if<JobReport>(&*lastReply_) : nullptr;
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -200,6 +200,8 @@
   SimulatedConfigurationReader reader;
   /// Precedes the job id in the paths of clients' calls.
   std::string pathPrefix = "/p/";
+  /// The key in clients' calls.
+  std::string key = "key";
   /// Descriptions of the violated invariants; empty if there are none.
   std::vector<std::string> violations;
   /// All calls that the host provider has received.
