Jobs: a submission that arrives after its cancellation is refused

Cause: the leader acknowledged the cancelling of a job that it did not know, and kept nothing of it. By the same cause a DELETE that came while the entry that accepts the job was proposed, and not committed, was answered 410 and stopped nothing. That the entry host passes on what a client that has gone left in its socket is no fault by itself: a client that waits for its answer looks the same.

The cancelling of an unknown job is now an entry of the log, acknowledged once it is committed, and kept in the replicated state for 180 s with id, host, prefix and team. A matching submission is answered 410 and never runs, by any leader and after a restart. 32,768 are kept at most, in equal shares for the teams; beyond its share a DELETE is answered 429 and not acknowledged.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -115,6 +115,8 @@
   const jobs::JobStateMachine& state = controller_.StateMachine();
   host_.metrics.Set("greengage_removed_queues",
                     static_cast<double>(state.RemovedQueueCount()));
+  host_.metrics.Set("greengage_early_cancellations",
+                    static_cast<double>(state.CancelledJobs().Count()));
   const schedule::Scheduler& scheduler = controller_.GetScheduler();
   const schedule::DispatchWork& work = scheduler.Work();
   const auto since = [](std::uint64_t aNow, std::uint64_t aBefore) {
--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -7,6 +7,7 @@
 
 #include "greengage/core/Error.h"
 #include "greengage/jobs/Configuration.h"
+#include "greengage/jobs/EarlyCancellations.h"
 #include "greengage/jobs/Operation.h"
 
 #include <cstddef>
@@ -259,6 +260,7 @@
   }
   /// What the crashes of the task add up to if its suspected runs are counted.
   SuspectedCrashes SuspectedCrashesOf(const TaskId& aTask) const;
+  const EarlyCancellations& CancelledJobs() const { return cancelledJobs_; }
   /// The registered workers, by number.
   const std::map<WorkerNumber, WorkerRecord>& Workers() const
   {
@@ -326,6 +328,7 @@
   std::optional<Configuration> configuration_;
   std::string configurationText_;
   std::map<QueueId, KnownQueue> queues_;
+  EarlyCancellations cancelledJobs_;
   std::unordered_map<JobId, Job> jobs_;
   std::map<WorkerNumber, WorkerRecord> workers_;
   std::map<WorkerId, WorkerNumber> workerNumbers_;
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -44,10 +44,15 @@
   QueueAddress address = {};
 };
 
+/// Cancels a job. With an address, the leader did not know the job: only a job
+/// of that address and team is cancelled, and if there is none the cancellation
+/// is remembered for a submission that comes later.
 struct CancelJob
 {
   JobId id;
   Time at;
+  std::optional<QueueAddress> address = {};
+  TeamId team = {};
 };
 
 /// Removes the record of a job that has ended and has no assigned tasks.
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -282,6 +282,7 @@
   job.team = std::move(aOperation.team);
   job.acceptedAt = aOperation.at;
   latestTime_ = std::max(latestTime_, aOperation.at);
+  cancelledJobs_.Forget(latestTime_);
   job.description = std::move(aOperation.description);
   for (std::uint32_t number = 0; number < OccurrenceCount(job); ++number)
     job.occurrences.emplace(number, MakeOccurrence(job.description));
@@ -311,8 +312,24 @@
                                 JobStateObserver& aObserver)
 {
   const auto found = jobs_.find(aOperation.id);
-  if (found != jobs_.end() && found->second.state == JobState::Live)
-    EndJob(found->second, JobState::Cancelled, aOperation.at, aObserver);
+  if (found == jobs_.end()) {
+    if (!aOperation.address)
+      return;
+    latestTime_ = std::max(latestTime_, aOperation.at);
+    cancelledJobs_.Forget(latestTime_);
+    cancelledJobs_.Record({ .id = aOperation.id,
+                            .address = std::move(*aOperation.address),
+                            .team = std::move(aOperation.team) },
+                          latestTime_);
+    return;
+  }
+  Job& job = found->second;
+  const bool isMeant = !aOperation.address ||
+                       (job.address == *aOperation.address &&
+                        (job.team == aOperation.team || job.team == TeamId() ||
+                         aOperation.team == TeamId()));
+  if (isMeant && job.state == JobState::Live)
+    EndJob(job, JobState::Cancelled, aOperation.at, aObserver);
 }
 
 void
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -171,6 +171,32 @@
   return runs;
 }
 
+static Cbor
+ToCbor(const EarlyCancellations& aCancellations)
+{
+  Cbor jobs = Cbor::array();
+  for (const auto& cancellation : aCancellations.All()) {
+    const CancelledJob& job = cancellation->first;
+    jobs.push_back(Cbor::array({ job.id.Value(),
+                                 job.address.hostName,
+                                 job.address.pathPrefix,
+                                 job.team.Value(),
+                                 cancellation->second.Millis() }));
+  }
+  return jobs;
+}
+
+static void
+RecordFromCbor(const Cbor& aValue, EarlyCancellations& aCancellations)
+{
+  aCancellations.Record(
+    { .id = JobId(aValue.at(0).get<std::uint64_t>()),
+      .address = { .hostName = aValue.at(1).get<std::string>(),
+                   .pathPrefix = aValue.at(2).get<std::string>() },
+      .team = TeamId(aValue.at(3).get<std::string>()) },
+    Time(aValue.at(4).get<std::int64_t>()));
+}
+
 /// A removed queue as the snapshot of an earlier version states it. No failure
 /// ends its jobs, since their limit is lost and a job that failed can't go on.
 static Queue
@@ -232,7 +258,8 @@
                                      std::move(queuePools),
                                      SuspectedRunsToCbor(suspectedRuns_),
                                      latestTime_.Millis(),
-                                     std::move(removedQueues) }));
+                                     std::move(removedQueues),
+                                     ToCbor(cancelledJobs_) }));
 }
 
 bool
@@ -301,9 +328,14 @@
     if (restored.configuration_)
       restored.RecordConfiguredQueues();
     restored.RecordMissingAddresses();
+    constexpr std::size_t kCancelledJobs = 10;
+    if (value.size() > kCancelledJobs)
+      for (const Cbor& item : value.at(kCancelledJobs))
+        RecordFromCbor(item, restored.cancelledJobs_);
     configuration_ = std::move(restored.configuration_);
     configurationText_ = std::move(restored.configurationText_);
     queues_ = std::move(restored.queues_);
+    cancelledJobs_ = std::move(restored.cancelledJobs_);
     jobs_ = std::move(restored.jobs_);
     workers_ = std::move(restored.workers_);
     workerNumbers_ = std::move(restored.workerNumbers_);
--- a/packages/jobs/lib/Operation.cpp
+++ b/packages/jobs/lib/Operation.cpp
@@ -55,9 +55,15 @@
 static Cbor
 OperationToCbor(const CancelJob& aOperation)
 {
-  return Cbor::array({ OperationCode::CancelJob,
-                       aOperation.id.Value(),
-                       aOperation.at.Millis() });
+  Cbor encoded = Cbor::array({ OperationCode::CancelJob,
+                               aOperation.id.Value(),
+                               aOperation.at.Millis() });
+  if (aOperation.address) {
+    encoded.push_back(aOperation.address->hostName);
+    encoded.push_back(aOperation.address->pathPrefix);
+    encoded.push_back(aOperation.team.Value());
+  }
+  return encoded;
 }
 
 static Cbor
@@ -195,6 +201,12 @@
       add(step.image);
       bytes += kMaxFixedBytes + step.dependencies.size() * kMaxItemHeaderBytes;
     }
+  } else if (const auto* cancel = std::get_if<CancelJob>(&aOperation)) {
+    if (cancel->address) {
+      add(cancel->address->hostName);
+      add(cancel->address->pathPrefix);
+    }
+    add(cancel->team.Value());
   } else if (const auto* end = std::get_if<EndRun>(&aOperation)) {
     add(end->checkpoint);
   } else if (const auto* known = std::get_if<RegisterWorker>(&aOperation)) {
@@ -279,6 +291,22 @@
   return accept;
 }
 
+static CancelJob
+CancelJobFromCbor(const Cbor& aValue)
+{
+  CancelJob cancel{ .id = JobId(aValue.at(1).get<std::uint64_t>()),
+                    .at = Time(aValue.at(2).get<std::int64_t>()) };
+  constexpr std::size_t kAddressIndex = 3;
+  if (aValue.size() > kAddressIndex) {
+    cancel.address =
+      QueueAddress{ .hostName = aValue.at(kAddressIndex).get<std::string>(),
+                    .pathPrefix =
+                      aValue.at(kAddressIndex + 1).get<std::string>() };
+    cancel.team = TeamId(aValue.at(kAddressIndex + 2).get<std::string>());
+  }
+  return cancel;
+}
+
 static std::optional<Operation>
 OperationFromCbor(const Cbor& aValue)
 {
@@ -297,7 +325,7 @@
     case OperationCode::AcceptJob:
       return AcceptJobFromCbor(aValue);
     case OperationCode::CancelJob:
-      return CancelJob{ .id = JobId(numberAt(1)), .at = timeAt(2) };
+      return CancelJobFromCbor(aValue);
     case OperationCode::RemoveJobRecord:
       return RemoveJobRecord{ .id = JobId(numberAt(1)) };
     case OperationCode::AssignTask:
--- a/packages/jobs/unittests/JobStateMachineTest.cpp
+++ b/packages/jobs/unittests/JobStateMachineTest.cpp
@@ -644,12 +644,16 @@
                              .rack = RackId(text),
                              .labels = texts };
   const std::vector<HostId> hosts(20, HostId(text));
+  const QueueAddress address{ .hostName = text, .pathPrefix = text };
   const Operation operation = GENERATE_COPY(
     as<Operation>{},
     PutConfiguration{ .text = text },
-    AcceptJob{
-      .queue = QueueId(text), .team = TeamId(text), .description = job },
+    AcceptJob{ .queue = QueueId(text),
+               .team = TeamId(text),
+               .description = job,
+               .address = address },
     CancelJob{},
+    CancelJob{ .address = address, .team = TeamId(text) },
     RemoveJobRecord{},
     AssignTask{},
     EndRun{ .checkpoint = text },
--- a/packages/schedule/include/greengage/schedule/Controller.h
+++ b/packages/schedule/include/greengage/schedule/Controller.h
@@ -20,6 +20,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -138,6 +139,10 @@
                  const jobs::Queue& aQueue,
                  const jobs::Team* aTeam) const;
   void CancelJob(CallerId aCaller, jobs::JobId aJob);
+  void CancelUnknownJob(CallerId aCaller, jobs::CancelledJob aJob);
+  bool IsCancellationProposed(const jobs::CancelledJob& aJob,
+                              const TeamId& aTeam) const;
+  bool WasCancelled(const jobs::CancelledJob& aJob) const;
   void ReplyWithProgress(CallerId aCaller, const jobs::Job& aJob);
   /// Dispatches if due, and proposes the collected operations as log entries.
   void Flush(ClockReading aNow);
@@ -163,6 +168,8 @@
   BacklogAdmission admission_;
   /// Jobs whose acceptance is proposed and not committed.
   std::unordered_set<jobs::JobId> proposedJobs_;
+  /// Jobs whose early cancellation is proposed and not committed, by team.
+  std::map<TeamId, std::set<jobs::CancelledJob>> proposedCancellations_;
   /// Replies that came while this host held no leader lease. They are handled
   /// once it has renewed the lease, and dropped if another host leads.
   std::vector<WorkerReply> deferredReplies_;
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -76,6 +76,7 @@
   queuedBatches_.clear();
   deferredReplies_.clear();
   proposedJobs_.clear();
+  proposedCancellations_.clear();
 }
 
 bool
@@ -213,6 +214,11 @@
   std::erase_if(proposedJobs_, [&](jobs::JobId aJob) {
     return stateMachine_.Find(aJob) != nullptr;
   });
+  for (auto& [team, proposed] : proposedCancellations_)
+    std::erase_if(proposed, [&](const jobs::CancelledJob& aJob) {
+      return stateMachine_.Find(aJob.id) != nullptr ||
+             stateMachine_.CancelledJobs().Find(aJob);
+    });
   if (hostPlanner_.IsOrderDue())
     nextPlanning_ = aNow.steady;
 }
@@ -399,6 +405,13 @@
     return;
   }
   const jobs::Job* job = stateMachine_.Find(*id);
+  if (job == nullptr && aCall.verb == QueueVerb::Cancel) {
+    CancelUnknownJob(aCaller,
+                     { .id = *id,
+                       .address = queue->Address(),
+                       .team = queue->allowsAnonymous ? TeamId() : team->id });
+    return;
+  }
   if (job == nullptr || !IsVisible(*job, *queue, team)) {
     if (job != nullptr)
       observe::Log(observe::LogLevel::Info,
@@ -473,6 +486,17 @@
     return;
   }
   const TeamId team = aTeam == nullptr ? TeamId() : aTeam->id;
+  if (WasCancelled({ .id = aJob, .address = aQueue.Address(), .team = team })) {
+    observe::Log(observe::LogLevel::Info,
+                 "job-refused-as-cancelled",
+                 { { "job", ToString(aJob) },
+                   { "queue", aQueue.id.Value() },
+                   { "team", team.Value() } });
+    Refuse(aCaller,
+           ErrorKind::Cancelled,
+           "the job was cancelled before it was submitted");
+    return;
+  }
   const AdmissionDecision decision = Admit(aJob, aQueue, team, *aCall.job);
   if (!decision.isAdmitted) {
     sink_.Answer(
@@ -518,6 +542,79 @@
     aCaller, jobs::CancelJob{ .id = aJob, .at = now_.wall }, Accepted{});
 }
 
+/// Whether a call with a key of \p aTeam, or without one, has cancelled the
+/// job.
+bool
+Controller::IsCancellationProposed(const jobs::CancelledJob& aJob,
+                                   const TeamId& aTeam) const
+{
+  const auto proposed = proposedCancellations_.find(aTeam);
+  return proposed != proposedCancellations_.end() &&
+         proposed->second.count(
+           { .id = aJob.id, .address = aJob.address, .team = aTeam }) != 0;
+}
+
+bool
+Controller::WasCancelled(const jobs::CancelledJob& aJob) const
+{
+  return stateMachine_.CancelledJobs().Find(aJob) ||
+         IsCancellationProposed(aJob, aJob.team) ||
+         IsCancellationProposed(aJob, TeamId());
+}
+
+/// Cancels a job that is not accepted: its submission may be proposed, or still
+/// on its way here. The caller is told that there is no such job once a
+/// submission that comes later can't be accepted any more.
+void
+Controller::CancelUnknownJob(CallerId aCaller, jobs::CancelledJob aJob)
+{
+  const jobs::EarlyCancellations& remembered = stateMachine_.CancelledJobs();
+  if (remembered.Find(aJob)) {
+    sink_.Answer(aCaller, NoSuchJob{});
+    return;
+  }
+  const bool isProposed = proposedJobs_.count(aJob.id) != 0;
+  const std::size_t share =
+    jobs::kMaxEarlyCancellations /
+    (stateMachine_.CurrentConfiguration()->teams.size() + 1);
+  std::set<jobs::CancelledJob>& proposed = proposedCancellations_[aJob.team];
+  const std::size_t count = remembered.CountOf(aJob.team) + proposed.size();
+  // The oldest is forgotten first, whichever team's it is, by the next entry
+  // that is applied once its time is over.
+  const Duration wait = remembered.Count() == 0
+                          ? kTakeOverTime
+                          : remembered.All().front()->second +
+                              jobs::kCancellationMemory - now_.wall;
+  const bool isRefused = !isProposed && count >= share && wait >= Duration(0);
+  observe::Log(observe::LogLevel::Info,
+               isRefused ? "early-cancellation-refused"
+                         : "early-cancellation-recording",
+               { { "job", ToString(aJob.id) },
+                 { "team", aJob.team.Value() },
+                 { "submission_proposed", isProposed ? "yes" : "no" },
+                 { "remembered", std::to_string(count) },
+                 { "limit", std::to_string(share) } });
+  if (isRefused) {
+    sink_.Answer(
+      aCaller,
+      Refused{ .reason = { ErrorKind::LimitReached,
+                           "too many jobs were cancelled that had not been "
+                           "submitted" },
+               .retryAfter = std::max(wait, kTakeOverTime) });
+    return;
+  }
+  proposed.insert(aJob);
+  Reply reply = NoSuchJob{};
+  if (isProposed)
+    reply = Accepted{};
+  ProposeWithReply(aCaller,
+                   jobs::CancelJob{ .id = aJob.id,
+                                    .at = now_.wall,
+                                    .address = std::move(aJob.address),
+                                    .team = std::move(aJob.team) },
+                   std::move(reply));
+}
+
 void
 Controller::ReplyWithProgress(CallerId aCaller, const jobs::Job& aJob)
 {
