Scheduler: a change of configuration counts the live jobs of queues once

A configuration that removes many queues made the leader walk all its live jobs for the log line of each, and each accepted job was compared with the addresses of all queues. Found by reading the diff; nothing was seen by callers.

The jobs are counted once, and a job whose queue has its address under its name is not looked up again. The state and the log lines are the same: the 21 cases of RemovedQueueTest, RenamedQueueTest and OvertakenSubmissionTest and jobs_tests pass.

--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -273,12 +273,14 @@
   job.acceptedQueue = std::move(aOperation.queue);
   job.queue = job.acceptedQueue;
   job.address = std::move(aOperation.address);
+  const auto queue = queues_.find(job.queue);
   // Entries of earlier versions don't state the address.
-  if (job.address == QueueAddress())
-    if (const auto found = queues_.find(job.queue); found != queues_.end())
-      job.address = found->second.definition.Address();
+  if (job.address == QueueAddress() && queue != queues_.end())
+    job.address = queue->second.definition.Address();
   // The queue may have got another name since the leader accepted the job.
-  FollowAddress(job);
+  if (queue == queues_.end() || queue->second.absences > 0 ||
+      queue->second.definition.Address() != job.address)
+    FollowAddress(job);
   job.team = std::move(aOperation.team);
   job.acceptedAt = aOperation.at;
   latestTime_ = std::max(latestTime_, aOperation.at);
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -293,7 +293,8 @@
   static bool HasDispatchableStep(const jobs::Job& aJob);
   /// Null if the queue is not known.
   const QueueState* FindQueue(const jobs::QueueId& aQueue) const;
-  void LogQueueChange(const jobs::KnownQueue& aQueue) const;
+  void LogQueueChanges(
+    const std::vector<const jobs::KnownQueue*>& aQueues) const;
   void DispatchJob(const Candidate& aCandidate);
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -133,14 +133,16 @@
   std::erase_if(queues_, [&](const auto& aItem) {
     return stateMachine_.Queues().count(aItem.first) == 0;
   });
+  std::vector<const jobs::KnownQueue*> changed;
   for (const auto& [id, queue] : stateMachine_.Queues()) {
     QueueState& state = queues_[id];
     const bool isRemoved = queue.absences > 0;
     if (state.definition != nullptr && state.isRemoved != isRemoved)
-      LogQueueChange(queue);
+      changed.push_back(&queue);
     state.definition = &queue.definition;
     state.isRemoved = isRemoved;
   }
+  LogQueueChanges(changed);
   quotas_.clear();
   if (const jobs::Configuration* configuration =
         stateMachine_.CurrentConfiguration())
@@ -156,30 +158,34 @@
   return found == queues_.end() ? nullptr : &found->second;
 }
 
-/// Logs that a queue with live jobs was removed or is configured again.
+/// Logs which of the queues, each of which was removed or is configured again,
+/// have live jobs.
 void
-Scheduler::LogQueueChange(const jobs::KnownQueue& aQueue) const
+Scheduler::LogQueueChanges(
+  const std::vector<const jobs::KnownQueue*>& aQueues) const
 {
-  if (!IsLeading())
-    return;
-  const jobs::Queue& definition = aQueue.definition;
-  const auto count =
-    std::count_if(liveJobs_.begin(), liveJobs_.end(), [&](jobs::JobId aJob) {
-      const jobs::Job* job = stateMachine_.Find(aJob);
-      return job != nullptr && job->queue == definition.id;
-    });
-  if (count == 0)
+  if (!IsLeading() || aQueues.empty())
     return;
-  observe::Log(
-    observe::LogLevel::Info,
-    aQueue.absences > 0 ? "queue-removed" : "queue-configured-again",
-    { { "queue", definition.id.Value() },
-      { "live_jobs", std::to_string(count) },
-      { "pool", definition.pool.Value() },
-      { "max_attempts", std::to_string(definition.maxAttempts) },
-      { "configuration",
-        std::to_string(
-          stateMachine_.CurrentConfiguration()->version.Value()) } });
+  std::map<jobs::QueueId, std::size_t> liveJobs;
+  for (const jobs::JobId id : liveJobs_)
+    if (const jobs::Job* job = stateMachine_.Find(id))
+      ++liveJobs[job->queue];
+  for (const jobs::KnownQueue* queue : aQueues) {
+    const jobs::Queue& definition = queue->definition;
+    const auto count = liveJobs.find(definition.id);
+    if (count == liveJobs.end())
+      continue;
+    observe::Log(
+      observe::LogLevel::Info,
+      queue->absences > 0 ? "queue-removed" : "queue-configured-again",
+      { { "queue", definition.id.Value() },
+        { "live_jobs", std::to_string(count->second) },
+        { "pool", definition.pool.Value() },
+        { "max_attempts", std::to_string(definition.maxAttempts) },
+        { "configuration",
+          std::to_string(
+            stateMachine_.CurrentConfiguration()->version.Value()) } });
+  }
 }
 
 std::optional<Time>
