--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -202,9 +202,11 @@
 static Queue
 PoolOnlyQueue(QueueId aId, PoolId aPool)
 {
-  return { .id = std::move(aId),
-           .pool = std::move(aPool),
-           .maxAttempts = kUnlimitedAttempts };
+  Queue queue;
+  queue.id = std::move(aId);
+  queue.pool = std::move(aPool);
+  queue.maxAttempts = kUnlimitedAttempts;
+  return queue;
 }
 
 /// Gives the jobs of a snapshot that states no addresses those of their queues,
