--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p target/review-2
 pids=()
 build() { # source program
-  g++ -std=c++20 -O1 -pthread -Ireview/standins-2 "$1" -o "target/review-2/$2" &
+  g++ -std=c++20 -O1 -pthread "$1" -o "target/review-2/$2" &
   pids+=($!)
 }
 build review/standins-2/worker.cpp worker
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -114,10 +114,10 @@
                                       deployment.Folder(),
                                       RecordPath() };
     command.insert(command.end(), aMore.begin(), aMore.end());
-    return std::make_unique<Process>(
-      command,
-      std::map<std::string, std::string>{},
-      deployment.Folder() + "/worker-" + number + ".log");
+    return std::make_unique<Process>(command,
+                                     std::map<std::string, std::string>{},
+                                     deployment.Folder() + "/worker-" + number +
+                                       ".log");
   }
 
   /// A client's call at an entry host, with the tenant's key.
--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -263,9 +263,9 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const sockaddr_in address = ToSocket(aTo);
   Response response;
-  if (connect(
-        fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
-      0) {
+  if (connect(fd,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) == 0) {
     std::string request = aMethod + " " + aPath + " HTTP/1.1\r\n";
     bool hasHost = false;
     for (const auto& [name, value] : aHeaders) {
@@ -330,11 +330,11 @@
             Reset(fd);
             return;
           }
-          std::string text = "HTTP/1.1 " + std::to_string(response->status) +
-                             " status\r\nContent-Type: application/json\r\n" +
-                             "Content-Length: " +
-                             std::to_string(response->body.size()) +
-                             "\r\n\r\n" + response->body;
+          std::string text =
+            "HTTP/1.1 " + std::to_string(response->status) +
+            " status\r\nContent-Type: application/json\r\n" +
+            "Content-Length: " + std::to_string(response->body.size()) +
+            "\r\n\r\n" + response->body;
           if (!WriteAll(fd, text))
             break;
         }
@@ -493,8 +493,8 @@
   {
     const std::int64_t until = SteadyMillis() + aMillis;
     for (int turn = 0; SteadyMillis() < until; ++turn) {
-      const Response response = Call(
-        Control(turn % kControlHosts), aMethod, aPath, {}, aBody, 1000);
+      const Response response =
+        Call(Control(turn % kControlHosts), aMethod, aPath, {}, aBody, 1000);
       if (response.status == 200 || response.status == 400)
         return response;
       Sleep(100);
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -80,9 +80,9 @@
   int Serve()
   {
     Note("up born=" + std::to_string(born_));
-    const bool isOpen = kit::Serve(
-      options_.address,
-      [this](const Request& aRequest) { return Handle(aRequest); });
+    const bool isOpen =
+      kit::Serve(options_.address,
+                 [this](const Request& aRequest) { return Handle(aRequest); });
     if (!isOpen)
       return 2;
     std::thread([this] { Work(); }).detach();
@@ -126,13 +126,12 @@
     body["labels"] = options_.labels;
     body["seq"] = aSequence;
     for (const Address& control : options_.controls) {
-      const Response response =
-        Call(control,
-             "POST",
-             "/instances/" + options_.id + "/heartbeat",
-             {},
-             body.dump(),
-             1000);
+      const Response response = Call(control,
+                                     "POST",
+                                     "/instances/" + options_.id + "/heartbeat",
+                                     {},
+                                     body.dump(),
+                                     1000);
       if (response.status >= 200 && response.status < 300)
         return;
     }
