Show that a submission with another tenant's id is acknowledged and lost (LOST)

Two tenants on two queues choose the same id; both are answered 200, the second is then answered 410 and never runs.

--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -20,6 +20,8 @@
 
 inline const std::string kHost = "pule25.example";
 inline const std::string kKey = "sjnbanfqasnmgkcuyj8p";
+/// Of the second tenant.
+inline const std::string kOtherKey = "jbvk9m68k7b2ex5wa5xw";
 
 struct QueueOptions
 {
@@ -61,12 +63,15 @@
                        { "max-body-bytes", 262144 },
                        { "header-timeout-ms", 3000 },
                        { "idle-timeout-ms", 15000 } };
-  config["tenants"] = Json::array(
-    { { { "name", "cugo130" },
-        { "api-keys", Json::array({ kKey }) },
-        { "prio", 1 },
-        { "weight", 37 },
-        { "cap", { { "cpu", 0 }, { "mem-mb", 0 }, { "gpu", 0 } } } } });
+  const auto tenant = [](const char* aName, const std::string& aKey) {
+    return Json{ { "name", aName },
+                 { "api-keys", Json::array({ aKey }) },
+                 { "prio", 1 },
+                 { "weight", 37 },
+                 { "cap", { { "cpu", 0 }, { "mem-mb", 0 }, { "gpu", 0 } } } };
+  };
+  config["tenants"] =
+    Json::array({ tenant("cugo130", kKey), tenant("dabo22", kOtherKey) });
   return config;
 }
 
@@ -125,19 +130,20 @@
                const std::string& aMethod,
                const std::string& aPath,
                const std::string& aBody = {},
-               std::int64_t aTimeout = 3000)
+               const std::string& aKey = kKey)
   {
     const std::string call = aMethod + " " + aPath;
+    constexpr std::int64_t kDeadline = 3000;
     Note("sent to entry " + std::to_string(aEntry) + ": " + call);
     const Response response =
       Call(deployment.Front(aEntry),
            aMethod,
            aPath,
            { { "Host", kHost },
-             { "Authorization", "Token " + kKey },
-             { "Deadline-Ms", std::to_string(aTimeout) } },
+             { "Authorization", "Token " + aKey },
+             { "Deadline-Ms", std::to_string(kDeadline) } },
            aBody,
-           aTimeout);
+           kDeadline);
     Note("answered: " + call + " " + std::to_string(response.status) + " " +
          response.body);
     return response;
