--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,50 +1,68 @@
 /// \file
-/// Two tenants hand in work on queues of their own, and happen to choose the
-/// same id. Whatever is acknowledged has to be known to its tenant, and to run.
+/// One worker of twelve fails all that it starts for a while. A gang of two is
+/// started there once, and both members end failed: that is one failed run of
+/// the gang, of the two that its queue allows.
 
 #include "../standins-2/Fleet.h"
 
 using namespace kit;
 
-/// visible_ms of renova-sul.
-constexpr std::int64_t kVisible = 3000;
+/// Of renova-sul.toml: { srv_grey, how errors, share 0.085, x 1.0, for_s 6.5 },
+/// and 'attempts' of line-plan.
+constexpr int kWorkers = 12;
+constexpr int kGreyFor = 6500;
+constexpr int kAttempts = 2;
 
 int
 main()
 {
   Scene scene;
-  if (!scene.Start(Configuration(1,
-                                 { "balanca", "linhas" },
-                                 { { "r-1", "/puxa400/", "balanca", 3 },
-                                   { "r-2", "/zizi35/", "linhas", 3 } })))
+  if (!scene.Start(Configuration(
+        1, { "linhas" }, { { "r-1", "/puxa400/", "linhas", kAttempts } })))
     return scene.End(kNotRun, "the deployment did not start");
-  const auto first = scene.StartWorker(0, "balanca", "a,r1-0");
-  const auto second = scene.StartWorker(1, "linhas", "a,r1-1");
+  std::vector<std::unique_ptr<Process>> workers;
+  for (int index = 1; index < kWorkers; ++index)
+    workers.push_back(
+      scene.StartWorker(index, "linhas", "a,r1-" + std::to_string(index)));
+  std::vector<std::string> more;
+  if (IsTroubled())
+    more.push_back("fail-until=" + std::to_string(kGreyFor));
+  workers.push_back(scene.StartWorker(0, "linhas", "a,r1-0", more));
   Sleep(2500);
-  const auto job = [](const char* aSpec) {
-    return Json{
-      { "spec", aSpec },
-      { "steps",
-        Json::array({ { { "count", 1 }, { "cpu", 500 }, { "est-ms", 500 } } }) }
-    }.dump();
-  };
-  const std::string id = "0000000000000001";
-  const std::string other = IsTroubled() ? id : "0000000000000002";
-  if (scene.Ask(0, "POST", "/puxa400/" + id, job("work=500")).status != 200)
-    return scene.End(kNotRun, "the first submission was not accepted");
-  Sleep(100);
-  const std::string path = "/zizi35/" + other;
-  const int answer =
-    scene.Ask(1, "POST", path, job("work=400"), kOtherKey).status;
-  Sleep(kVisible + 1000);
-  const Response shown = scene.Ask(1, "GET", path, {}, kOtherKey);
-  const bool hasRun = scene.CountLines("i-1 start ") > 0;
-  if (answer == 200 && (shown.status == 410 || !hasRun))
-    return scene.End(kBroken,
-                     "LOST: accepted with 200, then GET is answered " +
-                       std::to_string(shown.status) + " and " +
-                       (hasRun ? "it ran" : "nothing of it has run"));
-  return scene.End(kHeld,
-                   "answered " + std::to_string(answer) + ", then " +
-                     std::to_string(shown.status));
+  const std::string path = "/puxa400/5c0e7a21d94b36f8";
+  const Json job{ { "spec", "work=1000;gang=2" },
+                  { "steps",
+                    Json::array({ { { "count", 2 },
+                                    { "cpu", 500 },
+                                    { "mem-mb", 256 },
+                                    { "est-ms", 1000 },
+                                    { "gang", true },
+                                    { "affinity", "r1-0" } } }) } };
+  if (!scene.Submit(path, job))
+    return scene.End(kNotRun, "the submission was not accepted");
+  std::string state;
+  for (int turn = 0; turn < 40; ++turn) {
+    Sleep(1000);
+    state = scene.StateOf(path, turn);
+    if (state == "completed" || state == "failed" || state == "cancelled")
+      break;
+  }
+  // A run of the gang is an attempt: its members share the number.
+  std::set<std::string> failedRuns;
+  for (const std::string& line : scene.Lines())
+    if (line.find(" end ") != std::string::npos &&
+        line.find(" failed number=") != std::string::npos) {
+      const std::size_t at = line.find("attempt=");
+      failedRuns.insert(line.substr(at, line.find(' ', at) - at));
+    }
+  if (state == "failed" && failedRuns.size() < kAttempts)
+    return scene.End(
+      kBroken,
+      "LOST: shown as failed after " + std::to_string(failedRuns.size()) +
+        " failed run of the gang, of " + std::to_string(kAttempts));
+  if (state == "completed")
+    return scene.End(kHeld, "the submission was completed");
+  return scene.End(kNotRun,
+                   "the state is '" + state + "' after " +
+                     std::to_string(failedRuns.size()) + " failed runs");
 }
