--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -371,6 +372,8 @@
     pid_ = fork();
     if (pid_ != 0)
       return;
+    // No child outlives a script that is ended.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     for (const auto& [name, value] : environment_)
       setenv(name.c_str(), value.c_str(), 1);
     const int log =
