Jobs: a run of a gang is one failed run, however many members fail in it

Cause: the failures of all members were added up and compared with the limit of runs. The record of the case has one attempt, two ends `failed`, no second start and no restart of a worker.

`run-ended` and `job-failed` have `failed_runs`, `run-ended` also `stated_limit`.

--- a/packages/jobs/include/greengage/jobs/JobStateMachine.h
+++ b/packages/jobs/include/greengage/jobs/JobStateMachine.h
@@ -109,6 +109,17 @@
   Time latestAt;
 };
 
+/// The runs of a gang in which a member failed. All members of a run have the
+/// same attempt, and none runs again before the runs of all have ended.
+struct FailedGangRuns
+{
+  std::uint32_t count = 0;
+  /// The attempt of the latest one; 0 if there is none.
+  Attempt latest;
+
+  void Record(Attempt aAttempt);
+};
+
 /// The state of one step in one occurrence of a job.
 struct StepState
 {
@@ -119,6 +130,8 @@
   std::map<std::uint32_t, std::string> checkpoints;
   /// By task index, for tasks under which a worker has crashed.
   std::map<std::uint32_t, TaskCrashes> crashes;
+  /// Empty if the step is not a gang.
+  FailedGangRuns failedGangRuns;
 };
 
 /// One execution of all steps of a job.
@@ -279,10 +292,21 @@
   /// It does not go back where the clocks of leaders differ.
   Time LatestTime() const { return latestTime_; }
 
-  /// Number of failed runs of one task, or of all tasks of a gang together,
-  /// after which the job fails. kUnlimitedAttempts if there is no such job, or
+  /// Number of failed runs of one task, or of one gang, after which the job
+  /// fails. kUnlimitedAttempts if there is no such job, or
   /// if its queue is known only from the snapshot of an earlier version.
   std::uint32_t MaxAttemptsOf(JobId aJob) const;
+  /// The number of recorded runs of the task that have failed or, if it is in a
+  /// gang, of the gang's runs in which a member has failed. 0 if there is no
+  /// such task.
+  std::uint32_t FailedRunsOf(const TaskId& aTask) const;
+  /// What the leader states in EndRun::maxAttempts for this end. Hosts of
+  /// earlier versions add up the failures of the members of a gang; for these
+  /// it is 1 if the gang's failed runs reach the limit with this end, and
+  /// kUnlimitedAttempts otherwise, so that all versions decide alike.
+  std::uint32_t StatedLimitOf(const TaskId& aTask,
+                              Attempt aAttempt,
+                              RunOutcome aOutcome) const;
 
 private:
   void ApplyOperation(PutConfiguration&& aOperation,
@@ -315,6 +339,7 @@
   void ApplyOperation(RepeatStart&& aOperation, JobStateObserver& aObserver);
   void SuspectRun(const EndRun& aEnd, WorkerNumber aWorker);
   TaskState* FindTask(const TaskId& aTask);
+  const StepState* FindStep(const TaskId& aTask) const;
   void EndJob(Job& aJob,
               JobState aState,
               Time aEndedAt,
--- a/packages/jobs/include/greengage/jobs/Operation.h
+++ b/packages/jobs/include/greengage/jobs/Operation.h
@@ -105,8 +105,10 @@
   std::string checkpoint;
   Time at;
   CrashSuspicion suspicion = CrashSuspicion::None;
-  /// The attempt limit of the job, by which all hosts decide whether it fails;
-  /// 0 in entries of versions that did not state it.
+  /// By which all hosts decide whether the job fails: with this many failed
+  /// runs of the task or, in a gang, failures of all members together. 0 in
+  /// entries of versions that did not state it. See
+  /// JobStateMachine::StatedLimitOf.
   std::uint32_t maxAttempts = 0;
 };
 
--- a/packages/jobs/lib/JobStateMachine.cpp
+++ b/packages/jobs/lib/JobStateMachine.cpp
@@ -38,26 +38,41 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-TaskState*
-JobStateMachine::FindTask(const TaskId& aTask)
+const StepState*
+JobStateMachine::FindStep(const TaskId& aTask) const
 {
-  const auto job = jobs_.find(aTask.job);
-  if (job == jobs_.end())
-    return nullptr;
-  const auto occurrence = job->second.occurrences.find(aTask.occurrence);
-  if (occurrence == job->second.occurrences.end())
+  const Job* job = Find(aTask.job);
+  if (job == nullptr)
     return nullptr;
-  auto& steps = occurrence->second.steps;
-  if (aTask.step >= steps.size() ||
-      aTask.index >= steps[aTask.step].tasks.size())
+  const auto occurrence = job->occurrences.find(aTask.occurrence);
+  if (occurrence == job->occurrences.end() ||
+      aTask.step >= occurrence->second.steps.size())
     return nullptr;
-  return &steps[aTask.step].tasks[aTask.index];
+  return &occurrence->second.steps[aTask.step];
 }
 
 const TaskState*
 JobStateMachine::Find(const TaskId& aTask) const
 {
-  return const_cast<JobStateMachine*>(this)->FindTask(aTask);
+  const StepState* step = FindStep(aTask);
+  return step == nullptr || aTask.index >= step->tasks.size()
+           ? nullptr
+           : &step->tasks[aTask.index];
+}
+
+TaskState*
+JobStateMachine::FindTask(const TaskId& aTask)
+{
+  return const_cast<TaskState*>(std::as_const(*this).Find(aTask));
+}
+
+void
+FailedGangRuns::Record(Attempt aAttempt)
+{
+  if (count > 0 && latest == aAttempt)
+    return;
+  ++count;
+  latest = aAttempt;
 }
 
 /// What one crash adds to a task's score.
@@ -86,16 +101,11 @@
 const TaskCrashes*
 JobStateMachine::FindCrashes(const TaskId& aTask) const
 {
-  const Job* job = Find(aTask.job);
-  if (job == nullptr)
-    return nullptr;
-  const auto occurrence = job->occurrences.find(aTask.occurrence);
-  if (occurrence == job->occurrences.end() ||
-      aTask.step >= occurrence->second.steps.size())
+  const StepState* step = FindStep(aTask);
+  if (step == nullptr)
     return nullptr;
-  const auto& crashes = occurrence->second.steps[aTask.step].crashes;
-  const auto found = crashes.find(aTask.index);
-  return found == crashes.end() ? nullptr : &found->second;
+  const auto found = step->crashes.find(aTask.index);
+  return found == step->crashes.end() ? nullptr : &found->second;
 }
 
 SuspectedCrashes
@@ -140,6 +150,36 @@
                                 : queue->second.definition.maxAttempts;
 }
 
+std::uint32_t
+JobStateMachine::FailedRunsOf(const TaskId& aTask) const
+{
+  const TaskState* task = Find(aTask);
+  if (task == nullptr)
+    return 0;
+  // A snapshot of an earlier version may state more failures of one task than
+  // could be told apart as runs of its gang.
+  return std::max(task->failures, FindStep(aTask)->failedGangRuns.count);
+}
+
+std::uint32_t
+JobStateMachine::StatedLimitOf(const TaskId& aTask,
+                               Attempt aAttempt,
+                               RunOutcome aOutcome) const
+{
+  const std::uint32_t limit = MaxAttemptsOf(aTask.job);
+  const TaskState* task = Find(aTask);
+  if (limit == kUnlimitedAttempts || task == nullptr ||
+      !Find(aTask.job)->description.steps[aTask.step].isGang)
+    return limit;
+  FailedGangRuns runs = FindStep(aTask)->failedGangRuns;
+  std::uint32_t failures = task->failures;
+  if (aOutcome == RunOutcome::Failed) {
+    runs.Record(aAttempt);
+    ++failures;
+  }
+  return std::max(runs.count, failures) >= limit ? 1 : kUnlimitedAttempts;
+}
+
 std::size_t
 JobStateMachine::RemovedQueueCount() const
 {
@@ -421,8 +461,9 @@
   }
 }
 
-/// Number of failed runs that count towards the attempt limit of a task. The
-/// failures of all members of a gang are added up.
+/// The number that EndRun::maxAttempts is compared with. In a gang the failures
+/// of all members are added up, however many of them are of one run: earlier
+/// versions do so, and JobStateMachine::StatedLimitOf allows for it.
 static std::uint32_t
 CountFailures(const Step& aStep,
               const StepState& aState,
@@ -495,6 +536,8 @@
     CompleteTask(job, aOperation.task);
   } else if (aOperation.outcome == RunOutcome::Failed) {
     ++task->failures;
+    if (description.isGang)
+      step.failedGangRuns.Record(aOperation.attempt);
   }
   const bool hasFailed = HasFailed(job, aOperation, *task);
   aObserver.OnRunEnded(aOperation, worker);
--- a/packages/jobs/lib/JobStateMachineSnapshot.cpp
+++ b/packages/jobs/lib/JobStateMachineSnapshot.cpp
@@ -2,6 +2,7 @@
 
 #include "CborFields.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace greengage;
@@ -31,12 +32,31 @@
     crashes.push_back(
       Cbor::array({ index, std::move(attempts), record.latestAt.Millis() }));
   }
-  return Cbor::array(
+  Cbor step = Cbor::array(
     { std::move(tasks), std::move(checkpoints), std::move(crashes) });
+  const FailedGangRuns& runs = aStep.failedGangRuns;
+  if (runs.count > 0)
+    step.push_back(Cbor::array({ runs.count, runs.latest.Value() }));
+  return step;
+}
+
+/// Estimates the failed runs of a gang from a snapshot of an earlier version,
+/// which states only how often each member has failed: no fewer than one member
+/// has, the latest with the latest attempt that such a member has ended.
+static FailedGangRuns
+EstimateFailedGangRuns(const StepState& aStep)
+{
+  FailedGangRuns runs;
+  for (const TaskState& task : aStep.tasks) {
+    runs.count = std::max(runs.count, task.failures);
+    if (task.failures > 0 && task.phase == TaskPhase::Waiting)
+      runs.latest = std::max(runs.latest, task.attempt);
+  }
+  return runs;
 }
 
 static StepState
-StepStateFromCbor(const Cbor& aValue)
+StepStateFromCbor(const Cbor& aValue, bool aIsGang)
 {
   StepState step;
   for (const Cbor& item : aValue.at(0)) {
@@ -68,6 +88,15 @@
                                attempt.at(1).get<bool>());
     crashes.latestAt = Time(item.at(2).get<std::int64_t>());
   }
+  constexpr std::size_t kFailedGangRunsIndex = 3;
+  if (aValue.size() > kFailedGangRunsIndex) {
+    const Cbor& runs = aValue.at(kFailedGangRunsIndex);
+    step.failedGangRuns = { .count = runs.at(0).get<std::uint32_t>(),
+                            .latest =
+                              Attempt(runs.at(1).get<std::uint32_t>()) };
+  } else if (aIsGang) {
+    step.failedGangRuns = EstimateFailedGangRuns(step);
+  }
   return step;
 }
 
@@ -117,8 +146,12 @@
   for (const Cbor& item : next()) {
     Occurrence occurrence;
     occurrence.isDone = item.at(1).get<bool>();
-    for (const Cbor& step : item.at(2))
-      occurrence.steps.push_back(StepStateFromCbor(step));
+    for (const Cbor& step : item.at(2)) {
+      const auto& described = job.description.steps;
+      const std::size_t number = occurrence.steps.size();
+      const bool isGang = number < described.size() && described[number].isGang;
+      occurrence.steps.push_back(StepStateFromCbor(step, isGang));
+    }
     job.occurrences.emplace(item.at(0).get<std::uint32_t>(),
                             std::move(occurrence));
   }
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -240,7 +240,7 @@
 
 /// Logs which tasks made the job fail.
 static void
-LogFailure(const jobs::Job& aJob)
+LogFailure(const jobs::Job& aJob, const jobs::JobStateMachine& aState)
 {
   for (const auto& [number, occurrence] : aJob.occurrences)
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -255,12 +255,14 @@
         const TaskId task{
           .job = aJob.id, .occurrence = number, .step = step, .index = index
         };
-        observe::Log(observe::LogLevel::Warning,
-                     "job-failed",
-                     { { "job", ToString(aJob.id) },
-                       { "task", ToString(task) },
-                       { "failures", std::to_string(failures) },
-                       { "crashes", std::to_string(crashes) } });
+        observe::Log(
+          observe::LogLevel::Warning,
+          "job-failed",
+          { { "job", ToString(aJob.id) },
+            { "task", ToString(task) },
+            { "failures", std::to_string(failures) },
+            { "failed_runs", std::to_string(aState.FailedRunsOf(task)) },
+            { "crashes", std::to_string(crashes) } });
       }
     }
 }
@@ -285,7 +287,7 @@
     return;
   liveJobs_.erase(aJob.id);
   if (aJob.state == jobs::JobState::Failed)
-    LogFailure(aJob);
+    LogFailure(aJob, stateMachine_);
   permitCache_.DropJob(aJob.id);
   UpdateUnstartedJobs(aJob);
   // A proposed assignment is rejected once the job has ended, so only the
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -133,13 +133,13 @@
                  { "attempt", std::to_string(aEnd.attempt.Value()) },
                  { "worker", RecordOf(aSession).id.Value() },
                  { "why", EndDescription(aEnd.kind) } });
-  outbox_.Propose(
-    jobs::EndRun{ .task = aEnd.task,
-                  .attempt = aEnd.attempt,
-                  .outcome = outcome,
-                  .checkpoint = aEnd.checkpoint,
-                  .at = now_.wall,
-                  .maxAttempts = stateMachine_.MaxAttemptsOf(aEnd.task.job) });
+  outbox_.Propose(jobs::EndRun{ .task = aEnd.task,
+                                .attempt = aEnd.attempt,
+                                .outcome = outcome,
+                                .checkpoint = aEnd.checkpoint,
+                                .at = now_.wall,
+                                .maxAttempts = stateMachine_.StatedLimitOf(
+                                  aEnd.task, aEnd.attempt, outcome) });
 }
 
 void
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -391,21 +391,26 @@
     return;
   aRun.stage = RunStage::Ending;
   const std::uint32_t maxAttempts = stateMachine_.MaxAttemptsOf(aTask.job);
-  observe::Log(observe::LogLevel::Info,
-               "run-ended",
-               { { "task", ToString(aTask) },
-                 { "attempt", std::to_string(aRun.attempt.Value()) },
-                 { "worker", RecordOf(aSession).id.Value() },
-                 { "how", kNames[static_cast<std::size_t>(aOutcome)] },
-                 { "why", aReason },
-                 { "max_attempts", std::to_string(maxAttempts) } });
+  const std::uint32_t statedLimit =
+    stateMachine_.StatedLimitOf(aTask, aRun.attempt, aOutcome);
+  observe::Log(
+    observe::LogLevel::Info,
+    "run-ended",
+    { { "task", ToString(aTask) },
+      { "attempt", std::to_string(aRun.attempt.Value()) },
+      { "worker", RecordOf(aSession).id.Value() },
+      { "how", kNames[static_cast<std::size_t>(aOutcome)] },
+      { "why", aReason },
+      { "failed_runs", std::to_string(stateMachine_.FailedRunsOf(aTask)) },
+      { "max_attempts", std::to_string(maxAttempts) },
+      { "stated_limit", std::to_string(statedLimit) } });
   outbox_.Propose(jobs::EndRun{ .task = aTask,
                                 .attempt = aRun.attempt,
                                 .outcome = aOutcome,
                                 .checkpoint = std::move(aCheckpoint),
                                 .at = now_.wall,
                                 .suspicion = aSuspicion,
-                                .maxAttempts = maxAttempts });
+                                .maxAttempts = statedLimit });
 }
 
 const WorkerSession*
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -20,6 +20,8 @@
 static constexpr Duration kMinOrderInterval(3000);
 /// How long a run waits for the other members of its gang.
 static constexpr Duration kGangStartTimeout(3000);
+/// How long a run takes to fail on one of SimulatedFleet::failingWorkers.
+static constexpr Duration kFailingWorkerDelay(60);
 /// The factor by which runs take longer on a slow worker.
 static constexpr std::int64_t kSlowWorkerFactor = 50;
 /// Maximum delay of a call that FaultProbabilities::late delays.
@@ -1113,12 +1115,16 @@
   const Duration runTime =
     job.taskBehavior.runTime *
     (slowWorkers.count(aWorker.record.id.Value()) != 0 ? kSlowWorkerFactor : 1);
-  aWorker.runs[aStart.task] = {
-    .attempt = aStart.attempt,
-    .endsAt = now_ + (isOpenEnded ? kFarFuture : runTime),
-    .willFail = aStart.attempt.Value() <= job.taskBehavior.failures,
-    .startedAt = now_
-  };
+  SimulatedRun& run = aWorker.runs[aStart.task];
+  run = { .attempt = aStart.attempt,
+          .endsAt = now_ + (isOpenEnded ? kFarFuture : runTime),
+          .willFail = aStart.attempt.Value() <= job.taskBehavior.failures,
+          .startedAt = now_ };
+  if (failingWorkers.count(aWorker.record.id.Value()) != 0) {
+    run.endsAt = now_ + kFailingWorkerDelay;
+    run.willFail = true;
+    run.failsByWorker = true;
+  }
   if (job.taskBehavior.crashesWorkerAfter && aStart.task.index == 0)
     ScheduleEvent(*job.taskBehavior.crashesWorkerAfter,
                   [this, task = aStart.task, attempt = aStart.attempt] {
@@ -1176,6 +1182,8 @@
     const Duration runTime = jobs_.at(gang.first.job).taskBehavior.runTime;
     for (const auto& [worker, task] : members) {
       SimulatedRun& run = worker->runs.at(task);
+      if (run.failsByWorker)
+        continue;
       const bool hasStarted = run.endsAt < run.startedAt + kFarFuture;
       // The failure of one member is enough to fail the gang.
       const bool fails = run.willFail && task.index == 0;
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -217,6 +217,9 @@
   bool executesCallsToEarlierIncarnations = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
+  /// Workers on which each run fails by itself shortly after its start, also
+  /// the runs of a gang.
+  std::set<std::string> failingWorkers;
   /// Workers for which the adviser gives no permits.
   std::set<std::string> forbiddenWorkers;
   /// Number of workers in all calls to the adviser, and of starts that were
@@ -239,6 +242,8 @@
     Time endsAt;
     bool willFail = false;
     Time startedAt;
+    /// Ends by itself, whatever the other members of its gang do.
+    bool failsByWorker = false;
   };
   struct EarlierCapacity
   {
