Placement: a task that has failed avoids the failing worker before it seeks its rack

Cause: the rank of workers compared the preferred rack first, and "another worker than the last one" after it. The record of the case has both runs on i-0, 5 ms apart.

A task with a failed run, of its own or of its gang, now prefers workers that are not that of its latest run and whose own latest run did not fail; the rack comes next. Where only such a worker has room it is taken as before.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -358,6 +358,8 @@
     jobs::Resources allocation;
     /// Empty if there is no preference.
     RackId rack;
+    /// A run of the task, or of its gang, has failed.
+    bool hasFailed = false;
     bool isSuspect = false;
     bool mustBeIsolated = false;
   };
@@ -369,6 +371,9 @@
     /// beside persistent runs.
     bool isHarmless = false;
     bool sparesRecentStarts = false;
+    /// A task that has failed is neither on the worker of its latest run nor on
+    /// one whose latest run failed: attempts count more than the rack.
+    bool avoidsFailingWorker = false;
     bool isOnPreferredRack = false;
     bool differsFromLastWorker = false;
     bool avoidsInterference = false;
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -388,6 +388,7 @@
            .state = *stateMachine_.Find(aTask),
            .allocation = AllocationFor(step),
            .rack = PreferredRack(aCandidate, aTask),
+           .hasFailed = stateMachine_.FailedRunsOf(aTask) > 0,
            .isSuspect = IsCrashSuspect(aTask),
            .mustBeIsolated = MustBeIsolated(aTask) };
 }
@@ -430,14 +431,18 @@
     return std::nullopt;
   const std::int64_t freeProcessors =
     (aSession.capacity.processors - aSession.used.processors).Count();
+  const bool differsFromLastWorker = aRequest.state.attempt == Attempt(0) ||
+                                     aRequest.state.worker != aSession.number;
   return PlacementRank{
     .isHarmless = !isBesideSuspect && sparesPersistentRuns,
     .sparesRecentStarts =
       !aRequest.isSuspect || !aSession.HasRecentStart(now_.steady),
+    .avoidsFailingWorker =
+      !aRequest.hasFailed ||
+      (differsFromLastWorker && aSession.consecutiveFailedRuns == 0),
     .isOnPreferredRack =
       aRequest.rack.Value().empty() || aRequest.rack == record.rack,
-    .differsFromLastWorker = aRequest.state.attempt == Attempt(0) ||
-                             aRequest.state.worker != aSession.number,
+    .differsFromLastWorker = differsFromLastWorker,
     .avoidsInterference =
       !step.usesIdleProcessors || !aSession.HasLatencySensitiveRun(),
     .hasSameKind =
@@ -472,8 +477,8 @@
       continue;
     best = &session;
     bestRank = rank;
-    if (rank->isHarmless && rank->differsFromLastWorker &&
-        rank->avoidsInterference)
+    if (rank->isHarmless && rank->avoidsFailingWorker &&
+        rank->differsFromLastWorker && rank->avoidsInterference)
       break;
   }
   return best;
@@ -519,7 +524,8 @@
       best = FindFullest(request,
                          poolIndex_.WorkersOf(aCandidate.pool, request.rack),
                          hasCapacity);
-    if (best == nullptr || !Rank(request, *best)->isHarmless)
+    const auto rank = best == nullptr ? std::nullopt : Rank(request, *best);
+    if (!rank || !rank->isHarmless || !rank->avoidsFailingWorker)
       best = FindFullest(request, pool, hasCapacity);
   }
   if (!hasCapacity)
