Scheduler: a later incarnation that has answered is asked what it runs

Its worker crashed as the start reached it, came back under its id, and was lost for good before its first heartbeat.

Cause: the start had no answer, so that the later incarnation might carry it out. That one answered a call to the former one, and from then on neither was called until a heartbeat would register it. Without one the task waited for the longest late delivery (15 s) and the longest lease (10.55 s).

While a run waits, the later incarnation is now probed: asked for its lists under a fencing token above that of the former session. After its answer no start of that session can be carried out there, and a run in neither list was never begun: it ends at once. Without an answer the wait stands; no bound has changed. A probe grants no lease, acknowledges nothing and starts nothing. Besides, a start without an answer is repeated only after the same incarnation has answered a later call: the repeated one was what the next incarnation carried out, in the model.

What concerns later incarnations moves to SchedulerIncarnations.cpp.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -161,6 +161,8 @@
     Stop,
     Renew,
     Throttle,
+    /// Asks the later incarnation of a worker what it runs.
+    Probe,
   };
   struct PendingCall
   {
@@ -252,7 +254,12 @@
   bool IsFromOtherIncarnation(const WorkerSession& aSession,
                               const WorkerReply& aReply) const;
   FencingToken FenceOf(const WorkerSession& aSession) const;
-  void OnLaterIncarnationAnswered(WorkerSession& aSession);
+  // What concerns later incarnations is implemented in
+  // SchedulerIncarnations.cpp.
+  void OnLaterIncarnationAnswered(WorkerSession& aSession,
+                                  jobs::Incarnation aLater);
+  void ProbeLaterIncarnation(WorkerSession& aSession);
+  void OnProbeReply(WorkerSession& aSession, const WorkerReply& aReply);
   void EndRunsOfEarlierIncarnations(const WorkerSession& aSession,
                                     const WorkerReply& aReply);
   void RecoverRuns(const jobs::Job& aJob);
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -141,10 +141,12 @@
   /// been registered, so no run of this one continues.
   bool isSuperseded = false;
   Time supersededAt;
-  /// When a later incarnation last answered a call meant for this one. It is
-  /// not called until it has registered, since an acknowledgement of this one's
+  /// When a later incarnation last answered a call meant for this one. Until it
+  /// has registered it is only probed, since an acknowledgement of this one's
   /// ends would make it discard its own.
   std::optional<Time> laterIncarnationAnsweredAt;
+  bool isProbeInFlight = false;
+  Time nextProbeAt;
   /// Whether an earlier incarnation of the worker had the same address, so that
   /// calls meant for that one may have been executed.
   bool hasReusedAddress = false;
@@ -159,9 +161,10 @@
   /// When the latest of the answered calls was sent.
   Time lastAnsweredCallSentAt;
   std::uint32_t consecutiveFailedCalls = 0;
-  /// Number of calls without a reply or timeout yet.
+  /// Number of calls without a reply or timeout yet, except probes.
   std::uint32_t pendingCallCount = 0;
-  /// When the latest call that timed out was sent; it may still be executed.
+  /// When the latest call that timed out was sent, except probes; it may still
+  /// be executed.
   std::optional<Time> lastUnansweredCallAt;
   /// The worker's clock, as stated in an answer or a heartbeat that was handled
   /// at a time on the local steady clock.
@@ -229,6 +232,13 @@
   /// Whether a call is needed to extend the lease, to get the worker's lists or
   /// to acknowledge ended runs.
   bool NeedsRenewal() const;
+  /// Whether the start request of the run may be sent, for the first time or
+  /// since this incarnation has answered a call that was sent after the latest
+  /// request: a later incarnation would carry out the repeated one.
+  bool MayRepeatStart(const TaskId& aTask, const Run& aRun) const;
+  /// Whether a run of this incarnation waits for what a later one, which has
+  /// answered and not registered, may have started.
+  bool NeedsProbe() const;
   /// Whether the worker has stated its capacity recently enough for a run to
   /// start on it at \p aNow.
   bool IsCapacityCurrent(Time aNow) const;
--- a/packages/schedule/lib/SchedulerBounds.h
+++ b/packages/schedule/lib/SchedulerBounds.h
@@ -17,6 +17,9 @@
 /// milliseconds; a lost packet is retransmitted after a few hundred.
 inline constexpr Duration kCallTimeout = Duration(700);
 
+/// Delay before an unanswered call is sent again.
+inline constexpr Duration kRetryInterval = Duration(200);
+
 /// How long an unanswered call may still be executed after it was sent: 12 s on
 /// the users' platform, plus a margin.
 inline constexpr Duration kMaxDeliveryDelay = Duration::Seconds(15);
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -23,8 +23,6 @@
 /// Long-poll timeout while a persistent task starts up: until the lists show it
 /// at work, no other task of its step may be moved off its host.
 static constexpr Duration kStartupLongPollTimeout = Duration(200);
-/// Delay before an unanswered call is sent again.
-static constexpr Duration kRetryInterval = Duration(200);
 /// Delay before an acknowledged stop is sent again if the end of the run is not
 /// listed yet.
 static constexpr Duration kStopResendInterval = Duration::Seconds(1);
@@ -60,7 +58,8 @@
   aPending.worker = aSession.number;
   aPending.sentAt = now_.steady;
   pendingCalls_.emplace(id, aPending);
-  ++aSession.pendingCallCount;
+  if (aPending.kind != CallKind::Probe)
+    ++aSession.pendingCallCount;
   outbox_.Call({ .id = id,
                  .worker = record.id,
                  .endpoint = record.endpoint,
@@ -279,6 +278,10 @@
   WorkerSession* session = SessionOf(call.worker);
   if (session == nullptr)
     return;
+  if (call.kind == CallKind::Probe) {
+    OnProbeReply(*session, aReply);
+    return;
+  }
   --session->pendingCallCount;
   if (aReply.answer == WorkerCallStatus::NoAnswer)
     session->lastUnansweredCallAt = std::max(
@@ -290,7 +293,7 @@
   if (isFromOther) {
     if (aReply.incarnation &&
         *aReply.incarnation > RecordOf(*session).incarnation)
-      OnLaterIncarnationAnswered(*session);
+      OnLaterIncarnationAnswered(*session, *aReply.incarnation);
     unanswered.id = aReply.id;
     unanswered.detail = "another life of the worker answered";
   }
@@ -324,6 +327,7 @@
       OnRenewReply(*session, call, reply);
       break;
     case CallKind::Throttle:
+    case CallKind::Probe:
       break;
   }
 }
@@ -465,6 +469,10 @@
       AllowForLongestLease(aSession);
     aSession.isReconciled = true;
   }
+  if (aCall.isContact)
+    for (auto& [task, run] : aSession.runs)
+      if (run.stage == RunStage::Starting && aSession.HasUnansweredStart(task))
+        run.nextCallAt = std::min(run.nextCallAt, now_.steady);
   // An idle worker is only called so that it may take a task.
   if (wasFailing || aCall.isContact || aSession.runs.empty())
     isDispatchDue_ = true;
--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -256,35 +256,6 @@
   return hasStrays;
 }
 
-static bool
-ListsRun(const WorkerReply& aReply, const TaskId& aTask)
-{
-  return std::any_of(aReply.running.begin(),
-                     aReply.running.end(),
-                     [&](const ListedRun& aRun) { return aRun.task == aTask; });
-}
-
-/// Ends the runs of the worker's earlier incarnations, except the ones in the
-/// list of \p aReply. To be called once the worker has answered a call with a
-/// higher fencing token than theirs, since it rejects calls sent to them from
-/// then on.
-void
-Scheduler::EndRunsOfEarlierIncarnations(const WorkerSession& aSession,
-                                        const WorkerReply& aReply)
-{
-  const auto superseded = supersededWorkers_.find(RecordOf(aSession).id);
-  if (superseded == supersededWorkers_.end())
-    return;
-  for (const jobs::WorkerNumber number : superseded->second) {
-    WorkerSession& earlier = sessions_.at(number);
-    for (auto& [task, run] : earlier.runs) {
-      if (!ListsRun(aReply, task) && run.stage != RunStage::Proposed)
-        EndRun(
-          earlier, task, run, jobs::RunOutcome::Lost, {}, "worker restarted");
-    }
-  }
-}
-
 /// Ends runs that are in neither list although the worker must list them, and
 /// runs that were not started before their deadline.
 void
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -255,6 +255,9 @@
   for (auto& [task, run] : aSession.runs)
     TickRun(aSession, task, run);
   RecordConfirmedStarts(aSession);
+  if (aSession.NeedsProbe() && !aSession.isProbeInFlight &&
+      aSession.nextProbeAt <= now_.steady)
+    ProbeLaterIncarnation(aSession);
   // Until the worker's lists have been processed, the renewal is repeated
   // without waiting for an answer, because the first call that arrives raises
   // the worker's fencing token.
@@ -299,44 +302,18 @@
   }
   const auto clock = aSession.WorkerClockAt(now_.steady);
   const bool mayStart = clock && *clock < aRun.startDeadline;
-  if (aRun.stage == RunStage::Starting && !aRun.firstListingRenewal &&
-      (mayStart || !aRun.isStartSent))
+  const bool isDue = aRun.stage == RunStage::Starting &&
+                     !aRun.firstListingRenewal &&
+                     (mayStart || !aRun.isStartSent);
+  if (!isDue)
+    return;
+  if (aSession.MayRepeatStart(aTask, aRun)) {
     SendStart(aSession, aTask, aRun);
-}
-
-/// Ends the runs of an incarnation of which a later one has answered, except
-/// those that the later one may have started. It may be lost before it
-/// registers.
-void
-Scheduler::OnLaterIncarnationAnswered(WorkerSession& aSession)
-{
-  ChargeCrash(aSession);
-  aSession.laterIncarnationAnsweredAt = now_.steady;
-  AllowForLongestLease(aSession);
-  for (auto& [task, run] : aSession.runs)
-    if (run.stage != RunStage::Proposed && !aSession.HasUnansweredStart(task))
-      EndRun(
-        aSession, task, run, jobs::RunOutcome::Lost, {}, "worker restarted");
-}
-
-/// \returns the time by which all runs of the session have ended unless its
-/// lease is renewed, including those that a later incarnation has started.
-Time
-Scheduler::LeaseExpiryOf(const WorkerSession& aSession) const
-{
-  const Duration longestLease = LeaseExpiryBound(options_.maxLease);
-  if (aSession.isSuperseded)
-    return aSession.supersededAt + kMaxDeliveryDelay + longestLease;
-  if (!aSession.laterIncarnationAnsweredAt)
-    return aSession.leaseExpiry;
-  // Each call that the later incarnation executes may grant its longest lease.
-  Time lastExecution = *aSession.laterIncarnationAnsweredAt;
-  if (aSession.pendingCallCount > 0)
-    lastExecution = now_.steady;
-  if (aSession.lastUnansweredCallAt)
-    lastExecution = std::max(
-      lastExecution, *aSession.lastUnansweredCallAt + kMaxDeliveryDelay);
-  return lastExecution + longestLease;
+    return;
+  }
+  aRun.nextCallAt = now_.steady + kRetryInterval;
+  if (!aSession.isContactInFlight)
+    Renew(aSession, RenewalPurpose::Contact);
 }
 
 void
--- a/packages/schedule/lib/WorkerSession.cpp
+++ b/packages/schedule/lib/WorkerSession.cpp
@@ -76,6 +76,24 @@
   });
 }
 
+bool
+WorkerSession::MayRepeatStart(const TaskId& aTask, const Run& aRun) const
+{
+  const auto starts = unansweredStarts.find(aTask);
+  return !aRun.isStartSent || starts == unansweredStarts.end() ||
+         lastAnsweredCallSentAt >= starts->second.lastSentAt;
+}
+
+bool
+WorkerSession::NeedsProbe() const
+{
+  return laterIncarnationAnsweredAt && !isSuperseded &&
+         std::any_of(runs.begin(), runs.end(), [](const auto& aItem) {
+           return aItem.second.stage == RunStage::Starting ||
+                  aItem.second.stage == RunStage::Running;
+         });
+}
+
 bool
 WorkerSession::IsCapacityCurrent(Time aNow) const
 {
