Jobs: the stored entry in the test of gangs is a constant of its own

The linter took the two literals of the entry for two elements without a comma (bugprone-suspicious-missing-comma) and failed the check. The bytes are the same; jobs_tests pass.

--- a/packages/jobs/unittests/GangFailedRunsTest.cpp
+++ b/packages/jobs/unittests/GangFailedRunsTest.cpp
@@ -53,13 +53,16 @@
   return { .job = kJob, .occurrence = aOccurrence, .step = 0, .index = aIndex };
 }
 
-/// Written by the version that counted each failure of a member: a gang of two
-/// whose members both failed in its first run, of three that the queue allows,
-/// and which runs again.
+/// Written by the version that counted each failure of a member: the accepting
+/// of a gang of two.
+constexpr const char* kEarlierAcceptance =
+  "8188021b5c0e7a21d94b36f864706c616e666361786961731903e885417881900283000000"
+  "0080f4f5f4606000f4f46000f4000000006161632f702f";
+/// The log of that version, in which both members failed in the first run, of
+/// three that the queue allows, and the gang runs again.
 const std::vector<const char*> kEarlierLog = {
   "8282016331203382078b62773105606000656c696e657360608083000000f4",
-  "8188021b5c0e7a21d94b36f864706c616e666361786961731903e885417881900283000000"
-  "0080f4f5f4606000f4f46000f4000000006161632f702f",
+  kEarlierAcceptance,
   "828405841b5c0e7a21d94b36f800000001018405841b5c0e7a21d94b36f80000010101",
   "818806841b5c0e7a21d94b36f80000000101601907d00003",
   "818806841b5c0e7a21d94b36f80000010101601907d00003",
