HTTP server: an idle connection is read only when its handler runs

A client that sent its next request on a kept connection while the host began to drain was disconnected without an answer (KNOWN-RED.txt, http_tests "draining answers a request that a kept connection brought").

Cause: the loop had read the bytes already, and their handler waited behind that of the drain, which took the connection for idle since its socket held nothing.

An idle connection now waits for its socket to become readable, and the bytes stay there until the handler runs; the idle timeout moves to the connection's timer.

--- a/packages/http/lib/Server.cpp
+++ b/packages/http/lib/Server.cpp
@@ -203,17 +203,7 @@
       OnFirstBytes({});
       return;
     }
-    // An idle connection may wait longer than a request that has begun.
-    stream_.expires_after(ToChrono(server_->Options().idleTimeout));
-    server_->IdleBegins(this);
-    auto self = shared_from_this();
-    stream_.async_read_some(
-      buffer_.prepare(kFirstRead),
-      [self](beast::error_code aError, std::size_t aBytes) {
-        self->server_->IdleEnded(self.get());
-        self->buffer_.commit(aBytes);
-        self->OnFirstBytes(aError);
-      });
+    AwaitFirstBytes();
   }
 
   /// Whether the last response has been sent and nothing has come since.
@@ -237,14 +227,36 @@
   }
 
 private:
-  static constexpr std::size_t kFirstRead = 4096;
   static constexpr std::size_t kDiscardRead = 64 * 1024;
   static constexpr std::size_t kMaxLingerBytes = 16 * 1024 * 1024;
   static constexpr std::chrono::seconds kLingerTime{ 2 };
 
+  /// Waits for bytes without reading them: those of a handler that has not run
+  /// yet would be missing where IsBetweenRequests looks. An idle connection may
+  /// wait longer than a request that has begun.
+  void AwaitFirstBytes()
+  {
+    server_->IdleBegins(this);
+    auto self = shared_from_this();
+    readTimer_.expires_after(ToChrono(server_->Options().idleTimeout));
+    readTimer_.async_wait([self](beast::error_code aError) {
+      if (!aError)
+        self->Close();
+    });
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self](beast::error_code aError) {
+                                  self->readTimer_.cancel();
+                                  self->server_->IdleEnded(self.get());
+                                  self->OnFirstBytes(aError);
+                                });
+  }
+
   void OnFirstBytes(beast::error_code aError)
   {
-    if (aError) {
+    beast::error_code ignored;
+    const bool hasBytes =
+      buffer_.size() > 0 || stream_.socket().available(ignored) > 0;
+    if (aError || !hasBytes) {
       // The client left, or was idle for too long.
       server_->ReadEnded();
       return;
