Scheduler: a run is stalled by the time of its own percents

Cause: a run counted as stalled once its whole percent had not grown for 1.5 s; one percent of this one takes 3 s. Stalled runs are moved without end.

The time without a percent is now at least twice that of one percent: the mean of those made or, before the first, a tenth of the expected time, since clients may state a tenth of what a task takes. 1.5 s remain the least, so that tasks of seconds are moved as before.

Evidence: LongTaskTest failed before, with the right estimate and with a tenth of it (never completed), and passes now; a task of minutes that stands still is moved. schedule_tests pass but for their entries in KNOWN-RED.txt.

--- a/packages/schedule/lib/SchedulerReconcile.cpp
+++ b/packages/schedule/lib/SchedulerReconcile.cpp
@@ -14,9 +14,13 @@
 /// Consecutive failed runs after which a worker is suspended.
 static constexpr std::uint32_t kMaxFailedRuns = 4;
 static constexpr Duration kSuspensionTime = Duration::Seconds(3);
-/// A run without progress for this long is stalled. Lists arrive at least once
-/// a second.
-static constexpr Duration kStallTimeout = Duration(1500);
+/// A run without progress for this long is stalled, unless one percent of it
+/// takes longer. Lists arrive at least once a second.
+static constexpr Duration kMinStallTimeout = Duration(1500);
+/// A run is stalled after this many times the time of one percent.
+static constexpr std::int64_t kStallFactor = 2;
+/// How much less than it takes a client may state as a task's run time.
+static constexpr std::int64_t kMaxUnderestimation = 10;
 /// A run is moved if its remaining time is more than this many times the time
 /// of a complete run on another worker.
 static constexpr std::int64_t kMinMoveGainFactor = 2;
@@ -177,6 +181,18 @@
   }
 }
 
+/// How long the listed percent of a run may stay the same. One percent takes as
+/// long as those before it have on average; until the first one is listed, it
+/// may take what it does in the longest run that the expected time stands for.
+static Duration
+StallTimeout(Duration aExpected, Duration aElapsed, std::int64_t aPercent)
+{
+  const Duration perPercent(aPercent > 0 ? aElapsed.Millis() / aPercent
+                                         : aExpected.Millis() *
+                                             kMaxUnderestimation / kPercent);
+  return std::max(kMinStallTimeout, perPercent * kStallFactor);
+}
+
 /// Stops a run that is stalled or that would finish sooner on another worker,
 /// so that it is placed again. \p aListedAt is the worker's clock when it made
 /// the list: this host may handle the list late, which says nothing about the
@@ -205,7 +221,10 @@
     elapsed > expected &&
     remaining > (expected + kMoveDelay) * kMinMoveGainFactor &&
     aRun.attempt.Value() <= kMaxMovedAttempt;
-  const bool isStalled = *aRun.lastProgressAt + kStallTimeout <= aListedAt;
+  const bool isStalled =
+    *aRun.lastProgressAt +
+      StallTimeout(expected, elapsed, aListed.progressPercent) <=
+    aListedAt;
   if (!isSlow && !isStalled)
     return;
   observe::Log(observe::LogLevel::Info,
