Scheduler: log replies of other incarnations, expiry bounds and take-overs

Three lines tell the hypotheses of the incident apart: - other-incarnation-replied: the incarnation in the reply, or none, and both clocks; - lease-expired: the bound, and the age of the last answer and of the last call without one; - worker-taken-over: runs, unconfirmed starts and the lease bound a new leader begins with.

--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -24,6 +24,25 @@
 {
 }
 
+/// Logs what a new leader assumes of a worker with runs.
+static void
+LogTakeOver(const WorkerSession& aSession, Time aNow)
+{
+  if (aSession.runs.empty())
+    return;
+  observe::Log(
+    observe::LogLevel::Info,
+    "worker-taken-over",
+    { { "worker", aSession.record->id.Value() },
+      { "incarnation", std::to_string(aSession.record->incarnation.Value()) },
+      { "runs", std::to_string(aSession.runs.size()) },
+      { "unconfirmed_starts",
+        std::to_string(aSession.unansweredStarts.size()) },
+      { "superseded", aSession.isSuperseded ? "yes" : "no" },
+      { "lease_bound_ms",
+        std::to_string((aSession.leaseExpiry - aNow).Millis()) } });
+}
+
 void
 Scheduler::BecomeLeader(FencingToken aFence, ClockReading aNow)
 {
@@ -50,6 +69,7 @@
     SupersedeEarlierIncarnations(number);
     ChargeSuspectedRuns(worker);
     sessions_.at(number).isCrashSuspected = HasSuspectedRuns(worker);
+    LogTakeOver(sessions_.at(number), aNow.steady);
   }
   isDispatchDue_ = true;
 }
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -266,6 +266,25 @@
        wait + kCallTimeout);
 }
 
+static void
+LogForeignReply(const WorkerSession& aSession,
+                const WorkerReply& aReply,
+                Time aNow)
+{
+  const auto expected = aSession.WorkerClockAt(aNow);
+  observe::Log(
+    observe::LogLevel::Warning,
+    "other-incarnation-replied",
+    { { "worker", aSession.record->id.Value() },
+      { "incarnation", std::to_string(aSession.record->incarnation.Value()) },
+      { "replied",
+        aReply.incarnation ? std::to_string(aReply.incarnation->Value())
+                           : "not stated" },
+      { "clock", std::to_string(aReply.clock.value_or(Time(0)).Millis()) },
+      { "expected_clock",
+        std::to_string(expected.value_or(Time(0)).Millis()) } });
+}
+
 void
 Scheduler::On(const WorkerReply& aReply, ClockReading aNow)
 {
@@ -291,6 +310,7 @@
   const bool isFromOther = IsFromOtherIncarnation(*session, aReply);
   WorkerReply unanswered;
   if (isFromOther) {
+    LogForeignReply(*session, aReply, now_.steady);
     if (aReply.incarnation &&
         *aReply.incarnation > RecordOf(*session).incarnation)
       OnLaterIncarnationAnswered(*session, *aReply.incarnation);
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -316,6 +316,38 @@
     Renew(aSession, RenewalPurpose::Contact);
 }
 
+/// Logs by which bound the lease has expired, if runs end with it.
+static void
+LogExpiry(const WorkerSession& aSession, Time aNow)
+{
+  const auto runs = std::count_if(
+    aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
+      return aItem.second.stage == RunStage::Starting ||
+             aItem.second.stage == RunStage::Running;
+    });
+  if (runs == 0)
+    return;
+  const char* bound = "lease";
+  if (aSession.laterIncarnationAnsweredAt)
+    bound = "later incarnation answered";
+  if (aSession.isSuperseded)
+    bound = "superseded";
+  const auto age = [&](Time aTime) {
+    return aTime == Time(0) ? "never" : std::to_string((aNow - aTime).Millis());
+  };
+  observe::Log(
+    observe::LogLevel::Info,
+    "lease-expired",
+    { { "worker", aSession.record->id.Value() },
+      { "incarnation", std::to_string(aSession.record->incarnation.Value()) },
+      { "bound", bound },
+      { "runs", std::to_string(runs) },
+      { "unanswered_starts", std::to_string(aSession.unansweredStarts.size()) },
+      { "last_answer_age_ms", age(aSession.lastAnswer) },
+      { "unanswered_call_age_ms",
+        age(aSession.lastUnansweredCallAt.value_or(Time(0))) } });
+}
+
 void
 Scheduler::ExpireLease(WorkerSession& aSession)
 {
@@ -329,6 +361,7 @@
   if (isAnswering || !HoldsLeaderLease() ||
       LeaseExpiryOf(aSession) > now_.steady)
     return;
+  LogExpiry(aSession, now_.steady);
   for (auto& [task, run] : aSession.runs) {
     if (run.stage != RunStage::Starting && run.stage != RunStage::Running)
       continue;
