Scheduler: failing tests of a start that reaches the next incarnation

Four idle workers restart under their ids and send no heartbeat for 2.5 s. A task of 30 s is handed in, and the worker that starts it is cut off at once. Its next incarnation holds the run for the worker's longest lease, 10 s, while the leader reckons with 4.9 s from its last call or from the change of leader.

--- /dev/null
+++ b/packages/schedule/unittests/ReusedIdTest.cpp
@@ -0,0 +1,102 @@
+// Calls that are meant for a worker's former incarnation and reach the next one
+// at the same address, whose clock has started anew.
+
+#include "SimulatedFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace greengage;
+using namespace greengage::schedule;
+
+namespace {
+
+constexpr Duration kUpTime = Duration::Seconds(16);
+constexpr Duration kDownTime = Duration(100);
+constexpr Duration kHeartbeatGap = Duration(2500);
+
+/// Idle workers that have restarted under their ids and have not sent their
+/// next heartbeat, and a long task.
+struct Fixture : SimulatedFleet
+{
+  Fixture()
+  {
+    statesIncarnationOnlyInLists = GENERATE(true, false);
+    CAPTURE(statesIncarnationOnlyInLists);
+    for (const char* id : kWorkers)
+      AddWorker(id);
+    Run(kUpTime);
+  }
+  void RestartAll()
+  {
+    for (const char* id : kWorkers) {
+      BlockHeartbeats(id, kHeartbeatGap);
+      CrashWorker(id, kDownTime);
+    }
+    Run(kDownTime + Duration(50));
+  }
+  jobs::JobId SubmitLongTask()
+  {
+    return Submit({ { .count = 1,
+                      .request = { MilliCores(500), Mebibytes(256), {} },
+                      .estimate = Duration::Seconds(30) } },
+                  { .runTime = Duration::Seconds(30) });
+  }
+  /// The worker that runs the task, or empty.
+  std::string FindWorker() const
+  {
+    for (const char* id : kWorkers)
+      if (IsUp(id) && RunsOn(id) > 0)
+        return id;
+    return {};
+  }
+  /// Partitions the worker that starts the task as soon as it has started it.
+  void PartitionStarter()
+  {
+    if (RunUntil([&] { return !FindWorker().empty(); }, kHeartbeatGap))
+      PartitionWorker(FindWorker(), Duration::Seconds(15));
+  }
+  void CheckInvariants(jobs::JobId aJob)
+  {
+    Run(Duration::Seconds(60));
+    CHECK(QueryState(aJob) == JobProgress::Completed);
+    for (const std::string& violation : violations)
+      FAIL_CHECK(violation);
+  }
+
+  static constexpr const char* kWorkers[] = { "w1", "w2", "w3", "w4" };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a start for a former incarnation does not run on the next one "
+  "beside another start")
+{
+  RestartAll();
+  const jobs::JobId job = SubmitLongTask();
+  const bool losesReply = GENERATE(true, false);
+  CAPTURE(losesReply);
+  if (losesReply)
+    faults.lostReplyPercent = 100;
+  PartitionStarter();
+  faults.lostReplyPercent = 0;
+  CheckInvariants(job);
+}
+
+TEST_CASE_METHOD(
+  Fixture,
+  "a start for a former incarnation does not run on the next one "
+  "beside that of a new leader")
+{
+  RestartAll();
+  const jobs::JobId job = SubmitLongTask();
+  PartitionStarter();
+  const Duration delay(GENERATE(0, 5, 300, 2000));
+  CAPTURE(delay.Millis());
+  Run(delay);
+  ChangeLeader();
+  CheckInvariants(job);
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -990,7 +990,9 @@
   reply.id = aCall.id;
   reply.answer = WorkerCallStatus::Done;
   reply.clock = ClockOf(aWorker);
-  reply.incarnation = aWorker.record.incarnation;
+  if (!statesIncarnationOnlyInLists ||
+      std::holds_alternative<RenewLease>(aCall.request))
+    reply.incarnation = aWorker.record.incarnation;
   const FencingToken fence = std::visit(
     [](const auto& aRequest) { return aRequest.fence; }, aCall.request);
   if (fence < aWorker.highestFence) {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -215,6 +215,9 @@
   /// A new incarnation executes calls that were sent to an earlier one, also
   /// before it has executed any other call.
   bool executesCallsToEarlierIncarnations = false;
+  /// Workers state their incarnation in their lists and heartbeats, and not in
+  /// the replies to other calls.
+  bool statesIncarnationOnlyInLists = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers on which each run fails by itself shortly after its start, also
