Scheduler: starts and leases only reach the incarnation that they are meant for

The leader took the run for ended 4.9 s after its last call, while the worker held it for its own longest lease, 10 s.

Cause: a call was addressed by id and address, which both incarnations share, so that a new connection handed it to the next one. The times in it are on the former one's clock; on a clock that has started anew only the worker's own limit bounds them. Whether the leader learnt of that depended on the answer: one without an incarnation, a lost one or a change of leader left it with a bound that counts from the wrong clock.

Now each start, and each renewal that grants a lease or acknowledges ends, states its incarnation, and the client sends it only on a connection on which that incarnation has answered. So the bound of a lease is that of the incarnation's own clock again, for the leader that sent the call and for the next one, which need not know what was sent. The inquiry is a renewal without lease and acknowledgement, which harms nobody. Stops, speed limits and calls that only ask go to any incarnation, as before.

A start that meets another incarnation was not sent. It is settled before that incarnation is taken into account, so that the task starts elsewhere at once and is not charged with a crash.

The model has connections, each accepted by one incarnation. Three cases of the model rest on calls that the next incarnation executes all the same: they set that explicitly now, and their checks are as they were.

--- a/packages/frontend/include/greengage/frontend/Codecs.h
+++ b/packages/frontend/include/greengage/frontend/Codecs.h
@@ -25,11 +25,11 @@
   virtual http::HttpResponse Encode(schedule::Reply&& aReply) const = 0;
 };
 
-/// Translates calls to workers.
-class WorkerCodec
+/// Translates calls to workers. Their incarnations are the identities of the
+/// servers.
+class WorkerCodec : public http::PeerReader
 {
 public:
-  virtual ~WorkerCodec() = default;
   virtual http::ClientCall Encode(schedule::WorkerCall&& aCall) const = 0;
   virtual schedule::WorkerReply Decode(http::ClientResult&& aResult) const = 0;
 };
--- a/packages/schedule/include/greengage/schedule/Messages.h
+++ b/packages/schedule/include/greengage/schedule/Messages.h
@@ -99,6 +99,10 @@
   /// The end of the leader lease on the steady clock: another host may lead
   /// from then on, so that the call must not be sent.
   Time sendBefore;
+  /// The only incarnation that may execute the call: it must not be sent on a
+  /// connection that another one may have accepted. Null for a call that does
+  /// no harm on any incarnation.
+  std::optional<jobs::Incarnation> incarnation = std::nullopt;
 };
 
 /// The outcome of a call to a worker.
@@ -181,7 +185,8 @@
   RefusalReason refusal = RefusalReason::None;
   /// The worker's clock at the time of its answer.
   std::optional<Time> clock;
-  /// The incarnation that answered, if the answer includes it.
+  /// The incarnation that answered, if the answer includes it; also that of a
+  /// connection on which the call was not sent for that reason.
   std::optional<jobs::Incarnation> incarnation;
   /// Whether the reply includes the lists of running and ended runs.
   bool hasLists = false;
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -211,6 +211,9 @@
   void AllowForLongestLease(WorkerSession& aSession) const;
   Time LeaseExpiryOf(const WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
+  static void SettleStart(WorkerSession& aSession,
+                          const PendingCall& aCall,
+                          WorkerCallStatus aAnswer);
   void OnStartReply(WorkerSession& aSession,
                     const PendingCall& aCall,
                     const WorkerReply& aReply);
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 using namespace greengage;
 using namespace greengage::schedule;
@@ -47,6 +48,18 @@
     (aSession.number.Value() & ((1U << kIncarnationBits) - 1)));
 }
 
+/// Whether another incarnation would take what is meant for this one for its
+/// own: a run and its lease, whose times are on this one's clock, or the
+/// numbers of its ends.
+static bool
+IsForOneIncarnation(const WorkerRequest& aRequest)
+{
+  if (const auto* renewal = std::get_if<RenewLease>(&aRequest))
+    return renewal->leaseExpiry ||
+           renewal->lastAcknowledgedEnd > RunEndSequence(0);
+  return std::holds_alternative<StartRun>(aRequest);
+}
+
 void
 Scheduler::Send(WorkerSession& aSession,
                 PendingCall aPending,
@@ -60,12 +73,17 @@
   pendingCalls_.emplace(id, aPending);
   if (aPending.kind != CallKind::Probe)
     ++aSession.pendingCallCount;
+  std::optional<jobs::Incarnation> incarnation;
+  if (record.incarnation != jobs::Incarnation(0) &&
+      IsForOneIncarnation(aRequest))
+    incarnation = record.incarnation;
   outbox_.Call({ .id = id,
                  .worker = record.id,
                  .endpoint = record.endpoint,
                  .request = std::move(aRequest),
                  .timeout = aTimeout,
-                 .sendBefore = leaderLeaseEnd_ });
+                 .sendBefore = leaderLeaseEnd_,
+                 .incarnation = incarnation });
 }
 
 void
@@ -309,15 +327,21 @@
   // treated as unanswered.
   const bool isFromOther = IsFromOtherIncarnation(*session, aReply);
   WorkerReply unanswered;
+  if (isFromOther) {
+    unanswered.id = aReply.id;
+    if (aReply.answer == WorkerCallStatus::NotSent)
+      unanswered.answer = WorkerCallStatus::NotSent;
+    unanswered.detail = "another life of the worker answered";
+  }
+  const WorkerReply& reply = isFromOther ? unanswered : aReply;
+  if (call.kind == CallKind::Start)
+    SettleStart(*session, call, reply.answer);
   if (isFromOther) {
     LogForeignReply(*session, aReply, now_.steady);
     if (aReply.incarnation &&
         *aReply.incarnation > RecordOf(*session).incarnation)
       OnLaterIncarnationAnswered(*session, *aReply.incarnation);
-    unanswered.id = aReply.id;
-    unanswered.detail = "another life of the worker answered";
   }
-  const WorkerReply& reply = isFromOther ? unanswered : aReply;
   // Another worker at the address shows that this one is gone.
   const bool hasAnswered = reply.answer != WorkerCallStatus::NotSent &&
                            reply.answer != WorkerCallStatus::NoAnswer &&
@@ -376,17 +400,28 @@
          *aReply.clock + kClockTolerance < *expected;
 }
 
+/// Forgets a start request that has been answered or was not sent.
+void
+Scheduler::SettleStart(WorkerSession& aSession,
+                       const PendingCall& aCall,
+                       WorkerCallStatus aAnswer)
+{
+  const auto starts = aSession.unansweredStarts.find(aCall.task);
+  if (aAnswer == WorkerCallStatus::NoAnswer ||
+      starts == aSession.unansweredStarts.end() ||
+      starts->second.attempt != aCall.attempt)
+    return;
+  if (aAnswer == WorkerCallStatus::NotSent)
+    --starts->second.sent;
+  if (--starts->second.count == 0)
+    aSession.unansweredStarts.erase(starts);
+}
+
 void
 Scheduler::OnStartReply(WorkerSession& aSession,
                         const PendingCall& aCall,
                         const WorkerReply& aReply)
 {
-  const auto unansweredStart = aSession.unansweredStarts.find(aCall.task);
-  if (aReply.answer != WorkerCallStatus::NoAnswer &&
-      unansweredStart != aSession.unansweredStarts.end() &&
-      unansweredStart->second.attempt == aCall.attempt &&
-      --unansweredStart->second.count == 0)
-    aSession.unansweredStarts.erase(unansweredStart);
   const auto found = aSession.runs.find(aCall.task);
   if (found == aSession.runs.end() || found->second.attempt != aCall.attempt)
     return;
--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -369,6 +369,7 @@
   Fixture,
   "a new leader expects starts of its predecessor on a restarted worker")
 {
+  executesCallsToEarlierIncarnations = true;
   const jobs::JobId job =
     Submit({ MakeStep(1) }, { .runTime = Duration(2000) });
   REQUIRE(RunUntil([&] { return QueryState(job) == JobProgress::Queued; },
@@ -388,6 +389,7 @@
 TEST_CASE("a lease meant for an earlier incarnation of a worker is waited for")
 {
   SimulatedFleet fleet;
+  fleet.executesCallsToEarlierIncarnations = true;
   fleet.Run(Duration(200));
   fleet.AddWorker("w1");
   jobs::Step step = MakeStep(1);
--- a/packages/schedule/unittests/PersistentTaskTest.cpp
+++ b/packages/schedule/unittests/PersistentTaskTest.cpp
@@ -85,6 +85,7 @@
   "a persistent task restarts if an unregistered incarnation has "
   "answered its start and is lost")
 {
+  executesCallsToEarlierIncarnations = true;
   AddWorkers({ "w1", "w2", "w3" });
   Run(Duration::Seconds(8));
   // The worker has answered a call shortly before.
--- a/packages/schedule/unittests/ReusedIdTest.cpp
+++ b/packages/schedule/unittests/ReusedIdTest.cpp
@@ -65,7 +65,9 @@
       FAIL_CHECK(violation);
   }
 
-  static constexpr const char* kWorkers[] = { "w1", "w2", "w3", "w4" };
+  static constexpr const char* kWorkers[] = {
+    "w1", "w2", "w3", "w4", "w5", "w6"
+  };
 };
 
 } // namespace
@@ -100,3 +102,16 @@
   ChangeLeader();
   CheckInvariants(job);
 }
+
+// A job fails once its tasks have crashed too many workers.
+TEST_CASE_METHOD(Fixture,
+                 "a start that was not sent to the next incarnation is not "
+                 "charged to its task as a crash of the worker")
+{
+  RestartAll();
+  const jobs::JobId job = SubmitLongTask();
+  Run(kHeartbeatGap);
+  CHECK(LatestAttempt({ .job = job, .occurrence = 0, .step = 0, .index = 0 }) >
+        Attempt(5));
+  CheckInvariants(job);
+}
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -875,6 +875,47 @@
   return isBlocked || IsPartitioned(aWorker, leaderTerm_);
 }
 
+/// Takes a kept connection for the call or establishes one.
+SimulatedFleet::Connection
+SimulatedFleet::Connect(std::uint64_t aTerm, const WorkerCall& aCall)
+{
+  Connection connection{ .peer = jobs::Incarnation(0), .sentAt = now_ };
+  const auto worker = workers_.find(aCall.worker.Value());
+  const bool isReachable = worker != workers_.end() &&
+                           IsReachable(worker->second, aTerm) &&
+                           worker->second.record.endpoint == aCall.endpoint;
+  auto& idle = idleConnections_[{ aTerm, aCall.worker.Value() }];
+  // A worker that has stopped has closed its connections, which shows once its
+  // host answers.
+  if (isReachable) {
+    connection.peer = worker->second.record.incarnation;
+    std::erase_if(idle, [&](const Connection& aKept) {
+      return aKept.peer != connection.peer;
+    });
+  }
+  if (!idle.empty()) {
+    connection.peer = idle.back().peer;
+    idle.pop_back();
+  }
+  return connection;
+}
+
+/// Whether the answer to an inquiry on the connection keeps the call from being
+/// sent.
+bool
+SimulatedFleet::IsMeantForOther(const WorkerCall& aCall,
+                                const Connection& aConnection)
+{
+  if (!aCall.incarnation || aConnection.peer == jobs::Incarnation(0) ||
+      aConnection.peer == *aCall.incarnation)
+    return false;
+  SimulatedWorker& worker = workers_.at(aCall.worker.Value());
+  const FencingToken fence = std::visit(
+    [](const auto& aRequest) { return aRequest.fence; }, aCall.request);
+  worker.highestFence = std::max(worker.highestFence, fence);
+  return !executesCallsToEarlierIncarnations;
+}
+
 void
 SimulatedFleet::Call(std::uint64_t aTerm, WorkerCall&& aCall)
 {
@@ -883,6 +924,18 @@
     return static_cast<int>(random() % 100) < aPercent;
   };
   const auto call = std::make_shared<WorkerCall>(std::move(aCall));
+  const Connection connection = Connect(aTerm, *call);
+  if (IsMeantForOther(*call, connection)) {
+    idleConnections_[{ aTerm, call->worker.Value() }].push_back(connection);
+    WorkerReply reply;
+    reply.id = call->id;
+    reply.answer = WorkerCallStatus::NotSent;
+    reply.incarnation = connection.peer;
+    ScheduleEvent(kNetworkLatency + kNetworkLatency,
+                  [this, reply, term] { DeliverReply(reply, term); });
+    return;
+  }
+  usedConnections_[{ aTerm, call->id }] = { call->worker.Value(), connection };
   if (const auto* start = std::get_if<StartRun>(&call->request)) {
     const auto worker = workers_.find(call->worker.Value());
     if (worker != workers_.end())
@@ -907,8 +960,8 @@
       faults.minCallDelay +
       Duration(static_cast<std::int64_t>(random() % delayRange));
     scheduleTimeout(call->timeout);
-    ScheduleEvent(delay, [this, call, term, sentAt = now_] {
-      DeliverCall(*call, term, sentAt, false);
+    ScheduleEvent(delay, [this, call, term, connection] {
+      DeliverCall(*call, term, connection, false);
     });
     return;
   }
@@ -916,8 +969,8 @@
   if (!isReplyDelivered)
     scheduleTimeout(call->timeout);
   ScheduleEvent(kNetworkLatency,
-                [this, call, term, isReplyDelivered, sentAt = now_] {
-                  DeliverCall(*call, term, sentAt, isReplyDelivered);
+                [this, call, term, isReplyDelivered, connection] {
+                  DeliverCall(*call, term, connection, isReplyDelivered);
                 });
 }
 
@@ -931,6 +984,13 @@
       unansweredStarts_[task] = sent;
     pendingStarts_.erase(start);
   }
+  if (const auto used = usedConnections_.find({ aTerm, aReply.id });
+      used != usedConnections_.end()) {
+    const auto& [worker, connection] = used->second;
+    if (aReply.answer != WorkerCallStatus::NoAnswer)
+      idleConnections_[{ aTerm, worker }].push_back(connection);
+    usedConnections_.erase(used);
+  }
   Deliver(aTerm, [this, aReply](Leader& aLeader) {
     aLeader.controller.On(aReply, aLeader.leaseEnd, Now());
   });
@@ -939,7 +999,7 @@
 void
 SimulatedFleet::DeliverCall(const WorkerCall& aCall,
                             std::uint64_t aTerm,
-                            Time aSentAt,
+                            const Connection& aConnection,
                             bool aIsReplyDelivered)
 {
   const auto found = workers_.find(aCall.worker.Value());
@@ -962,10 +1022,23 @@
   // earlier incarnation. The simulated worker drops such a call only while its
   // new incarnation has executed no call and thus has no fencing token by which
   // to refuse it.
-  if (!executesCallsToEarlierIncarnations && aSentAt < startedAt &&
+  const Time sentAt = aConnection.sentAt;
+  if (!executesCallsToEarlierIncarnations && sentAt < startedAt &&
       worker.highestFence == FencingToken(0))
     return;
-  auto reply = ExecuteCall(worker, aCall, aSentAt);
+  // A call that was sent after this incarnation had started can't come by a
+  // connection to an earlier one.
+  if (!executesCallsToEarlierIncarnations && sentAt >= startedAt &&
+      aConnection.peer != worker.record.incarnation) {
+    if (aIsReplyDelivered)
+      ScheduleEvent(kNetworkLatency, [this, id = aCall.id, aTerm] {
+        WorkerReply reply;
+        reply.id = id;
+        DeliverReply(reply, aTerm);
+      });
+    return;
+  }
+  auto reply = ExecuteCall(worker, aCall, sentAt);
   if (!aIsReplyDelivered)
     return;
   if (reply) {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -212,8 +212,8 @@
   bool isProviderUnresponsive = false;
   /// The provider executes calls, but its answers are lost.
   bool losesProviderAnswers = false;
-  /// A new incarnation executes calls that were sent to an earlier one, also
-  /// before it has executed any other call.
+  /// A new incarnation executes calls that were sent to an earlier one, on its
+  /// connections too, and also before it has executed any other call.
   bool executesCallsToEarlierIncarnations = false;
   /// Workers state their incarnation in their lists and heartbeats, and not in
   /// the replies to other calls.
@@ -341,6 +341,18 @@
     Time sentAt;
   };
 
+  /// A connection of a leader to a worker.
+  struct Connection
+  {
+    /// The incarnation that has accepted it. Only that one executes what is
+    /// sent on it.
+    jobs::Incarnation peer;
+    /// When the latest call was sent on it.
+    Time sentAt;
+  };
+  /// Identifies a call: the term of the leader, whose call ids are its own.
+  using CallKey = std::pair<std::uint64_t, WorkerCallId>;
+
   struct Leader;
 
   void Propose(std::uint64_t aTerm, BatchId aBatch, const std::string& aEntry);
@@ -365,9 +377,11 @@
   void StartWorker(jobs::WorkerRecord aRecord);
   void SendHeartbeat(SimulatedWorker& aWorker, Duration aDelay = Duration(0));
   void SendDueHeartbeat(SimulatedWorker& aWorker);
+  Connection Connect(std::uint64_t aTerm, const WorkerCall& aCall);
+  bool IsMeantForOther(const WorkerCall& aCall, const Connection& aConnection);
   void DeliverCall(const WorkerCall& aCall,
                    std::uint64_t aTerm,
-                   Time aSentAt,
+                   const Connection& aConnection,
                    bool aIsReplyDelivered);
   std::optional<WorkerReply> ExecuteCall(SimulatedWorker& aWorker,
                                          const WorkerCall& aCall,
@@ -454,10 +468,12 @@
   std::map<std::string, Time> callsBlockedUntil_;
   std::map<std::string, Time> heartbeatsBlockedUntil_;
   std::map<TaskId, PersistentTask> persistentTasks_;
-  /// By the term of the leader, whose call ids are its own, and the call.
-  std::map<std::pair<std::uint64_t, WorkerCallId>,
-           std::pair<TaskId, UnansweredStart>>
-    pendingStarts_;
+  std::map<CallKey, std::pair<TaskId, UnansweredStart>> pendingStarts_;
+  /// Kept connections by the term of the leader and the worker's id, the
+  /// longest idle one first, and those in use.
+  std::map<std::pair<std::uint64_t, std::string>, std::vector<Connection>>
+    idleConnections_;
+  std::map<CallKey, std::pair<std::string, Connection>> usedConnections_;
   /// The latest one of each task.
   std::map<TaskId, UnansweredStart> unansweredStarts_;
   /// The latest time at which an injected fault may still have an effect.
