--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -298,6 +298,8 @@
       { "replied",
         aReply.incarnation ? std::to_string(aReply.incarnation->Value())
                            : "not stated" },
+      { "call_sent",
+        aReply.answer == WorkerCallStatus::NotSent ? "no" : "yes" },
       { "clock", std::to_string(aReply.clock.value_or(Time(0)).Millis()) },
       { "expected_clock",
         std::to_string(expected.value_or(Time(0)).Millis()) } });
