Scheduler: what another incarnation refuses was not executed

An inquiry that the next incarnation refuses (429, 503) counted as a call without an answer: its start could still arrive, so that the task waited and was charged with a crash. In a model whose next incarnations refuse inquiries the job failed.

- A response that states another identity leaves the call unsent, whatever its status.
- A refusal by another incarnation settles the call: nobody has executed it.
- Bytes beyond a response belong to no request: such a connection is not used again, and an inquiry with a second response leaves the call unsent.

A persistent task whose worker is cut off soon after its next incarnation has registered waits for the longest lease, with and without the fix.

--- a/packages/http/include/greengage/http/Client.h
+++ b/packages/http/include/greengage/http/Client.h
@@ -27,8 +27,8 @@
 /// Tells the servers apart that have the same address one after the other.
 using PeerIdentity = StrongId<struct PeerIdentityTag, std::int64_t>;
 
-/// A request that asks a server who it is, before a call that only a certain
-/// one may execute.
+/// A request to which a server states its identity, before a call that only a
+/// certain server may execute.
 struct PeerInquiry
 {
   std::string target;
@@ -64,8 +64,9 @@
   std::optional<Time> sendBefore = std::nullopt;
   /// If set, the call is sent only on a connection on which the expected server
   /// has answered, since another one may have got its address. The inquiry is
-  /// sent first where it is not known who has accepted the connection. If its
-  /// status is not 200, its response is that of the call.
+  /// sent first where it is not known who has accepted the connection. A server
+  /// that refuses the inquiry would refuse the call, so that its response is
+  /// that of the call, unless it states another identity.
   std::optional<PeerInquiry> inquiry = std::nullopt;
 };
 
--- a/packages/http/lib/Client.cpp
+++ b/packages/http/lib/Client.cpp
@@ -30,7 +30,7 @@
 
 namespace greengage::http::detail {
 
-/// A kept connection. \p buffer may hold bytes beyond the last response.
+/// A kept connection.
 struct Connection
 {
   explicit Connection(asio::io_context& aContext)
@@ -254,11 +254,17 @@
     const PeerReader* reader = client_->Options().peerReader;
     if (reader != nullptr && !connection_->peer)
       connection_->peer = reader->ReadPeer(response.body());
-    if (isInquiring_ && response.result() == bhttp::status::ok) {
-      OnInquiryAnswered(response.keep_alive());
+    // Bytes beyond the response belong to no request.
+    const bool isReusable =
+      response.keep_alive() && connection_->buffer.size() == 0;
+    const bool isFromOther = isInquiring_ && connection_->peer &&
+                             connection_->peer != call_.inquiry->expectedPeer;
+    if (isFromOther ||
+        (isInquiring_ && response.result() == bhttp::status::ok)) {
+      OnInquiryAnswered(isReusable);
       return;
     }
-    if (response.keep_alive())
+    if (isReusable)
       client_->KeepIdle(call_.endpoint, std::move(connection_));
     client_->Finish(call_.endpoint,
                     { .id = call_.id,
@@ -268,21 +274,22 @@
                       .reason = {} });
   }
 
-  void OnInquiryAnswered(bool aIsKeptAlive)
+  void OnInquiryAnswered(bool aIsReusable)
   {
     const std::optional<PeerIdentity> peer = connection_->peer;
-    if (aIsKeptAlive && peer == call_.inquiry->expectedPeer) {
+    if (aIsReusable && peer == call_.inquiry->expectedPeer) {
       Send();
       return;
     }
-    if (aIsKeptAlive && peer)
+    if (aIsReusable && peer)
       client_->KeepIdle(call_.endpoint, std::move(connection_));
     if (peer == call_.inquiry->expectedPeer)
-      End(CallProgress::NotSent, "server closes after the inquiry");
+      End(CallProgress::NotSent,
+          "server ends the connection after the inquiry");
     else if (peer)
       End(CallProgress::NotSent, "another server answers", peer);
     else
-      End(CallProgress::NotSent, "server does not say who it is");
+      End(CallProgress::NotSent, "server states no identity");
   }
 
   /// An inquiry without an answer leaves the call itself unsent.
--- a/packages/http/unittests/PeerInquiryTest.cpp
+++ b/packages/http/unittests/PeerInquiryTest.cpp
@@ -186,6 +186,28 @@
   CHECK(result.body == "fenced");
 }
 
+TEST_CASE_METHOD(Fixture, "a refusal by another server leaves the call unsent")
+{
+  Call(kFirst);
+  tcp::socket socket = acceptor.accept();
+  CHECK(Read(socket) == "/who");
+  Answer(socket, std::to_string(kSecond.Value()), 503);
+  const ClientResult result = TakeResult();
+  CHECK(result.progress == CallProgress::NotSent);
+  CHECK(result.otherPeer == kSecond);
+}
+
+TEST_CASE_METHOD(Fixture, "a second response to an inquiry is not the call's")
+{
+  Call(kFirst);
+  tcp::socket socket = acceptor.accept();
+  CHECK(Read(socket) == "/who");
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" +
+                               std::to_string(kFirst.Value());
+  asio::write(socket, asio::buffer(response + response));
+  CHECK(TakeResult().progress == CallProgress::NotSent);
+}
+
 TEST_CASE_METHOD(Fixture, "a call whose inquiry fails is not sent")
 {
   Call(kFirst, Duration(300));
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -300,7 +300,8 @@
                            : "not stated" },
       { "call_sent",
         aReply.answer == WorkerCallStatus::NotSent ? "no" : "yes" },
-      { "clock", std::to_string(aReply.clock.value_or(Time(0)).Millis()) },
+      { "clock",
+        aReply.clock ? std::to_string(aReply.clock->Millis()) : "not stated" },
       { "expected_clock",
         std::to_string(expected.value_or(Time(0)).Millis()) } });
 }
@@ -331,7 +332,9 @@
   WorkerReply unanswered;
   if (isFromOther) {
     unanswered.id = aReply.id;
-    if (aReply.answer == WorkerCallStatus::NotSent)
+    // Nobody has executed a call that was refused or held back.
+    if (aReply.answer != WorkerCallStatus::Done &&
+        aReply.answer != WorkerCallStatus::NoAnswer)
       unanswered.answer = WorkerCallStatus::NotSent;
     unanswered.detail = "another life of the worker answered";
   }
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -929,8 +929,12 @@
     idleConnections_[{ aTerm, call->worker.Value() }].push_back(connection);
     WorkerReply reply;
     reply.id = call->id;
-    reply.answer = WorkerCallStatus::NotSent;
-    reply.incarnation = connection.peer;
+    reply.answer = refusesInquiries ? WorkerCallStatus::Unhealthy
+                                    : WorkerCallStatus::NotSent;
+    if (refusesInquiries)
+      reply.clock = ClockOf(workers_.at(call->worker.Value()));
+    if (!refusesInquiries || !statesIncarnationOnlyInLists)
+      reply.incarnation = connection.peer;
     ScheduleEvent(kNetworkLatency + kNetworkLatency,
                   [this, reply, term] { DeliverReply(reply, term); });
     return;
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -218,6 +218,8 @@
   /// Workers state their incarnation in their lists and heartbeats, and not in
   /// the replies to other calls.
   bool statesIncarnationOnlyInLists = false;
+  /// A worker answers an inquiry for another incarnation as unhealthy.
+  bool refusesInquiries = false;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers on which each run fails by itself shortly after its start, also
