Scheduler: soak of workers that come back under their ids and are cut off

The soak restarts workers under their ids with heartbeats blocked, cuts the worker off that starts a task, loses replies and changes the leader at each of these moments; tasks run for up to 30 s, workers state their incarnation everywhere or in lists only, and their clocks begin at 0 or at up to 20 s.

--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -636,6 +636,9 @@
   worker.record.endpoint = { "10.0.0.1", port };
   worker.reachableSince = now_;
   worker.clockRate = clockRate_;
+  if (maxInitialClock > Duration(0))
+    worker.initialClock = Time(static_cast<std::int64_t>(
+      random() % static_cast<std::uint64_t>(maxInitialClock.Millis())));
   if (id.find('-') == std::string::npos)
     hosts_[worker.record.host.Value()] = { .pool = PoolId("lines"),
                                            .worker = id,
@@ -844,7 +847,8 @@
 {
   constexpr std::int64_t kPercent = 100;
   const Time startedAt(aWorker.record.incarnation.Value());
-  return Time((now_ - startedAt).Millis() * aWorker.clockRate / kPercent);
+  return aWorker.initialClock +
+         Duration((now_ - startedAt).Millis() * aWorker.clockRate / kPercent);
 }
 
 bool
@@ -1652,6 +1656,19 @@
   return count;
 }
 
+std::vector<std::string>
+SimulatedFleet::WorkersWithRunsOf(jobs::JobId aJob) const
+{
+  std::vector<std::string> found;
+  for (const auto& [id, worker] : workers_)
+    if (worker.isUp &&
+        std::any_of(worker.runs.begin(),
+                    worker.runs.end(),
+                    [&](const auto& aItem) { return aItem.first.job == aJob; }))
+      found.push_back(id);
+  return found;
+}
+
 bool
 SimulatedFleet::HasRun(jobs::JobId aJob) const
 {
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -191,6 +191,8 @@
   std::size_t TotalRuns() const;
   /// Number of runs of the job on all workers that are up.
   std::size_t RunCountOf(jobs::JobId aJob) const;
+  /// The workers that are up and have runs of the job.
+  std::vector<std::string> WorkersWithRunsOf(jobs::JobId aJob) const;
   /// Whether any run of the job is on a worker that is up.
   bool HasRun(jobs::JobId aJob) const;
 
@@ -220,6 +222,9 @@
   bool statesIncarnationOnlyInLists = false;
   /// A worker answers an inquiry for another incarnation as unhealthy.
   bool refusesInquiries = false;
+  /// If set, the clock of a worker that starts shows a random time below it,
+  /// and 0 otherwise.
+  Duration maxInitialClock;
   /// Workers on which runs take kSlowWorkerFactor times as long.
   std::set<std::string> slowWorkers;
   /// Workers on which each run fails by itself shortly after its start, also
@@ -269,6 +274,8 @@
     std::uint64_t firstPartitionedTerm = 0;
     /// The rate of the worker's clock in percent of the simulated time.
     std::int64_t clockRate = 100;
+    /// What the worker's clock showed when this incarnation started.
+    Time initialClock;
     FencingToken highestFence;
     /// On the worker's clock.
     Time leaseEnd;
