Scheduler: log the load of each pool, and how long runs keep their places

The times are moving averages over the runs that have succeeded (RunOccupancy).

HasObjective moves from the controller to the job's description, since the report needs it.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -133,6 +133,28 @@
       { "proposed_runs", since(work.proposedRuns, reportedWork_.proposedRuns) },
       { "uncommitted_ms", std::to_string(OldestProposalAge().Millis()) } });
   reportedWork_ = work;
+  ReportPools();
+}
+
+void
+ScheduleFilter::ReportPools() const
+{
+  for (const auto& [pool, load] : controller_.GetScheduler().ComputeLoads())
+    observe::Log(
+      observe::LogLevel::Info,
+      "pool-load",
+      { { "pool", pool.Value() },
+        { "workers", std::to_string(load.workers) },
+        { "usable_workers", std::to_string(load.usableWorkers) },
+        { "capacity_mc", std::to_string(load.capacity.Count()) },
+        { "in_use_mc", std::to_string(load.inUse.Count()) },
+        { "unbegun_jobs", std::to_string(load.unbegunJobs) },
+        { "late_unbegun", std::to_string(load.lateUnbegunJobs) },
+        { "begun_jobs", std::to_string(load.begunJobs) },
+        { "late_begun", std::to_string(load.lateBegunJobs) },
+        { "run_ms", std::to_string(load.occupancy.MeanExpected().Millis()) },
+        { "occupied_ms",
+          std::to_string(load.occupancy.MeanOccupied().Millis()) } });
 }
 
 Duration
--- a/packages/daemon/lib/filters/ScheduleFilter.h
+++ b/packages/daemon/lib/filters/ScheduleFilter.h
@@ -71,6 +71,8 @@
   void StepDownIfDue();
   /// Exports the number of idle persistent tasks if it has changed.
   void ReportIdleTasks();
+  /// Logs the load of each pool that has jobs.
+  void ReportPools() const;
   /// Logs the work of dispatch since the last report, and exports the number of
   /// removed queues that are remembered.
   void ReportWork();
--- a/packages/jobs/include/greengage/jobs/Job.h
+++ b/packages/jobs/include/greengage/jobs/Job.h
@@ -103,6 +103,11 @@
 Duration
 CriticalPathLength(const JobDescription& aJob);
 
+/// Whether the job is to be done by some time after it was handed in: jobs with
+/// persistent tasks or occurrences are not.
+bool
+HasObjective(const JobDescription& aJob);
+
 } // namespace greengage::jobs
 
 #endif // GREENGAGE_JOBS_JOB_H
--- a/packages/jobs/lib/Job.cpp
+++ b/packages/jobs/lib/Job.cpp
@@ -51,3 +51,12 @@
   }
   return longest;
 }
+
+bool
+greengage::jobs::HasObjective(const JobDescription& aJob)
+{
+  return aJob.recurrence.count == 0 &&
+         std::none_of(aJob.steps.begin(),
+                      aJob.steps.end(),
+                      [](const Step& aStep) { return aStep.isPersistent; });
+}
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -13,6 +13,7 @@
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/PermitCache.h"
 #include "greengage/schedule/PoolIndex.h"
+#include "greengage/schedule/RunOccupancy.h"
 #include "greengage/schedule/WorkerSession.h"
 
 #include <cstddef>
@@ -50,6 +51,25 @@
   std::uint64_t proposedRuns = 0;
 };
 
+/// What the log shows of a pool and of its jobs with an objective.
+struct PoolLoad
+{
+  /// The pool's workers, and those that take new runs.
+  std::size_t workers = 0;
+  std::size_t usableWorkers = 0;
+  /// Of the usable workers.
+  MilliCores capacity;
+  MilliCores inUse;
+  /// Jobs of which no task has been given a place, and those of them that can
+  /// no longer meet their objective.
+  std::size_t unbegunJobs = 0;
+  std::size_t lateUnbegunJobs = 0;
+  /// The other live jobs.
+  std::size_t begunJobs = 0;
+  std::size_t lateBegunJobs = 0;
+  RunOccupancy occupancy;
+};
+
 /// The resource demand of the queues of a pool.
 struct PoolDemand
 {
@@ -99,6 +119,8 @@
   std::optional<Time> NextDispatch() const;
   const DispatchWork& Work() const { return work_; }
   std::size_t LiveJobCount() const { return liveJobs_.size(); }
+  /// \returns the load of each pool that has live jobs with an objective.
+  std::map<PoolId, PoolLoad> ComputeLoads() const;
   /// \returns the number of persistent tasks that had had no run for at least
   /// 5 s when they were last checked, which is once a second.
   std::size_t IdlePersistentTaskCount() const { return idlePersistentTasks_; }
@@ -301,6 +323,7 @@
   std::vector<Candidate> LiveCandidates() const;
   std::vector<Candidate> RankedCandidates() const;
   static bool HasDispatchableStep(const jobs::Job& aJob);
+  static bool HasBegun(const jobs::Job& aJob);
   /// Null if the queue is not known.
   const QueueState* FindQueue(const jobs::QueueId& aQueue) const;
   void LogQueueChanges(
@@ -336,6 +359,7 @@
   void UpdateMeanRunTime(const jobs::Job& aJob,
                          const Run& aRun,
                          std::optional<Time> aListedAt);
+  void CountOccupancy(const TaskId& aTask, const Run& aRun);
   Candidate MakeCandidate(const jobs::Job& aJob,
                           const QueueState& aQueue) const;
   bool ReserveCapacity(const Candidate& aCandidate,
@@ -495,6 +519,7 @@
   std::map<PoolId, MilliCoreMillis> poolBacklogs_;
   std::unordered_map<TeamId, MilliCoreMillis> teamBacklogs_;
   Time backlogsAt_;
+  std::map<PoolId, RunOccupancy> occupancies_;
   /// Scratch space for CriticalPath.
   mutable std::vector<Duration> pathEnds_;
   /// Capacity reserved on a worker until enough is free for the task. It counts
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -36,6 +36,9 @@
 {
   Attempt attempt;
   RunStage stage = RunStage::Proposed;
+  /// When the run was given its place on the worker; none if a previous leader
+  /// did that.
+  std::optional<Time> placedAt;
   /// Resources allocated on the worker.
   jobs::Resources allocated;
   /// Resources charged to the team's quota.
--- a/packages/schedule/lib/Controller.cpp
+++ b/packages/schedule/lib/Controller.cpp
@@ -432,21 +432,15 @@
     ReplyWithProgress(aCaller, *job);
 }
 
-/// Decides about a job that is not known yet. A job with persistent tasks or
-/// occurrences has no objective, and one that is about to be accepted can't be
-/// rejected any more.
+/// Decides about a job that is not known yet. One that is about to be accepted
+/// can't be rejected any more.
 AdmissionDecision
 Controller::Admit(jobs::JobId aJob,
                   const jobs::Queue& aQueue,
                   const TeamId& aTeam,
                   const jobs::JobDescription& aDescription)
 {
-  const bool hasObjective =
-    aDescription.recurrence.count == 0 &&
-    std::none_of(aDescription.steps.begin(),
-                 aDescription.steps.end(),
-                 [](const jobs::Step& aStep) { return aStep.isPersistent; });
-  if (!hasObjective || proposedJobs_.count(aJob) != 0)
+  if (!jobs::HasObjective(aDescription) || proposedJobs_.count(aJob) != 0)
     return { .isAdmitted = true,
              .acceptedAt = now_.wall,
              .retryAfter = Duration(0) };
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -139,6 +139,7 @@
   poolBacklogs_.clear();
   teamBacklogs_.clear();
   backlogsAt_ = Time(0);
+  occupancies_.clear();
   reservations_.clear();
   permitCache_.Clear();
   lastShortageAt_.clear();
@@ -414,6 +415,8 @@
     listing = session;
   if (found->second.endNumber)
     listing->pendingEnds.erase(*found->second.endNumber);
+  if (aEnd.outcome == jobs::RunOutcome::Succeeded)
+    CountOccupancy(aEnd.task, found->second);
   RemoveRun(*session, aEnd.task);
   isDispatchDue_ = true;
   if (listing->pendingEnds.empty())
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -110,6 +110,31 @@
   mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
 }
 
+/// Counts how long a run that has succeeded kept its place on the worker.
+void
+Scheduler::CountOccupancy(const TaskId& aTask, const Run& aRun)
+{
+  const jobs::Job* job = stateMachine_.Find(aTask.job);
+  const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
+  if (!aRun.placedAt || aRun.isPersistent || queue == nullptr)
+    return;
+  occupancies_[queue->definition->pool].Add(
+    ExpectedRunTime(queue, job->description.steps[aTask.step]),
+    now_.steady - *aRun.placedAt);
+}
+
+/// Whether a task of the job has been given a place on a worker, as far as that
+/// is committed.
+bool
+Scheduler::HasBegun(const jobs::Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences)
+    for (const jobs::StepState& step : occurrence.steps)
+      if (step.waitingTasks < step.tasks.size())
+        return true;
+  return false;
+}
+
 /// Whether a step of the job has tasks that wait for a worker and not for other
 /// steps.
 bool
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -562,8 +562,10 @@
     stepRacks_[jobs::StepOf(aTask)] = RecordOf(aSession).rack;
   quotaUsage_[run.team] += run.quotaCharge;
   run.attempt = aAttempt;
-  if (stateMachine_.Find(aTask)->phase == jobs::TaskPhase::Waiting)
-    proposedTasks_.insert(aTask);
+  if (stateMachine_.Find(aTask)->phase != jobs::TaskPhase::Waiting)
+    return;
+  run.placedAt = now_.steady;
+  proposedTasks_.insert(aTask);
 }
 
 void
--- a/packages/schedule/lib/SchedulerReport.cpp
+++ b/packages/schedule/lib/SchedulerReport.cpp
@@ -189,3 +189,32 @@
     LogIdleTask(task, now_.steady - since);
   }
 }
+
+std::map<PoolId, PoolLoad>
+Scheduler::ComputeLoads() const
+{
+  std::map<PoolId, PoolLoad> loads;
+  for (const Candidate& candidate : LiveCandidates()) {
+    if (!jobs::HasObjective(candidate.job->description))
+      continue;
+    PoolLoad& load = loads[candidate.pool];
+    const bool hasBegun = HasBegun(*candidate.job);
+    ++(hasBegun ? load.begunJobs : load.unbegunJobs);
+    if (candidate.isLate)
+      ++(hasBegun ? load.lateBegunJobs : load.lateUnbegunJobs);
+  }
+  for (auto& [pool, load] : loads) {
+    for (const auto& [entry, worker] : poolIndex_.WorkersOf(pool).All()) {
+      ++load.workers;
+      if (!worker->IsUsable(now_.steady))
+        continue;
+      ++load.usableWorkers;
+      load.capacity += worker->capacity.processors;
+      load.inUse += worker->used.processors;
+    }
+    const auto occupancy = occupancies_.find(pool);
+    if (occupancy != occupancies_.end())
+      load.occupancy = occupancy->second;
+  }
+  return loads;
+}
