Scheduler: jobs that can't all be in time no longer make each other late

Cause: the job with the least slack goes first, which is optimal only where all fit. Where more comes than fits, each job starts just as it becomes late. One that becomes late after its first step falls behind all that have not begun, so that the step was in vain, and the full pool does hardly anything but first steps. The latest start also leaves out how long a run keeps its place beside the run time of its task.

Why it works: in a pool in which tasks wait for places, the jobs are checked in their order against the rate at which the pool begins work: the processors in use, times the part of the time for which runs keep their places that is run time. If one doesn't fit, those of its priority that have the least slack and have not begun wait, until it does. What begins thus has slack left for a rate that falls, and whatever lowers the rate (few places, silent workers, a slow leader) is in the measured times. If all fit, the order is that of before. Jobs that have begun, jobs of higher priority and persistent tasks don't wait. A late job goes before one that is worthless to its client. The times of steps, up to the end of the last task, are part of the slack. Moore and Hodgson's rule would put the largest jobs aside; the size doesn't count here, so that large jobs are not starved.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -152,9 +152,11 @@
         { "late_unbegun", std::to_string(load.lateUnbegunJobs) },
         { "begun_jobs", std::to_string(load.begunJobs) },
         { "late_begun", std::to_string(load.lateBegunJobs) },
-        { "run_ms", std::to_string(load.occupancy.MeanExpected().Millis()) },
+        { "run_ms", std::to_string(load.times.runs.MeanExpected().Millis()) },
         { "occupied_ms",
-          std::to_string(load.occupancy.MeanOccupied().Millis()) } });
+          std::to_string(load.times.runs.MeanActual().Millis()) },
+        { "step_ms",
+          std::to_string(load.times.steps.MeanActual().Millis()) } });
 }
 
 Duration
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -9,11 +9,12 @@
 #include "greengage/core/Ids.h"
 #include "greengage/jobs/JobStateMachine.h"
 #include "greengage/schedule/Admission.h"
+#include "greengage/schedule/ExecutionTimes.h"
+#include "greengage/schedule/JobDeferral.h"
 #include "greengage/schedule/Messages.h"
 #include "greengage/schedule/Outbox.h"
 #include "greengage/schedule/PermitCache.h"
 #include "greengage/schedule/PoolIndex.h"
-#include "greengage/schedule/RunOccupancy.h"
 #include "greengage/schedule/WorkerSession.h"
 
 #include <cstddef>
@@ -67,7 +68,7 @@
   /// The other live jobs.
   std::size_t begunJobs = 0;
   std::size_t lateBegunJobs = 0;
-  RunOccupancy occupancy;
+  PoolTimes times;
 };
 
 /// The resource demand of the queues of a pool.
@@ -297,6 +298,16 @@
   // Placement is implemented in SchedulerPlacement.cpp, job ordering and demand
   // in SchedulerOrder.cpp, capacity reservations in SchedulerReservations.cpp
   // and placement permits in SchedulerAdvice.cpp.
+  /// What the scheduler keeps of a pool, also across configurations.
+  struct PoolState
+  {
+    PoolTimes times;
+    /// Whether a task that is not persistent found no place in the latest
+    /// dispatch pass.
+    bool isSaturated = false;
+    /// The work that the pool begins per unit of time, if it is saturated.
+    MilliCores rate;
+  };
   /// What the scheduler keeps of a queue, also across configurations.
   struct QueueState
   {
@@ -306,28 +317,57 @@
     bool isRemoved = false;
     /// Moving average of the task run times, in milliseconds.
     std::optional<double> meanRunTime;
+    /// Outlives the queue.
+    PoolState* pool = nullptr;
+  };
+  enum class Timeliness : std::uint8_t
+  {
+    /// The job can still meet its objective, or has none.
+    InTime,
+    /// It can't, but will still be worth something to its client.
+    Late,
+    Worthless,
   };
   struct Candidate
   {
     const jobs::Job* job;
-    PoolId pool;
+    const QueueState* queue;
     std::uint32_t priority;
     /// The latest time, on the wall clock, at which the remaining steps must
-    /// start for the job to meet its objective.
+    /// start for the job to meet its objective or, if it is late, to be worth
+    /// something.
     Time latestStart;
-    /// Set if the queue has a placement policy, so that workers need a permit.
-    std::optional<jobs::PlacementPolicy> advicePolicy = {};
-    /// The job can no longer meet its objective.
-    bool isLate = false;
+    /// Number of steps that are left on the critical path.
+    std::int64_t remainingSteps = 0;
+    Timeliness timeliness = Timeliness::InTime;
+    /// Served after the others, since not all can be in time.
+    bool isDeferred = false;
+
+    const PoolId& Pool() const { return queue->definition->pool; }
+    /// Set if workers need a permit.
+    const std::optional<jobs::PlacementPolicy>& AdvicePolicy() const
+    {
+      return queue->definition->advice;
+    }
   };
   std::vector<Candidate> LiveCandidates() const;
+  static bool IsServedBefore(const Candidate& aLeft, const Candidate& aRight);
   std::vector<Candidate> RankedCandidates() const;
+  void DeferCandidates(std::vector<Candidate>& aCandidates) const;
+  bool DeferCandidatesOf(const PoolState& aPool,
+                         std::vector<Candidate>& aCandidates) const;
+  PendingJob MakePendingJob(const Candidate& aCandidate) const;
+  static MilliCoreMillis WaitingWork(const jobs::Step& aStep,
+                                     const jobs::StepState& aState,
+                                     const QueueState& aQueue);
+  void MeasureRates();
   static bool HasDispatchableStep(const jobs::Job& aJob);
   static bool HasBegun(const jobs::Job& aJob);
   /// Null if the queue is not known.
   const QueueState* FindQueue(const jobs::QueueId& aQueue) const;
   void LogQueueChanges(
     const std::vector<const jobs::KnownQueue*>& aQueues) const;
+  static Time DueTime(const jobs::Job& aJob, std::uint32_t aOccurrence);
   void DispatchJob(const Candidate& aCandidate);
   void DispatchStep(const Candidate& aCandidate,
                     std::uint32_t aOccurrence,
@@ -353,13 +393,21 @@
   void Suspend(WorkerSession& aSession, const char* aReason) const;
   static Duration ExpectedRunTime(const QueueState* aQueue,
                                   const jobs::Step& aStep);
-  Duration CriticalPath(const jobs::Job& aJob,
-                        const QueueState& aQueue,
-                        bool aIsRemainingOnly) const;
+  struct CriticalPaths
+  {
+    /// The expected run time of the critical path through all steps, and of the
+    /// one through the unfinished steps.
+    Duration complete;
+    Duration remaining;
+    /// Number of steps on the latter.
+    std::int64_t remainingSteps = 0;
+  };
+  CriticalPaths ComputePaths(const jobs::Job& aJob,
+                             const QueueState& aQueue) const;
   void UpdateMeanRunTime(const jobs::Job& aJob,
                          const Run& aRun,
                          std::optional<Time> aListedAt);
-  void CountOccupancy(const TaskId& aTask, const Run& aRun);
+  void CountTimes(const TaskId& aTask, const Run& aRun);
   Candidate MakeCandidate(const jobs::Job& aJob,
                           const QueueState& aQueue) const;
   bool ReserveCapacity(const Candidate& aCandidate,
@@ -512,6 +560,7 @@
   std::set<TaskId> proposedTasks_;
   /// Resources charged to each team's quota.
   std::unordered_map<TeamId, jobs::Resources> quotaUsage_;
+  std::map<PoolId, PoolState> pools_;
   std::unordered_map<jobs::QueueId, QueueState> queues_;
   std::unordered_map<TeamId, jobs::Resources> quotas_;
   /// Work left of the live jobs by pool and by team, as of \ref backlogsAt_ and
@@ -519,9 +568,12 @@
   std::map<PoolId, MilliCoreMillis> poolBacklogs_;
   std::unordered_map<TeamId, MilliCoreMillis> teamBacklogs_;
   Time backlogsAt_;
-  std::map<PoolId, RunOccupancy> occupancies_;
-  /// Scratch space for CriticalPath.
-  mutable std::vector<Duration> pathEnds_;
+  /// When a task of each step was first placed by this leader. Steps that are
+  /// done are left out.
+  std::map<jobs::StepId, Time> stepBegins_;
+  LeastSlackDeferral deferral_;
+  /// Scratch space for ComputePaths: the paths that end with each step.
+  mutable std::vector<CriticalPaths> pathEnds_;
   /// Capacity reserved on a worker until enough is free for the task. It counts
   /// as used; otherwise small tasks would take all capacity as it is freed and
   /// starve the larger task.
--- a/packages/schedule/lib/Admission.cpp
+++ b/packages/schedule/lib/Admission.cpp
@@ -1,13 +1,13 @@
 #include "greengage/schedule/Admission.h"
 
+#include "SchedulerBounds.h"
+
 #include <algorithm>
 
 using namespace greengage;
 using namespace greengage::schedule;
+using namespace greengage::schedule::detail;
 
-/// A job is worth something to its client until this many times its objective
-/// has passed, by the users' rules.
-static constexpr std::int64_t kWorthlessFactor = 3;
 /// A client that was sent away this often is not sent away again.
 static constexpr std::size_t kMaxRejections = 2;
 /// Bounds of the time after which a client is asked to come back. The upper one
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -139,7 +139,9 @@
   poolBacklogs_.clear();
   teamBacklogs_.clear();
   backlogsAt_ = Time(0);
-  occupancies_.clear();
+  for (auto& [id, pool] : pools_)
+    pool.isSaturated = false;
+  stepBegins_.clear();
   reservations_.clear();
   permitCache_.Clear();
   lastShortageAt_.clear();
@@ -161,6 +163,7 @@
     if (state.definition != nullptr && state.isRemoved != isRemoved)
       changed.push_back(&queue);
     state.definition = &queue.definition;
+    state.pool = &pools_[queue.definition.pool];
     state.isRemoved = isRemoved;
   }
   LogQueueChanges(changed);
@@ -310,6 +313,9 @@
   if (aJob.state == jobs::JobState::Failed)
     LogFailure(aJob, stateMachine_);
   permitCache_.DropJob(aJob.id);
+  auto begin = stepBegins_.lower_bound({ .job = aJob.id });
+  while (begin != stepBegins_.end() && begin->first.job == aJob.id)
+    begin = stepBegins_.erase(begin);
   UpdateUnstartedJobs(aJob);
   // A proposed assignment is rejected once the job has ended, so only the
   // assigned tasks have runs to stop.
@@ -416,7 +422,7 @@
   if (found->second.endNumber)
     listing->pendingEnds.erase(*found->second.endNumber);
   if (aEnd.outcome == jobs::RunOutcome::Succeeded)
-    CountOccupancy(aEnd.task, found->second);
+    CountTimes(aEnd.task, found->second);
   RemoveRun(*session, aEnd.task);
   isDispatchDue_ = true;
   if (listing->pendingEnds.empty())
--- a/packages/schedule/lib/SchedulerAdvice.cpp
+++ b/packages/schedule/lib/SchedulerAdvice.cpp
@@ -16,7 +16,7 @@
                        const Candidate& aCandidate,
                        const TaskId& aTask) const
 {
-  return !aCandidate.advicePolicy ||
+  return !aCandidate.AdvicePolicy() ||
          permitCache_.FindPermit(StepOf(aTask), aRecord.id, now_.steady)
            .has_value();
 }
@@ -31,7 +31,7 @@
   const jobs::Step& step = aCandidate.job->description.steps[aTask.step];
   std::vector<std::pair<std::int64_t, jobs::WorkerId>> byFreeProcessors;
   for (const auto& [entry, worker] :
-       poolIndex_.WorkersOf(aCandidate.pool).All()) {
+       poolIndex_.WorkersOf(aCandidate.Pool()).All()) {
     const WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
@@ -47,8 +47,11 @@
   workers.reserve(byFreeProcessors.size());
   for (auto& [negatedFree, worker] : byFreeProcessors)
     workers.push_back(std::move(worker));
-  permitCache_.RequestPermits(
-    StepOf(aTask), workers, step.count, *aCandidate.advicePolicy, now_.steady);
+  permitCache_.RequestPermits(StepOf(aTask),
+                              workers,
+                              step.count,
+                              *aCandidate.AdvicePolicy(),
+                              now_.steady);
 }
 
 /// Requests permits for the next steps of a started job in advance, so that
--- a/packages/schedule/lib/SchedulerBounds.h
+++ b/packages/schedule/lib/SchedulerBounds.h
@@ -13,6 +13,10 @@
 
 inline constexpr std::int64_t kPercent = 100;
 
+/// A job is worth something to its client until this many times its objective
+/// has passed, by the users' rules.
+inline constexpr std::int64_t kWorthlessFactor = 3;
+
 /// Timeout of a start or stop request. Workers answer within a few
 /// milliseconds; a lost packet is retransmitted after a few hundred.
 inline constexpr Duration kCallTimeout = Duration(700);
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -1,5 +1,6 @@
 #include "greengage/schedule/Scheduler.h"
 
+#include "SchedulerBounds.h"
 #include "TaskAllocation.h"
 
 #include <algorithm>
@@ -32,10 +33,9 @@
 {
   const jobs::Queue& queue = *aQueue.definition;
   Candidate candidate{ .job = &aJob,
-                       .pool = queue.pool,
+                       .queue = &aQueue,
                        .priority = 0,
-                       .latestStart = aJob.acceptedAt,
-                       .advicePolicy = queue.advice };
+                       .latestStart = aJob.acceptedAt };
   // Jobs with persistent tasks have no objective: their tasks should always
   // run, so they keep the highest priority.
   const bool isPersistent =
@@ -44,15 +44,26 @@
                 [](const jobs::Step& aStep) { return aStep.isPersistent; });
   if (isPersistent)
     return candidate;
-  const auto criticalPathMs =
-    static_cast<double>(CriticalPath(aJob, aQueue, false).Millis());
+  const CriticalPaths paths = ComputePaths(aJob, aQueue);
   candidate.priority = queue.priority;
+  candidate.remainingSteps = paths.remainingSteps;
+  const Duration objective =
+    queue.objective +
+    Duration(static_cast<std::int64_t>(
+      queue.stretch * static_cast<double>(paths.complete.Millis())));
+  const Duration remaining =
+    paths.remaining + aQueue.pool->times.runs.Overhead() * paths.remainingSteps;
+  const auto isPast = [&](Time aLatestStart) {
+    return aJob.description.recurrence.count == 0 &&
+           aLatestStart + kLateTolerance < now_.wall;
+  };
+  candidate.latestStart = aJob.acceptedAt + objective - remaining;
+  if (!isPast(candidate.latestStart))
+    return candidate;
   candidate.latestStart =
-    aJob.acceptedAt + queue.objective +
-    Duration(static_cast<std::int64_t>(queue.stretch * criticalPathMs)) -
-    CriticalPath(aJob, aQueue, true);
-  candidate.isLate = aJob.description.recurrence.count == 0 &&
-                     candidate.latestStart + kLateTolerance < now_.wall;
+    aJob.acceptedAt + objective * kWorthlessFactor - remaining;
+  candidate.timeliness =
+    isPast(candidate.latestStart) ? Timeliness::Worthless : Timeliness::Late;
   return candidate;
 }
 
@@ -67,29 +78,36 @@
   return Duration((aStep.estimate.Millis() + averageMs) / 2);
 }
 
-/// \returns the expected run time of the critical path through all steps, or
-/// through the unfinished ones only.
-Duration
-Scheduler::CriticalPath(const jobs::Job& aJob,
-                        const QueueState& aQueue,
-                        bool aIsRemainingOnly) const
+Scheduler::CriticalPaths
+Scheduler::ComputePaths(const jobs::Job& aJob, const QueueState& aQueue) const
 {
   const auto& steps = aJob.description.steps;
   const jobs::Occurrence* occurrence =
     aJob.occurrences.empty() ? nullptr : &aJob.occurrences.begin()->second;
-  std::vector<Duration>& ends = pathEnds_;
-  ends.resize(steps.size());
-  Duration longest;
+  pathEnds_.resize(steps.size());
+  CriticalPaths longest;
+  const auto extend = [](CriticalPaths& aPaths, const CriticalPaths& aOther) {
+    aPaths.complete = std::max(aPaths.complete, aOther.complete);
+    if (aPaths.remaining >= aOther.remaining)
+      return;
+    aPaths.remaining = aOther.remaining;
+    aPaths.remainingSteps = aOther.remainingSteps;
+  };
   for (std::size_t index = 0; index < steps.size(); ++index) {
-    const bool isDone = aIsRemainingOnly && occurrence != nullptr &&
-                        occurrence->steps[index].doneTasks ==
-                          occurrence->steps[index].tasks.size();
-    Duration start;
+    CriticalPaths& end = pathEnds_[index];
+    end = {};
     for (const std::uint32_t predecessor : steps[index].dependencies)
-      start = std::max(start, ends[predecessor]);
-    ends[index] =
-      start + (isDone ? Duration(0) : ExpectedRunTime(&aQueue, steps[index]));
-    longest = std::max(longest, ends[index]);
+      extend(end, pathEnds_[predecessor]);
+    const Duration runTime = ExpectedRunTime(&aQueue, steps[index]);
+    end.complete = end.complete + runTime;
+    const bool isDone =
+      occurrence != nullptr && occurrence->steps[index].doneTasks ==
+                                 occurrence->steps[index].tasks.size();
+    if (!isDone) {
+      end.remaining = end.remaining + runTime;
+      ++end.remainingSteps;
+    }
+    extend(longest, end);
   }
   return longest;
 }
@@ -110,17 +128,26 @@
   mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
 }
 
-/// Counts how long a run that has succeeded kept its place on the worker.
+/// Counts how long a run that has succeeded kept its place on the worker and,
+/// if it was the last one of its step, how long that took.
 void
-Scheduler::CountOccupancy(const TaskId& aTask, const Run& aRun)
+Scheduler::CountTimes(const TaskId& aTask, const Run& aRun)
 {
   const jobs::Job* job = stateMachine_.Find(aTask.job);
   const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
   if (!aRun.placedAt || aRun.isPersistent || queue == nullptr)
     return;
-  occupancies_[queue->definition->pool].Add(
-    ExpectedRunTime(queue, job->description.steps[aTask.step]),
-    now_.steady - *aRun.placedAt);
+  PoolTimes& times = queue->pool->times;
+  const Duration expected =
+    ExpectedRunTime(queue, job->description.steps[aTask.step]);
+  times.runs.Add(expected, now_.steady - *aRun.placedAt);
+  const jobs::StepState& state =
+    job->occurrences.at(aTask.occurrence).steps[aTask.step];
+  const auto begin = stepBegins_.find(jobs::StepOf(aTask));
+  if (begin == stepBegins_.end() || state.doneTasks < state.tasks.size())
+    return;
+  times.steps.Add(expected, now_.steady - begin->second);
+  stepBegins_.erase(begin);
 }
 
 /// Whether a task of the job has been given a place on a worker, as far as that
@@ -170,12 +197,30 @@
   return candidates;
 }
 
+/// The order in which jobs are served.
+bool
+Scheduler::IsServedBefore(const Candidate& aLeft, const Candidate& aRight)
+{
+  // Finishing a late job sooner gains little, and a worthless one nothing.
+  const auto rank = [](const Candidate& aCandidate) {
+    return std::tuple(
+      aCandidate.timeliness, aCandidate.isDeferred, aCandidate.priority);
+  };
+  if (rank(aLeft) != rank(aRight))
+    return rank(aLeft) < rank(aRight);
+  if (aLeft.latestStart == aRight.latestStart)
+    return aLeft.job->id < aRight.job->id;
+  // The deferred job with the most slack can best be in time after all.
+  return (aLeft.latestStart < aRight.latestStart) != aLeft.isDeferred;
+}
+
 /// \returns the live jobs with tasks that may be placed or need permits, in the
 /// order in which they are served.
 std::vector<Scheduler::Candidate>
 Scheduler::RankedCandidates() const
 {
   std::vector<Candidate> candidates;
+  candidates.reserve(liveJobs_.size());
   for (const jobs::JobId id : liveJobs_) {
     const jobs::Job* job = stateMachine_.Find(id);
     const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
@@ -185,29 +230,118 @@
     if (needsPermits || HasDispatchableStep(*job))
       candidates.push_back(MakeCandidate(*job, *queue));
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              // Jobs that can still meet their objective go first: finishing
-              // a late job sooner gains little.
-              return std::tuple(aLeft.isLate,
-                                aLeft.priority,
-                                aLeft.latestStart,
-                                aLeft.job->id) < std::tuple(aRight.isLate,
-                                                            aRight.priority,
-                                                            aRight.latestStart,
-                                                            aRight.job->id);
-            });
+  std::sort(candidates.begin(), candidates.end(), IsServedBefore);
+  DeferCandidates(candidates);
   return candidates;
 }
 
+/// The work of the tasks of a step that have no place yet. None is counted of
+/// persistent tasks, which don't give their places back.
+MilliCoreMillis
+Scheduler::WaitingWork(const jobs::Step& aStep,
+                       const jobs::StepState& aState,
+                       const QueueState& aQueue)
+{
+  if (aStep.isPersistent)
+    return {};
+  return MilliCoreMillis(AllocationFor(aStep).processors.Count() *
+                         static_cast<std::int64_t>(aState.waitingTasks) *
+                         ExpectedRunTime(&aQueue, aStep).Millis());
+}
+
+PendingJob
+Scheduler::MakePendingJob(const Candidate& aCandidate) const
+{
+  const jobs::Job& job = *aCandidate.job;
+  const QueueState& queue = *aCandidate.queue;
+  const Duration stepOverhead =
+    queue.pool->times.steps.Overhead() - queue.pool->times.runs.Overhead();
+  PendingJob pending{ .isLate = aCandidate.timeliness != Timeliness::InTime,
+                      .priority = aCandidate.priority,
+                      .latestStart = aCandidate.latestStart -
+                                     stepOverhead * aCandidate.remainingSteps,
+                      .startable = {},
+                      .remaining = {},
+                      .isDeferrable =
+                        jobs::HasObjective(job.description) && !HasBegun(job) };
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (DueTime(job, number) > now_.wall)
+      break;
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const jobs::StepState& state = occurrence.steps[step];
+      const MilliCoreMillis work =
+        WaitingWork(job.description.steps[step], state, queue);
+      pending.remaining += work;
+      if (jobs::AreDependenciesDone(job, occurrence, step))
+        pending.startable += work;
+    }
+  }
+  return pending;
+}
+
+/// Moves the candidates of saturated pools that have to wait for others behind
+/// these. \p aCandidates are in the order of service.
+void
+Scheduler::DeferCandidates(std::vector<Candidate>& aCandidates) const
+{
+  bool isAnyDeferred = false;
+  for (const auto& [id, pool] : pools_)
+    if (pool.isSaturated && DeferCandidatesOf(pool, aCandidates))
+      isAnyDeferred = true;
+  if (isAnyDeferred)
+    std::sort(aCandidates.begin(), aCandidates.end(), IsServedBefore);
+}
+
+/// \returns whether any candidate has been deferred.
+bool
+Scheduler::DeferCandidatesOf(const PoolState& aPool,
+                             std::vector<Candidate>& aCandidates) const
+{
+  std::vector<Candidate*> candidates;
+  std::vector<PendingJob> jobs;
+  candidates.reserve(aCandidates.size());
+  jobs.reserve(aCandidates.size());
+  for (Candidate& candidate : aCandidates)
+    if (candidate.queue->pool == &aPool &&
+        candidate.timeliness != Timeliness::Worthless) {
+      candidates.push_back(&candidate);
+      jobs.push_back(MakePendingJob(candidate));
+    }
+  deferral_.Defer(jobs, aPool.rate, now_.wall);
+  bool isAnyDeferred = false;
+  for (std::size_t index = 0; index < jobs.size(); ++index) {
+    candidates[index]->isDeferred = jobs[index].isDeferred;
+    isAnyDeferred = isAnyDeferred || jobs[index].isDeferred;
+  }
+  return isAnyDeferred;
+}
+
+/// Measures how much work each saturated pool begins per unit of time: the
+/// processors in use, each of which begins a task whenever another one gives
+/// its place back.
+void
+Scheduler::MeasureRates()
+{
+  for (auto& [id, pool] : pools_) {
+    if (!pool.isSaturated)
+      continue;
+    MilliCores inUse;
+    for (const auto& [entry, worker] : poolIndex_.WorkersOf(id).All())
+      if (worker->IsUsable(now_.steady))
+        inUse +=
+          worker->used.processors - worker->usedByPersistentRuns.processors;
+    pool.rate = MilliCores(static_cast<std::int64_t>(
+      static_cast<double>(inUse.Count()) * pool.times.runs.Efficiency()));
+  }
+}
+
 std::map<PoolId, PoolDemand>
 Scheduler::ComputeDemand() const
 {
   std::map<PoolId, PoolDemand> demand;
   for (const Candidate& candidate : LiveCandidates()) {
     const jobs::Job& job = *candidate.job;
-    PoolDemand& poolDemand = demand[candidate.pool];
+    PoolDemand& poolDemand = demand[candidate.Pool()];
     for (const auto& [number, occurrence] : job.occurrences)
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         const jobs::StepState& state = occurrence.steps[step];
@@ -220,7 +354,7 @@
           (jobs::AreDependenciesDone(job, occurrence, step)
              ? 1
              : kBlockedDemandDivisor) *
-          (candidate.isLate ? kLateDemandDivisor : 1);
+          (candidate.timeliness == Timeliness::InTime ? 1 : kLateDemandDivisor);
         poolDemand.processors +=
           perTask.processors.Count() * unfinished / divisor;
         poolDemand.memory += perTask.memory.Count() * unfinished / divisor;
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -44,14 +44,17 @@
   unplaceable_.Clear();
   unreservable_.Clear();
   const std::vector<Candidate> candidates = RankedCandidates();
+  for (auto& [id, pool] : pools_)
+    pool.isSaturated = false;
   ++work_.passes;
   work_.rankedJobs += candidates.size();
   const std::uint64_t examinedBefore = work_.examinedWorkers;
   for (const Candidate& candidate : candidates)
     DispatchJob(candidate);
   for (const Candidate& candidate : candidates)
-    if (candidate.advicePolicy)
+    if (candidate.AdvicePolicy())
       PrefetchPermits(candidate);
+  MeasureRates();
   const std::uint64_t pauseMillis = std::max(
     candidates.size() / kMaxRankedJobsPerMilli,
     (work_.examinedWorkers - examinedBefore) / kMaxExaminedWorkersPerMilli);
@@ -59,19 +62,27 @@
     aNow.steady + Duration(static_cast<std::int64_t>(pauseMillis));
 }
 
+/// When an occurrence of the job is due; in the past for a job that does not
+/// recur.
+Time
+Scheduler::DueTime(const jobs::Job& aJob, std::uint32_t aOccurrence)
+{
+  const jobs::Recurrence& recurrence = aJob.description.recurrence;
+  if (recurrence.count == 0)
+    return {};
+  return recurrence.firstDueAt + recurrence.interval * aOccurrence;
+}
+
 void
 Scheduler::DispatchJob(const Candidate& aCandidate)
 {
   const jobs::Job& job = *aCandidate.job;
-  const jobs::Recurrence& recurrence = job.description.recurrence;
   for (const auto& [number, occurrence] : job.occurrences) {
     if (occurrence.isDone)
       continue;
-    const Time due = recurrence.firstDueAt + recurrence.interval * number;
-    if (recurrence.count > 0 && due > now_.wall) {
-      // Dispatched by the first pass after it comes due.
+    // Dispatched by the first pass after it comes due.
+    if (DueTime(job, number) > now_.wall)
       break;
-    }
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step)
       if (occurrence.steps[step].waitingTasks > 0 &&
           jobs::AreDependenciesDone(job, occurrence, step))
@@ -107,16 +118,20 @@
     // Capacity is reserved for every persistent task, as these should always
     // run, and for the first task of the pool that cannot be placed.
     const bool mayReserve =
-      step.isPersistent || reservingPools_.insert(aCandidate.pool).second;
+      step.isPersistent || reservingPools_.insert(aCandidate.Pool()).second;
     const PlacementResult result = PlaceTask(aCandidate, task, mayReserve);
     const bool isPlaced = result == PlacementResult::Placed;
-    if (!isPlaced && aCandidate.advicePolicy)
+    if (!isPlaced && aCandidate.AdvicePolicy())
       RequestStepPermits(aCandidate, task);
+    const bool lacksPlace = result == PlacementResult::NoWorker ||
+                            result == PlacementResult::Reserved;
+    if (lacksPlace && !step.isPersistent)
+      aCandidate.queue->pool->isSaturated = true;
     // Neither the other tasks of the step nor reservations have to wait.
     if (result == PlacementResult::Isolated ||
         result == PlacementResult::AwaitingCrashProof) {
       if (mayReserve && !step.isPersistent)
-        reservingPools_.erase(aCandidate.pool);
+        reservingPools_.erase(aCandidate.Pool());
       continue;
     }
     if (!isPlaced && !step.isPersistent)
@@ -124,7 +139,7 @@
     isWorkerLacking = result == PlacementResult::NoWorker ||
                       result == PlacementResult::OverQuota;
     if (!step.isPersistent && reservations_.count(task) == 0)
-      reservingPools_.erase(aCandidate.pool);
+      reservingPools_.erase(aCandidate.Pool());
   }
 }
 
@@ -216,16 +231,18 @@
     WorkerSession* session =
       mayPlace ? ChooseWorker(aCandidate, task) : nullptr;
     if (session == nullptr) {
-      if (aCandidate.advicePolicy)
+      if (aCandidate.AdvicePolicy())
         RequestStepPermits(aCandidate, task);
       for (const auto& [member, worker] : placed)
         RemoveRun(sessions_.at(worker), member);
       unplaceable_ = unplaceableBefore;
       const bool isCapacityLacking = mayPlace && step.maxPerWorker == 0 &&
-                                     !aCandidate.advicePolicy &&
+                                     !aCandidate.AdvicePolicy() &&
                                      !MustBeIsolated(task);
-      if (isCapacityLacking)
+      if (isCapacityLacking) {
         unplaceable_.Add(workerClass, allocation, placed.size() + 1);
+        aCandidate.queue->pool->isSaturated = true;
+      }
       return;
     }
     AddRun(*session, *aCandidate.job, task, Attempt(latest.Value() + 1));
@@ -270,7 +287,7 @@
 WorkerClass
 Scheduler::ClassOf(const Candidate& aCandidate, const jobs::Step& aStep)
 {
-  return { .pool = aCandidate.pool, .requiredLabel = aStep.requiredLabel };
+  return { .pool = aCandidate.Pool(), .requiredLabel = aStep.requiredLabel };
 }
 
 /// Whether the worker takes new runs and belongs to the class of the step.
@@ -279,7 +296,7 @@
                      const Candidate& aCandidate,
                      const jobs::Step& aStep)
 {
-  if (aRecord.pool != aCandidate.pool || aRecord.isDraining)
+  if (aRecord.pool != aCandidate.Pool() || aRecord.isDraining)
     return false;
   return aStep.requiredLabel.empty() ||
          std::find(aRecord.labels.begin(),
@@ -309,7 +326,7 @@
 {
   std::map<RackId, std::int64_t> freeProcessors;
   for (const auto& [entry, worker] :
-       poolIndex_.WorkersOf(aCandidate.pool).All()) {
+       poolIndex_.WorkersOf(aCandidate.Pool()).All()) {
     const WorkerSession& session = *worker;
     const jobs::WorkerRecord& record = RecordOf(session);
     ++work_.examinedWorkers;
@@ -514,7 +531,7 @@
   if (unplaceable_.Contains(workerClass, allocation))
     return nullptr;
   const PlacementRequest request = MakePlacementRequest(aCandidate, aTask);
-  const FreeOrder& pool = poolIndex_.WorkersOf(aCandidate.pool);
+  const FreeOrder& pool = poolIndex_.WorkersOf(aCandidate.Pool());
   bool hasCapacity = false;
   WorkerSession* best = nullptr;
   if (step.isPersistent || request.isSuspect) {
@@ -522,7 +539,7 @@
   } else {
     if (!request.rack.Value().empty())
       best = FindFullest(request,
-                         poolIndex_.WorkersOf(aCandidate.pool, request.rack),
+                         poolIndex_.WorkersOf(aCandidate.Pool(), request.rack),
                          hasCapacity);
     const auto rank = best == nullptr ? std::nullopt : Rank(request, *best);
     if (!rank || !rank->isHarmless || !rank->avoidsFailingWorker)
@@ -565,6 +582,7 @@
   if (stateMachine_.Find(aTask)->phase != jobs::TaskPhase::Waiting)
     return;
   run.placedAt = now_.steady;
+  stepBegins_.try_emplace(jobs::StepOf(aTask), now_.steady);
   proposedTasks_.insert(aTask);
 }
 
--- a/packages/schedule/lib/SchedulerReport.cpp
+++ b/packages/schedule/lib/SchedulerReport.cpp
@@ -71,7 +71,7 @@
   const jobs::Resources allocation = AllocationFor(step);
   PlacementObstacles obstacles;
   for (const auto& [entry, session] :
-       poolIndex_.WorkersOf(aCandidate.pool).All()) {
+       poolIndex_.WorkersOf(aCandidate.Pool()).All()) {
     const jobs::WorkerRecord& record = RecordOf(*session);
     if (session->isCordoned)
       ++obstacles.cordoned;
@@ -197,10 +197,10 @@
   for (const Candidate& candidate : LiveCandidates()) {
     if (!jobs::HasObjective(candidate.job->description))
       continue;
-    PoolLoad& load = loads[candidate.pool];
+    PoolLoad& load = loads[candidate.Pool()];
     const bool hasBegun = HasBegun(*candidate.job);
     ++(hasBegun ? load.begunJobs : load.unbegunJobs);
-    if (candidate.isLate)
+    if (candidate.timeliness != Timeliness::InTime)
       ++(hasBegun ? load.lateBegunJobs : load.lateUnbegunJobs);
   }
   for (auto& [pool, load] : loads) {
@@ -212,9 +212,7 @@
       load.capacity += worker->capacity.processors;
       load.inUse += worker->used.processors;
     }
-    const auto occupancy = occupancies_.find(pool);
-    if (occupancy != occupancies_.end())
-      load.occupancy = occupancy->second;
+    load.times = pools_.at(pool).times;
   }
   return loads;
 }
--- a/packages/schedule/lib/SchedulerReservations.cpp
+++ b/packages/schedule/lib/SchedulerReservations.cpp
@@ -44,7 +44,7 @@
   MilliCores bestFree;
   bool hasCapacity = false;
   const FreeOrder::Sessions& workers =
-    poolIndex_.WorkersOf(aCandidate.pool).All();
+    poolIndex_.WorkersOf(aCandidate.Pool()).All();
   for (auto it = workers.rbegin(); it != workers.rend(); ++it) {
     // Of the workers with the most free processors, the first one is taken.
     if (best != nullptr && it->first.first < bestFree)
--- a/packages/schedule/unittests/OverloadTest.cpp
+++ b/packages/schedule/unittests/OverloadTest.cpp
@@ -114,3 +114,13 @@
   Load(90, Duration::Seconds(12));
   CHECK(inTime == submitted);
 }
+
+TEST_CASE_METHOD(LoadedFleet, "jobs that had to wait are done once fewer come")
+{
+  Load(200, Duration::Seconds(6));
+  REQUIRE(!openJobs.empty());
+  // At the rate of 80 tasks, what is left takes less than twice as long as it
+  // took to come.
+  Load(0, Duration::Seconds(12));
+  CHECK(openJobs.empty());
+}
