Scheduler: a pool that hosts are moving to defers only jobs without slack

Jobs that came while their pool was small were put aside, and then kept waiting by later ones after the pool had grown.

Cause: the rate is measured on the workers that the pool has, while hosts are on the move to it. And the times of steps up to their last task are mostly spread of run times on queues with rough estimates (3.4 s for tasks of 1.4 s), so that nothing seemed to fit.

While the usable workers of a pool have become more by a tenth in the time that a host takes to move, its rate is not known, and only jobs that have less than 300 ms of slack wait. The times of steps are gone; those of runs, which are what the leader adds, are left.

--- a/packages/daemon/lib/filters/ScheduleFilter.cpp
+++ b/packages/daemon/lib/filters/ScheduleFilter.cpp
@@ -152,11 +152,8 @@
         { "late_unbegun", std::to_string(load.lateUnbegunJobs) },
         { "begun_jobs", std::to_string(load.begunJobs) },
         { "late_begun", std::to_string(load.lateBegunJobs) },
-        { "run_ms", std::to_string(load.times.runs.MeanExpected().Millis()) },
-        { "occupied_ms",
-          std::to_string(load.times.runs.MeanActual().Millis()) },
-        { "step_ms",
-          std::to_string(load.times.steps.MeanActual().Millis()) } });
+        { "run_ms", std::to_string(load.times.MeanExpected().Millis()) },
+        { "occupied_ms", std::to_string(load.times.MeanActual().Millis()) } });
 }
 
 Duration
--- a/packages/schedule/include/greengage/schedule/ExecutionTimes.h
+++ b/packages/schedule/include/greengage/schedule/ExecutionTimes.h
@@ -1,5 +1,6 @@
 /// \file
-/// How long runs or steps take, compared with what is expected. Reads no clock.
+/// How long runs keep their places on workers, compared with the run times of
+/// their tasks. Reads no clock.
 
 #ifndef GREENGAGE_SCHEDULE_EXECUTIONTIMES_H
 #define GREENGAGE_SCHEDULE_EXECUTIONTIMES_H
@@ -10,7 +11,9 @@
 
 namespace greengage::schedule {
 
-/// Moving averages of expected and actual times.
+/// Moving averages over the latest runs of a pool that have succeeded. A place
+/// is taken from the decision to start the run there until its end is
+/// committed, so that a leader or a log that is slow lengthens the actual time.
 class ExecutionTimes
 {
 public:
@@ -34,18 +37,6 @@
   std::optional<Means> means_;
 };
 
-/// The latest times in a pool, as far as tasks have succeeded.
-struct PoolTimes
-{
-  /// Of runs: from the decision to place a run on a worker until its end is
-  /// committed and the place is free, compared with the run time of the task. A
-  /// leader or a log that is slow lengthens it.
-  ExecutionTimes runs;
-  /// Of steps: from the first placement of a task until the end of the last one
-  /// is committed, compared with the run time of one task.
-  ExecutionTimes steps;
-};
-
 } // namespace greengage::schedule
 
 #endif // GREENGAGE_SCHEDULE_EXECUTIONTIMES_H
--- a/packages/schedule/include/greengage/schedule/JobDeferral.h
+++ b/packages/schedule/include/greengage/schedule/JobDeferral.h
@@ -10,6 +10,7 @@
 #include "greengage/schedule/Admission.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace greengage::schedule {
@@ -48,23 +49,30 @@
   /// \param aJobs the jobs of one pool in the order in which they would be
   ///   served: those that are not late first, then by priority, then by latest
   ///   start.
-  /// \param aRate the work that the pool begins per unit of time.
+  /// \param aRate the work that the pool begins per unit of time; none if it is
+  ///   about to rise.
   virtual void Defer(std::vector<PendingJob>& aJobs,
-                     MilliCores aRate,
+                     std::optional<MilliCores> aRate,
                      Time aNow) const = 0;
 };
 
 /// Leaves the order as it is where all jobs can be in time. Where they can't,
 /// each would otherwise start just as it becomes late: the jobs with the least
 /// slack are deferred instead, until the later ones fit. What is left then
-/// starts early enough to bear a rate that falls. The size of a job doesn't
-/// count, so that large jobs aren't always the ones to wait.
+/// starts early enough to bear a rate that falls. While the rate is not known,
+/// only jobs that have hardly any slack left are deferred. The size of a job
+/// doesn't count, so that large jobs aren't always the ones to wait.
 class LeastSlackDeferral final : public DeferralPolicy
 {
 public:
   void Defer(std::vector<PendingJob>& aJobs,
-             MilliCores aRate,
+             std::optional<MilliCores> aRate,
              Time aNow) const override;
+
+private:
+  static void DeferToFit(std::vector<PendingJob>& aJobs,
+                         MilliCores aRate,
+                         Time aNow);
 };
 
 } // namespace greengage::schedule
--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -68,7 +68,7 @@
   /// The other live jobs.
   std::size_t begunJobs = 0;
   std::size_t lateBegunJobs = 0;
-  PoolTimes times;
+  ExecutionTimes times;
 };
 
 /// The resource demand of the queues of a pool.
@@ -301,12 +301,19 @@
   /// What the scheduler keeps of a pool, also across configurations.
   struct PoolState
   {
-    PoolTimes times;
+    ExecutionTimes times;
     /// Whether a task that is not persistent found no place in the latest
     /// dispatch pass.
     bool isSaturated = false;
-    /// The work that the pool begins per unit of time, if it is saturated.
-    MilliCores rate;
+    /// The work that the pool begins per unit of time, if it is saturated and
+    /// not growing.
+    std::optional<MilliCores> rate;
+    /// Whether hosts are on the move to the pool: the number of its usable
+    /// workers has grown in the current interval or in the one before.
+    bool isGrowing = false;
+    /// Of the current interval: its end, and the usable workers at its start.
+    Time growthIntervalEnd;
+    std::size_t usableBefore = 0;
   };
   /// What the scheduler keeps of a queue, also across configurations.
   struct QueueState
@@ -337,8 +344,6 @@
     /// start for the job to meet its objective or, if it is late, to be worth
     /// something.
     Time latestStart;
-    /// Number of steps that are left on the critical path.
-    std::int64_t remainingSteps = 0;
     Timeliness timeliness = Timeliness::InTime;
     /// Served after the others, since not all can be in time.
     bool isDeferred = false;
@@ -361,6 +366,7 @@
                                      const jobs::StepState& aState,
                                      const QueueState& aQueue);
   void MeasureRates();
+  void NoteGrowth(PoolState& aPool, std::size_t aUsableWorkers) const;
   static bool HasDispatchableStep(const jobs::Job& aJob);
   static bool HasBegun(const jobs::Job& aJob);
   /// Null if the queue is not known.
@@ -568,9 +574,6 @@
   std::map<PoolId, MilliCoreMillis> poolBacklogs_;
   std::unordered_map<TeamId, MilliCoreMillis> teamBacklogs_;
   Time backlogsAt_;
-  /// When a task of each step was first placed by this leader. Steps that are
-  /// done are left out.
-  std::map<jobs::StepId, Time> stepBegins_;
   LeastSlackDeferral deferral_;
   /// Scratch space for ComputePaths: the paths that end with each step.
   mutable std::vector<CriticalPaths> pathEnds_;
--- a/packages/schedule/lib/JobDeferral.cpp
+++ b/packages/schedule/lib/JobDeferral.cpp
@@ -12,10 +12,27 @@
   return MilliCoreMillis(aRate.Count() * aSpan.Millis());
 }
 
+/// The least slack with which a job begins while the rate is not known, since
+/// run times are estimates.
+static constexpr Duration kMinSlack = Duration(300);
+
 void
 LeastSlackDeferral::Defer(std::vector<PendingJob>& aJobs,
-                          MilliCores aRate,
+                          std::optional<MilliCores> aRate,
                           Time aNow) const
+{
+  if (aRate) {
+    DeferToFit(aJobs, *aRate, aNow);
+    return;
+  }
+  for (PendingJob& job : aJobs)
+    job.isDeferred = job.isDeferrable && job.latestStart < aNow + kMinSlack;
+}
+
+void
+LeastSlackDeferral::DeferToFit(std::vector<PendingJob>& aJobs,
+                               MilliCores aRate,
+                               Time aNow)
 {
   // Remaining work of the jobs so far that are not deferred, and the part of it
   // that could be: of jobs of the same rank, from `next` on.
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -141,7 +141,6 @@
   backlogsAt_ = Time(0);
   for (auto& [id, pool] : pools_)
     pool.isSaturated = false;
-  stepBegins_.clear();
   reservations_.clear();
   permitCache_.Clear();
   lastShortageAt_.clear();
@@ -313,9 +312,6 @@
   if (aJob.state == jobs::JobState::Failed)
     LogFailure(aJob, stateMachine_);
   permitCache_.DropJob(aJob.id);
-  auto begin = stepBegins_.lower_bound({ .job = aJob.id });
-  while (begin != stepBegins_.end() && begin->first.job == aJob.id)
-    begin = stepBegins_.erase(begin);
   UpdateUnstartedJobs(aJob);
   // A proposed assignment is rejected once the job has ended, so only the
   // assigned tasks have runs to stop.
--- a/packages/schedule/lib/SchedulerOrder.cpp
+++ b/packages/schedule/lib/SchedulerOrder.cpp
@@ -22,6 +22,10 @@
 /// other steps, when hosts are requested.
 static constexpr std::int64_t kLateDemandDivisor = 2;
 static constexpr std::int64_t kBlockedDemandDivisor = 3;
+/// A pool grows if its usable workers become more by this percentage in the
+/// time that a host takes to move.
+static constexpr std::size_t kGrowthPercent = 10;
+static constexpr Duration kGrowthInterval = Duration(1500);
 /// How often the backlogs for admission are computed anew.
 static constexpr Duration kBacklogInterval = Duration(100);
 /// How long a failed attempt to move a task to another worker counts as demand.
@@ -46,13 +50,12 @@
     return candidate;
   const CriticalPaths paths = ComputePaths(aJob, aQueue);
   candidate.priority = queue.priority;
-  candidate.remainingSteps = paths.remainingSteps;
   const Duration objective =
     queue.objective +
     Duration(static_cast<std::int64_t>(
       queue.stretch * static_cast<double>(paths.complete.Millis())));
   const Duration remaining =
-    paths.remaining + aQueue.pool->times.runs.Overhead() * paths.remainingSteps;
+    paths.remaining + aQueue.pool->times.Overhead() * paths.remainingSteps;
   const auto isPast = [&](Time aLatestStart) {
     return aJob.description.recurrence.count == 0 &&
            aLatestStart + kLateTolerance < now_.wall;
@@ -128,8 +131,7 @@
   mean = mean ? *mean + (elapsedMs - *mean) * kRunTimeSmoothing : elapsedMs;
 }
 
-/// Counts how long a run that has succeeded kept its place on the worker and,
-/// if it was the last one of its step, how long that took.
+/// Counts how long a run that has succeeded kept its place on the worker.
 void
 Scheduler::CountTimes(const TaskId& aTask, const Run& aRun)
 {
@@ -137,17 +139,9 @@
   const QueueState* queue = job == nullptr ? nullptr : FindQueue(job->queue);
   if (!aRun.placedAt || aRun.isPersistent || queue == nullptr)
     return;
-  PoolTimes& times = queue->pool->times;
-  const Duration expected =
-    ExpectedRunTime(queue, job->description.steps[aTask.step]);
-  times.runs.Add(expected, now_.steady - *aRun.placedAt);
-  const jobs::StepState& state =
-    job->occurrences.at(aTask.occurrence).steps[aTask.step];
-  const auto begin = stepBegins_.find(jobs::StepOf(aTask));
-  if (begin == stepBegins_.end() || state.doneTasks < state.tasks.size())
-    return;
-  times.steps.Add(expected, now_.steady - begin->second);
-  stepBegins_.erase(begin);
+  queue->pool->times.Add(
+    ExpectedRunTime(queue, job->description.steps[aTask.step]),
+    now_.steady - *aRun.placedAt);
 }
 
 /// Whether a task of the job has been given a place on a worker, as far as that
@@ -254,12 +248,9 @@
 {
   const jobs::Job& job = *aCandidate.job;
   const QueueState& queue = *aCandidate.queue;
-  const Duration stepOverhead =
-    queue.pool->times.steps.Overhead() - queue.pool->times.runs.Overhead();
   PendingJob pending{ .isLate = aCandidate.timeliness != Timeliness::InTime,
                       .priority = aCandidate.priority,
-                      .latestStart = aCandidate.latestStart -
-                                     stepOverhead * aCandidate.remainingSteps,
+                      .latestStart = aCandidate.latestStart,
                       .startable = {},
                       .remaining = {},
                       .isDeferrable =
@@ -326,13 +317,38 @@
     if (!pool.isSaturated)
       continue;
     MilliCores inUse;
+    std::size_t usable = 0;
     for (const auto& [entry, worker] : poolIndex_.WorkersOf(id).All())
-      if (worker->IsUsable(now_.steady))
+      if (worker->IsUsable(now_.steady)) {
+        ++usable;
         inUse +=
           worker->used.processors - worker->usedByPersistentRuns.processors;
-    pool.rate = MilliCores(static_cast<std::int64_t>(
-      static_cast<double>(inUse.Count()) * pool.times.runs.Efficiency()));
+      }
+    NoteGrowth(pool, usable);
+    pool.rate.reset();
+    if (!pool.isGrowing)
+      pool.rate = MilliCores(static_cast<std::int64_t>(
+        static_cast<double>(inUse.Count()) * pool.times.Efficiency()));
+  }
+}
+
+/// Notes whether hosts are on the move to a pool: what it will begin soon is
+/// not known then.
+void
+Scheduler::NoteGrowth(PoolState& aPool, std::size_t aUsableWorkers) const
+{
+  const bool isFirstInterval =
+    aPool.growthIntervalEnd + kGrowthInterval <= now_.steady;
+  const bool hasGrown =
+    !isFirstInterval && aUsableWorkers * kPercent >
+                          aPool.usableBefore * (kPercent + kGrowthPercent);
+  if (aPool.growthIntervalEnd > now_.steady) {
+    aPool.isGrowing = aPool.isGrowing || hasGrown;
+    return;
   }
+  aPool.isGrowing = hasGrown;
+  aPool.usableBefore = aUsableWorkers;
+  aPool.growthIntervalEnd = now_.steady + kGrowthInterval;
 }
 
 std::map<PoolId, PoolDemand>
--- a/packages/schedule/lib/SchedulerPlacement.cpp
+++ b/packages/schedule/lib/SchedulerPlacement.cpp
@@ -582,7 +582,6 @@
   if (stateMachine_.Find(aTask)->phase != jobs::TaskPhase::Waiting)
     return;
   run.placedAt = now_.steady;
-  stepBegins_.try_emplace(jobs::StepOf(aTask), now_.steady);
   proposedTasks_.insert(aTask);
 }
 
--- a/packages/schedule/unittests/JobDeferralTest.cpp
+++ b/packages/schedule/unittests/JobDeferralTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 using namespace greengage;
@@ -63,6 +64,17 @@
   }
 }
 
+TEST_CASE("only jobs without slack are deferred if the rate is not known")
+{
+  std::vector<PendingJob> jobs(5, JobWithSlack(Duration(300)));
+  jobs[0].latestStart = kNow + Duration(299);
+  jobs[1].latestStart = kNow;
+  jobs[1].isDeferrable = false;
+  LeastSlackDeferral().Defer(jobs, std::nullopt, kNow);
+  for (std::size_t index = 0; index < jobs.size(); ++index)
+    CHECK(jobs[index].isDeferred == (index == 0));
+}
+
 TEST_CASE("jobs that have begun are not deferred")
 {
   std::vector<PendingJob> jobs(5, JobWithSlack(Duration(300)));
