Scheduler: forget pools that no queue belongs to

The times of runs and the rate of a pool are kept across configurations, so that a pool that no configuration names any more would be kept for ever. Found by reading.

--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -298,7 +298,8 @@
   // Placement is implemented in SchedulerPlacement.cpp, job ordering and demand
   // in SchedulerOrder.cpp, capacity reservations in SchedulerReservations.cpp
   // and placement permits in SchedulerAdvice.cpp.
-  /// What the scheduler keeps of a pool, also across configurations.
+  /// What the scheduler keeps of a pool that a queue belongs to, also across
+  /// configurations.
   struct PoolState
   {
     ExecutionTimes times;
@@ -324,7 +325,6 @@
     bool isRemoved = false;
     /// Moving average of the task run times, in milliseconds.
     std::optional<double> meanRunTime;
-    /// Outlives the queue.
     PoolState* pool = nullptr;
   };
   enum class Timeliness : std::uint8_t
--- a/packages/schedule/lib/Scheduler.cpp
+++ b/packages/schedule/lib/Scheduler.cpp
@@ -165,6 +165,12 @@
     state.pool = &pools_[queue.definition.pool];
     state.isRemoved = isRemoved;
   }
+  std::erase_if(pools_, [&](const auto& aPool) {
+    return std::none_of(
+      queues_.begin(), queues_.end(), [&](const auto& aQueue) {
+        return aQueue.second.pool == &aPool.second;
+      });
+  });
   LogQueueChanges(changed);
   quotas_.clear();
   if (const jobs::Configuration* configuration =
