--- a/review/standins-3/kit.hh
+++ b/review/standins-3/kit.hh
@@ -402,7 +402,8 @@
   static constexpr int kControls = 3;
   static constexpr int kEntries = 2;
 
-  Deployment()
+  /// \param aHasPlatform whether the settings name the platform's address.
+  explicit Deployment(bool aHasPlatform = false)
   {
     char folder[] = "/tmp/review-3-XXXXXX";
     folder_ = mkdtemp(folder);
@@ -426,7 +427,9 @@
                              : "callers = " + ip + ":8340\nreadiness = " + ip +
                                  ":8343\n")
                << "metrics = " << ip
-               << ":9464\n[hosts]\norder_gap = 3000ms\nmove_time = 1.5s\n"
+               << ":9464\n[hosts]\n"
+               << (aHasPlatform ? "provider = " + Platform().Text() + "\n" : "")
+               << "order_gap = 3000ms\nmove_time = 1.5s\n"
                << "[placement]\n[scheduling]\nmax_lease = 10000ms\n"
                << "job_retention = 120s\n";
       settings.close();
@@ -450,6 +453,7 @@
     return { Ip(kControls + aIndex + 1), 8340 };
   }
   Address Worker(int aIndex) const { return { Ip(100 + aIndex), 8786 }; }
+  Address Platform() const { return { Ip(90), 8344 }; }
   Process& ControlProcess(int aIndex) { return *processes_.at(aIndex); }
   Process& EntryProcess(int aIndex)
   {
--- a/review/standins-3/scenes.cc
+++ b/review/standins-3/scenes.cc
@@ -27,15 +27,16 @@
   return aJobPath.substr(std::string(kPrefix).size()) + ".0.0.0";
 }
 
-/// Eight workers of one service; the first may be of another kind.
+/// Workers of one service, four to a rack; the first may be of another kind.
 class Service
 {
 public:
   Service(const Deployment& aDeployment,
           const std::string& aFirstKind,
-          const Worker::WorkOf& aWorkOf)
+          const Worker::WorkOf& aWorkOf,
+          int aCount = kWorkers)
   {
-    for (int i = 0; i < kWorkers; ++i) {
+    for (int i = 0; i < aCount; ++i) {
       Worker::Options options;
       options.id = "i-" + std::to_string(i);
       options.machine = "m-" + std::to_string(i);
@@ -281,6 +282,240 @@
   return isTwice;
 }
 
+/// The rack with a submission's data fails worker by worker: three of its four
+/// workers are lost for good, each soon after it has begun the work unit.
+bool
+ThreeLost()
+{
+  constexpr int kMany = 24;
+  constexpr Millis kWork = 4000;
+  constexpr Millis kUp = 400;
+  /// From the end of the traffic until submissions are asked for, and how long
+  /// one may have nothing running before that.
+  constexpr Millis kFinish = 14000;
+  constexpr Millis kIdle = 3000;
+  Deployment deployment;
+  deployment.Start(Configuration(
+    1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
+  const std::string path = JobPath(0);
+  const std::string task = TaskOf(path);
+  Service service(
+    deployment,
+    "a",
+    [&](const std::string& aTask) { return aTask == task ? kWork : 300; },
+    kMany);
+  Sleep(1000);
+  Client client(deployment);
+  const auto submission = [](Millis aEstimate) {
+    return Json{ { "spec", "x" },
+                 { "steps",
+                   Json::array({ { { "count", 1 },
+                                   { "cpu", 880 },
+                                   { "mem-mb", 1300 },
+                                   { "est-ms", aEstimate },
+                                   { "affinity", "r1-0" } } }) } };
+  };
+  client.Submit(path, submission(kWork));
+  int next = 1;
+  int lost = 0;
+  const Millis until = SteadyMillis() + 60000;
+  Millis nextTraffic = SteadyMillis();
+  while (lost < 3 && SteadyMillis() < until) {
+    if (SteadyMillis() >= nextTraffic) {
+      nextTraffic = SteadyMillis() + 1000;
+      client.Submit(JobPath(next++), submission(300));
+    }
+    Worker* const runner = service.RunnerOf(task);
+    if (runner != nullptr && runner->AgeOf(task).value_or(0) >= kUp) {
+      ++lost;
+      if (!HasTrouble())
+        break;
+      runner->Crash();
+    }
+    Sleep(5);
+  }
+  if (lost < (HasTrouble() ? 3 : 1))
+    CannotRun("the work unit was not begun often enough");
+  Note("the traffic ends");
+  const Millis end = SteadyMillis();
+  Millis idleSince = end;
+  while (SteadyMillis() < end + kFinish) {
+    if (service.RunnerOf(task) != nullptr)
+      idleSince = SteadyMillis();
+    Sleep(5);
+  }
+  const std::string state = client.StateOf(path);
+  const Millis idle = SteadyMillis() - idleSince;
+  Note("14 s later: GET " + path + " -> " + state +
+       "; nothing of it has run for the last " + std::to_string(idle) + " ms");
+  const bool isBroken =
+    state != "completed" && (state == "failed" || idle > kIdle);
+  if (HasTrouble() &&
+      Await([&] { return service.RunnerOf(task) != nullptr; }, 20000))
+    Note("begun again " + std::to_string(SteadyMillis() - end) +
+         " ms after the end of the traffic");
+  return isBroken;
+}
+
+/// The platform's calls for machines, by PROTOCOL.md.
+class Platform
+{
+public:
+  Platform(const Deployment& aDeployment, Service& aService, bool aHasForeign)
+    : service_(aService)
+    , hasForeign_(aHasForeign)
+    , server_(aDeployment.Platform(),
+              [this](const std::string& aMethod,
+                     const std::string& aPath,
+                     const Message& aRequest) {
+                return Handle(aMethod, aPath, aRequest);
+              })
+  {
+    if (!server_.Start())
+      CannotRun("the platform's address is in use");
+  }
+  ~Platform()
+  {
+    server_.Crash();
+    for (std::thread& upkeep : upkeeps_)
+      upkeep.join();
+  }
+  int Done()
+  {
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(done_.size());
+  }
+  /// The most machines that were down for their upkeep at once.
+  std::size_t MostAtOnce()
+  {
+    const std::lock_guard lock(mutex_);
+    return most_;
+  }
+
+private:
+  static constexpr Millis kUpkeep = 2000;
+
+  Response Handle(const std::string& aMethod,
+                  const std::string& aPath,
+                  const Message& aRequest)
+  {
+    if (aMethod == "GET" && aPath.rfind("/machines", 0) == 0)
+      return List();
+    const Json body = Json::parse(aRequest.body, nullptr, false);
+    if (aMethod != "POST" || aPath != "/machine-upkeep" || !body.is_object())
+      return { .status = 400, .body = "{}" };
+    return Upkeep(body.value("machine", ""));
+  }
+
+  Response List()
+  {
+    const std::lock_guard lock(mutex_);
+    Json rows = Json::array();
+    std::string foreign;
+    for (int i = 0; i < kWorkers; ++i) {
+      Worker& worker = service_.At(i);
+      const bool isDown = down_.count(i) != 0;
+      Json row{ { "machine", worker.Machine() },
+                { "pool", "balanca" },
+                { "state", isDown ? "upkeep" : "up" },
+                { "zone", "serra-a" },
+                { "labels", Json::array({ "a", "r1-" + std::to_string(i / 4) }) },
+                { "capacity",
+                  { { "cpu", 16000 }, { "mem-mb", 32768 }, { "gpu", 0 } } },
+                { "id", isDown ? "" : worker.Id() } };
+      if (isDown && hasForeign_) {
+        row.erase("pool");
+        foreign += " " + worker.Machine();
+      }
+      rows.push_back(row);
+    }
+    if (!foreign.empty())
+      Note("list: the entry of another writer, without pool, for" + foreign);
+    return { .status = 200,
+             .body = Json{ { "machines", rows }, { "next-token", "" } }.dump() };
+  }
+
+  Response Upkeep(const std::string& aMachine)
+  {
+    const std::lock_guard lock(mutex_);
+    int index = 0;
+    while (index < kWorkers && service_.At(index).Machine() != aMachine)
+      ++index;
+    if (index == kWorkers)
+      return { .status = 400, .body = "{}" };
+    if (done_.count(index) != 0)
+      return { .status = 200, .body = "{}" };
+    if (down_.count(index) != 0)
+      return { .status = 409, .body = R"({"reason":"busy"})" };
+    down_.insert(index);
+    most_ = std::max(most_, down_.size());
+    Note("upkeep of " + aMachine + " begins; down for upkeep: " +
+         std::to_string(down_.size()));
+    upkeeps_.emplace_back([this, index] {
+      service_.At(index).Crash();
+      Sleep(kUpkeep);
+      service_.At(index).Start();
+      const std::lock_guard lock(mutex_);
+      down_.erase(index);
+      done_.insert(index);
+    });
+    return { .status = 200, .body = "{}" };
+  }
+
+  Service& service_;
+  const bool hasForeign_;
+  std::mutex mutex_;
+  std::set<int> down_;
+  std::set<int> done_;
+  std::size_t most_ = 0;
+  std::vector<std::thread> upkeeps_;
+  Server server_;
+};
+
+/// While a machine is down for its upkeep, its entry in the platform's list is
+/// that of another writer. One machine at a time may be down.
+bool
+ForeignEntry()
+{
+  Deployment deployment(/*aHasPlatform=*/true);
+  deployment.Start(Configuration(
+    1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
+  Service service(deployment, "a", [](const std::string&) {
+    return std::optional<Millis>();
+  });
+  Platform platform(deployment, service, HasTrouble());
+  Sleep(5000);
+  Json machines = Json::array();
+  for (int i = 0; i < kWorkers; ++i)
+    machines.push_back(service.At(i).Machine());
+  const Json wave{ { "phase", 1 },
+                   { "machines", machines },
+                   { "deadline-s", 90 },
+                   { "cap", 1 } };
+  int status = 0;
+  Await(
+    [&] {
+      for (int i = 0; i < Deployment::kControls && status != 200; ++i)
+        status = Call(deployment.Control(i),
+                      "POST",
+                      "/wave-start",
+                      "x",
+                      wave.dump(),
+                      1000)
+                   .status;
+      return status == 200;
+    },
+    5000);
+  Note("POST /wave-start, 8 machines, cap 1 -> " + std::to_string(status));
+  if (status != 200)
+    CannotRun("the wave was not accepted");
+  Await([&] { return platform.Done() == kWorkers || platform.MostAtOnce() > 1; },
+        70000);
+  if (platform.Done() < kWorkers && platform.MostAtOnce() <= 1)
+    Note("the wave has not ended: " + std::to_string(platform.Done()));
+  return platform.MostAtOnce() > 1;
+}
+
 } // namespace
 
 int
@@ -290,6 +525,8 @@
     { "three-crashes", ThreeCrashes },
     { "lost-after-restart", LostAfterRestart },
     { "foreign-heartbeat", ForeignHeartbeat },
+    { "foreign-entry", ForeignEntry },
+    { "three-lost", ThreeLost },
   };
   const auto scene = aCount == 3 ? scenes.find(aWords[1]) : scenes.end();
   if (scene == scenes.end()) {
