review/11: an entry host gives its callers the answers to another life's calls

Calls that an entry host relayed wait for a commit while two control hosts are frozen; the host is killed and starts again, and the answers to its former calls go to the calls with the same numbers. Submissions are answered 410, the answer to the cancelling of others, and run.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/scenes3 ] || exit 2
-exec target/review-3/scenes3 foreign-heartbeat review/11/record.txt
+exec target/review-3/scenes3 foreign-replies review/11/record.txt
--- a/review/standins-3/kit.hh
+++ b/review/standins-3/kit.hh
@@ -191,8 +191,8 @@
 {
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
-    const ssize_t count = send(
-      aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    const ssize_t count =
+      send(aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (count <= 0)
       return false;
     sent += static_cast<std::size_t>(count);
@@ -403,7 +403,8 @@
   static constexpr int kEntries = 2;
 
   /// \param aHasPlatform whether the settings name the platform's address.
-  explicit Deployment(bool aHasPlatform = false)
+  explicit Deployment(bool aHasPlatform = false, int aEntries = kEntries)
+    : entries_(aEntries)
   {
     char folder[] = "/tmp/review-3-XXXXXX";
     folder_ = mkdtemp(folder);
@@ -411,14 +412,14 @@
     std::string seeds;
     for (int i = 0; i < kControls; ++i)
       seeds += (i > 0 ? "," : "") + Control(i).Text();
-    for (int i = 0; i < kControls + kEntries; ++i) {
+    for (int i = 0; i < kControls + entries_; ++i) {
       const bool isControl = i < kControls;
       const std::string ip = Ip(i + 1);
       const std::string name = folder_ + "/" + ip;
       std::filesystem::create_directories(name + ".data");
       std::ofstream settings(name + ".ini");
-      settings << "[host]\naddress = " << ip
-               << "\navailability_zone = serra-" << char('a' + i % 3) << "\n"
+      settings << "[host]\naddress = " << ip << "\navailability_zone = serra-"
+               << char('a' + i % 3) << "\n"
                << (isControl ? "data_folder = " + name + ".data\n" : "")
                << "[peers]\nport = 7000\nsecret = greengagepick-fleet-secret\n"
                << "seeds = " << seeds << "\n[agreed]\ntolerated_losses = 1\n"
@@ -426,8 +427,7 @@
                << (isControl ? "control = " + ip + ":8345\n"
                              : "callers = " + ip + ":8340\nreadiness = " + ip +
                                  ":8343\n")
-               << "metrics = " << ip
-               << ":9464\n[hosts]\n"
+               << "metrics = " << ip << ":9464\n[hosts]\n"
                << (aHasPlatform ? "provider = " + Platform().Text() + "\n" : "")
                << "order_gap = 3000ms\nmove_time = 1.5s\n"
                << "[placement]\n[scheduling]\nmax_lease = 10000ms\n"
@@ -468,7 +468,7 @@
     for (auto& process : processes_)
       process->Start();
     PutConfiguration(aConfiguration);
-    for (int entry = 0; entry < kEntries; ++entry)
+    for (int entry = 0; entry < entries_; ++entry)
       for (int tries = 0;; ++tries) {
         const Address ready{ Entry(entry).ip, 8343 };
         if (Call(ready, "GET", "/ready", "x", "", 500).status == 200)
@@ -480,6 +480,24 @@
     Note("the deployment is ready");
   }
 
+  /// The control host that began to lead last, by the logs; -1 if there is
+  /// none.
+  int Leader() const
+  {
+    int leader = -1;
+    std::string latest;
+    for (int i = 0; i < kControls; ++i) {
+      std::ifstream log(folder_ + "/" + Ip(i + 1) + ".log");
+      for (std::string line; std::getline(log, line);)
+        if (line.find("scheduling-begun") != std::string::npos &&
+            line.substr(0, 23) > latest) {
+          latest = line.substr(0, 23);
+          leader = i;
+        }
+    }
+    return leader;
+  }
+
   void PutConfiguration(const Json& aConfiguration)
   {
     for (int tries = 0; tries < 200; ++tries) {
@@ -520,6 +538,7 @@
     CannotRun("no free address");
   }
 
+  const int entries_;
   std::string folder_;
   std::string network_;
   std::vector<std::unique_ptr<Process>> processes_;
@@ -573,13 +592,13 @@
       lastEnd_ = 0;
       isUp_ = true;
     }
-    server_ = std::make_unique<Server>(
-      options_.address,
-      [this](const std::string& aMethod,
-             const std::string& aPath,
-             const Message& aRequest) {
-        return Handle(aMethod, aPath, aRequest);
-      });
+    server_ =
+      std::make_unique<Server>(options_.address,
+                               [this](const std::string& aMethod,
+                                      const std::string& aPath,
+                                      const Message& aRequest) {
+                                 return Handle(aMethod, aPath, aRequest);
+                               });
     if (!server_->Start())
       CannotRun("the address of a worker is in use");
     Note(options_.id + " up, life " + std::to_string(life_));
@@ -606,10 +625,28 @@
     Note(options_.id + " down, with it" + (lost.empty() ? " nothing" : lost));
   }
 
-  bool IsUp()
+  /// The worker begins the next run that it is told to, answers nothing, and
+  /// waits for Crash.
+  void HangAtNextStart()
+  {
+    const std::lock_guard lock(mutex_);
+    hangsAtStart_ = true;
+  }
+  bool HasHungAtStart()
+  {
+    const std::lock_guard lock(mutex_);
+    return hasHungAtStart_;
+  }
+  void CancelHang()
+  {
+    const std::lock_guard lock(mutex_);
+    hangsAtStart_ = false;
+  }
+  /// The next life takes calls and answers none; its heartbeats are sent.
+  void AnswerNothing()
   {
     const std::lock_guard lock(mutex_);
-    return isUp_;
+    answersNothing_ = true;
   }
   /// Whether a heartbeat of this life was acknowledged.
   bool IsRegistered()
@@ -625,6 +662,12 @@
       tasks.push_back(task);
     return tasks;
   }
+  /// Whether the work unit has begun here in this life.
+  bool HasBegun(const std::string& aTask)
+  {
+    const std::lock_guard lock(mutex_);
+    return runs_.count(aTask) != 0 || highest_.count(aTask) != 0;
+  }
   /// How long ago the work unit began here; none if it doesn't run here.
   std::optional<Millis> AgeOf(const std::string& aTask)
   {
@@ -713,7 +756,7 @@
                   const Message& aRequest)
   {
     std::unique_lock lock(mutex_);
-    if (!isUp_)
+    if (!isUp_ || !AwaitCrash(answersNothing_ && life_ > 1, lock))
       return {};
     const auto expected = aRequest.headers.find("expect-instance");
     if (expected != aRequest.headers.end() && expected->second != options_.id)
@@ -725,8 +768,12 @@
     if (fence < fence_)
       return Refuse("fence");
     fence_ = fence;
-    if (aPath == "/run-start")
-      return StartRun(body);
+    if (aPath == "/run-start") {
+      const Response response = StartRun(body);
+      const bool isHung = hangsAtStart_ && response.status == 200;
+      hasHungAtStart_ = hasHungAtStart_ || isHung;
+      return AwaitCrash(isHung, lock) ? response : Response();
+    }
     if (aPath == "/run-stop")
       return StopRun(body);
     if (aPath == "/hold")
@@ -734,12 +781,22 @@
     return Answer(404);
   }
 
+  /// \returns true at once, unless the worker hangs: false after its crash.
+  bool AwaitCrash(bool aIsHung, std::unique_lock<std::mutex>& aLock)
+  {
+    const int life = life_;
+    if (aIsHung)
+      changed_.wait(aLock, [&] { return !isUp_ || life_ != life; });
+    return !aIsHung;
+  }
+
   void ExtendLease(const Json& aBody)
   {
     if (!aBody.contains("until-ms"))
       return;
-    leaseEnd_ = std::max(
-      leaseEnd_, std::min(aBody["until-ms"].get<Millis>(), Clock() + kMaxLease));
+    leaseEnd_ =
+      std::max(leaseEnd_,
+               std::min(aBody["until-ms"].get<Millis>(), Clock() + kMaxLease));
     changed_.notify_all();
   }
 
@@ -786,8 +843,7 @@
   {
     ExtendLease(aBody);
     const auto seen = aBody.value("last-seen", std::int64_t(0));
-    std::erase_if(ends_,
-                  [&](const Json& aEnd) { return aEnd[0] <= seen; });
+    std::erase_if(ends_, [&](const Json& aEnd) { return aEnd[0] <= seen; });
     const Millis wait =
       std::min(aBody.value("wait-ms", Millis(0)), Millis(2000));
     const int life = life_;
@@ -804,9 +860,7 @@
           99, (Clock() - run.startedAt) * 100 / std::max<Millis>(*run.work, 1));
       running.push_back(Json::array({ task, run.attempt, "", percent, 500 }));
     }
-    return Answer(200,
-                  { { "running", running },
-                    { "finished", Json(ends_) } });
+    return Answer(200, { { "running", running }, { "finished", Json(ends_) } });
   }
 
   void EndRuns(int aLife)
@@ -836,14 +890,13 @@
         highest_[run->first] =
           std::max(highest_[run->first], run->second.attempt);
         Note("end of " + run->first + " attempt " +
-             std::to_string(run->second.attempt) + " on " + options_.id +
-             ": " + how);
+             std::to_string(run->second.attempt) + " on " + options_.id + ": " +
+             how);
         run = runs_.erase(run);
         changed_.notify_all();
       }
-      changed_.wait_for(lock,
-                        std::chrono::milliseconds(
-                          std::max<Millis>(next - Clock(), 1)));
+      changed_.wait_for(
+        lock, std::chrono::milliseconds(std::max<Millis>(next - Clock(), 1)));
     }
   }
 
@@ -855,6 +908,9 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   bool isUp_ = false;
+  bool hangsAtStart_ = false;
+  bool hasHungAtStart_ = false;
+  bool answersNothing_ = false;
   int life_ = 0;
   int registeredLife_ = 0;
   Millis bornSteady_ = 0;
@@ -875,17 +931,12 @@
       const std::string& aService,
       int aAttempts)
 {
-  return { { "name", aName },
-           { "host", kHost },
-           { "prefix", aPrefix },
-           { "kind", "unsafe" },
-           { "timeout-ms", 3000 },
-           { "slo-ms", 2500 },
-           { "prio", 0 },
-           { "service", aService },
-           { "attempts", aAttempts },
-           { "stretch", 2.2 },
-           { "public", true } };
+  return {
+    { "name", aName },    { "host", kHost },       { "prefix", aPrefix },
+    { "kind", "unsafe" }, { "timeout-ms", 3000 },  { "slo-ms", 2500 },
+    { "prio", 0 },        { "service", aService }, { "attempts", aAttempts },
+    { "stretch", 2.2 },   { "public", true }
+  };
 }
 
 inline Json
@@ -935,8 +986,8 @@
                       aPath,
                       kHost,
                       aBody);
-      const bool isClear = response.status != 0 && response.status < 500 &&
-                           response.status != 429;
+      const bool isClear =
+        response.status != 0 && response.status < 500 && response.status != 429;
       if (isClear || SteadyMillis() > until)
         return response;
       Sleep(100);
@@ -982,8 +1033,7 @@
 }
 
 struct CaseCannotRun
-{
-};
+{};
 
 inline void
 CannotRun(const std::string& aWhy)
--- a/review/standins-3/scenes.cc
+++ b/review/standins-3/scenes.cc
@@ -72,66 +72,18 @@
     return runners;
   }
 
+  bool HasBegun(const std::string& aTask)
+  {
+    bool hasBegun = false;
+    for (auto& worker : workers_)
+      hasBegun = hasBegun || worker->HasBegun(aTask);
+    return hasBegun;
+  }
+
 private:
   std::vector<std::unique_ptr<Worker>> workers_;
 };
 
-/// A worker crashes three times, each time soon after it is back; the submission
-/// that needs a worker of its kind is sound.
-bool
-ThreeCrashes()
-{
-  constexpr Millis kWork = 3000;
-  constexpr Millis kUp = 500;
-  constexpr Millis kDown = 1500;
-  Deployment deployment;
-  deployment.Start(Configuration(
-    1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
-  Service service(
-    deployment, "b", [](const std::string&) { return kWork; });
-  Sleep(1000);
-  Client client(deployment);
-  const std::string path = JobPath(1);
-  const std::string task = TaskOf(path);
-  client.Submit(path,
-                { { "spec", "x" },
-                  { "steps",
-                    Json::array({ { { "count", 1 },
-                                    { "cpu", 880 },
-                                    { "mem-mb", 1300 },
-                                    { "est-ms", kWork },
-                                    { "requires", "b" } } }) } });
-  Worker& flapping = service.At(0);
-  for (int crash = 0; crash < 3 && HasTrouble(); ++crash) {
-    if (!Await(
-          [&] {
-            const auto age = flapping.AgeOf(task);
-            return age && *age >= kUp;
-          },
-          30000)) {
-      // It may not have been begun again because it was given up.
-      Note("the work unit was not begun; its submission is " +
-           client.StateOf(path));
-      break;
-    }
-    flapping.Crash();
-    Sleep(kDown);
-    flapping.Start();
-  }
-  std::string state;
-  Await(
-    [&] {
-      state = client.StateOf(path);
-      Sleep(100);
-      return state == "completed" || state == "failed" || state == "cancelled";
-    },
-    60000);
-  Note("GET " + path + " -> " + state);
-  if (state != "completed" && state != "failed")
-    Note("the submission has not ended");
-  return state != "completed";
-}
-
 /// A worker crashes, comes back under its id, and is lost for good soon after:
 /// a work unit that lasts has to be at work again in time.
 bool
@@ -211,18 +163,26 @@
   return away > kBound;
 }
 
-/// Another writer's heartbeat, of a service that no config names, states the
-/// machine of a worker at work.
+/// A worker crashes as a start reaches it. Its next life is registered, hangs,
+/// and is lost for good: a work unit that lasts has to be at work again in
+/// time.
 bool
-ForeignHeartbeat()
+LostAfterRegistration()
 {
-  constexpr Millis kWork = 8000;
+  constexpr Millis kDown = 300;
+  constexpr Millis kUp = 1000;
+  /// 6 s after its last run, and 3 s; 4 s of calm before these have passed.
+  constexpr Millis kBound = 9000;
   Deployment deployment;
   deployment.Start(Configuration(
     1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
-  Service service(
-    deployment, "a", [](const std::string&) { return kWork; });
+  Service service(deployment, "a", [](const std::string&) {
+    return std::optional<Millis>();
+  });
   Client client(deployment);
+  Sleep(3000);
+  for (int i = 0; i < kWorkers && HasTrouble(); ++i)
+    service.At(i).HangAtNextStart();
   const std::string path = JobPath(1);
   const std::string task = TaskOf(path);
   client.Submit(path,
@@ -231,129 +191,124 @@
                     Json::array({ { { "count", 1 },
                                     { "cpu", 880 },
                                     { "mem-mb", 1300 },
-                                    { "est-ms", kWork } } }) } });
+                                    { "est-ms", 1000 },
+                                    { "persistent", true } } }) } });
   if (!Await([&] { return service.RunnerOf(task) != nullptr; }, 10000))
     CannotRun("the work unit was not begun");
-  Sleep(2000);
-  Worker* const first = service.RunnerOf(task);
-  if (first == nullptr)
-    CannotRun("the work unit does not go on");
-  if (HasTrouble()) {
-    const Json body{ { "service", "inventario" },
-                     { "addr", deployment.Worker(50).Text() },
-                     { "machine", first->Machine() },
-                     { "zone", "serra-a" },
-                     { "version", "v1" },
-                     { "slots", 1 },
-                     { "state", "ready" },
-                     { "cold-left-ms", 0 },
-                     { "capacity",
-                       { { "cpu", 1000 }, { "mem-mb", 512 }, { "gpu", 0 } } },
-                     { "labels", Json::array({ "a", "r1-0" }) },
-                     { "clock-ms", 10 },
-                     { "born", UnixMillis() },
-                     { "seq", 1 } };
-    for (int control = 0; control < Deployment::kControls; ++control) {
-      const Response response = Call(deployment.Control(control),
-                                     "POST",
-                                     "/instances/inventario-1/heartbeat",
-                                     "x",
-                                     body.dump(),
-                                     1000);
-      Note("heartbeat of another writer: machine " + first->Machine() +
-           ", service inventario -> " + std::to_string(response.status));
-      if (response.status != 0 && response.status != 503)
-        break;
-    }
-  }
-  std::set<std::string> at;
-  const bool isTwice = Await(
-    [&] {
-      at = service.RunnersOf(task);
-      return at.size() > 1;
-    },
-    kWork);
-  if (isTwice) {
-    std::string workers;
-    for (const std::string& worker : at)
-      workers += " " + worker;
-    Note("the work unit runs at the same time on" + workers);
+  if (!HasTrouble()) {
+    Sleep(kBound);
+    return service.RunnerOf(task) == nullptr;
   }
-  return isTwice;
+  Worker& lost = *service.RunnerOf(task);
+  for (int i = 0; i < kWorkers; ++i)
+    service.At(i).CancelHang();
+  lost.Crash();
+  lost.AnswerNothing();
+  Sleep(kDown);
+  lost.Start();
+  if (!Await([&] { return lost.IsRegistered(); }, 5000))
+    CannotRun("the heartbeat of the next life was not acknowledged");
+  Note("the heartbeat of the next life was acknowledged");
+  Sleep(kUp);
+  lost.Crash();
+  const Millis lostAt = SteadyMillis();
+  const bool isBack =
+    Await([&] { return service.RunnerOf(task) != nullptr; }, 40000);
+  Note(isBack ? "the work unit was begun again " +
+                  std::to_string(SteadyMillis() - lostAt) +
+                  " ms after the loss; 9000 are allowed"
+              : "the work unit was not begun again within 40 s");
+  return SteadyMillis() - lostAt > kBound;
 }
 
-/// The rack with a submission's data fails worker by worker: three of its four
-/// workers are lost for good, each soon after it has begun the work unit.
+/// An entry host is killed while calls that it relayed wait for two control
+/// hosts that are frozen, and starts again. Its next calls get the answers.
 bool
-ThreeLost()
+ForeignReplies()
 {
-  constexpr int kMany = 24;
-  constexpr Millis kWork = 4000;
-  constexpr Millis kUp = 400;
-  /// From the end of the traffic until submissions are asked for, and how long
-  /// one may have nothing running before that.
-  constexpr Millis kFinish = 14000;
-  constexpr Millis kIdle = 3000;
-  Deployment deployment;
+  constexpr int kCalls = 8;
+  constexpr Millis kFreeze = 860;
+  /// With the control hosts 18 machines, of which two are 0.11.
+  constexpr int kEntries = 15;
+  Deployment deployment(/*aHasPlatform=*/false, kEntries);
   deployment.Start(Configuration(
     1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
-  const std::string path = JobPath(0);
-  const std::string task = TaskOf(path);
-  Service service(
-    deployment,
-    "a",
-    [&](const std::string& aTask) { return aTask == task ? kWork : 300; },
-    kMany);
-  Sleep(1000);
-  Client client(deployment);
-  const auto submission = [](Millis aEstimate) {
-    return Json{ { "spec", "x" },
-                 { "steps",
-                   Json::array({ { { "count", 1 },
-                                   { "cpu", 880 },
-                                   { "mem-mb", 1300 },
-                                   { "est-ms", aEstimate },
-                                   { "affinity", "r1-0" } } }) } };
+  Service service(deployment, "a", [](const std::string&) { return 300; });
+  Sleep(1500);
+  const int leader = deployment.Leader();
+  if (leader < 0)
+    CannotRun("no control host leads");
+  const Address entry = deployment.Entry(0);
+  const auto call =
+    [&](const char* aMethod, int aJob, const std::string& aBody) {
+      const Response response =
+        Call(entry, aMethod, JobPath(aJob), kHost, aBody, 3000);
+      Note(
+        std::string(aMethod) + " " + JobPath(aJob) + " -> " +
+        (response.status == 0 ? "no answer" : std::to_string(response.status)));
+      return response.status;
+    };
+  const auto freeze = [&](int aSignal) {
+    for (int i = 0; i < Deployment::kControls; ++i)
+      if (i != leader)
+        deployment.ControlProcess(i).Signal(aSignal);
   };
-  client.Submit(path, submission(kWork));
-  int next = 1;
-  int lost = 0;
-  const Millis until = SteadyMillis() + 60000;
-  Millis nextTraffic = SteadyMillis();
-  while (lost < 3 && SteadyMillis() < until) {
-    if (SteadyMillis() >= nextTraffic) {
-      nextTraffic = SteadyMillis() + 1000;
-      client.Submit(JobPath(next++), submission(300));
-    }
-    Worker* const runner = service.RunnerOf(task);
-    if (runner != nullptr && runner->AgeOf(task).value_or(0) >= kUp) {
-      ++lost;
-      if (!HasTrouble())
-        break;
-      runner->Crash();
-    }
-    Sleep(5);
+  const Json submission{ { "spec", "x" },
+                         { "steps",
+                           Json::array({ { { "count", 1 },
+                                           { "cpu", 880 },
+                                           { "mem-mb", 1300 },
+                                           { "est-ms", 300 } } }) } };
+  std::vector<std::thread> callers;
+  std::vector<int> statuses(kCalls, 0);
+  const Millis frozenAt = SteadyMillis();
+  if (HasTrouble()) {
+    freeze(SIGSTOP);
+    Note("two control hosts are frozen");
+    Sleep(20);
   }
-  if (lost < (HasTrouble() ? 3 : 1))
-    CannotRun("the work unit was not begun often enough");
-  Note("the traffic ends");
-  const Millis end = SteadyMillis();
-  Millis idleSince = end;
-  while (SteadyMillis() < end + kFinish) {
-    if (service.RunnerOf(task) != nullptr)
-      idleSince = SteadyMillis();
-    Sleep(5);
+  for (int i = 0; i < kCalls; ++i)
+    callers.emplace_back([&, i] { call("DELETE", 100 + i, ""); });
+  Sleep(40);
+  if (HasTrouble()) {
+    deployment.EntryProcess(0).Kill();
+    deployment.EntryProcess(0).Start();
+    Note("an entry host is killed and starts again");
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  callers.clear();
+  const bool isReady = Await(
+    [&] {
+      return Call({ entry.ip, 8343 }, "GET", "/ready", "x", "", 200).status ==
+             200;
+    },
+    frozenAt + kFreeze - 30 - SteadyMillis());
+  if (HasTrouble() && !isReady) {
+    freeze(SIGCONT);
+    CannotRun("the entry host was not ready in time");
+  }
+  Note("the entry host is ready");
+  for (int i = 0; i < kCalls; ++i)
+    callers.emplace_back(
+      [&, i] { statuses[i] = call("POST", 1 + i, submission.dump()); });
+  if (HasTrouble()) {
+    Sleep(frozenAt + kFreeze - SteadyMillis());
+    freeze(SIGCONT);
+    Note("the control hosts go on");
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  Sleep(3000);
+  bool isBroken = false;
+  for (int i = 0; i < kCalls; ++i) {
+    const bool isRejected = statuses[i] >= 400 && statuses[i] < 500;
+    if (isRejected && service.HasBegun(TaskOf(JobPath(1 + i)))) {
+      isBroken = true;
+      Note(JobPath(1 + i) + " was rejected with " +
+           std::to_string(statuses[i]) + ", and has run");
+    }
   }
-  const std::string state = client.StateOf(path);
-  const Millis idle = SteadyMillis() - idleSince;
-  Note("14 s later: GET " + path + " -> " + state +
-       "; nothing of it has run for the last " + std::to_string(idle) + " ms");
-  const bool isBroken =
-    state != "completed" && (state == "failed" || idle > kIdle);
-  if (HasTrouble() &&
-      Await([&] { return service.RunnerOf(task) != nullptr; }, 20000))
-    Note("begun again " + std::to_string(SteadyMillis() - end) +
-         " ms after the end of the traffic");
   return isBroken;
 }
 
@@ -415,14 +370,15 @@
     for (int i = 0; i < kWorkers; ++i) {
       Worker& worker = service_.At(i);
       const bool isDown = down_.count(i) != 0;
-      Json row{ { "machine", worker.Machine() },
-                { "pool", "balanca" },
-                { "state", isDown ? "upkeep" : "up" },
-                { "zone", "serra-a" },
-                { "labels", Json::array({ "a", "r1-" + std::to_string(i / 4) }) },
-                { "capacity",
-                  { { "cpu", 16000 }, { "mem-mb", 32768 }, { "gpu", 0 } } },
-                { "id", isDown ? "" : worker.Id() } };
+      Json row{
+        { "machine", worker.Machine() },
+        { "pool", "balanca" },
+        { "state", isDown ? "upkeep" : "up" },
+        { "zone", "serra-a" },
+        { "labels", Json::array({ "a", "r1-" + std::to_string(i / 4) }) },
+        { "capacity", { { "cpu", 16000 }, { "mem-mb", 32768 }, { "gpu", 0 } } },
+        { "id", isDown ? "" : worker.Id() }
+      };
       if (isDown && hasForeign_) {
         row.erase("pool");
         foreign += " " + worker.Machine();
@@ -432,7 +388,8 @@
     if (!foreign.empty())
       Note("list: the entry of another writer, without pool, for" + foreign);
     return { .status = 200,
-             .body = Json{ { "machines", rows }, { "next-token", "" } }.dump() };
+             .body =
+               Json{ { "machines", rows }, { "next-token", "" } }.dump() };
   }
 
   Response Upkeep(const std::string& aMachine)
@@ -449,8 +406,8 @@
       return { .status = 409, .body = R"({"reason":"busy"})" };
     down_.insert(index);
     most_ = std::max(most_, down_.size());
-    Note("upkeep of " + aMachine + " begins; down for upkeep: " +
-         std::to_string(down_.size()));
+    Note("upkeep of " + aMachine +
+         " begins; down for upkeep: " + std::to_string(down_.size()));
     upkeeps_.emplace_back([this, index] {
       service_.At(index).Crash();
       Sleep(kUpkeep);
@@ -488,10 +445,9 @@
   Json machines = Json::array();
   for (int i = 0; i < kWorkers; ++i)
     machines.push_back(service.At(i).Machine());
-  const Json wave{ { "phase", 1 },
-                   { "machines", machines },
-                   { "deadline-s", 90 },
-                   { "cap", 1 } };
+  const Json wave{
+    { "phase", 1 }, { "machines", machines }, { "deadline-s", 90 }, { "cap", 1 }
+  };
   int status = 0;
   Await(
     [&] {
@@ -509,8 +465,9 @@
   Note("POST /wave-start, 8 machines, cap 1 -> " + std::to_string(status));
   if (status != 200)
     CannotRun("the wave was not accepted");
-  Await([&] { return platform.Done() == kWorkers || platform.MostAtOnce() > 1; },
-        70000);
+  Await(
+    [&] { return platform.Done() == kWorkers || platform.MostAtOnce() > 1; },
+    70000);
   if (platform.Done() < kWorkers && platform.MostAtOnce() <= 1)
     Note("the wave has not ended: " + std::to_string(platform.Done()));
   return platform.MostAtOnce() > 1;
@@ -522,11 +479,10 @@
 main(int aCount, char** aWords)
 {
   const std::map<std::string, std::function<bool()>> scenes{
-    { "three-crashes", ThreeCrashes },
     { "lost-after-restart", LostAfterRestart },
-    { "foreign-heartbeat", ForeignHeartbeat },
     { "foreign-entry", ForeignEntry },
-    { "three-lost", ThreeLost },
+    { "lost-after-registration", LostAfterRegistration },
+    { "foreign-replies", ForeignReplies },
   };
   const auto scene = aCount == 3 ? scenes.find(aWords[1]) : scenes.end();
   if (scene == scenes.end()) {
