--- a/review/standins-3/scenes.cc
+++ b/review/standins-3/scenes.cc
@@ -227,6 +227,8 @@
 ForeignReplies()
 {
   constexpr int kCalls = 8;
+  /// Of those in which the entry host was not ready in time.
+  constexpr int kTries = 5;
   constexpr Millis kFreeze = 860;
   /// With the control hosts 18 machines, of which two are 0.11.
   constexpr int kEntries = 15;
@@ -234,10 +236,6 @@
   deployment.Start(Configuration(
     1, { "balanca" }, Json::array({ Queue("r-1", kPrefix, "balanca", 3) })));
   Service service(deployment, "a", [](const std::string&) { return 300; });
-  Sleep(1500);
-  const int leader = deployment.Leader();
-  if (leader < 0)
-    CannotRun("no control host leads");
   const Address entry = deployment.Entry(0);
   const auto call =
     [&](const char* aMethod, int aJob, const std::string& aBody) {
@@ -248,57 +246,66 @@
         (response.status == 0 ? "no answer" : std::to_string(response.status)));
       return response.status;
     };
-  const auto freeze = [&](int aSignal) {
-    for (int i = 0; i < Deployment::kControls; ++i)
-      if (i != leader)
-        deployment.ControlProcess(i).Signal(aSignal);
-  };
   const Json submission{ { "spec", "x" },
                          { "steps",
                            Json::array({ { { "count", 1 },
                                            { "cpu", 880 },
                                            { "mem-mb", 1300 },
                                            { "est-ms", 300 } } }) } };
-  std::vector<std::thread> callers;
   std::vector<int> statuses(kCalls, 0);
-  const Millis frozenAt = SteadyMillis();
-  if (HasTrouble()) {
-    freeze(SIGSTOP);
-    Note("two control hosts are frozen");
-    Sleep(20);
-  }
-  for (int i = 0; i < kCalls; ++i)
-    callers.emplace_back([&, i] { call("DELETE", 100 + i, ""); });
-  Sleep(40);
-  if (HasTrouble()) {
-    deployment.EntryProcess(0).Kill();
-    deployment.EntryProcess(0).Start();
-    Note("an entry host is killed and starts again");
-  }
-  for (std::thread& caller : callers)
-    caller.join();
-  callers.clear();
-  const bool isReady = Await(
-    [&] {
-      return Call({ entry.ip, 8343 }, "GET", "/ready", "x", "", 200).status ==
-             200;
-    },
-    frozenAt + kFreeze - 30 - SteadyMillis());
-  if (HasTrouble() && !isReady) {
-    freeze(SIGCONT);
-    CannotRun("the entry host was not ready in time");
-  }
-  Note("the entry host is ready");
-  for (int i = 0; i < kCalls; ++i)
-    callers.emplace_back(
-      [&, i] { statuses[i] = call("POST", 1 + i, submission.dump()); });
-  if (HasTrouble()) {
-    Sleep(frozenAt + kFreeze - SteadyMillis());
-    freeze(SIGCONT);
-    Note("the control hosts go on");
+  bool isReady = false;
+  for (int tries = 0; tries < kTries && !isReady; ++tries) {
+    Sleep(3000);
+    const int leader = deployment.Leader();
+    if (leader < 0)
+      CannotRun("no control host leads");
+    const auto signalOthers = [&](int aSignal) {
+      for (int i = 0; i < Deployment::kControls; ++i)
+        if (i != leader)
+          deployment.ControlProcess(i).Signal(aSignal);
+    };
+    std::vector<std::thread> callers;
+    const Millis frozenAt = SteadyMillis();
+    if (HasTrouble()) {
+      signalOthers(SIGSTOP);
+      Note("two control hosts are frozen");
+      Sleep(20);
+    }
+    for (int i = 0; i < kCalls; ++i)
+      callers.emplace_back(
+        [&, i] { call("DELETE", 1000 + kCalls * tries + i, ""); });
+    Sleep(40);
+    if (HasTrouble()) {
+      deployment.EntryProcess(0).Kill();
+      deployment.EntryProcess(0).Start();
+      Note("an entry host is killed and starts again");
+    }
+    for (std::thread& caller : callers)
+      caller.join();
+    callers.clear();
+    const Millis patience = frozenAt + kFreeze - 30 - SteadyMillis();
+    isReady = Await(
+      [&] {
+        return Call({ entry.ip, 8343 }, "GET", "/ready", "x", "", 200).status ==
+               200;
+      },
+      HasTrouble() ? patience : 3000);
+    Note(isReady ? "the entry host is ready"
+                 : "the entry host was not ready in time");
+    if (isReady)
+      for (int i = 0; i < kCalls; ++i)
+        callers.emplace_back(
+          [&, i] { statuses[i] = call("POST", 1 + i, submission.dump()); });
+    if (HasTrouble()) {
+      Sleep(std::max<Millis>(frozenAt + kFreeze - SteadyMillis(), 0));
+      signalOthers(SIGCONT);
+      Note("the control hosts go on");
+    }
+    for (std::thread& caller : callers)
+      caller.join();
   }
-  for (std::thread& caller : callers)
-    caller.join();
+  if (!isReady)
+    CannotRun("the entry host was never ready in time");
   Sleep(3000);
   bool isBroken = false;
   for (int i = 0; i < kCalls; ++i) {
