Keep replies to an earlier incarnation of an entry host from its clients

Cause: GateFilter numbered the calls that it relays from 1 in each incarnation of the process and accepted a reply by number and sender. The leader keeps a call that waits for a commit after the connection has ended, and sends the reply to the peer's address, over the connection of its next incarnation.

Change: the numbers start at random, so that a reply to an earlier incarnation matches no call. The leader forgets the calls of a connection that has ended, which protects entry hosts of the former build. The messages are as before. Calls are kept in the order of their arrival, in which they are relayed again.

Why it works: no incarnation issues a number of another one, so that a reply reaches the call that it answers or none.

--- a/packages/core/unittests/CoreTest.cpp
+++ b/packages/core/unittests/CoreTest.cpp
@@ -4,6 +4,7 @@
 #include "greengage/core/Error.h"
 #include "greengage/core/Ids.h"
 #include "greengage/core/JsonNesting.h"
+#include "greengage/core/UniqueSequence.h"
 #include "greengage/core/Utf8.h"
 
 #include <catch2/catch.hpp>
@@ -132,3 +133,20 @@
   // Not JSON.
   CHECK_FALSE(IsNestedDeeper("]]]][", 1));
 }
+
+TEST_CASE("a sequence of numbers ascends and shares none with another one")
+{
+  constexpr std::uint64_t kMaxExactInJson = std::uint64_t{ 1 } << 53U;
+  std::set<std::uint64_t> numbers;
+  for (int incarnation = 0; incarnation < 100; ++incarnation) {
+    UniqueSequence sequence;
+    std::uint64_t last = 0;
+    for (int message = 0; message < 100; ++message) {
+      const std::uint64_t number = sequence.Next();
+      REQUIRE(number > last);
+      REQUIRE(number < kMaxExactInJson);
+      REQUIRE(numbers.insert(number).second);
+      last = number;
+    }
+  }
+}
--- a/packages/daemon/lib/filters/GateFilter.cpp
+++ b/packages/daemon/lib/filters/GateFilter.cpp
@@ -115,7 +115,7 @@
                      http::HttpRequest&& aRequest,
                      Time /*aNow*/)
 {
-  const schedule::CallerId id(++lastCaller_);
+  const schedule::CallerId id(callerNumbers_.Next());
   if (CanServe())
     refusedSince_.reset();
   if (LeadsHere()) {
@@ -323,6 +323,22 @@
   GiveUp(
     [&](const Caller& aCaller) { return aCaller.relayedTo == aEvent.peer; },
     "connection to the leader was lost");
+  ForgetCallsOf(aEvent.peer);
+}
+
+/// Forgets the calls that the peer has relayed over a connection that has
+/// ended. The peer asks again, or has been restarted and knows nothing of them.
+void
+GateFilter::ForgetCallsOf(const EntryHostId& aPeer)
+{
+  const std::size_t count = std::erase_if(
+    callers_, [&](const auto& aItem) { return aItem.second.peer == aPeer; });
+  if (count == 0)
+    return;
+  observe::Log(
+    observe::LogLevel::Info,
+    "relayed-calls-forgotten",
+    { { "peer", aPeer.Value() }, { "count", std::to_string(count) } });
 }
 
 void
@@ -387,8 +403,14 @@
 GateFilter::OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply)
 {
   const auto found = callers_.find(schedule::CallerId(aReply.number));
-  if (found == callers_.end() || found->second.relayedTo != aPeer)
+  if (found == callers_.end()) {
+    IgnoreReply(aPeer, aReply, "no call waits for it");
+    return;
+  }
+  if (found->second.relayedTo != aPeer) {
+    IgnoreReply(aPeer, aReply, "call was not relayed to this peer");
     return;
+  }
   Caller& caller = found->second;
   const unsigned status = aReply.response.status;
   if (caller.request &&
@@ -400,6 +422,20 @@
   callers_.erase(found);
 }
 
+void
+GateFilter::IgnoreReply(const EntryHostId& aPeer,
+                        const wire::RelayedReply& aReply,
+                        const char* aWhy)
+{
+  host_.metrics.Count("greengage_relayed_replies_ignored_total");
+  observe::Log(observe::LogLevel::Info,
+               "relayed-reply-ignored",
+               { { "peer", aPeer.Value() },
+                 { "number", std::to_string(aReply.number) },
+                 { "status", std::to_string(aReply.response.status) },
+                 { "reason", aWhy } });
+}
+
 void
 GateFilter::OnMessage(const wire::LeaderNotice& aNotice, Time aNow)
 {
--- a/packages/daemon/lib/filters/GateFilter.h
+++ b/packages/daemon/lib/filters/GateFilter.h
@@ -8,6 +8,7 @@
 #include "../HostState.h"
 #include "JobMessages.h"
 
+#include "greengage/core/UniqueSequence.h"
 #include "greengage/pipe/DutyLoad.h"
 #include "greengage/pipe/Filter.h"
 #include "greengage/pipe/Pipe.h"
@@ -17,7 +18,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 namespace greengage::daemon::detail {
 
@@ -79,6 +79,9 @@
                  wire::RelayedCall&& aCall,
                  Time aNow);
   void OnMessage(const EntryHostId& aPeer, wire::RelayedReply&& aReply);
+  void IgnoreReply(const EntryHostId& aPeer,
+                   const wire::RelayedReply& aReply,
+                   const char* aWhy);
   void OnMessage(const wire::LeaderNotice& aNotice, Time aNow);
   void OnMessage(const EntryHostId& aPeer, wire::LogMessage&& aMessage) const;
   bool Learn(consensus::Term aTerm, const std::optional<EntryHostId>& aLeader);
@@ -91,6 +94,7 @@
   void Dispatch(Caller&& aCaller, http::HttpRequest&& aRequest, Time aNow);
   void Respond(const Caller& aCaller, http::HttpResponse&& aResponse);
   void Refuse(const Caller& aCaller, const char* aWhy);
+  void ForgetCallsOf(const EntryHostId& aPeer);
   bool Relay(schedule::CallerId aId, Caller& aCaller);
   void AskAgain(Caller& aCaller, Time aAt);
   void RelayAgain(Time aNow);
@@ -111,8 +115,9 @@
   bool isStopping_ = false;
   /// The peers that are up, with their availability zones.
   std::map<EntryHostId, AvailabilityZoneId> up_;
-  std::unordered_map<schedule::CallerId, Caller> callers_;
-  std::uint64_t lastCaller_ = 0;
+  /// In the order of their arrival.
+  std::map<schedule::CallerId, Caller> callers_;
+  UniqueSequence callerNumbers_;
   Time now_;
   Time nextCheck_;
   Time nextNotice_;
--- a/packages/daemon/unittests/GateFilterTest.cpp
+++ b/packages/daemon/unittests/GateFilterTest.cpp
@@ -310,6 +310,35 @@
   CHECK(NextStatus() == 503);
 }
 
+// Guards against REFUSED: clients got the answers to the calls that this host
+// had relayed before it was restarted.
+TEST_CASE(
+  "a reply to a call of an earlier incarnation of the host answers no other")
+{
+  std::uint64_t earlier = 0;
+  {
+    Fixture incarnation;
+    incarnation.Connect(kLeader);
+    incarnation.Notice(2, kLeader);
+    incarnation.Request();
+    REQUIRE(incarnation.LastRelayed() != nullptr);
+    earlier = incarnation.LastRelayed()->number;
+  }
+  Fixture next;
+  next.Connect(kLeader);
+  next.Notice(2, kLeader);
+  next.Request();
+  REQUIRE(next.LastRelayed() != nullptr);
+  wire::RelayedReply reply = ReplyTo(earlier);
+  reply.response.status = 410;
+  next.Receive(kLeader, std::move(reply));
+  CHECK(next.NextStatus() == 0);
+  CHECK(next.host.metrics.Serialize().find(
+          "greengage_relayed_replies_ignored_total 1") != std::string::npos);
+  next.Receive(kLeader, ReplyTo(next.LastRelayed()->number));
+  CHECK(next.NextStatus() == 200);
+}
+
 TEST_CASE_METHOD(Fixture, "readiness follows the way to the leader")
 {
   const auto readiness = [&] {
@@ -357,6 +386,32 @@
   CHECK(std::get<wire::RelayedReply>(sent.message).number == 7);
 }
 
+// Guards against REFUSED on a fleet that is being upgraded: an entry host of
+// the former build uses the same numbers again after a restart.
+TEST_CASE_METHOD(
+  ControlFixture,
+  "the answer to a call does not go to a later connection of the peer")
+{
+  Lead();
+  Connect(kOther);
+  Receive(kOther, wire::RelayedCall{ .number = 1, .request = {} });
+  Disconnect(kOther);
+  Connect(kOther);
+  Receive(kOther, wire::RelayedCall{ .number = 1, .request = {} });
+  REQUIRE(served.messages.size() == 2);
+  peers.messages.clear();
+  http::HttpResponse response;
+  response.status = 410;
+  Do(CallAnswered{ .caller = served.messages[0].caller, .response = response });
+  CHECK(peers.messages.empty());
+  response.status = 200;
+  Do(CallAnswered{ .caller = served.messages[1].caller, .response = response });
+  REQUIRE(peers.messages.size() == 1);
+  const auto& reply =
+    std::get<wire::RelayedReply>(peers.messages.front().message);
+  CHECK(reply.response.status == 200);
+}
+
 TEST_CASE_METHOD(ControlFixture, "a call is relayed only once")
 {
   Connect(kLeader);
