Tell forwarded requests of different incarnations of an entry host apart

What callers would see: after a restart of their entry host a client of the product's own interface gets the answer to another client's request, and the cancellation of its request ends another run.

Cause: RequestPlane numbered its dispatches from 1 in each incarnation. The peer returns the outcome of a run to the host's address, and upstreams are told the same number to cancel a run.

Change: the numbers start at random. Dispatches are kept in the order in which they were sent, so that the start of the numbers decides nothing.

Evidence: "the outcome of a request that an earlier incarnation of the host has forwarded ends no other request" failed before: the other request was answered.

Why it works: no incarnation issues a number of another one.

Not measured with processes. A host of the former build that is restarted beside this one still repeats its numbers.

--- a/packages/core/include/greengage/core/Ids.h
+++ b/packages/core/include/greengage/core/Ids.h
@@ -27,7 +27,8 @@
 using KeyId = StrongId<struct KeyTag, std::string>;
 /// The caller's own id of a request, unique inside a team.
 using RequestId = StrongId<struct RequestTag, std::string>;
-/// One attempt to run a request on an upstream, unique inside an entry host.
+/// One attempt to run a request on an upstream, unique among those of an entry
+/// host and of its earlier incarnations.
 using DispatchId = StrongId<struct DispatchTag, std::uint64_t>;
 /// One accepted request on its way, unique inside an entry host.
 using WorkId = StrongId<struct WorkTag, std::uint64_t>;
--- a/packages/dispatch/include/greengage/dispatch/RequestPlane.h
+++ b/packages/dispatch/include/greengage/dispatch/RequestPlane.h
@@ -8,6 +8,7 @@
 
 #include "greengage/core/Ids.h"
 #include "greengage/core/Request.h"
+#include "greengage/core/UniqueSequence.h"
 #include "greengage/core/Units.h"
 #include "greengage/dispatch/DeadlineGate.h"
 #include "greengage/dispatch/LimitLedger.h"
@@ -195,7 +196,8 @@
   RetryBudget retryBudget_;
 
   std::unordered_map<WorkId, Work> works_;
-  std::unordered_map<DispatchId, Attempt> attempts_;
+  /// In the order in which they were sent.
+  std::map<DispatchId, Attempt> attempts_;
   /// The requests that peers have forwarded, by the peer's dispatch id.
   std::map<std::pair<EntryHostId, DispatchId>, WorkId> peerWorks_;
   /// Requests with an attempt in progress, by deadline.
@@ -203,7 +205,8 @@
   /// Resources of lost attempts, by the time at which they are released.
   std::multimap<Time, LeasedResources> leasedResources_;
   std::uint64_t lastWork_ = 0;
-  std::uint64_t lastDispatch_ = 0;
+  /// Peers and upstreams may answer after a restart of this host.
+  UniqueSequence dispatchNumbers_;
 
   std::map<PoolId, PoolLoad> publishedLoads_;
   Time nextPublish_;
--- a/packages/dispatch/lib/RequestPlaneAttempts.cpp
+++ b/packages/dispatch/lib/RequestPlaneAttempts.cpp
@@ -74,7 +74,7 @@
     retryBudget_.RecordFirstSend(work.request.team);
   work.hasBeenSent = true;
   const Request& request = work.request;
-  const DispatchId dispatch(++lastDispatch_);
+  const DispatchId dispatch(dispatchNumbers_.Next());
   work.dispatch = dispatch;
   running_.emplace(request.deadline, aWork);
   if (const auto* id = std::get_if<UpstreamId>(&aTarget)) {
--- a/packages/dispatch/unittests/RequestPlaneTest.cpp
+++ b/packages/dispatch/unittests/RequestPlaneTest.cpp
@@ -301,6 +301,32 @@
   REQUIRE(std::holds_alternative<Unknown>(Take<Answer>().at(0).outcome));
 }
 
+// Guards against a client that gets the answer to a request which this host had
+// forwarded before it was restarted, and which another client had sent.
+TEST_CASE(
+  "the outcome of a request that an earlier incarnation of the host has "
+  "forwarded ends no other request")
+{
+  PlaneFixture earlier;
+  earlier.AddPeerWithSlot();
+  earlier.SubmitRequest(1, "r1");
+  const auto forwarded = earlier.Take<Forward>();
+  REQUIRE(forwarded.size() == 1);
+  PlaneFixture next;
+  next.AddPeerWithSlot();
+  next.SubmitRequest(1, "r2");
+  const auto forwards = next.Take<Forward>();
+  REQUIRE(forwards.size() == 1);
+  next.Send(ForwardEnded{ .from = EntryHostId("e2"),
+                          .dispatch = forwarded[0].dispatch,
+                          .outcome = Answered{} });
+  CHECK(next.Take<Answer>().empty());
+  next.Send(ForwardEnded{ .from = EntryHostId("e2"),
+                          .dispatch = forwards[0].dispatch,
+                          .outcome = Answered{} });
+  CHECK(next.Take<Answer>().size() == 1);
+}
+
 TEST_CASE_METHOD(
   PlaneFixture,
   "a peer's request runs if a slot is free and is refused at once otherwise")
