--- a/packages/schedule/include/greengage/schedule/Scheduler.h
+++ b/packages/schedule/include/greengage/schedule/Scheduler.h
@@ -231,7 +231,7 @@
   void TickSession(WorkerSession& aSession);
   void TickRun(WorkerSession& aSession, const TaskId& aTask, Run& aRun);
   void RecordConfirmedStarts(WorkerSession& aSession);
-  void AllowForLongestLease(WorkerSession& aSession) const;
+  void AllowForForeignLease(WorkerSession& aSession) const;
   Time LeaseExpiryOf(const WorkerSession& aSession) const;
   void ExpireLease(WorkerSession& aSession);
   static void SettleStart(WorkerSession& aSession,
--- a/packages/schedule/include/greengage/schedule/WorkerSession.h
+++ b/packages/schedule/include/greengage/schedule/WorkerSession.h
@@ -150,9 +150,9 @@
   std::optional<Time> laterIncarnationAnsweredAt;
   bool isProbeInFlight = false;
   Time nextProbeAt;
-  /// Whether an earlier incarnation of the worker had the same address, so that
-  /// calls meant for that one may have been executed.
-  bool hasReusedAddress = false;
+  /// Whether this incarnation may hold a lease that was meant for an earlier
+  /// one at its address, which stated no incarnation for its calls to name.
+  bool mayHoldForeignLease = false;
   Time lastHeartbeat;
   /// The capacity in the worker's latest heartbeat, which its record may not
   /// show yet.
--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -523,10 +523,9 @@
   AdjustThrottling(aSession, aReply);
   EndRunsOfEarlierIncarnations(aSession, aReply);
   if (aReply.ended.size() < kMaxListedEnds && !hasStrays) {
-    // Until this answer the worker may have executed renewals meant for an
-    // earlier incarnation.
-    if (!aSession.isReconciled && aSession.hasReusedAddress)
-      AllowForLongestLease(aSession);
+    // Until this answer the worker may have executed such calls.
+    if (!aSession.isReconciled && aSession.mayHoldForeignLease)
+      AllowForForeignLease(aSession);
     aSession.isReconciled = true;
   }
   if (aCall.isContact)
--- a/packages/schedule/lib/SchedulerIncarnations.cpp
+++ b/packages/schedule/lib/SchedulerIncarnations.cpp
@@ -45,7 +45,6 @@
                      std::to_string(aSession.unansweredStarts.size()) } });
   ChargeCrash(aSession);
   aSession.laterIncarnationAnsweredAt = now_.steady;
-  AllowForLongestLease(aSession);
   for (auto& [task, run] : aSession.runs)
     if (run.stage != RunStage::Proposed && !aSession.HasUnansweredStart(task))
       EndRun(
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -87,10 +87,10 @@
     poolIndex_.Remove(session);
     const bool isSameAddress =
       record.id == latest.id && record.endpoint == latest.endpoint;
-    if (isSameAddress) {
-      sessions_.at(aWorker).hasReusedAddress = true;
-      AllowForLongestLease(sessions_.at(aWorker));
-    }
+    // Calls that name an incarnation are sent on its connections only, and end
+    // with it.
+    if (isSameAddress && record.incarnation == jobs::Incarnation(0))
+      AllowForForeignLease(sessions_.at(aWorker));
     for (auto& [task, run] : session.runs) {
       run.isStopRequested = true;
       run.nextCallAt = now_.steady;
@@ -173,14 +173,21 @@
                                            .incarnation = worker.incarnation });
 }
 
-/// Extends the bound of the worker's lease for a renewal meant for an earlier
-/// incarnation: its time, on the clock of that one, may be far ahead of this
+/// Extends the bound of the worker's lease for calls meant for an earlier
+/// incarnation: their times, on the clock of that one, may be far ahead of this
 /// one's, so that only the worker's own limit shortens the lease.
 void
-Scheduler::AllowForLongestLease(WorkerSession& aSession) const
+Scheduler::AllowForForeignLease(WorkerSession& aSession) const
 {
-  aSession.leaseExpiry = std::max(
-    aSession.leaseExpiry, now_.steady + LeaseExpiryBound(options_.maxLease));
+  aSession.mayHoldForeignLease = true;
+  const Duration bound = LeaseExpiryBound(options_.maxLease);
+  aSession.leaseExpiry = std::max(aSession.leaseExpiry, now_.steady + bound);
+  observe::Log(
+    observe::LogLevel::Info,
+    "longest-lease-allowed",
+    { { "worker", RecordOf(aSession).id.Value() },
+      { "incarnation", std::to_string(RecordOf(aSession).incarnation.Value()) },
+      { "bound_ms", std::to_string(bound.Millis()) } });
 }
 
 void
