--- a/packages/schedule/unittests/ControllerTest.cpp
+++ b/packages/schedule/unittests/ControllerTest.cpp
@@ -386,10 +386,11 @@
   CheckInvariants();
 }
 
-TEST_CASE("a lease meant for an earlier incarnation of a worker is waited for")
+TEST_CASE("a lease meant for an earlier incarnation that stated none is waited "
+          "for")
 {
   SimulatedFleet fleet;
-  fleet.executesCallsToEarlierIncarnations = true;
+  fleet.statesNoIncarnation = true;
   fleet.Run(Duration(200));
   fleet.AddWorker("w1");
   jobs::Step step = MakeStep(1);
@@ -397,8 +398,9 @@
   fleet.Submit({ step });
   fleet.Run(Duration(15000));
   REQUIRE(fleet.RunsOn("w1") == 1);
+  fleet.statesNoIncarnation = false;
   // The new incarnation executes renewals whose lease ends on the clock of the
-  // earlier one.
+  // earlier one, and which name none.
   fleet.SetHandlingLag(Duration(500));
   fleet.Run(Duration(600));
   fleet.CrashWorker("w1", Duration(10));
--- a/packages/schedule/unittests/ReusedIdTest.cpp
+++ b/packages/schedule/unittests/ReusedIdTest.cpp
@@ -161,7 +161,7 @@
     FAIL_CHECK(violation);
 }
 
-// A lease that no incarnation holds is waited for.
+// Guards against LOST: a lease that no incarnation held was waited for.
 TEST_CASE("a persistent task restarts in time if its worker is cut off soon "
           "after its next incarnation has registered")
 {
--- a/packages/schedule/unittests/SimulatedFleet.cpp
+++ b/packages/schedule/unittests/SimulatedFleet.cpp
@@ -634,6 +634,7 @@
   worker.record = std::move(aRecord);
   worker.record.incarnation = jobs::Incarnation(now_.Millis());
   worker.record.endpoint = { "10.0.0.1", port };
+  worker.statesIncarnation = !statesNoIncarnation;
   worker.reachableSince = now_;
   worker.clockRate = clockRate_;
   if (maxInitialClock > Duration(0))
@@ -654,9 +655,11 @@
   aWorker.nextHeartbeat = now_ + kHeartbeatInterval;
   if (!aWorker.isUp || AreHeartbeatsLost(aWorker))
     return;
-  const WorkerHeartbeat beat{ .worker = aWorker.record,
-                              .sequence = ++aWorker.lastSequence,
-                              .clock = ClockOf(aWorker) };
+  WorkerHeartbeat beat{ .worker = aWorker.record,
+                        .sequence = ++aWorker.lastSequence,
+                        .clock = ClockOf(aWorker) };
+  if (!aWorker.statesIncarnation)
+    beat.worker.incarnation = jobs::Incarnation(0);
   const auto deliver = [this, beat] {
     Deliver(leaderTerm_, [this, beat](Leader& aLeader) {
       aLeader.controller.Handle(
@@ -1071,8 +1074,10 @@
   reply.id = aCall.id;
   reply.answer = WorkerCallStatus::Done;
   reply.clock = ClockOf(aWorker);
-  if (!statesIncarnationOnlyInLists ||
-      std::holds_alternative<RenewLease>(aCall.request))
+  const bool statesIncarnation =
+    !statesIncarnationOnlyInLists ||
+    std::holds_alternative<RenewLease>(aCall.request);
+  if (aWorker.statesIncarnation && statesIncarnation)
     reply.incarnation = aWorker.record.incarnation;
   const FencingToken fence = std::visit(
     [](const auto& aRequest) { return aRequest.fence; }, aCall.request);
--- a/packages/schedule/unittests/SimulatedFleet.h
+++ b/packages/schedule/unittests/SimulatedFleet.h
@@ -220,6 +220,8 @@
   /// Workers state their incarnation in their lists and heartbeats, and not in
   /// the replies to other calls.
   bool statesIncarnationOnlyInLists = false;
+  /// Workers that start from now on never state their incarnation.
+  bool statesNoIncarnation = false;
   /// A worker answers an inquiry for another incarnation as unhealthy.
   bool refusesInquiries = false;
   /// If set, the clock of a worker that starts shows a random time below it,
@@ -267,6 +269,7 @@
     /// The capacities that this incarnation has had before its current one.
     std::vector<EarlierCapacity> earlierCapacities;
     bool isUp = true;
+    bool statesIncarnation = true;
     Time partitionedUntil;
     /// Since when calls and heartbeats have arrived.
     Time reachableSince;
