--- a/packages/schedule/lib/SchedulerCalls.cpp
+++ b/packages/schedule/lib/SchedulerCalls.cpp
@@ -523,7 +523,8 @@
   AdjustThrottling(aSession, aReply);
   EndRunsOfEarlierIncarnations(aSession, aReply);
   if (aReply.ended.size() < kMaxListedEnds && !hasStrays) {
-    // Until this answer the worker may have executed such calls.
+    // Until this answer the worker may have executed calls to the earlier
+    // incarnation; from now on it refuses their lower fencing tokens.
     if (!aSession.isReconciled && aSession.mayHoldForeignLease)
       AllowForForeignLease(aSession);
     aSession.isReconciled = true;
--- a/packages/schedule/lib/SchedulerWorkers.cpp
+++ b/packages/schedule/lib/SchedulerWorkers.cpp
@@ -87,8 +87,8 @@
     poolIndex_.Remove(session);
     const bool isSameAddress =
       record.id == latest.id && record.endpoint == latest.endpoint;
-    // Calls that name an incarnation are sent on its connections only, and end
-    // with it.
+    // Calls that name an incarnation are only sent on connections that it has
+    // accepted, so that no later one gets them.
     if (isSameAddress && record.incarnation == jobs::Incarnation(0))
       AllowForForeignLease(sessions_.at(aWorker));
     for (auto& [task, run] : session.runs) {
--- a/packages/schedule/unittests/RestartedWorkerLeaseTest.cpp
+++ b/packages/schedule/unittests/RestartedWorkerLeaseTest.cpp
@@ -5,7 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <cstddef>
 #include <string>
 
 using namespace greengage;
@@ -20,11 +19,11 @@
 /// than the longest lease.
 constexpr Duration kUpTime = Duration::Seconds(16);
 
-/// A worker w1 that restarts once or twice, idle or while it runs a persistent
-/// task, and then runs one.
+/// A worker w1 that restarts once or more, idle or while it runs a persistent
+/// task, and then runs one. No other worker is up meanwhile.
 struct Fixture : SimulatedFleet
 {
-  explicit Fixture(Duration aMaxLease = Duration::Seconds(10))
+  explicit Fixture(Duration aMaxLease)
     : SimulatedFleet(1, false, aMaxLease)
   {
     Run(Duration(200));
@@ -42,7 +41,7 @@
     CrashWorker("w1", Duration(300));
     Run(Duration(1000));
   }
-  void RestartAndStart(bool aIsIdle, int aRestarts = 1)
+  void RestartAndStart(bool aIsIdle, int aRestarts)
   {
     if (!aIsIdle)
       SubmitPersistentTask();
